--- /dev/null
+++ b/caller/relay.go
@@ -0,0 +1,91 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"lynxwell.dev/lynxwell/backend"
+	"lynxwell.dev/lynxwell/view"
+)
+
+// relayChunk is how much of a relayed answer is passed on at once.
+const relayChunk = 16 << 10
+
+// passOn relays a request to the gateway that decides it, and its answer back.
+func (srv *Server) passOn(wri http.ResponseWriter, req *http.Request, sub *submission, to view.Member) {
+	ctx, cancel := context.WithCancel(req.Context())
+	defer cancel()
+	watched := srv.watchAlive(ctx, cancel, to)
+	rep, err := srv.sendOn(ctx, req, sub, to)
+	if err != nil {
+		cancel()
+		<-watched
+		if stopped(req.Context()) {
+			return
+		}
+		srv.relayFailed(wri, req, sub, Relayed{To: to})
+		return
+	}
+	defer rep.Body.Close()
+	for name, values := range backend.EndToEnd(rep.Header) {
+		wri.Header()[name] = values
+	}
+	wri.WriteHeader(rep.StatusCode)
+	err = copyFlushed(wri, rep.Body)
+	cancel()
+	<-watched
+	srv.logEnd(sub, rep.StatusCode, "Relayed", "")
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// watchAlive ends the relay when the other host stops answering. The channel
+// reports the end of the watch.
+func (srv *Server) watchAlive(ctx context.Context, cancel context.CancelFunc, to view.Member) <-chan error {
+	end := make(chan error, 1)
+	go func() {
+		err := srv.cfg.Backend.Alive(ctx, to)
+		cancel()
+		end <- err
+	}()
+	return end
+}
+
+func (srv *Server) sendOn(ctx context.Context, req *http.Request, sub *submission, to view.Member) (*http.Response, error) {
+	url := "http://" + to.CallerAddress.String() + req.URL.RequestURI()
+	out, err := http.NewRequestWithContext(ctx, req.Method, url, bytes.NewReader(sub.body))
+	if err != nil {
+		return nil, err
+	}
+	out.Header = backend.EndToEnd(req.Header)
+	out.Header.Set(HeaderRelayed, srv.cfg.HostName)
+	out.Header.Set(HeaderID, sub.arrived.ID.String())
+	return srv.relay.Do(out)
+}
+
+func copyFlushed(wri http.ResponseWriter, body io.Reader) error {
+	controller := http.NewResponseController(wri)
+	buf := make([]byte, relayChunk)
+	for {
+		count, err := body.Read(buf)
+		if count > 0 {
+			_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if _, werr := wri.Write(buf[:count]); werr != nil {
+				return werr
+			}
+			if werr := controller.Flush(); werr != nil {
+				return werr
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/caller/server.go
@@ -0,0 +1,248 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+
+	"lynxwell.dev/lynxwell/gateway"
+	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/resource"
+)
+
+// defaultMaxRequests bounds the requests served at once.
+const defaultMaxRequests = 8192
+
+// Server serves callers.
+type Server struct {
+	cfg     ServerConfig
+	relay   *http.Client
+	last    atomic.Uint64
+	serving atomic.Int64
+}
+
+// NewServer returns a server.
+func NewServer(cfg ServerConfig) *Server {
+	if cfg.MaxRequests == 0 {
+		cfg.MaxRequests = defaultMaxRequests
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true}
+	return &Server{cfg: cfg, relay: &http.Client{Transport: transport}}
+}
+
+// Close drops the idle connections to other hosts.
+func (srv *Server) Close() {
+	srv.relay.CloseIdleConnections()
+}
+
+// HTTPServer returns an HTTP server with limits against slow callers.
+func (srv *Server) HTTPServer() *http.Server {
+	return &http.Server{Handler: srv.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+}
+
+// Handler returns the HTTP handler.
+func (srv *Server) Handler() http.Handler {
+	rou := mux.NewRouter().UseEncodedPath()
+	rou.HandleFunc("/v1/addresses", srv.serveAddresses).Methods(http.MethodGet)
+	rou.HandleFunc("/v1/chat/completions", srv.limited(srv.serveChat)).Methods(http.MethodPost)
+	rou.HandleFunc("/v1/ready", srv.serveReady).Methods(http.MethodGet)
+	rou.HandleFunc("/services/{service}{rest:(?:/.*)?}", srv.limited(srv.servePlain))
+	rou.NotFoundHandler = http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		sendProblem(wri, problem{status: http.StatusNotFound, code: "NoSuchPath", message: "no such path: " + req.URL.Path})
+	})
+	return rou
+}
+
+func (srv *Server) limited(next http.HandlerFunc) http.HandlerFunc {
+	return func(wri http.ResponseWriter, req *http.Request) {
+		defer srv.serving.Add(-1)
+		if srv.serving.Add(1) > int64(srv.cfg.MaxRequests) {
+			sendProblem(wri, problem{
+				status: http.StatusServiceUnavailable, code: "HostBusy", message: "this host serves as many requests as it may",
+				outcome: request.Unknown, retry: true, retryAfter: time.Second,
+			})
+			return
+		}
+		next(wri, req)
+	}
+}
+
+func (srv *Server) serveAddresses(wri http.ResponseWriter, _ *http.Request) {
+	adr := srv.cfg.Backend.Addresses()
+	if len(adr.Addresses) == 0 {
+		sendProblem(wri, problem{
+			status: http.StatusServiceUnavailable, code: "NoView", message: "this host knows no view yet",
+			retry: true, retryAfter: time.Second,
+		})
+		return
+	}
+	sendJSON(wri, http.StatusOK, adr)
+}
+
+func (srv *Server) serveReady(wri http.ResponseWriter, _ *http.Request) {
+	ready, reason := srv.cfg.Backend.Ready()
+	if !ready {
+		sendProblem(wri, problem{status: http.StatusServiceUnavailable, code: "NotReady", message: reason})
+		return
+	}
+	sendJSON(wri, http.StatusOK, struct{ Ready bool }{true})
+}
+
+// submission is a caller's request with all that is known of it.
+type submission struct {
+	arrived gateway.Arrived
+	work    Work
+	// body is the caller's own body, for a relay.
+	body []byte
+	// stream says that the caller wants the answer as it comes.
+	stream  bool
+	account string
+	log     logFields
+}
+
+func (srv *Server) serveChat(wri http.ResponseWriter, req *http.Request) {
+	sub, pro := srv.readChat(wri, req)
+	if pro != nil {
+		sendProblem(wri, *pro)
+		return
+	}
+	srv.serve(wri, req, sub)
+}
+
+func (srv *Server) servePlain(wri http.ResponseWriter, req *http.Request) {
+	sub, pro := srv.readPlain(wri, req)
+	if pro != nil {
+		sendProblem(wri, *pro)
+		return
+	}
+	srv.serve(wri, req, sub)
+}
+
+// serve has the gateway decide, and gives the caller the answer.
+func (srv *Server) serve(wri http.ResponseWriter, req *http.Request, sub *submission) {
+	wri.Header().Set(HeaderRequestID, sub.arrived.ID.String())
+	dec, err := srv.cfg.Backend.Arrive(req.Context(), sub.arrived, sub.work)
+	if err != nil {
+		srv.sendStopped(wri, err)
+		return
+	}
+	srv.follow(wri, req, sub, dec)
+}
+
+func (srv *Server) sendStopped(wri http.ResponseWriter, err error) {
+	sendProblem(wri, problem{
+		status: http.StatusServiceUnavailable, code: "HostStopped", message: err.Error(),
+		outcome: request.Unknown, retry: true,
+	})
+}
+
+func (srv *Server) follow(wri http.ResponseWriter, req *http.Request, sub *submission, dec Decision) {
+	switch dec := dec.(type) {
+	case Attached:
+		srv.sendExchange(wri, req, sub, dec.Exchange)
+	case Answered:
+		srv.sendFinal(wri, sub, dec.Final)
+	case Relayed:
+		srv.passOn(wri, req, sub, dec.To)
+	}
+}
+
+// relayFailed asks the gateway again after a relay that brought nothing.
+func (srv *Server) relayFailed(wri http.ResponseWriter, req *http.Request, sub *submission, rel Relayed) {
+	dec, err := srv.cfg.Backend.RelayFailed(req.Context(), sub.arrived, rel.To, sub.work)
+	if err != nil {
+		srv.sendStopped(wri, err)
+		return
+	}
+	if _, again := dec.(Relayed); again {
+		srv.sendFinal(wri, sub, gateway.Final{Cause: gateway.CauseUndecided, Outcome: request.Unknown, Retry: true, RetryAfter: time.Second})
+		return
+	}
+	srv.follow(wri, req, sub, dec)
+}
+
+func (srv *Server) sendFinal(wri http.ResponseWriter, sub *submission, fin gateway.Final) {
+	pro := problemOf(fin)
+	srv.logEnd(sub, pro.status, string(fin.Cause), fin.Outcome)
+	sendProblem(wri, pro)
+}
+
+// sendExchange streams what the exchange holds, or sends it whole.
+func (srv *Server) sendExchange(wri http.ResponseWriter, req *http.Request, sub *submission, exc *Exchange) {
+	rea := exc.Open()
+	defer srv.cfg.Backend.Left(sub.arrived.ID)
+	defer rea.Close()
+	out := &output{writer: wri, controller: http.NewResponseController(wri), sub: sub}
+	for {
+		pro, err := rea.Next(req.Context())
+		if err != nil {
+			srv.logEnd(sub, 0, "CallerLeft", "")
+			return
+		}
+		if pro.Final != nil && pro.Final.Cause == gateway.CauseMoved && !out.started && sub.work != nil {
+			srv.passOn(wri, req, sub, pro.Final.Holder)
+			return
+		}
+		if end := out.take(pro); end != nil {
+			srv.logEnd(sub, end.status, end.code, end.outcome)
+			if end.abort {
+				panic(http.ErrAbortHandler)
+			}
+			return
+		}
+	}
+}
+
+// authenticate finds the client account of the bearer key.
+func (srv *Server) authenticate(req *http.Request) (resource.ClientAccount, *problem) {
+	key, bearer := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer ")
+	if !bearer || key == "" {
+		return resource.ClientAccount{}, &problem{status: http.StatusUnauthorized, code: "NoKey", message: "Authorization: want a bearer key of a client account"}
+	}
+	acc, known := srv.cfg.Backend.Account(resource.Digest([]byte(key)))
+	if !known {
+		return resource.ClientAccount{}, &problem{status: http.StatusUnauthorized, code: "UnknownKey", message: "Authorization: no client account has this key"}
+	}
+	return acc, nil
+}
+
+// readBody reads the body up to the limit, at not too slow a pace.
+func readBody(wri http.ResponseWriter, req *http.Request, limit int64) ([]byte, *problem) {
+	// A connection that can't take a deadline is read without one.
+	_ = http.NewResponseController(wri).SetReadDeadline(time.Now().Add(readBodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(wri, req.Body, limit))
+	_ = http.NewResponseController(wri).SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, &problem{status: http.StatusRequestEntityTooLarge, code: "BodyTooLarge", message: "body: larger than the service takes"}
+	}
+	if err != nil {
+		return nil, &problem{status: http.StatusBadRequest, code: "BodyBroken", message: "body: " + err.Error()}
+	}
+	return body, nil
+}
+
+func sendJSON(wri http.ResponseWriter, status int, body any) {
+	var buf bytes.Buffer
+	if err := json.NewEncoder(&buf).Encode(body); err != nil {
+		http.Error(wri, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	wri.Header().Set("Content-Type", "application/json")
+	wri.WriteHeader(status)
+	// A caller that has left can't be told anything more.
+	_, _ = wri.Write(buf.Bytes())
+}
+
+// stopped reports whether the context has ended.
+func stopped(ctx context.Context) bool {
+	return ctx.Err() != nil
+}
--- /dev/null
+++ b/cmd/cmd.go
@@ -0,0 +1,145 @@
+// Package cmd holds the commands of the lynxwell program, one a file.
+//
+// # Usage
+//
+//	code := cmd.Run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)
+//
+// The exit code is 0 for success, 1 for a failure, 2 for a command line that
+// can't be read, and 3 for a conflict with another operator's change.
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/integrii/flaggy"
+	"github.com/rs/zerolog"
+
+	"lynxwell.dev/lynxwell/operator"
+)
+
+// Version is the program's version.
+const Version = "0.1.0"
+
+// The exit codes.
+const (
+	exitSuccess  = 0
+	exitFailure  = 1
+	exitUsage    = 2
+	exitConflict = 3
+)
+
+// streams are where a command reads and writes.
+type streams struct {
+	in  io.Reader
+	out io.Writer
+	err io.Writer
+}
+
+// command is one command of the program.
+type command interface {
+	// subcommand returns the command's part of the command line.
+	subcommand() *flaggy.Subcommand
+	// run does the command's work.
+	run(ctx context.Context, str streams) error
+}
+
+// commands returns all commands, in the order of the help.
+func commands() []command {
+	return []command{
+		newDemoCmd(),
+		newServeCmd(),
+		newStandinCmd(),
+		newAddressesCmd(),
+		newApplyCmd(),
+		newGetCmd(),
+		newDeleteCmd(),
+		newWatchCmd(),
+		newStatusCmd(),
+		newDumpCmd(),
+		newKeyCmd(),
+		newVersionCmd(),
+	}
+}
+
+// Run runs the command that the arguments name and returns the exit code.
+func Run(args []string, in io.Reader, out, errOut io.Writer) int {
+	str := streams{in: in, out: out, err: errOut}
+	all := commands()
+	parser := newParser(all)
+	if err := parser.ParseArgs(args); err != nil {
+		fmt.Fprintln(errOut, "lynxwell:", err)
+		return exitUsage
+	}
+	for _, com := range all {
+		if com.subcommand().Used {
+			return runCommand(com, str)
+		}
+	}
+	parser.ShowHelp()
+	return exitUsage
+}
+
+func newParser(all []command) *flaggy.Parser {
+	parser := flaggy.NewParser("lynxwell")
+	parser.Description = "A request scheduler for language-model engines of unequal speed."
+	parser.Version = Version
+	parser.AdditionalHelpAppend = "\n  Examples:\n    lynxwell demo\n    lynxwell serve --settings host.json\n    lynxwell apply --file menus.json --host 127.0.0.1:7003 --key-file operator.key"
+	for _, com := range all {
+		parser.AttachSubcommand(com.subcommand(), 1)
+	}
+	return parser
+}
+
+func runCommand(com command, str streams) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err := com.run(ctx, str)
+	if err == nil {
+		return exitSuccess
+	}
+	fmt.Fprintln(str.err, "lynxwell:", err)
+	var aer *operator.AnswerError
+	if errors.As(err, &aer) && aer.Body.Code == operator.CodeConflict {
+		return exitConflict
+	}
+	var uer *usageError
+	if errors.As(err, &uer) {
+		return exitUsage
+	}
+	return exitFailure
+}
+
+// usageError reports a flag or an argument that can't be used.
+type usageError struct {
+	flag   string
+	reason string
+}
+
+// Error names the flag and the reason.
+func (uer *usageError) Error() string {
+	return uer.flag + ": " + uer.reason
+}
+
+func newSubcommand(name, description, examples string) *flaggy.Subcommand {
+	sub := flaggy.NewSubcommand(name)
+	sub.Description = description
+	sub.AdditionalHelpAppend = "\n  Examples:\n" + examples
+	return sub
+}
+
+func newLogger(out io.Writer, level string) (zerolog.Logger, error) {
+	if level == "" {
+		level = zerolog.InfoLevel.String()
+	}
+	lev, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Nop(), &usageError{flag: "LogLevel", reason: err.Error()}
+	}
+	return zerolog.New(out).Level(lev).With().Timestamp().Logger(), nil
+}
--- /dev/null
+++ b/cmd/hostoptions.go
@@ -0,0 +1,72 @@
+package cmd
+
+import (
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/integrii/flaggy"
+
+	"lynxwell.dev/lynxwell/operator"
+)
+
+// hostOptions say how to reach a host's interface for operators.
+type hostOptions struct {
+	host    netip.AddrPort
+	key     string
+	keyFile string
+	timeout time.Duration
+}
+
+// The environment variables that stand for flags that aren't given.
+const (
+	envHost    = "LYNXWELL_HOST"
+	envKeyFile = "LYNXWELL_KEY_FILE"
+)
+
+// defaultTimeout bounds a command that speaks to a host.
+const defaultTimeout = 30 * time.Second
+
+func (opt *hostOptions) attach(sub *flaggy.Subcommand) {
+	opt.timeout = defaultTimeout
+	sub.NetipAddrPort(&opt.host, "", "host", "operator address of a host, IP:PORT (or "+envHost+")")
+	sub.String(&opt.key, "", "key", "operators' key")
+	sub.String(&opt.keyFile, "", "key-file", "file of the operators' key (or "+envKeyFile+")")
+	sub.Duration(&opt.timeout, "", "timeout", "bound on the whole command (default 30s)")
+}
+
+func (opt *hostOptions) client() (*operator.Client, error) {
+	if err := opt.fill(); err != nil {
+		return nil, err
+	}
+	return operator.NewClient(operator.ClientConfig{Address: opt.host, Key: opt.key}), nil
+}
+
+func (opt *hostOptions) fill() error {
+	if text := os.Getenv(envHost); !opt.host.IsValid() && text != "" {
+		adr, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return &usageError{flag: envHost, reason: err.Error()}
+		}
+		opt.host = adr
+	}
+	if !opt.host.IsValid() {
+		return &usageError{flag: "--host", reason: "want IP:PORT"}
+	}
+	if opt.keyFile == "" {
+		opt.keyFile = os.Getenv(envKeyFile)
+	}
+	if opt.key == "" && opt.keyFile != "" {
+		data, err := os.ReadFile(opt.keyFile)
+		if err != nil {
+			return errors.Wrap(err, "--key-file")
+		}
+		opt.key = strings.TrimRight(string(data), "\r\n")
+	}
+	if opt.key == "" {
+		return &usageError{flag: "--key-file", reason: "want the operators' key"}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/standincmd.go
@@ -0,0 +1,121 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/integrii/flaggy"
+
+	"lynxwell.dev/lynxwell/backendtest"
+	"lynxwell.dev/lynxwell/enginetest"
+	"lynxwell.dev/lynxwell/platformtest"
+)
+
+// standinCmd runs one of the stand-ins of the systems around lynxwell.
+type standinCmd struct {
+	sub      *flaggy.Subcommand
+	platform *flaggy.Subcommand
+	engine   *flaggy.Subcommand
+	backend  *flaggy.Subcommand
+	opts     standinOptions
+}
+
+// standinOptions are the options of the stand-ins.
+type standinOptions struct {
+	listen    netip.AddrPort
+	hostsLag  time.Duration
+	engineCfg enginetest.Config
+	backCfg   backendtest.Config
+}
+
+func newStandinCmd() *standinCmd {
+	com := &standinCmd{
+		sub: newSubcommand("standin", "run a stand-in of a system around lynxwell",
+			"    lynxwell standin platform --listen 127.0.0.1:7100\n    lynxwell standin engine --listen 127.0.0.1:7200 --name fast-1 --slots 8\n    lynxwell standin backend --listen 127.0.0.1:7300 --name kitchen-1"),
+		platform: newSubcommand("platform", "run a stand-in of the platform's key-value service", "    lynxwell standin platform --listen 127.0.0.1:7100"),
+		engine:   newSubcommand("engine", "run a stand-in of a language-model engine", "    lynxwell standin engine --listen 127.0.0.1:7200 --name fast-1 --slots 8"),
+		backend:  newSubcommand("backend", "run a stand-in of a plain service's backend server", "    lynxwell standin backend --listen 127.0.0.1:7300 --name kitchen-1"),
+	}
+	for _, sub := range []*flaggy.Subcommand{com.platform, com.engine, com.backend} {
+		sub.NetipAddrPort(&com.opts.listen, "l", "listen", "address to listen on, IP:PORT")
+		com.sub.AttachSubcommand(sub, 1)
+	}
+	com.platform.Duration(&com.opts.hostsLag, "", "hosts-lag", "how much the list of hosts lags")
+	com.engineFlags()
+	com.backend.String(&com.opts.backCfg.Name, "n", "name", "name of the backend server")
+	com.backend.Duration(&com.opts.backCfg.Work, "w", "work", "how long a call takes")
+	return com
+}
+
+func (com *standinCmd) engineFlags() {
+	cfg := &com.opts.engineCfg
+	com.engine.String(&cfg.Name, "n", "name", "name of the engine")
+	com.engine.Int(&cfg.Slots, "", "slots", "requests that run at once (default 4)")
+	com.engine.Float64(&cfg.PrefillTokensPerSecond, "", "prefill", "prompt tokens a second (default 8000)")
+	com.engine.Float64(&cfg.DecodeTokensPerSecond, "", "decode", "answer tokens a second of one stream (default 80)")
+	com.engine.Float64(&cfg.BatchSlowdown, "", "batch-slowdown", "slowdown by each further stream (default 0.05)")
+	com.engine.Int(&cfg.PrefixMemoryTokens, "", "prefix-memory", "tokens of cached prompt prefixes (default 65536)")
+	com.engine.Duration(&cfg.LoadLag, "", "load-lag", "age of load reports (default 200ms)")
+	com.engine.Duration(&cfg.EventLag, "", "event-lag", "age of cache events (default 500ms)")
+	com.engine.Int(&cfg.EventGap, "", "event-gap", "drop every so manieth cache event")
+}
+
+func (com *standinCmd) subcommand() *flaggy.Subcommand { return com.sub }
+
+func (com *standinCmd) run(ctx context.Context, str streams) error {
+	switch {
+	case com.platform.Used:
+		mem := platformtest.NewMemory(platformtest.MemoryConfig{HostsLag: com.opts.hostsLag})
+		return serveStandin(ctx, str, com.opts.listen, platformtest.NewServer(mem).Handler())
+	case com.engine.Used:
+		return com.runEngine(ctx, str)
+	case com.backend.Used:
+		return serveStandin(ctx, str, com.opts.listen, backendtest.New(com.opts.backCfg).Handler())
+	default:
+		return &usageError{flag: "standin", reason: "want platform, engine or backend"}
+	}
+}
+
+func (com *standinCmd) runEngine(ctx context.Context, str streams) error {
+	eng := enginetest.New(com.opts.engineCfg)
+	working, cancel := context.WithCancel(ctx)
+	end := make(chan struct{})
+	go func() {
+		eng.Run(working)
+		close(end)
+	}()
+	err := serveStandin(ctx, str, com.opts.listen, eng.Handler())
+	cancel()
+	<-end
+	return err
+}
+
+// serveStandin serves until the context ends. It says on which address, so
+// that port 0 may be asked for.
+func serveStandin(ctx context.Context, str streams, adr netip.AddrPort, handler http.Handler) error {
+	if !adr.IsValid() {
+		return &usageError{flag: "--listen", reason: "want IP:PORT"}
+	}
+	var cfg net.ListenConfig
+	lis, err := cfg.Listen(ctx, "tcp", adr.String())
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	fmt.Fprintf(str.out, "listening on %s\n", lis.Addr())
+	srv := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	end := make(chan error, 1)
+	go func() { end <- srv.Serve(lis) }()
+	select {
+	case err := <-end:
+		return err
+	case <-ctx.Done():
+		err := srv.Close()
+		<-end
+		return err
+	}
+}
--- /dev/null
+++ b/cmd/watchcmd.go
@@ -0,0 +1,81 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/integrii/flaggy"
+
+	"lynxwell.dev/lynxwell/operator"
+)
+
+// watchCmd prints the status each time it changes.
+type watchCmd struct {
+	sub  *flaggy.Subcommand
+	opts watchOptions
+}
+
+// watchOptions are the options of watch.
+type watchOptions struct {
+	hostOptions
+	json     bool
+	revision uint64
+}
+
+func newWatchCmd() *watchCmd {
+	com := &watchCmd{sub: newSubcommand("watch", "print the status each time it changes",
+		"    lynxwell watch --host 127.0.0.1:7003\n    lynxwell watch --until-revision 12 --timeout 10s")}
+	com.opts.attach(com.sub)
+	com.sub.Bool(&com.opts.json, "j", "json", "print each status as a line of JSON")
+	com.sub.UInt64(&com.opts.revision, "u", "until-revision", "end once every host has this revision in force")
+	return com
+}
+
+func (com *watchCmd) subcommand() *flaggy.Subcommand { return com.sub }
+
+func (com *watchCmd) run(ctx context.Context, str streams) error {
+	cli, err := com.opts.client()
+	if err != nil {
+		return err
+	}
+	defer cli.Close()
+	if com.opts.revision > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, com.opts.timeout)
+		defer cancel()
+	}
+	err = cli.Watch(ctx, func(sta operator.Status) bool {
+		com.print(str, sta)
+		return com.opts.revision == 0 || !everywhere(sta, com.opts.revision)
+	})
+	if com.opts.revision == 0 && ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+func (com *watchCmd) print(str streams, sta operator.Status) {
+	if com.opts.json {
+		// A Status always encodes; a closed output ends the process by itself.
+		_ = json.NewEncoder(str.out).Encode(sta)
+		return
+	}
+	ready := 0
+	for _, hst := range sta.Hosts {
+		if hst.Reached && hst.Problem == "" && hst.Revision == sta.Revision {
+			ready++
+		}
+	}
+	fmt.Fprintf(str.out, "view %d, revision %d in force on %d of %d hosts\n", sta.View, sta.Revision, ready, len(sta.Hosts))
+}
+
+// everywhere reports whether every host has the revision in force.
+func everywhere(sta operator.Status, revision uint64) bool {
+	for _, hst := range sta.Hosts {
+		if !hst.Reached || hst.Revision < revision {
+			return false
+		}
+	}
+	return len(sta.Hosts) > 0
+}
--- /dev/null
+++ b/coordinator/core.go
@@ -0,0 +1,353 @@
+// Package coordinator is the pure decision core of the coordinator's job: it
+// holds the waiting line and the slots of the engines that the view gives to
+// this host, and the ledger of what it granted.
+//
+// # Usage
+//
+//	cor := coordinator.New(coordinator.Config{Self: epoch})
+//	actions := cor.Handle(now, coordinator.Received{From: gateway, Message: reserve})
+//
+// Events and time go in, actions come out: there is no clock, goroutine,
+// network or randomness in here, and a Core is for one goroutine at a time.
+// The core never speaks to an engine about a request; that is the gateway's part.
+package coordinator
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/reservation"
+	"lynxwell.dev/lynxwell/resource"
+	"lynxwell.dev/lynxwell/view"
+)
+
+// Config holds what a coordinator is told at its start. Zero durations stand
+// for the defaults.
+type Config struct {
+	// Self is the epoch of this process.
+	Self request.Epoch
+	// Settle is how long a new coordinator of an engine waits for the gateways
+	// to tell what they hold of it.
+	Settle time.Duration
+	// FloorTime is how long a line that shed a rank keeps nothing newly below it.
+	FloorTime time.Duration
+	// OrphanTime is how long a slot stays taken after its gateway was lost.
+	OrphanTime time.Duration
+	// Retention is how long the ledger remembers a request.
+	Retention time.Duration
+	// Order is the order within a tier; the zero value is OrderFair.
+	Order Order
+}
+
+// The defaults of Config.
+const (
+	DefaultSettle     = 300 * time.Millisecond
+	DefaultFloorTime  = time.Second
+	DefaultOrphanTime = 30 * time.Second
+	DefaultRetention  = 20 * time.Minute
+)
+
+// viewsKept is how many past views a host remembers.
+const viewsKept = 256
+
+// Core is the coordinator of one host.
+type Core struct {
+	cfg      Config
+	ledger   *Ledger
+	view     view.View
+	views    view.History
+	conf     resource.Configuration
+	services map[string]*serviceState
+	engines  map[string]*engineState
+	gateways map[request.Epoch]bool
+	draining bool
+	actions  []Action
+}
+
+// New returns the core of a process start.
+func New(cfg Config) *Core {
+	fill(&cfg.Settle, DefaultSettle)
+	fill(&cfg.FloorTime, DefaultFloorTime)
+	fill(&cfg.OrphanTime, DefaultOrphanTime)
+	fill(&cfg.Retention, DefaultRetention)
+	return &Core{
+		cfg:      cfg,
+		ledger:   NewLedger(cfg.Self),
+		views:    view.NewHistory(viewsKept),
+		services: make(map[string]*serviceState),
+		engines:  make(map[string]*engineState),
+		gateways: make(map[request.Epoch]bool),
+	}
+}
+
+func fill(dur *time.Duration, def time.Duration) {
+	if *dur == 0 {
+		*dur = def
+	}
+}
+
+// Handle takes one event and returns what is to be done about it.
+func (cor *Core) Handle(now time.Time, evt Event) []Action {
+	cor.actions = nil
+	switch evt := evt.(type) {
+	case ViewChanged:
+		cor.viewChanged(now, evt.View)
+	case ConfigurationChanged:
+		cor.conf = evt.Configuration
+		cor.reassign(now)
+	case GatewayUp:
+		cor.gateways[evt.Gateway] = true
+	case GatewayLost:
+		cor.gatewayLost(now, evt.Gateway)
+	case Received:
+		cor.received(now, evt.From, evt.Message)
+	case Reported:
+		cor.reported(now, evt)
+	case CacheChanged:
+		cor.cacheChanged(evt)
+	case Drain:
+		cor.drain()
+	case Tick:
+		cor.tick(now)
+	}
+	return cor.actions
+}
+
+// Fence answers a gateway that wants to take over a request. The actions tell
+// the gateway whose waiting reservation the fence ended.
+func (cor *Core) Fence(now time.Time, fen reservation.Fence) (reservation.FenceAnswer, []Action) {
+	cor.actions = nil
+	vie, known := cor.views.Get(fen.ID.View)
+	granter := known && vie.MayGrant(cor.cfg.Self, fen.ID.Epoch)
+	ans := cor.ledger.Fence(now, fen, granter)
+	if !known && ans.Standing == reservation.StandingBystander {
+		ans.Standing = reservation.StandingForgotten
+	}
+	if ans.Standing == reservation.StandingPromised {
+		cor.dropFenced(fen.ID)
+	}
+	return ans, cor.actions
+}
+
+// dropFenced takes a fenced request out of the line and tells its gateway.
+func (cor *Core) dropFenced(id request.ID) {
+	for _, svc := range cor.services {
+		wai := svc.line.byID[id]
+		if wai == nil {
+			continue
+		}
+		reason, holder := cor.ledger.Check(id, wai.reserve.Ballot)
+		if reason != 0 {
+			svc.line.remove(id)
+			cor.refuse(wai, reason, holder, svc)
+		}
+	}
+}
+
+// Vouch takes over what a lost coordinator epoch granted to a gateway.
+func (cor *Core) Vouch(now time.Time, vou reservation.Vouch) {
+	cor.ledger.Vouch(now, vou)
+}
+
+// Unvouch takes a vouch back.
+func (cor *Core) Unvouch(unv reservation.Unvouch) reservation.UnvouchAnswer {
+	return cor.ledger.Unvouch(unv)
+}
+
+// Handover returns the whole ledger; the host must be draining.
+func (cor *Core) Handover() reservation.Handover {
+	return cor.ledger.Handover()
+}
+
+// TakeOver joins the ledger of a stopped host into this one.
+func (cor *Core) TakeOver(now time.Time, han reservation.Handover) {
+	cor.ledger.TakeOver(now, han)
+}
+
+func (cor *Core) viewChanged(now time.Time, vie view.View) {
+	if vie.Number <= cor.view.Number {
+		return
+	}
+	cor.view = vie
+	cor.views.Add(vie)
+	cor.reassign(now)
+}
+
+// reassign takes the engines that the view and the configuration give to this
+// host, and refuses what waits for a service that it no longer coordinates.
+func (cor *Core) reassign(now time.Time) {
+	mine := cor.myShares()
+	for name := range cor.engines {
+		if _, kept := mine[name]; !kept {
+			delete(cor.engines, name)
+		}
+	}
+	for name, sha := range mine {
+		cor.take(now, name, sha)
+	}
+	cor.regroup()
+	for _, svc := range cor.sortedServices() {
+		cor.schedule(now, svc)
+	}
+}
+
+// sortedServices keeps the order of actions the same for the same events.
+func (cor *Core) sortedServices() []*serviceState {
+	all := slices.Collect(maps.Values(cor.services))
+	slices.SortFunc(all, func(one, two *serviceState) int {
+		return cmp.Compare(one.name, two.name)
+	})
+	return all
+}
+
+func (cor *Core) myShares() map[string]view.Share {
+	mine := make(map[string]view.Share)
+	if cor.draining {
+		return mine
+	}
+	for service, engines := range EnginesByService(cor.conf) {
+		for _, sha := range view.Assign(cor.view, service, engines) {
+			if sha.Coordinator == cor.cfg.Self {
+				mine[sha.Engine] = sha
+			}
+		}
+	}
+	return mine
+}
+
+// EnginesByService returns the engines that take new work, by service.
+func EnginesByService(conf resource.Configuration) map[string][]view.EngineSlots {
+	groups := make(map[string][]view.EngineSlots)
+	for _, eng := range conf.Engines() {
+		if !eng.Leaving {
+			groups[eng.Service] = append(groups[eng.Service], view.EngineSlots{Engine: eng.Name, Slots: eng.Slots})
+		}
+	}
+	return groups
+}
+
+func (cor *Core) take(now time.Time, name string, sha view.Share) {
+	eng, _ := cor.conf.Engine(name)
+	ens := cor.engines[name]
+	if ens == nil {
+		ens = newEngineState(eng, now.Add(cor.cfg.Settle))
+		cor.engines[name] = ens
+	}
+	ens.engine = eng
+	ens.slots = sha.Slots
+	ens.deputy = sha.Deputy
+}
+
+// regroup rebuilds the services from the engines.
+func (cor *Core) regroup() {
+	for _, svc := range cor.services {
+		svc.engines = nil
+	}
+	for _, ens := range cor.engines {
+		svc := cor.services[ens.engine.Service]
+		if svc == nil {
+			svc = newServiceState(ens.engine.Service)
+			cor.services[svc.name] = svc
+		}
+		svc.engines = append(svc.engines, ens)
+	}
+	for _, svc := range cor.sortedServices() {
+		svc.maxWaiting = maxWaitingOf(cor.conf, svc.name)
+		slices.SortFunc(svc.engines, compareEngines)
+		if len(svc.engines) == 0 {
+			cor.refuseAll(svc)
+			delete(cor.services, svc.name)
+		}
+	}
+}
+
+func (cor *Core) refuseAll(svc *serviceState) {
+	for _, wai := range sortedWaiting(svc.line) {
+		svc.line.remove(wai.reserve.ID)
+		cor.refuse(wai, reservation.ReasonMoved, 0, svc)
+	}
+}
+
+func (cor *Core) gatewayLost(now time.Time, gateway request.Epoch) {
+	delete(cor.gateways, gateway)
+	for _, svc := range cor.services {
+		for _, wai := range sortedWaiting(svc.line) {
+			if wai.gateway == gateway {
+				svc.line.remove(wai.reserve.ID)
+			}
+		}
+	}
+	for _, ens := range cor.engines {
+		for _, hol := range ens.held {
+			if hol.gateway == gateway {
+				hol.orphaned = now
+			}
+		}
+	}
+}
+
+func (cor *Core) drain() {
+	cor.draining = true
+	for _, svc := range cor.sortedServices() {
+		cor.refuseAll(svc)
+	}
+}
+
+func (cor *Core) tick(now time.Time) {
+	cor.ledger.Forget(now.Add(-cor.cfg.Retention))
+	cor.freeOrphans(now)
+	for _, svc := range cor.sortedServices() {
+		cor.expire(now, svc)
+		cor.schedule(now, svc)
+	}
+}
+
+func (cor *Core) freeOrphans(now time.Time) {
+	for _, ens := range cor.engines {
+		for id, hol := range ens.held {
+			if !hol.orphaned.IsZero() && now.Sub(hol.orphaned) >= cor.cfg.OrphanTime {
+				delete(ens.held, id)
+			}
+		}
+	}
+}
+
+func (cor *Core) cacheChanged(evt CacheChanged) {
+	ens := cor.engines[evt.Engine]
+	if ens == nil {
+		return
+	}
+	for _, hash := range evt.Added {
+		ens.prefixes.add(hash)
+	}
+	for _, hash := range evt.Evicted {
+		ens.prefixes.remove(hash)
+	}
+}
+
+func (cor *Core) reported(now time.Time, evt Reported) {
+	ens := cor.engines[evt.Engine]
+	if ens == nil {
+		return
+	}
+	ens.leaving = evt.Leaving
+	if svc := cor.services[ens.engine.Service]; svc != nil {
+		cor.schedule(now, svc)
+	}
+}
+
+func (cor *Core) send(to request.Epoch, msg reservation.Message, svc *serviceState) {
+	act := Send{To: to, Message: msg}
+	if svc != nil {
+		act.Load = svc.load()
+	}
+	cor.actions = append(cor.actions, act)
+}
+
+// EngineNames returns the engines that the host coordinates, sorted.
+func (cor *Core) EngineNames() []string {
+	return slices.Sorted(maps.Keys(cor.engines))
+}
--- /dev/null
+++ b/coordinator/ledger.go
@@ -0,0 +1,275 @@
+package coordinator
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/reservation"
+)
+
+// Ledger remembers which requests the host granted, closed or promised away.
+// It lives in memory only: a new process start has a new epoch and a new ledger.
+type Ledger struct {
+	self    request.Epoch
+	records map[request.ID]*record
+	// floors are, by gateway epoch, the highest window of a forgotten record.
+	floors      map[request.Epoch]uint64
+	vouches     map[reservation.VouchKey]*vouch
+	successions map[request.Epoch]bool
+}
+
+type record struct {
+	ballot   request.Ballot
+	standing reservation.Standing
+	engine   string
+	holders  []request.Epoch
+	touched  time.Time
+}
+
+type vouch struct {
+	sequence uint64
+	active   bool
+	// fenced is set once a fence was answered on the strength of the vouch.
+	fenced bool
+}
+
+// NewLedger returns the empty ledger of a process start.
+func NewLedger(self request.Epoch) *Ledger {
+	return &Ledger{
+		self:        self,
+		records:     make(map[request.ID]*record),
+		floors:      make(map[request.Epoch]uint64),
+		vouches:     make(map[reservation.VouchKey]*vouch),
+		successions: make(map[request.Epoch]bool),
+	}
+}
+
+// Len returns how many requests the ledger remembers.
+func (led *Ledger) Len() int {
+	return len(led.records)
+}
+
+// Check returns 0 when the request may be kept or granted under the ballot,
+// else the reason why not, and who holds it.
+func (led *Ledger) Check(id request.ID, bal request.Ballot) (reservation.Reason, request.Epoch) {
+	if led.forgotten(id) {
+		return reservation.ReasonForgotten, 0
+	}
+	rec := led.records[id]
+	switch {
+	case rec == nil:
+		return 0, 0
+	case rec.standing == reservation.StandingClosed:
+		return reservation.ReasonClosed, 0
+	case bal.Less(rec.ballot):
+		return reservation.ReasonFenced, rec.ballot.Holder
+	case rec.standing == reservation.StandingGranted && !rec.ballot.Same(bal):
+		return reservation.ReasonFenced, rec.ballot.Holder
+	default:
+		return 0, 0
+	}
+}
+
+// Granted returns the engine that was granted for the request.
+func (led *Ledger) Granted(id request.ID) (string, bool) {
+	rec := led.records[id]
+	if rec == nil || rec.standing != reservation.StandingGranted {
+		return "", false
+	}
+	return rec.engine, true
+}
+
+// Grant records a grant; Check must have returned 0.
+func (led *Ledger) Grant(now time.Time, id request.ID, bal request.Ballot, engine string) {
+	rec := led.touch(now, id, bal)
+	rec.standing = reservation.StandingGranted
+	rec.engine = engine
+}
+
+// Ungrant takes back a grant that was certainly not dispatched.
+func (led *Ledger) Ungrant(id request.ID, bal request.Ballot) {
+	rec := led.records[id]
+	if rec == nil || rec.standing != reservation.StandingGranted || !rec.ballot.Same(bal) {
+		return
+	}
+	rec.standing = reservation.StandingPromised
+	rec.engine = ""
+}
+
+// Close records that the request never runs. It returns 0, or the reason why
+// it can't be closed, and who holds it.
+func (led *Ledger) Close(now time.Time, id request.ID, bal request.Ballot) (reservation.Reason, request.Epoch) {
+	reason, holder := led.Check(id, bal)
+	if reason != 0 {
+		return reason, holder
+	}
+	rec := led.touch(now, id, bal)
+	if rec.standing == reservation.StandingGranted {
+		return reservation.ReasonFenced, rec.ballot.Holder
+	}
+	rec.standing = reservation.StandingClosed
+	return 0, 0
+}
+
+// Fence answers whether the request was granted and, if not, promises never to
+// grant it under a lower ballot. granter says whether the host may grant it.
+func (led *Ledger) Fence(now time.Time, fen reservation.Fence, granter bool) reservation.FenceAnswer {
+	ans := reservation.FenceAnswer{ID: fen.ID, From: led.self, Successions: led.successionList()}
+	rec := led.records[fen.ID]
+	if rec != nil {
+		ans.Holders = slices.Clone(rec.holders)
+	}
+	switch {
+	case rec != nil && rec.standing == reservation.StandingGranted:
+		ans.Standing, ans.Ballot, ans.Engine = rec.standing, rec.ballot, rec.engine
+	case rec != nil && rec.standing == reservation.StandingClosed:
+		ans.Standing, ans.Ballot = rec.standing, rec.ballot
+	case led.forgotten(fen.ID):
+		ans.Standing = reservation.StandingForgotten
+	case rec != nil && fen.Ballot.Less(rec.ballot):
+		ans.Standing, ans.Ballot = reservation.StandingOutbid, rec.ballot
+	default:
+		led.touch(now, fen.ID, fen.Ballot)
+		ans.Standing = reservation.StandingPromised
+	}
+	if !granter {
+		return bystander(ans)
+	}
+	ans.Vouches = led.useVouches(append(slices.Clone(ans.Holders), fen.ID.Epoch))
+	return ans
+}
+
+// bystander turns the answer of a host that may not grant the request into one
+// that only tells what it knows: its promise would count for nothing.
+func bystander(ans reservation.FenceAnswer) reservation.FenceAnswer {
+	if ans.Standing == reservation.StandingPromised || ans.Standing == reservation.StandingForgotten {
+		ans.Standing = reservation.StandingBystander
+	}
+	return ans
+}
+
+// useVouches returns the active vouches about the holders and marks them as
+// relied upon.
+func (led *Ledger) useVouches(holders []request.Epoch) []reservation.VouchKey {
+	var keys []reservation.VouchKey
+	for key, vou := range led.vouches {
+		if vou.active && slices.Contains(holders, key.Holder) {
+			vou.fenced = true
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, compareVouchKeys)
+	return keys
+}
+
+// Vouch takes over what a lost coordinator epoch granted to one gateway.
+func (led *Ledger) Vouch(now time.Time, vou reservation.Vouch) {
+	known := led.vouches[vou.VouchKey]
+	if known != nil && known.sequence >= vou.Sequence {
+		return
+	}
+	led.merge(now, vou.Records)
+	fenced := known != nil && known.fenced
+	led.vouches[vou.VouchKey] = &vouch{sequence: vou.Sequence, active: true, fenced: fenced}
+}
+
+// Unvouch takes a vouch back unless a fence has relied on it.
+func (led *Ledger) Unvouch(unv reservation.Unvouch) reservation.UnvouchAnswer {
+	ans := reservation.UnvouchAnswer{VouchKey: unv.VouchKey, Released: true}
+	known := led.vouches[unv.VouchKey]
+	switch {
+	case known == nil:
+		// A vouch still on its way must not count when it arrives.
+		led.vouches[unv.VouchKey] = &vouch{sequence: unv.Sequence}
+	case known.fenced:
+		ans.Released = false
+	case known.sequence < unv.Sequence:
+		known.sequence = unv.Sequence
+		known.active = false
+	}
+	return ans
+}
+
+// Handover returns the whole ledger for the host that follows.
+func (led *Ledger) Handover() reservation.Handover {
+	han := reservation.Handover{Stopped: append(led.successionList(), led.self), Floors: maps.Clone(led.floors)}
+	for id, rec := range led.records {
+		for _, holder := range withoutOwn(rec, id) {
+			// A former claim matters to a later fence as a claim of its own.
+			bal := request.Ballot{Round: 1, Holder: holder}
+			han.Records = append(han.Records, reservation.Record{ID: id, Ballot: bal, Standing: reservation.StandingPromised})
+		}
+		han.Records = append(han.Records, reservation.Record{ID: id, Ballot: rec.ballot, Standing: rec.standing, Engine: rec.engine})
+	}
+	slices.SortStableFunc(han.Records, func(one, two reservation.Record) int {
+		return compareIDs(one.ID, two.ID)
+	})
+	return han
+}
+
+func withoutOwn(rec *record, id request.ID) []request.Epoch {
+	return slices.DeleteFunc(slices.Clone(rec.holders), func(epo request.Epoch) bool {
+		return epo == rec.ballot.Holder || epo == id.Epoch
+	})
+}
+
+// TakeOver joins the ledger of a stopped host into this one.
+func (led *Ledger) TakeOver(now time.Time, han reservation.Handover) {
+	led.merge(now, han.Records)
+	for epo, floor := range han.Floors {
+		led.floors[epo] = max(led.floors[epo], floor)
+	}
+	for _, epo := range han.Stopped {
+		led.successions[epo] = true
+	}
+}
+
+func (led *Ledger) merge(now time.Time, records []reservation.Record) {
+	for _, rep := range records {
+		rec := led.touch(now, rep.ID, rep.Ballot)
+		if rep.Standing == reservation.StandingGranted || (rep.Standing == reservation.StandingClosed && rec.standing == reservation.StandingPromised) {
+			rec.standing = rep.Standing
+			rec.engine = rep.Engine
+			rec.ballot = rep.Ballot
+		}
+	}
+}
+
+// Forget drops records last touched before the time given. From then on ids of
+// their windows and older ones are not known.
+func (led *Ledger) Forget(before time.Time) {
+	for id, rec := range led.records {
+		if rec.touched.Before(before) {
+			led.floors[id.Epoch] = max(led.floors[id.Epoch], id.Window)
+			delete(led.records, id)
+		}
+	}
+}
+
+func (led *Ledger) forgotten(id request.ID) bool {
+	floor, known := led.floors[id.Epoch]
+	return known && id.Window <= floor
+}
+
+// touch returns the record of the request, raised to the ballot.
+func (led *Ledger) touch(now time.Time, id request.ID, bal request.Ballot) *record {
+	rec := led.records[id]
+	if rec == nil {
+		rec = &record{standing: reservation.StandingPromised, ballot: bal}
+		led.records[id] = rec
+	}
+	if rec.ballot.Less(bal) {
+		rec.ballot = bal
+	}
+	if bal.Round > 0 && !slices.Contains(rec.holders, bal.Holder) {
+		rec.holders = append(rec.holders, bal.Holder)
+	}
+	rec.touched = now
+	return rec
+}
+
+func (led *Ledger) successionList() []request.Epoch {
+	return slices.Sorted(maps.Keys(led.successions))
+}
--- /dev/null
+++ b/coordinator/prefix.go
@@ -0,0 +1,43 @@
+package coordinator
+
+import "container/list"
+
+// prefixCapacity is how many prompt prefixes are remembered of one engine.
+const prefixCapacity = 512
+
+// prefixSet guesses which prompt prefixes an engine holds in its cache: those
+// granted to it last, corrected by its cache events.
+type prefixSet struct {
+	order  *list.List
+	places map[uint64]*list.Element
+}
+
+func newPrefixSet() *prefixSet {
+	return &prefixSet{order: list.New(), places: make(map[uint64]*list.Element)}
+}
+
+func (pre *prefixSet) has(hash uint64) bool {
+	return hash != 0 && pre.places[hash] != nil
+}
+
+func (pre *prefixSet) add(hash uint64) {
+	if hash == 0 {
+		return
+	}
+	if ele := pre.places[hash]; ele != nil {
+		pre.order.MoveToBack(ele)
+		return
+	}
+	pre.places[hash] = pre.order.PushBack(hash)
+	if pre.order.Len() > prefixCapacity {
+		oldest, _ := pre.order.Front().Value.(uint64)
+		pre.remove(oldest)
+	}
+}
+
+func (pre *prefixSet) remove(hash uint64) {
+	if ele := pre.places[hash]; ele != nil {
+		pre.order.Remove(ele)
+		delete(pre.places, hash)
+	}
+}
--- /dev/null
+++ b/coordinator/service.go
@@ -0,0 +1,416 @@
+package coordinator
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/reservation"
+	"lynxwell.dev/lynxwell/resource"
+)
+
+// defaultMaxWaiting bounds a line where the service's resource doesn't.
+const defaultMaxWaiting = 256
+
+// patience is the part of its time to the deadline, one in patience, that a
+// reservation waits before it goes ahead of all others of its tier.
+const patience = 2
+
+// decodeShare is the part of a request's MaxTokens that it is expected to use.
+const decodeShare = 0.6
+
+// minRetryAfter and maxRetryAfter bound what a refused caller is told.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = 30 * time.Second
+)
+
+// Order names the order within a tier.
+type Order uint8
+
+// The orders within a tier.
+const (
+	// OrderFair shares engines fairly between accounts, shorter work first
+	// within an account.
+	OrderFair Order = iota
+	// OrderArrival serves by arrival over all tiers; a baseline.
+	OrderArrival
+)
+
+// serviceState is one service's line and engines on this host.
+type serviceState struct {
+	name       string
+	line       *line
+	engines    []*engineState
+	maxWaiting int
+	// floorRank is the lowest rank newly kept until floorUntil.
+	floorRank  int
+	floorUntil time.Time
+	now        time.Time
+}
+
+func newServiceState(name string) *serviceState {
+	return &serviceState{name: name, line: newLine()}
+}
+
+func maxWaitingOf(conf resource.Configuration, name string) int {
+	ser, _ := conf.Service(name)
+	if ser.MaxWaiting == 0 {
+		return defaultMaxWaiting
+	}
+	return ser.MaxWaiting
+}
+
+func compareEngines(one, two *engineState) int {
+	return cmp.Compare(one.engine.Name, two.engine.Name)
+}
+
+func sortedWaiting(lin *line) []*waiting {
+	waits := lin.all()
+	slices.SortFunc(waits, func(one, two *waiting) int {
+		return cmp.Or(one.arrived.Compare(two.arrived), compareIDs(one.reserve.ID, two.reserve.ID))
+	})
+	return waits
+}
+
+func (svc *serviceState) slots() int {
+	total := 0
+	for _, ens := range svc.engines {
+		total += ens.slots
+	}
+	return total
+}
+
+func (svc *serviceState) load() reservation.Load {
+	free := 0
+	for _, ens := range svc.engines {
+		free += ens.free(svc.now)
+	}
+	loa := reservation.Load{Service: svc.name, FreeSlots: free, Waiting: svc.line.len()}
+	if free == 0 {
+		loa.Delay = svc.delay()
+	}
+	return loa
+}
+
+// delay is how long a reservation at the end of the line would wait.
+func (svc *serviceState) delay() time.Duration {
+	slots := svc.slots()
+	if slots == 0 {
+		return maxRetryAfter
+	}
+	var busy time.Duration
+	for _, ens := range svc.engines {
+		busy += time.Duration(len(ens.held)) * svc.typicalRun(ens) / 2
+	}
+	return (svc.line.ahead(0) + busy) / time.Duration(slots)
+}
+
+// typicalRun is a middling run time on the engine, for a rough delay only.
+func (svc *serviceState) typicalRun(ens *engineState) time.Duration {
+	const prompt, answer = 1000, 40
+	return ens.predict(prompt, 0, answer)
+}
+
+// middling returns the predicted run time on an engine of mean speed.
+func (svc *serviceState) middling(res reservation.Reserve) time.Duration {
+	if len(svc.engines) == 0 {
+		return 0
+	}
+	var total time.Duration
+	for _, ens := range svc.engines {
+		total += predictReserve(ens, res)
+	}
+	return total / time.Duration(len(svc.engines))
+}
+
+// fastest returns the least predicted run time on any of the engines.
+func (svc *serviceState) fastest(res reservation.Reserve) time.Duration {
+	best := time.Duration(0)
+	for _, ens := range svc.engines {
+		if run := predictReserve(ens, res); best == 0 || run < best {
+			best = run
+		}
+	}
+	return best
+}
+
+func predictReserve(ens *engineState, res reservation.Reserve) time.Duration {
+	cached := 0
+	if ens.prefixes.has(res.PrefixHash) {
+		cached = res.PrefixTokens
+	}
+	return ens.predict(res.PromptTokens, cached, int(float64(res.MaxTokens)*decodeShare))
+}
+
+// pick returns the free engine that would finish the reservation first.
+func (svc *serviceState) pick(now time.Time, res reservation.Reserve) *engineState {
+	var best *engineState
+	var bestRun time.Duration
+	for _, ens := range svc.engines {
+		if ens.free(now) == 0 {
+			continue
+		}
+		run := predictReserve(ens, res)
+		if best == nil || run < bestRun {
+			best, bestRun = ens, run
+		}
+	}
+	return best
+}
+
+// received takes one message of a gateway.
+func (cor *Core) received(now time.Time, from request.Epoch, msg reservation.Message) {
+	switch msg := msg.(type) {
+	case reservation.Reserve:
+		cor.reserve(now, from, msg)
+	case reservation.Withdraw:
+		cor.withdraw(now, from, msg)
+	case reservation.Release:
+		cor.release(now, msg)
+	case reservation.Adopt:
+		cor.adopt(now, from, msg)
+	case reservation.Hold:
+		cor.hold(now, from, msg)
+	case reservation.Evict:
+		cor.evict(now, from, msg)
+	case reservation.Grant, reservation.Refuse, reservation.Evicted:
+		// A coordinator sends these; it never gets them.
+	}
+}
+
+func (cor *Core) reserve(now time.Time, from request.Epoch, res reservation.Reserve) {
+	wai := &waiting{reserve: res, gateway: from, arrived: now, deadline: now.Add(res.Remaining)}
+	svc := cor.services[res.Service]
+	if reason, holder := cor.mayKeep(res); reason != 0 {
+		cor.refuse(wai, reason, holder, svc)
+		return
+	}
+	if engine, granted := cor.ledger.Granted(res.ID); granted {
+		cor.send(from, reservation.Grant{ID: res.ID, Ballot: res.Ballot, Engine: engine}, svc)
+		return
+	}
+	if svc == nil || cor.draining {
+		cor.refuse(wai, reservation.ReasonMoved, 0, svc)
+		return
+	}
+	svc.now = now
+	if svc.line.byID[res.ID] != nil {
+		return
+	}
+	if !cor.makeRoom(now, svc, res) {
+		cor.refuseFull(now, wai, svc)
+		return
+	}
+	wai.overdue = now.Add(res.Remaining / patience)
+	wai.work = svc.middling(res)
+	if cor.cfg.Order == OrderArrival {
+		flatten(wai)
+	}
+	svc.line.add(wai)
+	cor.schedule(now, svc)
+}
+
+// flatten makes the line serve by arrival alone.
+func flatten(wai *waiting) {
+	wai.reserve.Rank = 0
+	wai.reserve.Account = ""
+	wai.work = 0
+}
+
+func (cor *Core) mayKeep(res reservation.Reserve) (reservation.Reason, request.Epoch) {
+	vie, known := cor.views.Get(res.ID.View)
+	if !known || !vie.MayGrant(cor.cfg.Self, res.ID.Epoch) {
+		return reservation.ReasonNotGranter, 0
+	}
+	return cor.ledger.Check(res.ID, res.Ballot)
+}
+
+// makeRoom reports whether the reservation may be kept; it drops a lower one
+// where the line is full.
+func (cor *Core) makeRoom(now time.Time, svc *serviceState, res reservation.Reserve) bool {
+	if now.Before(svc.floorUntil) && res.Rank < svc.floorRank {
+		return false
+	}
+	if res.Overflow || svc.line.len() < svc.maxWaiting {
+		return true
+	}
+	return cor.dropLower(now, svc, res.Rank)
+}
+
+// dropLower drops one reservation that ranks below the rank. It isn't closed:
+// its gateway first asks the service's other coordinators.
+func (cor *Core) dropLower(now time.Time, svc *serviceState, rank int) bool {
+	wai := svc.line.lowest(rank)
+	if wai == nil {
+		return false
+	}
+	svc.line.remove(wai.reserve.ID)
+	cor.refuseFull(now, wai, svc)
+	return true
+}
+
+// refuseFull tells a gateway that nothing lower is kept here, and sees that
+// nothing lower is newly kept for a while.
+func (cor *Core) refuseFull(now time.Time, wai *waiting, svc *serviceState) {
+	svc.raiseFloor(now, wai.reserve.Rank, cor.cfg.FloorTime)
+	cor.refuse(wai, reservation.ReasonFull, 0, svc)
+}
+
+func (svc *serviceState) raiseFloor(now time.Time, rank int, floorTime time.Duration) {
+	if now.Before(svc.floorUntil) && svc.floorRank > rank {
+		return
+	}
+	svc.floorRank = rank
+	svc.floorUntil = now.Add(floorTime)
+}
+
+func (cor *Core) refuse(wai *waiting, reason reservation.Reason, holder request.Epoch, svc *serviceState) {
+	ref := reservation.Refuse{ID: wai.reserve.ID, Ballot: wai.reserve.Ballot, Reason: reason, Holder: holder}
+	if svc != nil {
+		ref.RetryAfter = min(maxRetryAfter, max(minRetryAfter, svc.delay()))
+		ref.FloorRank = svc.floorRank
+	}
+	cor.send(wai.gateway, ref, svc)
+}
+
+// schedule grants while there are both a free slot and a reservation.
+func (cor *Core) schedule(now time.Time, svc *serviceState) {
+	svc.now = now
+	for {
+		wai := svc.line.next(now)
+		if wai == nil {
+			return
+		}
+		if reason, holder := cor.ledger.Check(wai.reserve.ID, wai.reserve.Ballot); reason != 0 {
+			svc.line.remove(wai.reserve.ID)
+			cor.refuse(wai, reason, holder, svc)
+			continue
+		}
+		if tooLate(now, wai, svc) {
+			cor.refuseExpired(now, wai, svc)
+			continue
+		}
+		ens := svc.pick(now, wai.reserve)
+		if ens == nil {
+			return
+		}
+		cor.grant(now, svc, wai, ens)
+	}
+}
+
+func tooLate(now time.Time, wai *waiting, svc *serviceState) bool {
+	return now.Add(svc.fastest(wai.reserve)).After(wai.deadline)
+}
+
+func (cor *Core) grant(now time.Time, svc *serviceState, wai *waiting, ens *engineState) {
+	svc.line.serve(wai)
+	res := wai.reserve
+	cor.ledger.Grant(now, res.ID, res.Ballot, ens.engine.Name)
+	ens.held[res.ID] = &hold{gateway: wai.gateway}
+	ens.prefixes.add(res.PrefixHash)
+	cor.send(wai.gateway, reservation.Grant{ID: res.ID, Ballot: res.Ballot, Engine: ens.engine.Name}, svc)
+}
+
+// refuseExpired gives a reservation up whose deadline can't be met any more.
+func (cor *Core) refuseExpired(now time.Time, wai *waiting, svc *serviceState) {
+	svc.line.remove(wai.reserve.ID)
+	reason, holder := cor.ledger.Close(now, wai.reserve.ID, wai.reserve.Ballot)
+	if reason == 0 {
+		reason = reservation.ReasonExpired
+	}
+	cor.refuse(wai, reason, holder, svc)
+}
+
+// expire gives up every reservation that can't meet its deadline any more.
+func (cor *Core) expire(now time.Time, svc *serviceState) {
+	svc.now = now
+	for _, wai := range sortedWaiting(svc.line) {
+		if tooLate(now, wai, svc) {
+			cor.refuseExpired(now, wai, svc)
+		}
+	}
+}
+
+func (cor *Core) withdraw(now time.Time, from request.Epoch, wit reservation.Withdraw) {
+	var svc *serviceState
+	for _, candidate := range cor.services {
+		if candidate.line.remove(wit.ID) != nil {
+			svc = candidate
+		}
+	}
+	if !wit.Close {
+		return
+	}
+	wai := &waiting{reserve: reservation.Reserve{ID: wit.ID, Ballot: wit.Ballot}, gateway: from}
+	reason, holder := cor.mayKeep(wai.reserve)
+	if reason == 0 {
+		reason, holder = cor.ledger.Close(now, wit.ID, wit.Ballot)
+	}
+	if reason == 0 {
+		reason = reservation.ReasonClosed
+	}
+	cor.refuse(wai, reason, holder, svc)
+}
+
+func (cor *Core) release(now time.Time, rel reservation.Release) {
+	if !rel.Dispatched {
+		cor.ledger.Ungrant(rel.ID, rel.Ballot)
+	}
+	ens := cor.engines[rel.Engine]
+	if ens == nil {
+		return
+	}
+	delete(ens.held, rel.ID)
+	if rel.Failed {
+		ens.suspect = now.Add(suspectTime)
+	} else if rel.Dispatched {
+		ens.learn(rel.PrefillTokens, rel.DecodeTokens, rel.FirstToken, rel.Total)
+	}
+	cor.scheduleService(now, ens)
+}
+
+func (cor *Core) scheduleService(now time.Time, ens *engineState) {
+	if svc := cor.services[ens.engine.Service]; svc != nil {
+		cor.schedule(now, svc)
+	}
+}
+
+func (cor *Core) adopt(_ time.Time, from request.Epoch, ado reservation.Adopt) {
+	if ens := cor.engines[ado.Engine]; ens != nil {
+		ens.held[ado.ID] = &hold{gateway: from}
+	}
+}
+
+// hold frees the slots that the gateway doesn't know of: their grants were lost
+// with a former session.
+func (cor *Core) hold(now time.Time, from request.Epoch, hol reservation.Hold) {
+	for _, ens := range cor.engines {
+		for id, held := range ens.held {
+			if held.gateway != from {
+				continue
+			}
+			if slices.Contains(hol.IDs, id) {
+				held.orphaned = time.Time{}
+				continue
+			}
+			delete(ens.held, id)
+		}
+		cor.scheduleService(now, ens)
+	}
+}
+
+func (cor *Core) evict(now time.Time, from request.Epoch, evi reservation.Evict) {
+	svc := cor.services[evi.Service]
+	ans := reservation.Evicted{ID: evi.ID}
+	if svc != nil {
+		svc.now = now
+		ans.Done = cor.dropLower(now, svc, evi.Rank)
+		if !ans.Done {
+			svc.raiseFloor(now, evi.Rank, cor.cfg.FloorTime)
+		}
+		ans.FloorRank = svc.floorRank
+	}
+	cor.send(from, ans, svc)
+}
--- /dev/null
+++ b/embedded/embedded.go
@@ -0,0 +1,328 @@
+// Package embedded runs a whole system in one process, over real loopback TCP:
+// the platform's stand-in, hosts, engines and backend servers.
+//
+// # Usage
+//
+//	sys, err := embedded.Start(ctx, embedded.Config{Hosts: 6, Domains: 4, Engines: engines, Log: log})
+//	defer sys.Stop()
+//	err = sys.Apply(ctx, set)
+//	addresses := sys.Entries()
+//
+// It is what the demonstration, the benchmark and many tests run against.
+package embedded
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"lynxwell.dev/lynxwell/backendtest"
+	"lynxwell.dev/lynxwell/coordinator"
+	"lynxwell.dev/lynxwell/engine"
+	"lynxwell.dev/lynxwell/enginetest"
+	"lynxwell.dev/lynxwell/gateway"
+	"lynxwell.dev/lynxwell/host"
+	"lynxwell.dev/lynxwell/operator"
+	"lynxwell.dev/lynxwell/platform"
+	"lynxwell.dev/lynxwell/platformtest"
+	"lynxwell.dev/lynxwell/resource"
+	"lynxwell.dev/lynxwell/settings"
+)
+
+// The keys of an embedded system, which nobody outside the process can reach
+// for longer than it runs.
+const (
+	peerKey = "embedded peer key 0123456789"
+	// OperatorKey is the bearer key of the embedded system's operators.
+	OperatorKey = "embedded operator key 0123456789"
+)
+
+// Config holds what a System is made from.
+type Config struct {
+	// Hosts is the number of hosts, over Domains failure domains.
+	Hosts   int
+	Domains int
+	// Engines and Backends are the stand-ins to start.
+	Engines  []enginetest.Config
+	Backends []backendtest.Config
+	// Timing changes the hosts' clocks.
+	Timing settings.Timing
+	// HostsLag is how much the platform's list of hosts lags.
+	HostsLag    time.Duration
+	Gateway     gateway.Config
+	Coordinator coordinator.Config
+	Log         zerolog.Logger
+}
+
+// System is a running system.
+type System struct {
+	cfg      Config
+	Platform *platformtest.Memory
+	Engines  []*Engine
+	Backends []*Backend
+	Hosts    []*host.Host
+	settings []settings.Settings
+	platform netip.AddrPort
+	servers  []*http.Server
+	ends     chan error
+	started  int
+	cancel   context.CancelFunc
+	ctx      context.Context
+}
+
+// Engine is a running engine.
+type Engine struct {
+	*enginetest.Engine
+	Name    string
+	Address netip.AddrPort
+	Slots   int
+}
+
+// Backend is a running backend server of a plain service.
+type Backend struct {
+	*backendtest.Server
+	Name    string
+	Address netip.AddrPort
+}
+
+// Start starts everything and returns when each host has the others in its
+// view. No configuration is in force yet.
+func Start(ctx context.Context, cfg Config) (*System, error) {
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	sys := &System{cfg: cfg, cancel: cancel, ctx: running, ends: make(chan error)}
+	sys.Platform = platformtest.NewMemory(platformtest.MemoryConfig{HostsLag: cfg.HostsLag})
+	if err := sys.start(ctx); err != nil {
+		sys.Stop()
+		return nil, err
+	}
+	return sys, nil
+}
+
+func (sys *System) start(ctx context.Context) error {
+	var err error
+	if sys.platform, err = sys.Serve(platformtest.NewServer(sys.Platform).Handler()); err != nil {
+		return err
+	}
+	for _, cfg := range sys.cfg.Engines {
+		if err := sys.startEngine(cfg); err != nil {
+			return err
+		}
+	}
+	for _, cfg := range sys.cfg.Backends {
+		srv := backendtest.New(cfg)
+		adr, err := sys.Serve(srv.Handler())
+		if err != nil {
+			return err
+		}
+		sys.Backends = append(sys.Backends, &Backend{Server: srv, Name: cfg.Name, Address: adr})
+	}
+	if err := sys.startHosts(ctx); err != nil {
+		return err
+	}
+	return sys.WaitView(ctx, sys.cfg.Hosts)
+}
+
+func (sys *System) startEngine(cfg enginetest.Config) error {
+	eng := enginetest.New(cfg)
+	adr, err := sys.Serve(eng.Handler())
+	if err != nil {
+		return err
+	}
+	sys.run(func() error {
+		eng.Run(sys.ctx)
+		return nil
+	})
+	sys.Engines = append(sys.Engines, &Engine{Engine: eng, Name: cfg.Name, Address: adr, Slots: cfg.Slots})
+	return nil
+}
+
+// Serve serves the handler on a free loopback port until the system stops.
+func (sys *System) Serve(handler http.Handler) (netip.AddrPort, error) {
+	lis, err := listen()
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	srv := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	sys.servers = append(sys.servers, srv)
+	sys.run(func() error { return srv.Serve(lis) })
+	return netip.MustParseAddrPort(lis.Addr().String()), nil
+}
+
+func (sys *System) run(work func() error) {
+	sys.started++
+	go func() { sys.ends <- work() }()
+}
+
+func listen() (net.Listener, error) {
+	var cfg net.ListenConfig
+	lis, err := cfg.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	return lis, errors.Wrap(err, "listen")
+}
+
+// FreeAddress returns a loopback address that was free a moment ago.
+func FreeAddress() (netip.AddrPort, error) {
+	lis, err := listen()
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	defer lis.Close()
+	return netip.MustParseAddrPort(lis.Addr().String()), nil
+}
+
+func (sys *System) startHosts(ctx context.Context) error {
+	for idx := range sys.cfg.Hosts {
+		set, err := sys.newSettings(idx)
+		if err != nil {
+			return err
+		}
+		sys.settings = append(sys.settings, set)
+	}
+	for idx := range sys.settings {
+		for _, other := range sys.settings {
+			sys.settings[idx].Seeds = append(sys.settings[idx].Seeds, other.PeerAddress)
+		}
+		hos, err := sys.startHost(ctx, sys.settings[idx])
+		if err != nil {
+			return err
+		}
+		sys.Hosts = append(sys.Hosts, hos)
+	}
+	return nil
+}
+
+func (sys *System) newSettings(idx int) (settings.Settings, error) {
+	set := settings.Settings{
+		Name: fmt.Sprintf("host-%d", idx+1), Domain: fmt.Sprintf("domain-%c", 'a'+rune(idx%sys.cfg.Domains)),
+		PlatformAddress: sys.platform, PeerKey: peerKey, OperatorKey: OperatorKey, Timing: sys.cfg.Timing.WithDefaults(),
+	}
+	var err error
+	for _, adr := range []*netip.AddrPort{&set.CallerAddress, &set.PeerAddress, &set.OperatorAddress} {
+		if *adr, err = FreeAddress(); err != nil {
+			return set, err
+		}
+	}
+	return set, nil
+}
+
+func (sys *System) startHost(ctx context.Context, set settings.Settings) (*host.Host, error) {
+	hos, err := host.New(host.Config{
+		Settings: set, Log: sys.cfg.Log, Store: platform.NewClient(platform.ClientConfig{Address: set.PlatformAddress}),
+		Gateway: sys.cfg.Gateway, Coordinator: sys.cfg.Coordinator,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := hos.Start(ctx); err != nil {
+		return nil, err
+	}
+	return hos, nil
+}
+
+// Restart starts the host with the index anew, after it has stopped.
+func (sys *System) Restart(ctx context.Context, idx int) error {
+	hos, err := sys.startHost(ctx, sys.settings[idx])
+	if err != nil {
+		return err
+	}
+	sys.Hosts[idx] = hos
+	return nil
+}
+
+// Entries returns the callers' addresses of all hosts.
+func (sys *System) Entries() []netip.AddrPort {
+	entries := make([]netip.AddrPort, len(sys.settings))
+	for idx, set := range sys.settings {
+		entries[idx] = set.CallerAddress
+	}
+	return entries
+}
+
+// Operator returns a client of the host with the index.
+func (sys *System) Operator(idx int) *operator.Client {
+	return operator.NewClient(operator.ClientConfig{Address: sys.settings[idx].OperatorAddress, Key: OperatorKey})
+}
+
+// waitStep is how often a wait looks again.
+const waitStep = 10 * time.Millisecond
+
+// WaitView returns when every running host has a view of so many members and
+// is connected to each.
+func (sys *System) WaitView(ctx context.Context, members int) error {
+	return sys.wait(ctx, "view", func() bool {
+		for _, hos := range sys.Hosts {
+			if !hos.Connected(members) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Apply has operators write the resources, and returns when they are in force
+// on every host.
+func (sys *System) Apply(ctx context.Context, set resource.Set) error {
+	cli := sys.Operator(0)
+	defer cli.Close()
+	res, err := cli.Apply(ctx, set)
+	if err != nil {
+		return err
+	}
+	return sys.wait(ctx, "configuration", func() bool {
+		for _, hos := range sys.Hosts {
+			if hos.Configuration().Revision < res.Revision {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (sys *System) wait(ctx context.Context, what string, holds func() bool) error {
+	ticker := time.NewTicker(waitStep)
+	defer ticker.Stop()
+	for !holds() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "wait for %s", what)
+		}
+	}
+	return nil
+}
+
+// Dispatches returns every dispatch that any engine or backend server received.
+func (sys *System) Dispatches() []engine.DispatchRecord {
+	var all []engine.DispatchRecord
+	for _, eng := range sys.Engines {
+		all = append(all, eng.Dispatches()...)
+	}
+	for _, bac := range sys.Backends {
+		all = append(all, bac.Dispatches()...)
+	}
+	return all
+}
+
+// Stop ends everything at once.
+func (sys *System) Stop() {
+	for _, hos := range sys.Hosts {
+		select {
+		case <-hos.Done():
+		default:
+			hos.Stop()
+		}
+	}
+	sys.cancel()
+	for _, srv := range sys.servers {
+		// The listeners are closed; what else fails has no consequence.
+		_ = srv.Close()
+	}
+	for range sys.started {
+		<-sys.ends
+	}
+}
--- /dev/null
+++ b/enginetest/handler.go
@@ -0,0 +1,336 @@
+package enginetest
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"lynxwell.dev/lynxwell/engine"
+)
+
+// The paths of the stand-in's own switches.
+const (
+	// PathFaults takes Faults by POST.
+	PathFaults = "/standin/faults"
+	// PathLeaving takes a JSON boolean by POST.
+	PathLeaving = "/standin/leaving"
+	// PathDispatches answers GET with every dispatch ever received.
+	PathDispatches = "/standin/dispatches"
+)
+
+// maxBodyBytes bounds a request.
+const maxBodyBytes = 16 << 20
+
+// defaultAnswer is the length of an answer where the request names none, in tokens.
+const defaultAnswer = 16
+
+// Handler returns the HTTP handler.
+func (eng *Engine) Handler() http.Handler {
+	rou := mux.NewRouter()
+	rou.HandleFunc(PathFaults, eng.serveFaults).Methods(http.MethodPost)
+	rou.HandleFunc(PathLeaving, eng.serveLeaving).Methods(http.MethodPost)
+	rou.HandleFunc(PathDispatches, eng.serveDispatches).Methods(http.MethodGet)
+	sub := rou.NewRoute().Subrouter()
+	sub.Use(eng.failing)
+	sub.HandleFunc(engine.PathChat, eng.serveChat).Methods(http.MethodPost)
+	sub.HandleFunc(engine.PathStreams+"{id}", eng.serveResume).Methods(http.MethodGet)
+	sub.HandleFunc(engine.PathStreams+"{id}", eng.serveCancel).Methods(http.MethodDelete)
+	sub.HandleFunc(engine.PathLoad, eng.serveLoad).Methods(http.MethodGet)
+	sub.HandleFunc(engine.PathEvents, eng.serveEvents).Methods(http.MethodGet)
+	return rou
+}
+
+// failing applies the faults that precede any work.
+func (eng *Engine) failing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		for {
+			eng.mutex.Lock()
+			fau := eng.faults
+			eng.mutex.Unlock()
+			if fau.Dead {
+				panic(http.ErrAbortHandler)
+			}
+			if !fau.Frozen {
+				break
+			}
+			if !pause(req, idleStep) {
+				return
+			}
+		}
+		next.ServeHTTP(wri, req)
+	})
+}
+
+// pause waits; it returns false when the reader has left.
+func pause(req *http.Request, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-req.Context().Done():
+		return false
+	}
+}
+
+func (eng *Engine) serveChat(wri http.ResponseWriter, req *http.Request) {
+	var chat engine.ChatRequest
+	if err := json.NewDecoder(http.MaxBytesReader(wri, req.Body, maxBodyBytes)).Decode(&chat); err != nil {
+		http.Error(wri, err.Error(), http.StatusBadRequest)
+		return
+	}
+	jb, drop := eng.take(req, chat)
+	if drop {
+		panic(http.ErrAbortHandler)
+	}
+	if chat.Stream {
+		eng.send(wri, req, jb, 0)
+		return
+	}
+	eng.sendWhole(wri, req, jb)
+}
+
+// take receives a dispatch; drop says that its reply is to be lost.
+func (eng *Engine) take(req *http.Request, chat engine.ChatRequest) (jb *job, drop bool) {
+	priority, _ := strconv.Atoi(req.Header.Get(engine.HeaderPriority))
+	id := req.Header.Get(engine.HeaderRequestID)
+	prompt := engine.Weigh(chat.Messages)
+	wanted := chat.MaxTokens
+	orInt(&wanted, defaultAnswer)
+	eng.mutex.Lock()
+	defer eng.mutex.Unlock()
+	rec := &engine.DispatchRecord{ID: id, Priority: priority, PromptTokens: prompt.Tokens}
+	eng.dispatches = append(eng.dispatches, rec)
+	jb = &job{
+		record: rec, priority: priority, model: chat.Model, mark: Mark(chat.Messages),
+		prompt: prompt, wanted: wanted, changed: make(chan struct{}), left: time.Now(),
+	}
+	eng.streams[id] = jb
+	eng.waiting = append(eng.waiting, jb)
+	eng.nudge()
+	if eng.faults.DropReplies > 0 {
+		eng.faults.DropReplies--
+		return jb, true
+	}
+	return jb, false
+}
+
+func (eng *Engine) find(req *http.Request) *job {
+	eng.mutex.Lock()
+	defer eng.mutex.Unlock()
+	return eng.streams[mux.Vars(req)["id"]]
+}
+
+func (eng *Engine) serveResume(wri http.ResponseWriter, req *http.Request) {
+	jb := eng.find(req)
+	if jb == nil {
+		http.Error(wri, "no such stream", http.StatusNotFound)
+		return
+	}
+	offset, err := strconv.Atoi(req.URL.Query().Get("offset"))
+	if err != nil || offset < 0 {
+		http.Error(wri, "offset: want a number of 0 or more", http.StatusBadRequest)
+		return
+	}
+	eng.send(wri, req, jb, offset)
+}
+
+func (eng *Engine) serveCancel(wri http.ResponseWriter, req *http.Request) {
+	jb := eng.find(req)
+	if jb == nil {
+		http.Error(wri, "no such stream", http.StatusNotFound)
+		return
+	}
+	eng.mutex.Lock()
+	eng.cancel(jb, time.Now())
+	eng.mutex.Unlock()
+	wri.WriteHeader(http.StatusNoContent)
+}
+
+// progress is what a reader of a stream sees at one time.
+type progress struct {
+	tokens    int
+	done      bool
+	cancelled bool
+	stopped   bool
+	changed   <-chan struct{}
+}
+
+func (eng *Engine) progressOf(jb *job) progress {
+	eng.mutex.Lock()
+	defer eng.mutex.Unlock()
+	return progress{
+		tokens: jb.tokens, done: jb.done, cancelled: jb.cancelled,
+		stopped: eng.faults.Frozen, changed: jb.changed,
+	}
+}
+
+func (eng *Engine) attend(jb *job, change int) {
+	eng.mutex.Lock()
+	defer eng.mutex.Unlock()
+	jb.readers += change
+	jb.left = time.Now()
+}
+
+// send streams the answer from the event with the offset on. The last event
+// but the end mark carries the count of tokens.
+func (eng *Engine) send(wri http.ResponseWriter, req *http.Request, jb *job, offset int) {
+	eng.attend(jb, 1)
+	defer eng.attend(jb, -1)
+	wri.Header().Set("Content-Type", "text/event-stream")
+	wri.Header().Set(engine.HeaderOffset, strconv.Itoa(offset))
+	for {
+		pro := eng.progressOf(jb)
+		if pro.cancelled {
+			panic(http.ErrAbortHandler)
+		}
+		if !pro.stopped {
+			offset = eng.sendTokens(wri, jb, offset, pro.tokens)
+			if pro.done {
+				eng.sendEnd(wri, jb, offset)
+				return
+			}
+		}
+		select {
+		case <-pro.changed:
+		case <-req.Context().Done():
+			return
+		}
+	}
+}
+
+func (eng *Engine) sendTokens(wri http.ResponseWriter, jb *job, from, until int) int {
+	if from >= until {
+		return from
+	}
+	for ; from < until; from++ {
+		writeEvent(wri, chunkOf(jb, &engine.Message{Role: "assistant", Content: token(jb.mark, from)}))
+	}
+	flush(wri)
+	return from
+}
+
+func (eng *Engine) sendEnd(wri http.ResponseWriter, jb *job, offset int) {
+	if offset <= jb.wanted {
+		chu := chunkOf(jb, nil)
+		chu.Usage = usageOf(jb)
+		writeEvent(wri, chu)
+	}
+	_, _ = wri.Write([]byte("data: [DONE]\n\n"))
+	flush(wri)
+}
+
+func (eng *Engine) sendWhole(wri http.ResponseWriter, req *http.Request, jb *job) {
+	eng.attend(jb, 1)
+	defer eng.attend(jb, -1)
+	for {
+		pro := eng.progressOf(jb)
+		if pro.cancelled {
+			panic(http.ErrAbortHandler)
+		}
+		if pro.done && !pro.stopped {
+			break
+		}
+		select {
+		case <-pro.changed:
+		case <-req.Context().Done():
+			return
+		}
+	}
+	text := ""
+	for idx := range jb.wanted {
+		text += token(jb.mark, idx)
+	}
+	chu := chunkOf(jb, nil)
+	chu.Object = "chat.completion"
+	chu.Choices = []engine.Choice{{Message: &engine.Message{Role: "assistant", Content: text}, FinishReason: stopReason()}}
+	chu.Usage = usageOf(jb)
+	replyJSON(wri, chu)
+}
+
+func stopReason() *string {
+	reason := "stop"
+	return &reason
+}
+
+func chunkOf(jb *job, delta *engine.Message) engine.Chunk {
+	chu := engine.Chunk{ID: jb.record.ID, Object: "chat.completion.chunk", Model: jb.model, Choices: []engine.Choice{}}
+	if delta != nil {
+		chu.Choices = append(chu.Choices, engine.Choice{Delta: delta})
+	}
+	return chu
+}
+
+func usageOf(jb *job) *engine.Usage {
+	return &engine.Usage{
+		PromptTokens: jb.prompt.Tokens, CompletionTokens: jb.wanted, TotalTokens: jb.prompt.Tokens + jb.wanted,
+		Details: &engine.UsageDetails{CachedTokens: jb.cached},
+	}
+}
+
+func writeEvent(wri http.ResponseWriter, chu engine.Chunk) {
+	data, err := json.Marshal(chu)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = wri.Write([]byte("data: " + string(data) + "\n\n"))
+}
+
+func flush(wri http.ResponseWriter) {
+	_ = http.NewResponseController(wri).Flush()
+}
+
+func (eng *Engine) serveLoad(wri http.ResponseWriter, _ *http.Request) {
+	eng.mutex.Lock()
+	loa := engine.Load{Slots: eng.cfg.Slots}
+	if len(eng.reports) > 0 {
+		loa = eng.reports[0].load
+	}
+	eng.mutex.Unlock()
+	replyJSON(wri, loa)
+}
+
+func (eng *Engine) serveEvents(wri http.ResponseWriter, req *http.Request) {
+	after, err := strconv.ParseUint(req.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(wri, "after: want a number of 0 or more", http.StatusBadRequest)
+		return
+	}
+	eng.mutex.Lock()
+	page := eng.prefixes.after(after, time.Now().Add(-eng.cfg.EventLag))
+	eng.mutex.Unlock()
+	replyJSON(wri, page)
+}
+
+func (eng *Engine) serveFaults(wri http.ResponseWriter, req *http.Request) {
+	var fau Faults
+	if err := json.NewDecoder(req.Body).Decode(&fau); err != nil {
+		http.Error(wri, err.Error(), http.StatusBadRequest)
+		return
+	}
+	eng.SetFaults(fau)
+	wri.WriteHeader(http.StatusNoContent)
+}
+
+func (eng *Engine) serveLeaving(wri http.ResponseWriter, req *http.Request) {
+	var leaving bool
+	if err := json.NewDecoder(req.Body).Decode(&leaving); err != nil {
+		http.Error(wri, err.Error(), http.StatusBadRequest)
+		return
+	}
+	eng.SetLeaving(leaving)
+	wri.WriteHeader(http.StatusNoContent)
+}
+
+func (eng *Engine) serveDispatches(wri http.ResponseWriter, _ *http.Request) {
+	replyJSON(wri, eng.Dispatches())
+}
+
+func replyJSON(wri http.ResponseWriter, body any) {
+	wri.Header().Set("Content-Type", "application/json")
+	// A reader that has left can't be told anything more.
+	_ = json.NewEncoder(wri).Encode(body)
+}
--- /dev/null
+++ b/gateway/core.go
@@ -0,0 +1,308 @@
+// Package gateway is the pure decision core of the gateway's job: it decides
+// when a request is reserved, dispatched, relayed, resumed or given up.
+//
+// # Usage
+//
+//	gat := gateway.New(gateway.Config{Self: epoch, Started: now})
+//	actions := gat.Handle(now, gateway.Arrived{Caller: 1, ID: id, Spec: spec})
+//
+// Events and time go in, actions come out: there is no clock, goroutine,
+// network or randomness in here, and a Core is for one goroutine at a time.
+//
+// A request is decided by the gateway that its id names. It is dispatched only
+// on a grant from a coordinator outside that gateway's failure domain, so that
+// no single loss takes both records of it.
+package gateway
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/reservation"
+	"lynxwell.dev/lynxwell/resource"
+	"lynxwell.dev/lynxwell/view"
+)
+
+// Config holds what a gateway is told at its start. Zero durations stand for
+// the defaults.
+type Config struct {
+	// Self is the epoch of this process.
+	Self request.Epoch
+	// Started is when the process started; windows count from it.
+	Started time.Time
+	// Window is how long one window lasts.
+	Window time.Duration
+	// CloseTimeout bounds the wait for a granter's word that a request never runs.
+	CloseTimeout time.Duration
+	// OrphanGrace is how long a request goes on without its caller.
+	OrphanGrace time.Duration
+	// MoveAfter is how long a reservation waits before it moves to a
+	// coordinator with a free slot.
+	MoveAfter time.Duration
+}
+
+// The defaults of Config.
+const (
+	DefaultWindow       = 5 * time.Minute
+	DefaultCloseTimeout = time.Second
+	DefaultOrphanGrace  = 10 * time.Second
+	DefaultMoveAfter    = 250 * time.Millisecond
+)
+
+// WindowsKept is how many windows, the current one among them, ids may be of.
+const WindowsKept = 3
+
+// viewsKept is how many past views a host remembers.
+const viewsKept = 256
+
+// Core is the gateway of one host.
+type Core struct {
+	cfg      Config
+	conf     resource.Configuration
+	views    view.History
+	shares   map[string][]view.Share
+	peers    map[request.Epoch]*peerState
+	entries  map[request.ID]*entry
+	lost     map[request.Epoch]*lostState
+	limits   *limiter
+	sequence uint64
+	draining bool
+	actions  []Action
+}
+
+// peerState is what the gateway knows of one coordinator epoch.
+type peerState struct {
+	up    bool
+	loads map[string]*loadState
+}
+
+// New returns the core of a process start.
+func New(cfg Config) *Core {
+	fill(&cfg.Window, DefaultWindow)
+	fill(&cfg.CloseTimeout, DefaultCloseTimeout)
+	fill(&cfg.OrphanGrace, DefaultOrphanGrace)
+	fill(&cfg.MoveAfter, DefaultMoveAfter)
+	return &Core{
+		cfg:     cfg,
+		views:   view.NewHistory(viewsKept),
+		peers:   make(map[request.Epoch]*peerState),
+		entries: make(map[request.ID]*entry),
+		lost:    make(map[request.Epoch]*lostState),
+		limits:  newLimiter(),
+	}
+}
+
+func fill(dur *time.Duration, def time.Duration) {
+	if *dur == 0 {
+		*dur = def
+	}
+}
+
+// Window returns the number of the current window; the first one is 1.
+func (gat *Core) Window(now time.Time) uint64 {
+	return uint64(max(0, now.Sub(gat.cfg.Started))/gat.cfg.Window) + 1
+}
+
+// Prefix returns the prefix to hand out for this gateway now; its view is 0
+// while there is none.
+func (gat *Core) Prefix(now time.Time) request.Prefix {
+	return request.Prefix{View: gat.views.Last().Number, Epoch: gat.cfg.Self, Window: gat.Window(now)}
+}
+
+// InFlight returns how many requests don't have their final answer yet.
+func (gat *Core) InFlight() int {
+	count := 0
+	for _, ent := range gat.entries {
+		if !ent.over() {
+			count++
+		}
+	}
+	return count
+}
+
+// Handle takes one event and returns what is to be done about it.
+func (gat *Core) Handle(now time.Time, evt Event) []Action {
+	gat.actions = nil
+	switch evt := evt.(type) {
+	case Arrived:
+		gat.arrived(now, evt)
+	case CallerLeft:
+		gat.callerLeft(now, evt.ID)
+	case RelayFailed:
+		gat.relayFailed(now, evt)
+	case PeerUp:
+		gat.peerUp(now, evt.Peer)
+	case PeerLost:
+		gat.peerLost(now, evt.Peer)
+	case Received:
+		gat.received(now, evt)
+	case FenceAnswered:
+		gat.fenceAnswered(now, evt)
+	case FenceFailed:
+		gat.fenceFailed(now, evt)
+	case Unvouched:
+		gat.unvouched(evt)
+	case EngineDone:
+		gat.engineDone(now, evt)
+	case ViewChanged:
+		gat.viewChanged(now, evt.View)
+	case ConfigurationChanged:
+		gat.conf = evt.Configuration
+		gat.reroute(now)
+	case Drain:
+		gat.draining = true
+	case Tick:
+		gat.tick(now)
+	}
+	return gat.actions
+}
+
+func (gat *Core) act(act Action) {
+	gat.actions = append(gat.actions, act)
+}
+
+func (gat *Core) send(to request.Epoch, msg reservation.Message) {
+	gat.act(Send{To: to, Message: msg})
+}
+
+func (gat *Core) viewChanged(now time.Time, vie view.View) {
+	if vie.Number <= gat.views.Last().Number {
+		return
+	}
+	gat.views.Add(vie)
+	gat.reroute(now)
+}
+
+// reroute follows a change of who coordinates what: new coordinators are told
+// of the slots in use, and requests that waited for a coordinator try again.
+func (gat *Core) reroute(now time.Time) {
+	former := gat.shares
+	gat.shares = make(map[string][]view.Share)
+	for service, engines := range engineSlots(gat.conf) {
+		gat.shares[service] = view.Assign(gat.views.Last(), service, engines)
+	}
+	for _, ent := range gat.sorted() {
+		if ent.holds() {
+			gat.adopt(ent, former[ent.spec.Service])
+		}
+	}
+	gat.retryWaiting(now)
+}
+
+func (gat *Core) adopt(ent *entry, former []view.Share) {
+	before := coordinatorsOf(former, ent.engine)
+	for _, epo := range coordinatorsOf(gat.shares[ent.spec.Service], ent.engine) {
+		if !slices.Contains(before, epo) && gat.isUp(epo) {
+			gat.send(epo, reservation.Adopt{ID: ent.id, Ballot: ent.ballot, Engine: ent.engine})
+		}
+	}
+}
+
+func coordinatorsOf(shares []view.Share, engine string) []request.Epoch {
+	var epochs []request.Epoch
+	for _, sha := range shares {
+		if sha.Engine == engine {
+			epochs = append(epochs, sha.Coordinator)
+		}
+	}
+	return epochs
+}
+
+func engineSlots(conf resource.Configuration) map[string][]view.EngineSlots {
+	groups := make(map[string][]view.EngineSlots)
+	for _, eng := range conf.Engines() {
+		if !eng.Leaving {
+			groups[eng.Service] = append(groups[eng.Service], view.EngineSlots{Engine: eng.Name, Slots: eng.Slots})
+		}
+	}
+	return groups
+}
+
+// sorted returns the entries by id, so that the order of actions is the same
+// for the same events.
+func (gat *Core) sorted() []*entry {
+	return slices.SortedFunc(maps.Values(gat.entries), func(one, two *entry) int {
+		return cmp.Or(
+			cmp.Compare(one.id.View, two.id.View),
+			cmp.Compare(one.id.Epoch, two.id.Epoch),
+			cmp.Compare(one.id.Window, two.id.Window),
+			cmp.Compare(one.id.Unique, two.id.Unique),
+		)
+	})
+}
+
+func (gat *Core) isUp(epo request.Epoch) bool {
+	pee := gat.peers[epo]
+	return pee != nil && pee.up
+}
+
+func (gat *Core) retryWaiting(now time.Time) {
+	for _, ent := range gat.sorted() {
+		if ent.phase == phaseWaiting && ent.coordinator == 0 {
+			gat.reserve(now, ent)
+		}
+	}
+}
+
+func (gat *Core) tick(now time.Time) {
+	for _, ent := range gat.sorted() {
+		gat.tickEntry(now, ent)
+	}
+	gat.retryUnvouch()
+}
+
+func (gat *Core) tickEntry(now time.Time, ent *entry) {
+	switch {
+	case ent.over():
+		gat.forgetOld(now, ent)
+	case gat.isAbandoned(now, ent):
+		gat.abandon(now, ent)
+	case ent.phase == phaseClosing:
+		gat.checkClosing(now, ent)
+	case ent.phase == phaseEvicting && now.Sub(ent.reserved) >= gat.cfg.CloseTimeout:
+		gat.shed(now, ent)
+	case ent.phase == phaseWaiting && !now.Before(ent.deadline):
+		gat.close(now, ent, Final{Cause: CauseExpired, Outcome: request.NotRun})
+	case ent.phase == phaseWaiting && ent.coordinator == 0:
+		gat.reserve(now, ent)
+	case ent.phase == phaseWaiting:
+		gat.moveToFree(now, ent)
+	}
+}
+
+// forgetOld drops a finished request whose id is too old to be taken again.
+func (gat *Core) forgetOld(now time.Time, ent *entry) {
+	current := gat.Window(now)
+	if ent.id.Epoch == gat.cfg.Self && ent.id.Window+WindowsKept > current {
+		return
+	}
+	if ent.id.Epoch != gat.cfg.Self && now.Sub(ent.reserved) < WindowsKept*gat.cfg.Window {
+		return
+	}
+	gat.forget(ent)
+}
+
+func (gat *Core) forget(ent *entry) {
+	delete(gat.entries, ent.id)
+	gat.act(Forget{ID: ent.id})
+}
+
+func (gat *Core) isAbandoned(now time.Time, ent *entry) bool {
+	return ent.callers == 0 && !ent.abandoned.IsZero() && now.Sub(ent.abandoned) >= gat.cfg.OrphanGrace
+}
+
+// abandon ends a request that nobody has waited for since the grace time.
+func (gat *Core) abandon(now time.Time, ent *entry) {
+	switch ent.phase {
+	case phaseWaiting:
+		gat.close(now, ent, Final{Cause: CauseAbandoned, Outcome: request.NotRun})
+	case phaseRunning, phaseResuming:
+		ent.abandoned = time.Time{}
+		gat.act(Cancel{ID: ent.id})
+	case phaseEvicting, phaseClosing, phaseFencing, phaseDone, phaseGivenUp:
+		// These end by themselves.
+	}
+}
--- /dev/null
+++ b/gateway/dump.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"lynxwell.dev/lynxwell/request"
+)
+
+// Dump is the state of a gateway.
+type Dump struct {
+	// Requests counts the remembered requests by phase.
+	Requests map[string]int
+	// InFlight lists the requests without a final answer.
+	InFlight []RequestDump
+	// Lost lists the coordinator epochs whose grants are refused.
+	Lost     []LostDump
+	Draining bool
+}
+
+// RequestDump is one request in flight.
+type RequestDump struct {
+	ID          request.ID
+	Phase       string
+	Service     string
+	Tier        string
+	Account     string
+	Age         string
+	Remaining   string
+	Callers     int
+	Coordinator request.Epoch
+	Engine      string
+}
+
+// LostDump is a coordinator epoch whose grants are refused.
+type LostDump struct {
+	Epoch    request.Epoch
+	Vouchers []request.Epoch
+	Gone     bool
+}
+
+// Dump returns the state of the gateway.
+func (gat *Core) Dump(now time.Time) Dump {
+	dum := Dump{Requests: make(map[string]int), Draining: gat.draining}
+	for _, ent := range gat.sorted() {
+		dum.Requests[ent.phase.String()]++
+		if ent.over() {
+			continue
+		}
+		dum.InFlight = append(dum.InFlight, RequestDump{
+			ID: ent.id, Phase: ent.phase.String(), Service: ent.spec.Service, Tier: ent.spec.Tier, Account: ent.spec.Account,
+			Age: now.Sub(ent.arrived).String(), Remaining: ent.deadline.Sub(now).String(),
+			Callers: ent.callers, Coordinator: ent.coordinator, Engine: ent.engine,
+		})
+	}
+	for _, epo := range slices.Sorted(maps.Keys(gat.lost)) {
+		los := gat.lost[epo]
+		dum.Lost = append(dum.Lost, LostDump{Epoch: epo, Vouchers: slices.Sorted(maps.Keys(los.vouchers)), Gone: los.gone})
+	}
+	return dum
+}
--- /dev/null
+++ b/gateway/entry.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"time"
+
+	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/reservation"
+)
+
+// phase is how far a request has come.
+type phase uint8
+
+const (
+	// phaseWaiting: it waits for a grant.
+	phaseWaiting phase = iota + 1
+	// phaseEvicting: other coordinators are asked to drop a lower reservation.
+	phaseEvicting
+	// phaseClosing: a granter is asked to record that it never runs.
+	phaseClosing
+	// phaseFencing: it is being taken over from an unreachable gateway.
+	phaseFencing
+	// phaseRunning: this gateway dispatched it.
+	phaseRunning
+	// phaseResuming: it is read from the engine that another gateway sent it to.
+	phaseResuming
+	// phaseDone: the whole answer has come.
+	phaseDone
+	// phaseGivenUp: it has a final answer other than a whole one.
+	phaseGivenUp
+)
+
+// String returns the phase's name.
+func (pha phase) String() string {
+	names := [...]string{"None", "Waiting", "Evicting", "Closing", "Fencing", "Running", "Resuming", "Done", "GivenUp"}
+	return names[pha]
+}
+
+// entry is what the gateway remembers of one request.
+type entry struct {
+	id       request.ID
+	ballot   request.Ballot
+	spec     Spec
+	phase    phase
+	arrived  time.Time
+	deadline time.Time
+	// callers counts the attached callers; abandoned is since when there is none.
+	callers   int
+	abandoned time.Time
+	// coordinator is whom the reservation or the wish to close was sent to; 0 is nobody.
+	coordinator request.Epoch
+	reserved    time.Time
+	// refused are the coordinators that keep nothing lower, since when.
+	refused map[request.Epoch]bool
+	// overflow is set once another coordinator has dropped a lower reservation.
+	overflow bool
+	attempts int
+	// granter is the coordinator epoch that granted or closed it.
+	granter request.Epoch
+	engine  string
+	final   Final
+	fence   *fenceState
+	// rounds counts the fences tried.
+	rounds uint32
+}
+
+// over reports whether the request has its final answer.
+func (ent *entry) over() bool {
+	return ent.phase == phaseDone || ent.phase == phaseGivenUp
+}
+
+// holds reports whether the request occupies a slot of an engine.
+func (ent *entry) holds() bool {
+	return ent.phase == phaseRunning
+}
+
+func (ent *entry) reserve(now time.Time) reservation.Reserve {
+	return reservation.Reserve{
+		ID: ent.id, Ballot: ent.ballot, Service: ent.spec.Service,
+		Tier: ent.spec.Tier, Rank: ent.spec.Rank, Account: ent.spec.Account, Weight: ent.spec.Weight,
+		PromptTokens: ent.spec.PromptTokens, MaxTokens: ent.spec.MaxTokens,
+		PrefixHash: ent.spec.PrefixHash, PrefixTokens: ent.spec.PrefixTokens,
+		Remaining: ent.deadline.Sub(now), Overflow: ent.overflow,
+	}
+}
+
+// record returns what a vouch says of the request.
+func (ent *entry) record() reservation.Record {
+	rec := reservation.Record{ID: ent.id, Ballot: ent.ballot, Standing: reservation.StandingGranted, Engine: ent.engine}
+	if ent.engine == "" {
+		rec.Standing = reservation.StandingClosed
+	}
+	return rec
+}
--- /dev/null
+++ b/host/callerbackend.go
@@ -0,0 +1,167 @@
+package host
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"time"
+
+	"lynxwell.dev/lynxwell/caller"
+	"lynxwell.dev/lynxwell/gateway"
+	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/view"
+)
+
+// Addresses implements caller.Backend. It lists the active hosts whose prefix
+// is known here.
+func (hos *Host) Addresses() caller.Addresses {
+	vie := hos.shared.view()
+	ans := caller.Addresses{View: vie.Number, KeepSeconds: int(hos.set.Timing.KeepAddresses.Std().Seconds())}
+	for _, mem := range vie.Active() {
+		prefix, known := hos.prefixOf(mem)
+		if !known {
+			continue
+		}
+		ans.Addresses = append(ans.Addresses, caller.Address{
+			Host: mem.Name, Address: mem.CallerAddress, Domain: mem.Domain, Prefix: prefix.String(),
+		})
+	}
+	return ans
+}
+
+// prefixOf returns the prefix of a member's gateway, as far as it has told its
+// view and window.
+func (hos *Host) prefixOf(mem view.Member) (request.Prefix, bool) {
+	if mem.Epoch == hos.epoch {
+		return hos.prefix(), !hos.draining.Load()
+	}
+	hea, known := hos.shared.header(mem.Epoch)
+	if !known {
+		return request.Prefix{}, false
+	}
+	number := min(hea.View, hos.shared.view().Number)
+	if !hos.wasMember(number, mem.Epoch) {
+		return request.Prefix{}, false
+	}
+	return request.Prefix{View: number, Epoch: mem.Epoch, Window: hea.Window}, true
+}
+
+func (hos *Host) wasMember(number uint64, epo request.Epoch) bool {
+	hos.shared.mutex.Lock()
+	defer hos.shared.mutex.Unlock()
+	vie, known := hos.shared.history.Get(number)
+	if !known {
+		return false
+	}
+	_, member := vie.Member(epo)
+	return member
+}
+
+// uniqueLen is the length of the unique part of an id made here, in bytes of
+// randomness.
+const uniqueLen = 9
+
+// NewID implements caller.Backend.
+func (hos *Host) NewID() request.ID {
+	var raw [uniqueLen]byte
+	// crypto/rand's Read never fails.
+	_, _ = rand.Read(raw[:])
+	pre := hos.prefix()
+	if !hos.wasMember(pre.View, hos.epoch) {
+		pre.View = 0
+	}
+	return request.ID{Prefix: pre, Unique: hex.EncodeToString(raw[:])}
+}
+
+// Arrive implements caller.Backend.
+func (hos *Host) Arrive(ctx context.Context, arr gateway.Arrived, work caller.Work) (caller.Decision, error) {
+	return hos.decideOn(ctx, arr, arr, work)
+}
+
+// RelayFailed implements caller.Backend.
+func (hos *Host) RelayFailed(ctx context.Context, arr gateway.Arrived, to view.Member, work caller.Work) (caller.Decision, error) {
+	return hos.decideOn(ctx, arr, gateway.RelayFailed{Arrived: arr, To: to.Epoch}, work)
+}
+
+// decideOn has the gateway decide about a caller's request.
+func (hos *Host) decideOn(ctx context.Context, arr gateway.Arrived, evt gateway.Event, work caller.Work) (caller.Decision, error) {
+	waiting := &arrival{work: work, rank: arr.Spec.Rank, decision: make(chan caller.Decision, 1)}
+	hos.loop.post(func(now time.Time) {
+		hos.loop.pending[arr.Caller] = waiting
+		hos.loop.gatewayEvent(now, evt)
+	})
+	select {
+	case dec := <-waiting.decision:
+		return dec, nil
+	case <-hos.loop.stopped:
+		return nil, &StoppedError{}
+	case <-ctx.Done():
+		hos.loop.post(func(now time.Time) { hos.loop.dropArrival(now, arr, waiting) })
+		return nil, ctx.Err()
+	}
+}
+
+// dropArrival detaches a caller that left before it took its decision. The
+// decision was made when the arrival was handled, which is before this.
+func (lop *loop) dropArrival(now time.Time, arr gateway.Arrived, waiting *arrival) {
+	delete(lop.pending, arr.Caller)
+	select {
+	case dec := <-waiting.decision:
+		if _, attached := dec.(caller.Attached); attached {
+			lop.gatewayEvent(now, gateway.CallerLeft{ID: arr.ID})
+		}
+	default:
+	}
+}
+
+// Left implements caller.Backend.
+func (hos *Host) Left(id request.ID) {
+	hos.loop.post(func(now time.Time) { hos.loop.gatewayEvent(now, gateway.CallerLeft{ID: id}) })
+}
+
+// Alive implements caller.Backend.
+func (hos *Host) Alive(ctx context.Context, mem view.Member) error {
+	timeout := hos.set.Timing.PeerTimeout.Std()
+	for {
+		asking, cancel := context.WithTimeout(ctx, timeout)
+		_, err := hos.peers.Probe(asking, mem)
+		cancel()
+		if err != nil {
+			return err
+		}
+		if !pause(ctx, timeout/2) {
+			return ctx.Err()
+		}
+	}
+}
+
+// Ready implements caller.Backend.
+func (hos *Host) Ready() (bool, string) {
+	switch {
+	case hos.shared.currentProblem() != "":
+		return false, hos.shared.currentProblem()
+	case hos.draining.Load():
+		return false, "the host is leaving"
+	case hos.shared.view().Number == 0:
+		return false, "the host knows no view yet"
+	case hos.Configuration().Revision == 0:
+		return false, "the host knows no configuration yet"
+	default:
+		return true, ""
+	}
+}
+
+// Connected reports whether the host's view has so many members and a session
+// with each of the others stands.
+func (hos *Host) Connected(members int) bool {
+	vie := hos.shared.view()
+	if len(vie.Members) != members {
+		return false
+	}
+	for _, mem := range vie.Reach(hos.epoch) {
+		if _, known := hos.shared.header(mem.Epoch); !known {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/host/dump.go
@@ -0,0 +1,110 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"runtime"
+	"slices"
+	"time"
+
+	"lynxwell.dev/lynxwell/coordinator"
+	"lynxwell.dev/lynxwell/gateway"
+	"lynxwell.dev/lynxwell/peer"
+	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/view"
+)
+
+// Dump is the state of a process.
+type Dump struct {
+	Name        string
+	Epoch       request.Epoch
+	Domain      string
+	At          time.Time
+	Uptime      string
+	Draining    bool
+	Problem     string `json:",omitempty"`
+	Window      uint64
+	Revision    uint64
+	View        view.View
+	ViewsKept   int
+	Peers       []PeerDump
+	Gateways    []GatewayDump
+	Gateway     gateway.Dump
+	Coordinator coordinator.Dump
+	Jobs        int
+	KeptBytes   int
+	Inbox       int
+	Goroutines  int
+	HeapBytes   uint64
+	Platform    map[string]uint64
+	Traffic     Traffic
+}
+
+// PeerDump is a session of this gateway with a coordinator.
+type PeerDump struct {
+	Name   string
+	Epoch  request.Epoch
+	Up     bool
+	Queued int
+	Header peer.Header
+}
+
+// GatewayDump is a session of a gateway with this coordinator.
+type GatewayDump struct {
+	Name   string
+	Epoch  request.Epoch
+	Queued int
+}
+
+// Traffic counts the bytes between this host and the others.
+type Traffic struct {
+	Received uint64
+	Sent     uint64
+}
+
+// Dump implements operator.Backend.
+func (hos *Host) Dump(ctx context.Context) any {
+	dum, err := ask(ctx, hos.loop, hos.loop.dump)
+	if err != nil {
+		return struct{ Problem string }{err.Error()}
+	}
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	dum.HeapBytes = mem.HeapAlloc
+	dum.Goroutines = runtime.NumGoroutine()
+	dum.Platform = hos.store.Counts()
+	dum.Traffic = Traffic{Received: hos.meter.Received(), Sent: hos.meter.Sent()}
+	return dum
+}
+
+func (lop *loop) dump(now time.Time) Dump {
+	hos := lop.host
+	dum := Dump{
+		Name: hos.set.Name, Epoch: hos.epoch, Domain: hos.set.Domain,
+		At: now, Uptime: now.Sub(hos.started).Round(time.Millisecond).String(),
+		Draining: hos.draining.Load(), Problem: hos.shared.currentProblem(),
+		Window: hos.window(), Revision: hos.Configuration().Revision,
+		View: hos.shared.view(), ViewsKept: len(hos.shared.viewsSince(0)),
+		Gateway: lop.gateway.Dump(now), Coordinator: lop.coordinator.Dump(now),
+		Jobs: len(lop.jobs), KeptBytes: lop.keptBytes, Inbox: len(lop.inbox),
+	}
+	for epo, out := range lop.outbound {
+		hea, _ := hos.shared.header(epo)
+		dum.Peers = append(dum.Peers, PeerDump{Name: out.member.Name, Epoch: epo, Up: out.up, Queued: out.queue.Len(), Header: hea})
+	}
+	for epo, inb := range lop.inbound {
+		dum.Gateways = append(dum.Gateways, GatewayDump{Name: inb.name, Epoch: epo, Queued: inb.queue.Len()})
+	}
+	slices.SortFunc(dum.Peers, func(one, two PeerDump) int { return int(one.Epoch>>1) - int(two.Epoch>>1) })
+	slices.SortFunc(dum.Gateways, func(one, two GatewayDump) int { return int(one.Epoch>>1) - int(two.Epoch>>1) })
+	return dum
+}
+
+// Metrics implements operator.Backend.
+func (hos *Host) Metrics() any {
+	data, err := json.Marshal(hos.metrics)
+	if err != nil {
+		return struct{ Problem string }{err.Error()}
+	}
+	return json.RawMessage(data)
+}
--- /dev/null
+++ b/host/host.go
@@ -0,0 +1,229 @@
+// Package host is one process of lynxwell: it wraps the pure decision cores of
+// the gateway and the coordinator, and connects them to callers, engines,
+// other hosts, the platform and operators.
+//
+// # Usage
+//
+//	hos, err := host.New(host.Config{Settings: set, Log: log, Store: sto})
+//	err = hos.Start(ctx)
+//	...
+//	hos.Drain(ctx) // a planned stop: returns when the last request has ended
+//	hos.Stop()
+//
+// All decisions are made on one goroutine, the loop; everything else only
+// brings it events and carries out its actions.
+package host
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"lynxwell.dev/lynxwell/backend"
+	"lynxwell.dev/lynxwell/caller"
+	"lynxwell.dev/lynxwell/coordinator"
+	"lynxwell.dev/lynxwell/engine"
+	"lynxwell.dev/lynxwell/gateway"
+	"lynxwell.dev/lynxwell/operator"
+	"lynxwell.dev/lynxwell/peer"
+	"lynxwell.dev/lynxwell/platform"
+	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/settings"
+)
+
+// Config holds what a Host is made from.
+type Config struct {
+	Settings settings.Settings
+	Log      zerolog.Logger
+	// Store is the platform's service.
+	Store platform.Store
+	// Gateway and Coordinator may set what tests and benchmarks vary; the
+	// epoch and the start are filled in.
+	Gateway     gateway.Config
+	Coordinator coordinator.Config
+}
+
+// Host is one process of the system.
+type Host struct {
+	cfg     Config
+	set     settings.Settings
+	log     zerolog.Logger
+	epoch   request.Epoch
+	started time.Time
+	store   *platform.Recorder
+	metrics metrics.Registry
+
+	loop     *loop
+	shared   *shared
+	peers    *peer.Client
+	engines  *engine.Client
+	backends *backend.Client
+	callers  *caller.Server
+	meter    *peer.Meter
+
+	parts    *parts
+	draining atomic.Bool
+	// leaving wakes the lease keeper when the host starts to leave.
+	leaving chan struct{}
+	// ahead names peers that have views or configuration that this host has not.
+	ahead   chan netip.AddrPort
+	spawned sync.WaitGroup
+	servers []*http.Server
+	cancel  context.CancelFunc
+	// done is closed when every goroutine has ended.
+	done chan struct{}
+}
+
+// New returns a host; Start has it work.
+func New(cfg Config) (*Host, error) {
+	epoch, err := newEpoch()
+	if err != nil {
+		return nil, err
+	}
+	hos := &Host{
+		cfg: cfg, set: cfg.Settings, epoch: epoch, started: time.Now(),
+		log:     cfg.Log.With().Str("Host", cfg.Settings.Name).Stringer("Epoch", epoch).Logger(),
+		store:   platform.NewRecorder(cfg.Store),
+		metrics: metrics.NewRegistry(),
+		shared:  newShared(),
+		meter:   &peer.Meter{},
+		leaving: make(chan struct{}, 1),
+		ahead:   make(chan netip.AddrPort, 1),
+		done:    make(chan struct{}),
+	}
+	hos.peers = peer.NewClient(peer.ClientConfig{
+		Security: hos.security(), Timing: hos.timing(), Self: hos.Header, Meter: hos.meter,
+	})
+	hos.engines = engine.NewClient(engine.ClientConfig{})
+	hos.backends = backend.NewClient(backend.ClientConfig{})
+	hos.callers = caller.NewServer(caller.ServerConfig{Backend: hos, Log: hos.log, HostName: hos.set.Name})
+	hos.parts = newParts()
+	hos.loop = newLoop(hos)
+	return hos, nil
+}
+
+// epochRandomBits are the low bits of an epoch, which tell starts within the
+// same millisecond apart; the time is above them.
+const epochRandomBits = 22
+
+// newEpoch returns a number for this process start that is never used again.
+func newEpoch() (request.Epoch, error) {
+	var raw [4]byte
+	if _, err := rand.Read(raw[:]); err != nil {
+		return 0, errors.Wrap(err, "make epoch")
+	}
+	low := uint64(binary.BigEndian.Uint32(raw[:])) & (1<<epochRandomBits - 1)
+	return request.Epoch(uint64(time.Now().UnixMilli())<<epochRandomBits | low), nil
+}
+
+// Epoch returns the number of this process start.
+func (hos *Host) Epoch() request.Epoch {
+	return hos.epoch
+}
+
+// Done is closed when the host has stopped.
+func (hos *Host) Done() <-chan struct{} {
+	return hos.done
+}
+
+func (hos *Host) security() peer.Security {
+	return peer.Security{Key: hos.set.PeerKey}
+}
+
+func (hos *Host) timing() peer.Timing {
+	return peer.Timing{Heartbeat: hos.set.Timing.Heartbeat.Std(), Timeout: hos.set.Timing.PeerTimeout.Std()}
+}
+
+// Start listens on the host's three addresses and starts its goroutines. They
+// end with Stop, not with the context, which bounds the start alone.
+func (hos *Host) Start(ctx context.Context) error {
+	listeners, err := hos.listen(ctx)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	hos.cancel = cancel
+	tasks := newTasks(hos.log)
+	tasks.run("loop", func() error { return hos.loop.run(ctx) })
+	hos.serve(tasks, listeners)
+	tasks.run("lease", func() error { return hos.keepLease(ctx) })
+	tasks.run("membership", func() error { return hos.watchPlatform(ctx) })
+	tasks.run("sessions", func() error { return hos.keepSessions(ctx) })
+	tasks.run("catch-up", func() error { return hos.catchUp(ctx) })
+	tasks.run("monitor", func() error { return hos.monitorEngines(ctx) })
+	go func() {
+		tasks.wait()
+		hos.spawned.Wait()
+		close(hos.done)
+	}()
+	hos.log.Info().Stringer("Callers", hos.set.CallerAddress).Str("Domain", hos.set.Domain).Msg("host started")
+	return nil
+}
+
+// listeners are the host's three listening sockets.
+type listeners struct {
+	caller, peer, operator net.Listener
+}
+
+func (hos *Host) listen(ctx context.Context) (listeners, error) {
+	var lis listeners
+	var cfg net.ListenConfig
+	var err error
+	if lis.caller, err = cfg.Listen(ctx, "tcp", hos.set.CallerAddress.String()); err != nil {
+		return lis, errors.Wrap(err, "CallerAddress")
+	}
+	if lis.peer, err = cfg.Listen(ctx, "tcp", hos.set.PeerAddress.String()); err != nil {
+		return lis, errors.Wrap(err, "PeerAddress")
+	}
+	lis.peer = hos.meter.Listener(lis.peer)
+	if lis.operator, err = cfg.Listen(ctx, "tcp", hos.set.OperatorAddress.String()); err != nil {
+		return lis, errors.Wrap(err, "OperatorAddress")
+	}
+	return lis, nil
+}
+
+func (hos *Host) serve(tks *tasks, lis listeners) {
+	peerServer := peer.NewServer(peer.ServerConfig{Backend: hos, Security: hos.security(), Timing: hos.timing()})
+	operatorServer := operator.NewServer(operator.ServerConfig{Backend: hos, Key: hos.set.OperatorKey, Log: hos.log})
+	hos.servers = []*http.Server{hos.callers.HTTPServer(), peerServer.HTTPServer(), operatorServer.HTTPServer()}
+	for idx, lsn := range []net.Listener{lis.caller, lis.peer, lis.operator} {
+		srv := hos.servers[idx]
+		tks.run(fmt.Sprintf("server %s", lsn.Addr()), func() error {
+			if err := srv.Serve(lsn); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		})
+	}
+}
+
+// Stop ends the host at once: requests in flight are cut.
+func (hos *Host) Stop() {
+	hos.cancel()
+	for _, srv := range hos.servers {
+		// The listeners are closed; what else fails has no consequence.
+		_ = srv.Close()
+	}
+	<-hos.done
+	hos.peers.Close()
+	hos.engines.Close()
+	hos.backends.Close()
+	hos.callers.Close()
+	hos.log.Info().Msg("host stopped")
+}
+
+// spawn runs short work beside the loop, which it reports back to by post.
+func (hos *Host) spawn(work func()) {
+	hos.spawned.Go(work)
+}
--- /dev/null
+++ b/host/loop.go
@@ -0,0 +1,205 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"lynxwell.dev/lynxwell/caller"
+	"lynxwell.dev/lynxwell/coordinator"
+	"lynxwell.dev/lynxwell/gateway"
+	"lynxwell.dev/lynxwell/peer"
+	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/reservation"
+	"lynxwell.dev/lynxwell/resource"
+	"lynxwell.dev/lynxwell/view"
+)
+
+// tickInterval is how often time passes in the cores.
+const tickInterval = 50 * time.Millisecond
+
+// inboxLen bounds the events that wait for the loop.
+const inboxLen = 4096
+
+// loop owns both decision cores and all that their actions change.
+type loop struct {
+	host        *Host
+	inbox       chan func(now time.Time)
+	stopped     chan struct{}
+	gateway     *gateway.Core
+	coordinator *coordinator.Core
+	jobs        map[request.ID]*job
+	pending     map[gateway.CallerID]*arrival
+	outbound    map[request.Epoch]*outbound
+	inbound     map[request.Epoch]*inbound
+	inboundByID map[uint64]*inbound
+	keptBytes   int
+	keptOrder   []request.ID
+	ctx         context.Context
+}
+
+// job is a request's exchange, with what is needed to run it.
+type job struct {
+	exchange *caller.Exchange
+	work     caller.Work
+	priority int
+	cancel   context.CancelFunc
+}
+
+// arrival is a caller that waits for a decision.
+type arrival struct {
+	work     caller.Work
+	rank     int
+	decision chan caller.Decision
+}
+
+// outbound is this gateway's session with a coordinator.
+type outbound struct {
+	member view.Member
+	queue  *peer.Queue
+	cancel context.CancelFunc
+	up     bool
+}
+
+// inbound is a gateway's session with this coordinator.
+type inbound struct {
+	number  uint64
+	gateway request.Epoch
+	name    string
+	queue   *peer.Queue
+	cancel  context.CancelFunc
+}
+
+func newLoop(hos *Host) *loop {
+	gatewayConfig := hos.cfg.Gateway
+	gatewayConfig.Self = hos.epoch
+	gatewayConfig.Started = hos.started
+	gatewayConfig.Window = hos.set.Timing.Window.Std()
+	gatewayConfig.OrphanGrace = hos.set.Timing.OrphanGrace.Std()
+	coordinatorConfig := hos.cfg.Coordinator
+	coordinatorConfig.Self = hos.epoch
+	if coordinatorConfig.Retention == 0 {
+		coordinatorConfig.Retention = (gateway.WindowsKept + 1) * gatewayConfig.Window
+	}
+	return &loop{
+		host:        hos,
+		inbox:       make(chan func(time.Time), inboxLen),
+		stopped:     make(chan struct{}),
+		gateway:     gateway.New(gatewayConfig),
+		coordinator: coordinator.New(coordinatorConfig),
+		jobs:        make(map[request.ID]*job),
+		pending:     make(map[gateway.CallerID]*arrival),
+		outbound:    make(map[request.Epoch]*outbound),
+		inbound:     make(map[request.Epoch]*inbound),
+		inboundByID: make(map[uint64]*inbound),
+	}
+}
+
+// run makes all decisions, one after another, until the context ends.
+func (lop *loop) run(ctx context.Context) error {
+	lop.ctx = ctx
+	defer close(lop.stopped)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	lop.gatewayEvent(time.Now(), gateway.PeerUp{Peer: lop.host.epoch})
+	lop.coordinatorEvent(time.Now(), coordinator.GatewayUp{Gateway: lop.host.epoch})
+	for {
+		select {
+		case work := <-lop.inbox:
+			work(time.Now())
+		case now := <-ticker.C:
+			lop.gatewayEvent(now, gateway.Tick{})
+			lop.coordinatorEvent(now, coordinator.Tick{})
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// post has the loop do some work; it is dropped once the loop has stopped.
+func (lop *loop) post(work func(now time.Time)) {
+	select {
+	case lop.inbox <- work:
+	case <-lop.stopped:
+	}
+}
+
+// StoppedError reports a host that has stopped.
+type StoppedError struct{}
+
+// Error says so.
+func (*StoppedError) Error() string {
+	return "the host has stopped"
+}
+
+// ask has the loop do some work and waits for its result.
+func ask[T any](ctx context.Context, lop *loop, work func(now time.Time) T) (T, error) {
+	var none T
+	result := make(chan T, 1)
+	lop.post(func(now time.Time) { result <- work(now) })
+	select {
+	case val := <-result:
+		return val, nil
+	case <-lop.stopped:
+		return none, &StoppedError{}
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
+
+func (lop *loop) gatewayEvent(now time.Time, evt gateway.Event) {
+	for _, act := range lop.gateway.Handle(now, evt) {
+		lop.gatewayAction(now, act)
+	}
+}
+
+func (lop *loop) coordinatorEvent(now time.Time, evt coordinator.Event) {
+	lop.coordinatorActions(now, lop.coordinator.Handle(now, evt))
+}
+
+func (lop *loop) coordinatorActions(now time.Time, actions []coordinator.Action) {
+	for _, act := range actions {
+		if snd, isSend := act.(coordinator.Send); isSend {
+			lop.sendToGateway(now, snd)
+		}
+	}
+}
+
+func (lop *loop) sendToGateway(now time.Time, act coordinator.Send) {
+	if act.To == lop.host.epoch {
+		lop.gatewayEvent(now, gateway.Received{From: act.To, Message: act.Message, Load: act.Load})
+		return
+	}
+	inb := lop.inbound[act.To]
+	if inb == nil {
+		return
+	}
+	if !inb.queue.Put(peer.Outgoing{Message: act.Message, Load: act.Load}) {
+		inb.cancel()
+	}
+}
+
+func (lop *loop) sendToCoordinator(now time.Time, to request.Epoch, msg reservation.Message) {
+	if to == lop.host.epoch {
+		lop.coordinatorEvent(now, coordinator.Received{From: to, Message: msg})
+		return
+	}
+	out := lop.outbound[to]
+	if out == nil || !out.up {
+		return
+	}
+	if !out.queue.Put(peer.Outgoing{Message: msg}) {
+		out.cancel()
+	}
+}
+
+// applyView brings a view to both cores.
+func (lop *loop) applyView(now time.Time, vie view.View) {
+	lop.coordinatorEvent(now, coordinator.ViewChanged{View: vie})
+	lop.gatewayEvent(now, gateway.ViewChanged{View: vie})
+}
+
+// applyConfiguration brings a configuration to both cores.
+func (lop *loop) applyConfiguration(now time.Time, con resource.Configuration) {
+	lop.coordinatorEvent(now, coordinator.ConfigurationChanged{Configuration: con})
+	lop.gatewayEvent(now, gateway.ConfigurationChanged{Configuration: con})
+}
--- /dev/null
+++ b/host/monitor.go
@@ -0,0 +1,143 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"lynxwell.dev/lynxwell/coordinator"
+	"lynxwell.dev/lynxwell/platform"
+	"lynxwell.dev/lynxwell/resource"
+)
+
+// reportInterval is how often a coordinator reads the reports of its engines;
+// hostsInterval is how often it reads the platform's list of hosts.
+const (
+	reportInterval = 500 * time.Millisecond
+	hostsInterval  = time.Second
+)
+
+// reportTimeout bounds the reading of one report.
+const reportTimeout = time.Second
+
+// monitorEngines follows the engines that this host coordinates: their load,
+// their cache events, and whether they leave.
+func (hos *Host) monitorEngines(ctx context.Context) error {
+	mon := &monitor{host: hos, sequences: make(map[string]uint64), leaving: make(map[string]bool)}
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		mon.readHosts(ctx)
+		if err := mon.readEngines(ctx); err != nil {
+			return err
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// monitor holds what is known of engines from outside.
+type monitor struct {
+	host      *Host
+	sequences map[string]uint64
+	leaving   map[string]bool
+	hostsRead time.Time
+}
+
+// readHosts reads the platform's list for engines that leave. The list lags
+// and may be out; engines also say so themselves.
+func (mon *monitor) readHosts(ctx context.Context) {
+	if time.Since(mon.hostsRead) < hostsInterval {
+		return
+	}
+	mon.hostsRead = time.Now()
+	hosts, err := mon.host.store.Hosts(ctx)
+	if err != nil {
+		return
+	}
+	clear(mon.leaving)
+	for _, state := range hosts {
+		if state.Kind == platform.HostBackend && state.Leaving {
+			mon.leaving[state.Name] = true
+		}
+	}
+}
+
+// engineReading is one engine's report, read by a goroutine of its own.
+type engineReading struct {
+	engine   resource.Engine
+	reported coordinator.Reported
+	changed  coordinator.CacheChanged
+	next     uint64
+	failed   bool
+}
+
+func (mon *monitor) readEngines(ctx context.Context) error {
+	names, err := ask(ctx, mon.host.loop, func(time.Time) []string {
+		return mon.host.loop.coordinator.EngineNames()
+	})
+	if err != nil {
+		return err
+	}
+	readings := make(chan engineReading)
+	started := 0
+	for _, name := range names {
+		eng, known := mon.host.Configuration().Engine(name)
+		if !known {
+			continue
+		}
+		started++
+		after := mon.sequences[name]
+		go func() { readings <- mon.read(ctx, eng, after) }()
+	}
+	for range started {
+		mon.take(<-readings)
+	}
+	return nil
+}
+
+func (mon *monitor) read(ctx context.Context, eng resource.Engine, after uint64) engineReading {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	rea := engineReading{engine: eng, next: after}
+	loa, err := mon.host.engines.Load(ctx, eng.Address)
+	if err != nil {
+		rea.failed = true
+		return rea
+	}
+	rea.reported = coordinator.Reported{Engine: eng.Name, Running: loa.Running, Leaving: loa.Leaving}
+	ser, _ := mon.host.Configuration().Service(eng.Service)
+	if ser.Protocol != resource.ProtocolModel {
+		return rea
+	}
+	page, err := mon.host.engines.CacheEvents(ctx, eng.Address, after)
+	if err != nil {
+		return rea
+	}
+	rea.next = page.Next
+	rea.changed.Engine = eng.Name
+	for _, evt := range page.Events {
+		if evt.Evicted {
+			rea.changed.Evicted = append(rea.changed.Evicted, evt.Prefix)
+		} else {
+			rea.changed.Added = append(rea.changed.Added, evt.Prefix)
+		}
+	}
+	return rea
+}
+
+func (mon *monitor) take(rea engineReading) {
+	name := rea.engine.Name
+	mon.sequences[name] = rea.next
+	if mon.leaving[name] {
+		rea.reported = coordinator.Reported{Engine: name, Running: rea.reported.Running, Leaving: true}
+	} else if rea.failed {
+		return
+	}
+	mon.host.loop.post(func(now time.Time) {
+		mon.host.loop.coordinatorEvent(now, rea.reported)
+		mon.host.loop.coordinatorEvent(now, rea.changed)
+	})
+}
--- /dev/null
+++ b/host/peerbackend.go
@@ -0,0 +1,119 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lynxwell.dev/lynxwell/peer"
+	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/reservation"
+)
+
+// sessionNumbers numbers the sessions that gateways open.
+var sessionNumbers atomic.Uint64
+
+// Header implements peer.Backend.
+func (hos *Host) Header() peer.Header {
+	return peer.Header{
+		Epoch: hos.epoch, Name: hos.set.Name,
+		View: hos.shared.view().Number, Revision: hos.Configuration().Revision, Window: hos.window(),
+	}
+}
+
+// SessionUp implements peer.Backend.
+func (hos *Host) SessionUp(from peer.Header, que *peer.Queue, cancel context.CancelFunc) uint64 {
+	inb := &inbound{number: sessionNumbers.Add(1), gateway: from.Epoch, name: from.Name, queue: que, cancel: cancel}
+	hos.loop.post(func(now time.Time) { hos.loop.inboundUp(now, inb) })
+	return inb.number
+}
+
+// SessionMessage implements peer.Backend.
+func (hos *Host) SessionMessage(session uint64, rec peer.Received) {
+	if rec.Message == nil {
+		if mem, known := hos.shared.view().Member(rec.Header.Epoch); known {
+			hos.noteHeader(rec.Header, mem)
+		}
+		return
+	}
+	hos.loop.post(func(now time.Time) { hos.loop.inboundMessage(now, session, rec) })
+}
+
+// SessionLost implements peer.Backend.
+func (hos *Host) SessionLost(session uint64) {
+	hos.loop.post(func(now time.Time) {
+		if inb := hos.loop.inboundByID[session]; inb != nil {
+			hos.loop.inboundLost(now, inb)
+		}
+	})
+}
+
+// Fence implements peer.Backend.
+func (hos *Host) Fence(ctx context.Context, fen reservation.Fence) (reservation.FenceAnswer, error) {
+	return ask(ctx, hos.loop, func(now time.Time) reservation.FenceAnswer {
+		ans, actions := hos.loop.coordinator.Fence(now, fen)
+		hos.loop.coordinatorActions(now, actions)
+		return ans
+	})
+}
+
+// Vouch implements peer.Backend.
+func (hos *Host) Vouch(ctx context.Context, vou reservation.Vouch) error {
+	_, err := ask(ctx, hos.loop, func(now time.Time) struct{} {
+		hos.loop.coordinator.Vouch(now, vou)
+		return struct{}{}
+	})
+	return err
+}
+
+// Unvouch implements peer.Backend.
+func (hos *Host) Unvouch(ctx context.Context, unv reservation.Unvouch) (reservation.UnvouchAnswer, error) {
+	return ask(ctx, hos.loop, func(time.Time) reservation.UnvouchAnswer {
+		return hos.loop.coordinator.Unvouch(unv)
+	})
+}
+
+// Handover implements peer.Backend.
+func (hos *Host) Handover(ctx context.Context, han reservation.Handover) error {
+	_, err := ask(ctx, hos.loop, func(now time.Time) struct{} {
+		hos.loop.coordinator.TakeOver(now, han)
+		return struct{}{}
+	})
+	return err
+}
+
+// State implements peer.Backend.
+func (hos *Host) State(_ context.Context, viewsFrom, aboveRevision uint64) (peer.State, error) {
+	var sta peer.State
+	for _, vie := range hos.shared.viewsSince(viewsFrom) {
+		data, err := json.Marshal(vie)
+		if err != nil {
+			return sta, errors.Wrap(err, "encode view")
+		}
+		sta.Views = append(sta.Views, data)
+	}
+	inf := hos.shared.config.Load()
+	if inf.configuration.Revision <= aboveRevision {
+		return sta, nil
+	}
+	head, err := json.Marshal(inf.head)
+	if err != nil {
+		return sta, errors.Wrap(err, "encode head")
+	}
+	sta.Head = head
+	sta.Parts = hos.parts.of(inf.head)
+	return sta, nil
+}
+
+// window returns the gateway's current window without asking the loop.
+func (hos *Host) window() uint64 {
+	return uint64(time.Since(hos.started)/hos.set.Timing.Window.Std()) + 1
+}
+
+// prefix returns the prefix to hand out for this gateway.
+func (hos *Host) prefix() request.Prefix {
+	return request.Prefix{View: hos.shared.view().Number, Epoch: hos.epoch, Window: hos.window()}
+}
--- /dev/null
+++ b/host/sessions.go
@@ -0,0 +1,147 @@
+package host
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"lynxwell.dev/lynxwell/coordinator"
+	"lynxwell.dev/lynxwell/gateway"
+	"lynxwell.dev/lynxwell/peer"
+	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/view"
+)
+
+// The pause before a lost session is tried again grows between these.
+const (
+	minRedial = 50 * time.Millisecond
+	maxRedial = time.Second
+)
+
+// keepSessions keeps a session with each member of the view that this gateway
+// may reserve at.
+func (hos *Host) keepSessions(ctx context.Context) error {
+	ends := make(chan request.Epoch)
+	running := make(map[request.Epoch]context.CancelFunc)
+	for {
+		changed := hos.shared.nextView()
+		hos.adjustSessions(ctx, running, ends)
+		select {
+		case <-changed:
+		case epo := <-ends:
+			delete(running, epo)
+		case <-ctx.Done():
+			for len(running) > 0 {
+				delete(running, <-ends)
+			}
+			return ctx.Err()
+		}
+	}
+}
+
+// adjustSessions starts a keeper for each new member and ends those of members
+// that are gone.
+func (hos *Host) adjustSessions(ctx context.Context, running map[request.Epoch]context.CancelFunc, ends chan<- request.Epoch) {
+	vie := hos.shared.view()
+	for epo, cancel := range running {
+		if _, member := vie.Member(epo); !member {
+			cancel()
+		}
+	}
+	for _, mem := range vie.Reach(hos.epoch) {
+		if running[mem.Epoch] != nil {
+			continue
+		}
+		keeping, cancel := context.WithCancel(ctx)
+		running[mem.Epoch] = cancel
+		go func() {
+			hos.keepSession(keeping, mem)
+			ends <- mem.Epoch
+		}()
+	}
+}
+
+// keepSession opens a session with the member again and again.
+func (hos *Host) keepSession(ctx context.Context, mem view.Member) {
+	wait := minRedial
+	for ctx.Err() == nil {
+		start := time.Now()
+		err := hos.runSession(ctx, mem)
+		if time.Since(start) > maxRedial {
+			wait = minRedial
+		}
+		hos.log.Debug().Err(err).Str("Peer", mem.Name).Stringer("PeerEpoch", mem.Epoch).Msg("session ended")
+		if !pause(ctx, wait/2+rand.N(wait)) {
+			return
+		}
+		wait = min(maxRedial, 2*wait)
+	}
+}
+
+// runSession runs one session until it is lost.
+func (hos *Host) runSession(ctx context.Context, mem view.Member) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	out := &outbound{member: mem, queue: peer.NewQueue(), cancel: cancel}
+	lop := hos.loop
+	err := hos.peers.Session(ctx, mem, out.queue,
+		func() { lop.post(func(now time.Time) { lop.outboundUp(now, out) }) },
+		func(rec peer.Received) { lop.post(func(now time.Time) { lop.outboundMessage(now, out, rec) }) },
+	)
+	lop.post(func(now time.Time) { lop.outboundLost(now, out) })
+	return err
+}
+
+func (lop *loop) outboundUp(now time.Time, out *outbound) {
+	out.up = true
+	lop.outbound[out.member.Epoch] = out
+	lop.gatewayEvent(now, gateway.PeerUp{Peer: out.member.Epoch})
+}
+
+// outboundMessage takes a coordinator's message, unless its session was lost meanwhile.
+func (lop *loop) outboundMessage(now time.Time, out *outbound, rec peer.Received) {
+	if lop.outbound[out.member.Epoch] != out {
+		return
+	}
+	if rec.Message == nil {
+		lop.host.noteHeader(rec.Header, out.member)
+		return
+	}
+	lop.gatewayEvent(now, gateway.Received{From: out.member.Epoch, Message: rec.Message, Load: rec.Load})
+}
+
+func (lop *loop) outboundLost(now time.Time, out *outbound) {
+	if lop.outbound[out.member.Epoch] != out {
+		return
+	}
+	delete(lop.outbound, out.member.Epoch)
+	lop.host.shared.forgetHeader(out.member.Epoch)
+	lop.gatewayEvent(now, gateway.PeerLost{Peer: out.member.Epoch})
+}
+
+func (lop *loop) inboundUp(now time.Time, inb *inbound) {
+	if former := lop.inbound[inb.gateway]; former != nil {
+		lop.inboundLost(now, former)
+		former.cancel()
+	}
+	lop.inbound[inb.gateway] = inb
+	lop.inboundByID[inb.number] = inb
+	lop.coordinatorEvent(now, coordinator.GatewayUp{Gateway: inb.gateway})
+}
+
+func (lop *loop) inboundMessage(now time.Time, number uint64, rec peer.Received) {
+	inb := lop.inboundByID[number]
+	if inb == nil || rec.Message == nil {
+		return
+	}
+	lop.coordinatorEvent(now, coordinator.Received{From: inb.gateway, Message: rec.Message})
+}
+
+func (lop *loop) inboundLost(now time.Time, inb *inbound) {
+	delete(lop.inboundByID, inb.number)
+	if lop.inbound[inb.gateway] != inb {
+		return
+	}
+	delete(lop.inbound, inb.gateway)
+	lop.coordinatorEvent(now, coordinator.GatewayLost{Gateway: inb.gateway})
+}
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,128 @@
+package load
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// The range of the histograms, in microseconds.
+const (
+	histogramMax    = int64(10 * time.Minute / time.Microsecond)
+	histogramDigits = 3
+)
+
+// Report sums a run up.
+type Report struct {
+	Tiers []TierReport
+	Audit Audit
+	// Codes counts the answers without a whole one by kind and code.
+	Codes map[string]int
+}
+
+// TierReport sums one tier up.
+type TierReport struct {
+	Tier string
+	Sent int
+	// Whole counts whole answers, InTime those within the deadline.
+	Whole   int
+	InTime  int
+	GivenUp int
+	// Lost counts requests without any answer.
+	Lost          int
+	Repeats       int
+	FirstTokenP50 time.Duration
+	FirstTokenP99 time.Duration
+	WastedTokens  int
+}
+
+// Summarize makes the report of a run.
+func Summarize(ended []Ended, aud Audit) Report {
+	rep := Report{Audit: aud, Codes: make(map[string]int)}
+	byTier := make(map[string][]Ended)
+	for _, end := range ended {
+		byTier[end.Kind.Tier] = append(byTier[end.Kind.Tier], end)
+		if !end.Own {
+			rep.Codes[end.Kind.Name+" "+codeOf(end.Answer)]++
+		}
+	}
+	for tier, some := range byTier {
+		rep.Tiers = append(rep.Tiers, summarizeTier(tier, some, aud.WastedByTier[tier]))
+	}
+	slices.SortFunc(rep.Tiers, func(one, two TierReport) int { return cmp.Compare(one.Tier, two.Tier) })
+	return rep
+}
+
+func codeOf(ans Answer) string {
+	switch {
+	case ans.Whole:
+		return "NotOwn"
+	case ans.Code != "":
+		return ans.Code
+	default:
+		return "NoAnswer"
+	}
+}
+
+func summarizeTier(tier string, ended []Ended, wasted int) TierReport {
+	tir := TierReport{Tier: tier, Sent: len(ended), WastedTokens: wasted}
+	first := hdrhistogram.New(1, histogramMax, histogramDigits)
+	for _, end := range ended {
+		ans := end.Answer
+		tir.Repeats += ans.Repeats
+		switch {
+		case end.Own:
+			tir.Whole++
+			// Times out of the range would be faults of the tool.
+			_ = first.RecordValue(max(1, ans.FirstToken.Microseconds()))
+			if ans.Total <= end.Kind.Deadline.Std() {
+				tir.InTime++
+			}
+		case ans.Outcome != "" && ans.Err == nil:
+			tir.GivenUp++
+		default:
+			tir.Lost++
+		}
+	}
+	tir.FirstTokenP50 = time.Duration(first.ValueAtQuantile(50)) * time.Microsecond
+	tir.FirstTokenP99 = time.Duration(first.ValueAtQuantile(99)) * time.Microsecond
+	return tir
+}
+
+// Write prints the report as a table.
+func (rep Report) Write(out io.Writer) error {
+	tab := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(tab, "Tier\tSent\tWhole\tInTime\tGivenUp\tLost\tFirstP50\tFirstP99\tWastedPrefill\t")
+	for _, tir := range rep.Tiers {
+		fmt.Fprintf(tab, "%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%d\t\n", tir.Tier, tir.Sent, tir.Whole, tir.InTime,
+			tir.GivenUp, tir.Lost, round(tir.FirstTokenP50), round(tir.FirstTokenP99), tir.WastedTokens)
+	}
+	if err := tab.Flush(); err != nil {
+		return err
+	}
+	aud := rep.Audit
+	for _, code := range slices.Sorted(maps.Keys(rep.Codes)) {
+		fmt.Fprintf(out, "without a whole answer: %d %s\n", rep.Codes[code], code)
+	}
+	_, err := fmt.Fprintf(out, "dispatches: %d for %d requests, %d doubled, %d mixed answers, %d falsely told NotRun\nprefill: %d tokens, %d wasted (%.2f%%)\n",
+		aud.Dispatches, aud.Requests, len(aud.Doubled), aud.Mixed, len(aud.FalselyNotRun),
+		aud.PrefillTokens, aud.WastedTokens, share(aud.WastedTokens, aud.PrefillTokens))
+	return err
+}
+
+func share(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return 100 * float64(part) / float64(whole)
+}
+
+func round(dur time.Duration) time.Duration {
+	return dur.Round(100 * time.Microsecond)
+}
--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,225 @@
+package operator
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lynxwell.dev/lynxwell/resource"
+)
+
+// maxAnswerBytes bounds an answer.
+const maxAnswerBytes = 64 << 20
+
+// changeTries bounds how often a change is asked about whose reply was lost.
+const changeTries = 5
+
+// changePause is the wait between those.
+const changePause = 200 * time.Millisecond
+
+// ClientConfig holds what a Client is made from.
+type ClientConfig struct {
+	// Address is a host's operator address.
+	Address netip.AddrPort
+	// Key is the operators' bearer key.
+	Key string
+}
+
+// Client reaches one host's interface for operators.
+type Client struct {
+	cfg  ClientConfig
+	http *http.Client
+}
+
+// NewClient returns a client without any connection yet.
+func NewClient(cfg ClientConfig) *Client {
+	return &Client{cfg: cfg, http: &http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute}}}
+}
+
+// Close drops the idle connections.
+func (cli *Client) Close() {
+	cli.http.CloseIdleConnections()
+}
+
+// Resources returns every resource.
+func (cli *Client) Resources(ctx context.Context) (EntryList, error) {
+	var list EntryList
+	err := cli.call(ctx, http.MethodGet, PathResources, nil, &list)
+	return list, err
+}
+
+// Apply writes every resource of the set as it was just seen: a resource that
+// another operator changes meanwhile gives an *AnswerError with a conflict.
+func (cli *Client) Apply(ctx context.Context, set resource.Set) (ChangeResult, error) {
+	list, err := cli.Resources(ctx)
+	if err != nil {
+		return ChangeResult{}, err
+	}
+	seen := revisionsOf(list)
+	cha := ChangeBody{ID: NewChangeID()}
+	for _, res := range set.Resources() {
+		key := res.Key()
+		cha.Edits = append(cha.Edits, EditBody{Kind: key.Kind, Name: key.Name, Seen: seen[key], Spec: res})
+	}
+	return cli.Change(ctx, cha)
+}
+
+// Delete removes a resource as it was just seen.
+func (cli *Client) Delete(ctx context.Context, key resource.Key) (ChangeResult, error) {
+	list, err := cli.Resources(ctx)
+	if err != nil {
+		return ChangeResult{}, err
+	}
+	seen := revisionsOf(list)
+	if seen[key] == 0 {
+		return ChangeResult{}, &AnswerError{Status: http.StatusNotFound, Body: ErrorBody{Code: CodeNotFound, Message: "there is no " + key.String()}}
+	}
+	edi := EditBody{Kind: key.Kind, Name: key.Name, Seen: seen[key], Delete: true}
+	return cli.Change(ctx, ChangeBody{ID: NewChangeID(), Edits: []EditBody{edi}})
+}
+
+func revisionsOf(list EntryList) map[resource.Key]uint64 {
+	seen := make(map[resource.Key]uint64, len(list.Entries))
+	for _, ent := range list.Entries {
+		seen[ent.Resource.Key()] = ent.Revision
+	}
+	return seen
+}
+
+// NewChangeID returns an id for a change.
+func NewChangeID() string {
+	var raw [12]byte
+	// crypto/rand's Read never fails.
+	_, _ = rand.Read(raw[:])
+	return hex.EncodeToString(raw[:])
+}
+
+// Change writes a change. Where no reply comes, it asks again under the same
+// id, which never makes the change twice.
+func (cli *Client) Change(ctx context.Context, cha ChangeBody) (ChangeResult, error) {
+	var res ChangeResult
+	var err error
+	for range changeTries {
+		err = cli.call(ctx, http.MethodPost, PathChanges, cha, &res)
+		if err == nil || isDecided(err) {
+			return res, err
+		}
+		if !sleep(ctx, changePause) {
+			break
+		}
+	}
+	return res, &NotDecidedError{ChangeID: cha.ID, Cause: err}
+}
+
+func isDecided(err error) bool {
+	var aer *AnswerError
+	return errors.As(err, &aer) && aer.Body.Code != CodeNotDecided
+}
+
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Status returns what the hosts report.
+func (cli *Client) Status(ctx context.Context) (Status, error) {
+	var sta Status
+	err := cli.call(ctx, http.MethodGet, PathStatus, nil, &sta)
+	return sta, err
+}
+
+// Dump returns the state of the host's process as JSON.
+func (cli *Client) Dump(ctx context.Context) (json.RawMessage, error) {
+	var raw json.RawMessage
+	err := cli.call(ctx, http.MethodGet, PathDump, nil, &raw)
+	return raw, err
+}
+
+// Metrics returns the measurements of the host's process as JSON.
+func (cli *Client) Metrics(ctx context.Context) (json.RawMessage, error) {
+	var raw json.RawMessage
+	err := cli.call(ctx, http.MethodGet, PathMetrics, nil, &raw)
+	return raw, err
+}
+
+// Watch calls the function with each new status until it returns false, the
+// stream ends or the context does.
+func (cli *Client) Watch(ctx context.Context, take func(Status) bool) error {
+	rep, err := cli.do(ctx, http.MethodGet, PathWatch, nil)
+	if err != nil {
+		return err
+	}
+	defer rep.Body.Close()
+	lines := bufio.NewReader(rep.Body)
+	for {
+		line, err := lines.ReadBytes('\n')
+		if err != nil {
+			return errors.Wrap(err, "watch ended")
+		}
+		var sta Status
+		if err := json.Unmarshal(line, &sta); err != nil {
+			return errors.Wrap(err, "decode status")
+		}
+		if !take(sta) {
+			return nil
+		}
+	}
+}
+
+func (cli *Client) do(ctx context.Context, method, path string, body any) (*http.Response, error) {
+	var reader io.Reader = http.NoBody
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode call")
+		}
+		reader = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+cli.cfg.Address.String()+path, reader)
+	if err != nil {
+		return nil, errors.Wrap(err, "make call")
+	}
+	req.Header.Set("Authorization", "Bearer "+cli.cfg.Key)
+	rep, err := cli.http.Do(req)
+	if err != nil {
+		return nil, errors.Wrapf(err, "host %s", cli.cfg.Address)
+	}
+	if rep.StatusCode == http.StatusOK {
+		return rep, nil
+	}
+	defer rep.Body.Close()
+	aer := &AnswerError{Status: rep.StatusCode}
+	data, _ := io.ReadAll(io.LimitReader(rep.Body, maxAnswerBytes))
+	if json.Unmarshal(data, &aer.Body) != nil {
+		aer.Body.Message = string(data)
+	}
+	return nil, aer
+}
+
+func (cli *Client) call(ctx context.Context, method, path string, body, res any) error {
+	rep, err := cli.do(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	defer rep.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(rep.Body, maxAnswerBytes))
+	if err != nil {
+		return errors.Wrap(err, "read answer")
+	}
+	return errors.Wrap(json.Unmarshal(data, res), "decode answer")
+}
--- /dev/null
+++ b/peer/convert.go
@@ -0,0 +1,242 @@
+package peer
+
+import (
+	"time"
+
+	"lynxwell.dev/lynxwell/peer/peerpb"
+	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/reservation"
+)
+
+func idToWire(id request.ID) *peerpb.RequestID {
+	return &peerpb.RequestID{View: id.View, Epoch: uint64(id.Epoch), Window: id.Window, Unique: id.Unique}
+}
+
+func idFromWire(wid *peerpb.RequestID) request.ID {
+	pre := request.Prefix{View: wid.GetView(), Epoch: request.Epoch(wid.GetEpoch()), Window: wid.GetWindow()}
+	return request.ID{Prefix: pre, Unique: wid.GetUnique()}
+}
+
+func ballotToWire(bal request.Ballot) *peerpb.Ballot {
+	return &peerpb.Ballot{Round: bal.Round, Holder: uint64(bal.Holder)}
+}
+
+func ballotFromWire(wba *peerpb.Ballot) request.Ballot {
+	return request.Ballot{Round: wba.GetRound(), Holder: request.Epoch(wba.GetHolder())}
+}
+
+func fromMicros(micros int64) time.Duration {
+	return time.Duration(micros) * time.Microsecond
+}
+
+func epochsToWire(epochs []request.Epoch) []uint64 {
+	raw := make([]uint64, len(epochs))
+	for idx, epo := range epochs {
+		raw[idx] = uint64(epo)
+	}
+	return raw
+}
+
+func epochsFromWire(raw []uint64) []request.Epoch {
+	epochs := make([]request.Epoch, len(raw))
+	for idx, val := range raw {
+		epochs[idx] = request.Epoch(val)
+	}
+	return epochs
+}
+
+// toWire returns the message as it travels, with the load beside it.
+func toWire(out Outgoing) *peerpb.Envelope {
+	env := &peerpb.Envelope{}
+	switch msg := out.Message.(type) {
+	case reservation.Reserve:
+		env.Message = &peerpb.Envelope_Reserve{Reserve: reserveToWire(msg)}
+	case reservation.Grant:
+		env.Message = &peerpb.Envelope_Grant{Grant: &peerpb.Grant{
+			Id: idToWire(msg.ID), Ballot: ballotToWire(msg.Ballot), Engine: msg.Engine,
+		}}
+	case reservation.Refuse:
+		env.Message = &peerpb.Envelope_Refuse{Refuse: &peerpb.Refuse{
+			Id: idToWire(msg.ID), Ballot: ballotToWire(msg.Ballot), Reason: uint32(msg.Reason),
+			Holder: uint64(msg.Holder), RetryAfterUs: msg.RetryAfter.Microseconds(), FloorRank: int64(msg.FloorRank),
+		}}
+	case reservation.Withdraw:
+		env.Message = &peerpb.Envelope_Withdraw{Withdraw: &peerpb.Withdraw{
+			Id: idToWire(msg.ID), Ballot: ballotToWire(msg.Ballot), Close: msg.Close,
+		}}
+	case reservation.Release:
+		env.Message = &peerpb.Envelope_Release{Release: releaseToWire(msg)}
+	case reservation.Adopt:
+		env.Message = &peerpb.Envelope_Adopt{Adopt: &peerpb.Adopt{
+			Id: idToWire(msg.ID), Ballot: ballotToWire(msg.Ballot), Engine: msg.Engine,
+		}}
+	case reservation.Hold:
+		hol := &peerpb.Hold{}
+		for _, id := range msg.IDs {
+			hol.Ids = append(hol.Ids, idToWire(id))
+		}
+		env.Message = &peerpb.Envelope_Hold{Hold: hol}
+	case reservation.Evict:
+		env.Message = &peerpb.Envelope_Evict{Evict: &peerpb.Evict{
+			Id: idToWire(msg.ID), Service: msg.Service, Rank: int64(msg.Rank),
+		}}
+	case reservation.Evicted:
+		env.Message = &peerpb.Envelope_Evicted{Evicted: &peerpb.Evicted{
+			Id: idToWire(msg.ID), Done: msg.Done, FloorRank: int64(msg.FloorRank),
+		}}
+	}
+	if out.Load.Service != "" {
+		env.Load = loadToWire(out.Load)
+	}
+	return env
+}
+
+func reserveToWire(msg reservation.Reserve) *peerpb.Reserve {
+	return &peerpb.Reserve{
+		Id: idToWire(msg.ID), Ballot: ballotToWire(msg.Ballot), Service: msg.Service,
+		Tier: msg.Tier, Rank: int64(msg.Rank), Account: msg.Account, Weight: float32(msg.Weight),
+		PromptTokens: uint32(msg.PromptTokens), MaxTokens: uint32(msg.MaxTokens),
+		PrefixHash: msg.PrefixHash, PrefixTokens: uint32(msg.PrefixTokens),
+		RemainingUs: msg.Remaining.Microseconds(), Overflow: msg.Overflow,
+	}
+}
+
+func releaseToWire(msg reservation.Release) *peerpb.Release {
+	return &peerpb.Release{
+		Id: idToWire(msg.ID), Ballot: ballotToWire(msg.Ballot), Engine: msg.Engine,
+		Dispatched: msg.Dispatched, Failed: msg.Failed,
+		PrefillTokens: uint32(msg.PrefillTokens), DecodeTokens: uint32(msg.DecodeTokens),
+		FirstTokenUs: msg.FirstToken.Microseconds(), TotalUs: msg.Total.Microseconds(),
+	}
+}
+
+func loadToWire(loa reservation.Load) *peerpb.Load {
+	return &peerpb.Load{
+		Service: loa.Service, FreeSlots: uint32(loa.FreeSlots),
+		Waiting: uint32(loa.Waiting), DelayUs: loa.Delay.Microseconds(),
+	}
+}
+
+// fromWire returns the message that travelled; it is nil for a kind that this
+// program doesn't know.
+func fromWire(env *peerpb.Envelope) (reservation.Message, reservation.Load) {
+	return messageFromWire(env), loadFromWire(env.GetLoad())
+}
+
+func loadFromWire(wlo *peerpb.Load) reservation.Load {
+	return reservation.Load{
+		Service: wlo.GetService(), FreeSlots: int(wlo.GetFreeSlots()),
+		Waiting: int(wlo.GetWaiting()), Delay: fromMicros(wlo.GetDelayUs()),
+	}
+}
+
+func messageFromWire(env *peerpb.Envelope) reservation.Message {
+	switch wms := env.GetMessage().(type) {
+	case *peerpb.Envelope_Reserve:
+		return reserveFromWire(wms.Reserve)
+	case *peerpb.Envelope_Grant:
+		return reservation.Grant{ID: idFromWire(wms.Grant.GetId()), Ballot: ballotFromWire(wms.Grant.GetBallot()), Engine: wms.Grant.GetEngine()}
+	case *peerpb.Envelope_Refuse:
+		return refuseFromWire(wms.Refuse)
+	case *peerpb.Envelope_Withdraw:
+		return reservation.Withdraw{ID: idFromWire(wms.Withdraw.GetId()), Ballot: ballotFromWire(wms.Withdraw.GetBallot()), Close: wms.Withdraw.GetClose()}
+	case *peerpb.Envelope_Release:
+		return releaseFromWire(wms.Release)
+	case *peerpb.Envelope_Adopt:
+		return reservation.Adopt{ID: idFromWire(wms.Adopt.GetId()), Ballot: ballotFromWire(wms.Adopt.GetBallot()), Engine: wms.Adopt.GetEngine()}
+	case *peerpb.Envelope_Hold:
+		return holdFromWire(wms.Hold)
+	case *peerpb.Envelope_Evict:
+		return reservation.Evict{ID: idFromWire(wms.Evict.GetId()), Service: wms.Evict.GetService(), Rank: int(wms.Evict.GetRank())}
+	case *peerpb.Envelope_Evicted:
+		return reservation.Evicted{ID: idFromWire(wms.Evicted.GetId()), Done: wms.Evicted.GetDone(), FloorRank: int(wms.Evicted.GetFloorRank())}
+	default:
+		return nil
+	}
+}
+
+func reserveFromWire(wre *peerpb.Reserve) reservation.Reserve {
+	return reservation.Reserve{
+		ID: idFromWire(wre.GetId()), Ballot: ballotFromWire(wre.GetBallot()), Service: wre.GetService(),
+		Tier: wre.GetTier(), Rank: int(wre.GetRank()), Account: wre.GetAccount(), Weight: float64(wre.GetWeight()),
+		PromptTokens: int(wre.GetPromptTokens()), MaxTokens: int(wre.GetMaxTokens()),
+		PrefixHash: wre.GetPrefixHash(), PrefixTokens: int(wre.GetPrefixTokens()),
+		Remaining: fromMicros(wre.GetRemainingUs()), Overflow: wre.GetOverflow(),
+	}
+}
+
+func refuseFromWire(wre *peerpb.Refuse) reservation.Refuse {
+	return reservation.Refuse{
+		ID: idFromWire(wre.GetId()), Ballot: ballotFromWire(wre.GetBallot()), Reason: reservation.Reason(wre.GetReason()),
+		Holder: request.Epoch(wre.GetHolder()), RetryAfter: fromMicros(wre.GetRetryAfterUs()), FloorRank: int(wre.GetFloorRank()),
+	}
+}
+
+func releaseFromWire(wre *peerpb.Release) reservation.Release {
+	return reservation.Release{
+		ID: idFromWire(wre.GetId()), Ballot: ballotFromWire(wre.GetBallot()), Engine: wre.GetEngine(),
+		Dispatched: wre.GetDispatched(), Failed: wre.GetFailed(),
+		PrefillTokens: int(wre.GetPrefillTokens()), DecodeTokens: int(wre.GetDecodeTokens()),
+		FirstToken: fromMicros(wre.GetFirstTokenUs()), Total: fromMicros(wre.GetTotalUs()),
+	}
+}
+
+func holdFromWire(who *peerpb.Hold) reservation.Hold {
+	hol := reservation.Hold{}
+	for _, wid := range who.GetIds() {
+		hol.IDs = append(hol.IDs, idFromWire(wid))
+	}
+	return hol
+}
+
+func recordsToWire(records []reservation.Record) []*peerpb.Record {
+	raw := make([]*peerpb.Record, len(records))
+	for idx, rec := range records {
+		raw[idx] = &peerpb.Record{
+			Id: idToWire(rec.ID), Ballot: ballotToWire(rec.Ballot), Standing: uint32(rec.Standing), Engine: rec.Engine,
+		}
+	}
+	return raw
+}
+
+func recordsFromWire(raw []*peerpb.Record) []reservation.Record {
+	records := make([]reservation.Record, len(raw))
+	for idx, wre := range raw {
+		records[idx] = reservation.Record{
+			ID: idFromWire(wre.GetId()), Ballot: ballotFromWire(wre.GetBallot()),
+			Standing: reservation.Standing(wre.GetStanding()), Engine: wre.GetEngine(),
+		}
+	}
+	return records
+}
+
+func keyToWire(key reservation.VouchKey) *peerpb.VouchKey {
+	return &peerpb.VouchKey{Lost: uint64(key.Lost), Holder: uint64(key.Holder)}
+}
+
+func keyFromWire(wke *peerpb.VouchKey) reservation.VouchKey {
+	return reservation.VouchKey{Lost: request.Epoch(wke.GetLost()), Holder: request.Epoch(wke.GetHolder())}
+}
+
+func answerToWire(ans reservation.FenceAnswer) *peerpb.FenceResponse {
+	res := &peerpb.FenceResponse{
+		Id: idToWire(ans.ID), Standing: uint32(ans.Standing), Ballot: ballotToWire(ans.Ballot), Engine: ans.Engine,
+		Holders: epochsToWire(ans.Holders), Successions: epochsToWire(ans.Successions),
+	}
+	for _, key := range ans.Vouches {
+		res.Vouches = append(res.Vouches, keyToWire(key))
+	}
+	return res
+}
+
+func answerFromWire(res *peerpb.FenceResponse) reservation.FenceAnswer {
+	ans := reservation.FenceAnswer{
+		ID: idFromWire(res.GetId()), From: request.Epoch(res.GetHeader().GetEpoch()),
+		Standing: reservation.Standing(res.GetStanding()), Ballot: ballotFromWire(res.GetBallot()), Engine: res.GetEngine(),
+		Holders: epochsFromWire(res.GetHolders()), Successions: epochsFromWire(res.GetSuccessions()),
+	}
+	for _, wke := range res.GetVouches() {
+		ans.Vouches = append(ans.Vouches, keyFromWire(wke))
+	}
+	return ans
+}
--- /dev/null
+++ b/peer/meter.go
@@ -0,0 +1,70 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+)
+
+// Meter counts the bytes between this host and the others.
+type Meter struct {
+	received atomic.Uint64
+	sent     atomic.Uint64
+}
+
+// Received returns the bytes received so far.
+func (met *Meter) Received() uint64 {
+	return met.received.Load()
+}
+
+// Sent returns the bytes sent so far.
+func (met *Meter) Sent() uint64 {
+	return met.sent.Load()
+}
+
+// Listener returns a listener whose connections are counted.
+func (met *Meter) Listener(lis net.Listener) net.Listener {
+	return &meteredListener{Listener: lis, meter: met}
+}
+
+func (met *Meter) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	con, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &meteredConn{Conn: con, meter: met}, nil
+}
+
+type meteredListener struct {
+	net.Listener
+	meter *Meter
+}
+
+// Accept implements net.Listener.
+func (mel *meteredListener) Accept() (net.Conn, error) {
+	con, err := mel.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &meteredConn{Conn: con, meter: mel.meter}, nil
+}
+
+type meteredConn struct {
+	net.Conn
+	meter *Meter
+}
+
+// Read implements net.Conn.
+func (mec *meteredConn) Read(buf []byte) (int, error) {
+	count, err := mec.Conn.Read(buf)
+	mec.meter.received.Add(uint64(count))
+	return count, err
+}
+
+// Write implements net.Conn.
+func (mec *meteredConn) Write(buf []byte) (int, error) {
+	count, err := mec.Conn.Write(buf)
+	mec.meter.sent.Add(uint64(count))
+	return count, err
+}
--- /dev/null
+++ b/peer/pump.go
@@ -0,0 +1,115 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"lynxwell.dev/lynxwell/peer/peerpb"
+)
+
+// stream is either end of a session.
+type stream interface {
+	Send(frame *peerpb.Frame) error
+	Receive() (*peerpb.Frame, error)
+}
+
+// pump moves messages both ways until the session is lost, and returns why.
+type pump struct {
+	stream  stream
+	queue   <-chan Outgoing
+	timing  Timing
+	self    func() Header
+	deliver func(*peerpb.Frame)
+}
+
+// run returns when either direction ends or the peer falls silent. The caller
+// cancels the stream's context afterwards, which ends the reader.
+func (pum *pump) run(ctx context.Context, cancel context.CancelFunc) error {
+	heard := make(chan struct{}, 1)
+	readEnd := make(chan error, 1)
+	go func() { readEnd <- pum.read(heard) }()
+	writeEnd := make(chan error, 1)
+	go func() { writeEnd <- pum.write(ctx) }()
+	err := pum.watch(ctx, heard, readEnd, writeEnd)
+	cancel()
+	return err
+}
+
+// watch waits for the first end of either direction, or for silence.
+func (pum *pump) watch(ctx context.Context, heard <-chan struct{}, readEnd, writeEnd <-chan error) error {
+	silence := time.NewTimer(pum.timing.Timeout)
+	defer silence.Stop()
+	for {
+		select {
+		case <-heard:
+			silence.Reset(pum.timing.Timeout)
+		case err := <-readEnd:
+			return err
+		case err := <-writeEnd:
+			return err
+		case <-silence.C:
+			return &SilenceError{After: pum.timing.Timeout}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (pum *pump) read(heard chan<- struct{}) error {
+	for {
+		frame, err := pum.stream.Receive()
+		if err != nil {
+			return err
+		}
+		select {
+		case heard <- struct{}{}:
+		default:
+		}
+		pum.deliver(frame)
+	}
+}
+
+func (pum *pump) write(ctx context.Context) error {
+	beat := time.NewTicker(pum.timing.Heartbeat)
+	defer beat.Stop()
+	if err := pum.stream.Send(pum.frame(nil)); err != nil {
+		return err
+	}
+	for {
+		var batch []*peerpb.Envelope
+		select {
+		case out, open := <-pum.queue:
+			if !open {
+				return nil
+			}
+			batch = pum.gather(out)
+		case <-beat.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if err := pum.stream.Send(pum.frame(batch)); err != nil {
+			return err
+		}
+	}
+}
+
+// gather takes along what else waits already.
+func (pum *pump) gather(first Outgoing) []*peerpb.Envelope {
+	batch := []*peerpb.Envelope{toWire(first)}
+	for len(batch) < maxBatch {
+		select {
+		case out, open := <-pum.queue:
+			if !open {
+				return batch
+			}
+			batch = append(batch, toWire(out))
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (pum *pump) frame(batch []*peerpb.Envelope) *peerpb.Frame {
+	return &peerpb.Frame{Header: headerToWire(pum.self()), Envelopes: batch}
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,163 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"lynxwell.dev/lynxwell/peer/peerpb"
+	"lynxwell.dev/lynxwell/peer/peerpb/peerpbconnect"
+	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/reservation"
+)
+
+// Backend is what a host offers to the others.
+type Backend interface {
+	// Header returns the header to send.
+	Header() Header
+	// SessionUp says that a gateway has opened a session. Messages for it go to
+	// the queue; cancel ends the session. It returns a number for the session.
+	SessionUp(from Header, que *Queue, cancel context.CancelFunc) uint64
+	// SessionMessage brings one message of a session, or a header alone.
+	SessionMessage(session uint64, rec Received)
+	// SessionLost says that a session has ended.
+	SessionLost(session uint64)
+	// Fence, Vouch, Unvouch and Handover answer the questions of that name.
+	Fence(ctx context.Context, fen reservation.Fence) (reservation.FenceAnswer, error)
+	Vouch(ctx context.Context, vou reservation.Vouch) error
+	Unvouch(ctx context.Context, unv reservation.Unvouch) (reservation.UnvouchAnswer, error)
+	Handover(ctx context.Context, han reservation.Handover) error
+	// State returns what a peer that is behind fetches.
+	State(ctx context.Context, viewsFrom, aboveRevision uint64) (State, error)
+}
+
+// ServerConfig holds what a Server is made from.
+type ServerConfig struct {
+	Backend  Backend
+	Security Security
+	Timing   Timing
+}
+
+// Server serves the other hosts.
+type Server struct {
+	cfg ServerConfig
+}
+
+// NewServer returns a server.
+func NewServer(cfg ServerConfig) *Server {
+	return &Server{cfg: cfg}
+}
+
+// Handler returns the HTTP handler; requests without the shared key get 401.
+func (srv *Server) Handler() http.Handler {
+	_, handler := peerpbconnect.NewPeerServiceHandler(srv, connect.WithReadMaxBytes(maxMessageBytes))
+	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		if !srv.cfg.Security.admits(req.Header) {
+			http.Error(wri, "peer key missing or wrong", http.StatusUnauthorized)
+			return
+		}
+		handler.ServeHTTP(wri, req)
+	})
+}
+
+// HTTPServer returns an HTTP server that speaks HTTP/2, as sessions need.
+func (srv *Server) HTTPServer() *http.Server {
+	var protocols http.Protocols
+	protocols.SetHTTP2(srv.cfg.Security.TLS != nil)
+	protocols.SetUnencryptedHTTP2(srv.cfg.Security.TLS == nil)
+	return &http.Server{Handler: srv.Handler(), Protocols: &protocols, TLSConfig: srv.cfg.Security.TLS, ReadHeaderTimeout: headerTimeout}
+}
+
+// headerTimeout bounds how long a connection may take to say what it wants.
+const headerTimeout = 10 * time.Second
+
+// Session implements the generated service.
+func (srv *Server) Session(ctx context.Context, str *connect.BidiStream[peerpb.Frame, peerpb.Frame]) error {
+	first, err := str.Receive()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	que := NewQueue()
+	num := srv.cfg.Backend.SessionUp(headerFromWire(first.GetHeader()), que, cancel)
+	defer srv.cfg.Backend.SessionLost(num)
+	deliver := func(rec Received) { srv.cfg.Backend.SessionMessage(num, rec) }
+	spread(first, deliver)
+	pum := &pump{
+		stream: str, queue: que.out, timing: srv.cfg.Timing, self: srv.cfg.Backend.Header,
+		deliver: func(frame *peerpb.Frame) { spread(frame, deliver) },
+	}
+	err = pum.run(ctx, cancel)
+	if errors.Is(err, context.Canceled) {
+		return connect.NewError(connect.CodeCanceled, err)
+	}
+	return err
+}
+
+// Fence implements the generated service.
+func (srv *Server) Fence(ctx context.Context, req *connect.Request[peerpb.FenceRequest]) (*connect.Response[peerpb.FenceResponse], error) {
+	fen := reservation.Fence{ID: idFromWire(req.Msg.GetId()), Ballot: ballotFromWire(req.Msg.GetBallot())}
+	ans, err := srv.cfg.Backend.Fence(ctx, fen)
+	if err != nil {
+		return nil, err
+	}
+	res := answerToWire(ans)
+	res.Header = headerToWire(srv.cfg.Backend.Header())
+	return connect.NewResponse(res), nil
+}
+
+// Vouch implements the generated service.
+func (srv *Server) Vouch(ctx context.Context, req *connect.Request[peerpb.VouchRequest]) (*connect.Response[peerpb.VouchResponse], error) {
+	vou := reservation.Vouch{
+		VouchKey: keyFromWire(req.Msg.GetKey()), Sequence: req.Msg.GetSequence(), Records: recordsFromWire(req.Msg.GetRecords()),
+	}
+	if err := srv.cfg.Backend.Vouch(ctx, vou); err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&peerpb.VouchResponse{}), nil
+}
+
+// Unvouch implements the generated service.
+func (srv *Server) Unvouch(ctx context.Context, req *connect.Request[peerpb.UnvouchRequest]) (*connect.Response[peerpb.UnvouchResponse], error) {
+	unv := reservation.Unvouch{VouchKey: keyFromWire(req.Msg.GetKey()), Sequence: req.Msg.GetSequence()}
+	ans, err := srv.cfg.Backend.Unvouch(ctx, unv)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&peerpb.UnvouchResponse{Key: keyToWire(ans.VouchKey), Released: ans.Released}), nil
+}
+
+// Handover implements the generated service.
+func (srv *Server) Handover(ctx context.Context, req *connect.Request[peerpb.HandoverRequest]) (*connect.Response[peerpb.HandoverResponse], error) {
+	han := reservation.Handover{
+		Stopped: epochsFromWire(req.Msg.GetStopped()), Records: recordsFromWire(req.Msg.GetRecords()),
+		Floors: make(map[request.Epoch]uint64, len(req.Msg.GetFloors())),
+	}
+	for epo, floor := range req.Msg.GetFloors() {
+		han.Floors[request.Epoch(epo)] = floor
+	}
+	if err := srv.cfg.Backend.Handover(ctx, han); err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&peerpb.HandoverResponse{}), nil
+}
+
+// FetchState implements the generated service.
+func (srv *Server) FetchState(ctx context.Context, req *connect.Request[peerpb.FetchStateRequest]) (*connect.Response[peerpb.FetchStateResponse], error) {
+	sta, err := srv.cfg.Backend.State(ctx, req.Msg.GetViewsFrom(), req.Msg.GetAboveRevision())
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&peerpb.FetchStateResponse{
+		Header: headerToWire(srv.cfg.Backend.Header()), Views: sta.Views, Head: sta.Head, Parts: sta.Parts,
+	}), nil
+}
+
+// Probe implements the generated service.
+func (srv *Server) Probe(context.Context, *connect.Request[peerpb.ProbeRequest]) (*connect.Response[peerpb.ProbeResponse], error) {
+	return connect.NewResponse(&peerpb.ProbeResponse{Header: headerToWire(srv.cfg.Backend.Header())}), nil
+}
--- /dev/null
+++ b/platformtest/memory.go
@@ -0,0 +1,381 @@
+// Package platformtest is a small stand-in of the platform: an in-memory store
+// with the faults of the real one, and a server that offers it over HTTP.
+//
+// # Usage
+//
+//	mem := platformtest.NewMemory(platformtest.MemoryConfig{})
+//	srv := platformtest.NewServer(mem)
+//	http.Serve(lis, srv.Handler())
+//	mem.SetFaults(platformtest.Faults{Down: true})
+//
+// Memory is itself a platform.Store, for tests that need no network.
+package platformtest
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lynxwell.dev/lynxwell/platform"
+)
+
+// MaxValueBytes is the platform's limit on a value.
+const MaxValueBytes = 1 << 20
+
+// Faults is what is wrong with the platform for the time being.
+type Faults struct {
+	// Down has every call fail.
+	Down bool
+	// Delay is added to every call.
+	Delay time.Duration
+	// LoseReplies has that many writes take effect without a reply.
+	LoseReplies int
+	// CallsPerSecond limits the rate; 0 is no limit.
+	CallsPerSecond float64
+}
+
+// MemoryConfig holds what a Memory is made from.
+type MemoryConfig struct {
+	// Now returns the time; nil stands for time.Now.
+	Now func() time.Time
+	// HostsLag is how much later the host list shows a change.
+	HostsLag time.Duration
+}
+
+// Memory is the store.
+type Memory struct {
+	cfg      MemoryConfig
+	mutex    sync.Mutex
+	values   map[string]platform.Value
+	deleted  map[string]platform.Revision
+	revision platform.Revision
+	leases   map[platform.LeaseID]*lease
+	lastID   platform.LeaseID
+	hosts    map[string]hostChange
+	faults   Faults
+	tokens   float64
+	filled   time.Time
+	counts   map[string]uint64
+	changed  chan struct{}
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+type hostChange struct {
+	before, after *platform.HostState
+	at            time.Time
+}
+
+// errLost stands for a reply that never comes.
+var errLost = errors.New("reply lost")
+
+// errDown stands for an outage.
+var errDown = errors.New("platform is down")
+
+// NewMemory returns an empty store.
+func NewMemory(cfg MemoryConfig) *Memory {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	return &Memory{
+		cfg:     cfg,
+		values:  make(map[string]platform.Value),
+		deleted: make(map[string]platform.Revision),
+		leases:  make(map[platform.LeaseID]*lease),
+		hosts:   make(map[string]hostChange),
+		counts:  make(map[string]uint64),
+		changed: make(chan struct{}),
+	}
+}
+
+// SetFaults replaces what is wrong.
+func (mem *Memory) SetFaults(fau Faults) {
+	mem.mutex.Lock()
+	defer mem.mutex.Unlock()
+	mem.faults = fau
+	mem.tokens = fau.CallsPerSecond
+	mem.filled = mem.cfg.Now()
+	mem.wake()
+}
+
+// Counts returns the number of calls by kind, failed ones among them.
+func (mem *Memory) Counts() map[string]uint64 {
+	mem.mutex.Lock()
+	defer mem.mutex.Unlock()
+	return maps.Clone(mem.counts)
+}
+
+// SetHost changes the host list; nil removes the host. Readers see it after the lag.
+func (mem *Memory) SetHost(name string, state *platform.HostState) {
+	mem.mutex.Lock()
+	defer mem.mutex.Unlock()
+	mem.hosts[name] = hostChange{before: mem.hosts[name].after, after: state, at: mem.cfg.Now()}
+}
+
+// enter counts a call and applies the faults that precede its effect.
+func (mem *Memory) enter(ctx context.Context, kind string) error {
+	mem.mutex.Lock()
+	mem.counts[kind]++
+	fau := mem.faults
+	wait := mem.overRate()
+	mem.mutex.Unlock()
+	if fau.Down {
+		return &platform.UnavailableError{Call: kind, Cause: errDown}
+	}
+	if wait > 0 {
+		return &platform.RateError{RetryAfter: wait}
+	}
+	if fau.Delay == 0 {
+		return nil
+	}
+	timer := time.NewTimer(fau.Delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return &platform.UnavailableError{Call: kind, Cause: ctx.Err()}
+	}
+}
+
+func (mem *Memory) overRate() time.Duration {
+	rate := mem.faults.CallsPerSecond
+	if rate == 0 {
+		return 0
+	}
+	now := mem.cfg.Now()
+	mem.tokens = min(rate, mem.tokens+now.Sub(mem.filled).Seconds()*rate)
+	mem.filled = now
+	if mem.tokens < 1 {
+		return time.Duration((1 - mem.tokens) / rate * float64(time.Second))
+	}
+	mem.tokens--
+	return 0
+}
+
+// leave returns the error of a write whose reply is lost.
+func (mem *Memory) leave(kind string) error {
+	if mem.faults.LoseReplies == 0 {
+		return nil
+	}
+	mem.faults.LoseReplies--
+	return &platform.UncertainError{Call: kind, Cause: errLost}
+}
+
+// lapse ends the leases that weren't renewed in time.
+func (mem *Memory) lapse() {
+	now := mem.cfg.Now()
+	for id, lea := range mem.leases {
+		if !now.Before(lea.expires) {
+			mem.endLease(id)
+		}
+	}
+}
+
+func (mem *Memory) endLease(id platform.LeaseID) {
+	delete(mem.leases, id)
+	for key, val := range mem.values {
+		if val.Lease == id {
+			mem.remove(key)
+		}
+	}
+}
+
+func (mem *Memory) remove(key string) {
+	delete(mem.values, key)
+	mem.revision++
+	mem.deleted[key] = mem.revision
+	mem.wake()
+}
+
+func (mem *Memory) wake() {
+	close(mem.changed)
+	mem.changed = make(chan struct{})
+}
+
+// Get implements platform.Store.
+func (mem *Memory) Get(ctx context.Context, key string) (platform.Value, error) {
+	if err := mem.enter(ctx, "Get"); err != nil {
+		return platform.Value{}, err
+	}
+	mem.mutex.Lock()
+	defer mem.mutex.Unlock()
+	mem.lapse()
+	val, known := mem.values[key]
+	if !known {
+		return platform.Value{Key: key}, nil
+	}
+	return val, nil
+}
+
+// List implements platform.Store.
+func (mem *Memory) List(ctx context.Context, prefix string) ([]platform.Value, platform.Revision, error) {
+	if err := mem.enter(ctx, "List"); err != nil {
+		return nil, 0, err
+	}
+	mem.mutex.Lock()
+	defer mem.mutex.Unlock()
+	mem.lapse()
+	var values []platform.Value
+	for key, val := range mem.values {
+		if strings.HasPrefix(key, prefix) {
+			values = append(values, val)
+		}
+	}
+	slices.SortFunc(values, func(one, two platform.Value) int { return cmp.Compare(one.Key, two.Key) })
+	return values, mem.revision, nil
+}
+
+// Put implements platform.Store.
+func (mem *Memory) Put(ctx context.Context, wri platform.Write) (platform.Revision, error) {
+	if err := mem.enter(ctx, "Put"); err != nil {
+		return 0, err
+	}
+	mem.mutex.Lock()
+	defer mem.mutex.Unlock()
+	mem.lapse()
+	if err := mem.mayPut(wri); err != nil {
+		return 0, err
+	}
+	if wri.Delete {
+		mem.remove(wri.Key)
+		return mem.revision, mem.leave("Put")
+	}
+	mem.revision++
+	mem.values[wri.Key] = platform.Value{Key: wri.Key, Data: slices.Clone(wri.Data), Revision: mem.revision, Lease: wri.Lease}
+	mem.wake()
+	return mem.revision, mem.leave("Put")
+}
+
+func (mem *Memory) mayPut(wri platform.Write) error {
+	if len(wri.Data) > MaxValueBytes {
+		return errors.Newf("value of %d bytes is over the limit of %d", len(wri.Data), MaxValueBytes)
+	}
+	if wri.Lease != 0 && mem.leases[wri.Lease] == nil {
+		return &platform.LeaseError{Lease: wri.Lease}
+	}
+	if actual := mem.values[wri.Key].Revision; actual != wri.Expect {
+		return &platform.ConflictError{Key: wri.Key, Expect: wri.Expect, Actual: actual}
+	}
+	return nil
+}
+
+// Watch implements platform.Store.
+func (mem *Memory) Watch(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) (platform.Revision, error) {
+	if err := mem.enter(ctx, "Watch"); err != nil {
+		return 0, err
+	}
+	limit := time.NewTimer(wait)
+	defer limit.Stop()
+	for {
+		rev, touched, down, changed := mem.look(prefix, after)
+		if down {
+			return 0, &platform.UnavailableError{Call: "Watch", Cause: errDown}
+		}
+		if touched {
+			return rev, nil
+		}
+		lapse := time.NewTimer(watchStep)
+		select {
+		case <-changed:
+		case <-lapse.C:
+		case <-limit.C:
+			lapse.Stop()
+			return rev, nil
+		case <-ctx.Done():
+			lapse.Stop()
+			return 0, &platform.UnavailableError{Call: "Watch", Cause: ctx.Err()}
+		}
+		lapse.Stop()
+	}
+}
+
+// watchStep is how often a waiting watch looks for lapsed leases.
+const watchStep = 50 * time.Millisecond
+
+// look reports whether anything under the prefix changed after the revision.
+func (mem *Memory) look(prefix string, after platform.Revision) (platform.Revision, bool, bool, <-chan struct{}) {
+	mem.mutex.Lock()
+	defer mem.mutex.Unlock()
+	mem.lapse()
+	touched := false
+	for key, val := range mem.values {
+		touched = touched || (val.Revision > after && strings.HasPrefix(key, prefix))
+	}
+	for key, rev := range mem.deleted {
+		touched = touched || (rev > after && strings.HasPrefix(key, prefix))
+	}
+	return mem.revision, touched, mem.faults.Down, mem.changed
+}
+
+// GrantLease implements platform.Store.
+func (mem *Memory) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	if err := mem.enter(ctx, "GrantLease"); err != nil {
+		return 0, err
+	}
+	mem.mutex.Lock()
+	defer mem.mutex.Unlock()
+	mem.lastID++
+	mem.leases[mem.lastID] = &lease{ttl: ttl, expires: mem.cfg.Now().Add(ttl)}
+	return mem.lastID, mem.leave("GrantLease")
+}
+
+// RenewLease implements platform.Store.
+func (mem *Memory) RenewLease(ctx context.Context, id platform.LeaseID) error {
+	if err := mem.enter(ctx, "RenewLease"); err != nil {
+		return err
+	}
+	mem.mutex.Lock()
+	defer mem.mutex.Unlock()
+	mem.lapse()
+	lea := mem.leases[id]
+	if lea == nil {
+		return &platform.LeaseError{Lease: id}
+	}
+	lea.expires = mem.cfg.Now().Add(lea.ttl)
+	return mem.leave("RenewLease")
+}
+
+// RevokeLease implements platform.Store.
+func (mem *Memory) RevokeLease(ctx context.Context, id platform.LeaseID) error {
+	if err := mem.enter(ctx, "RevokeLease"); err != nil {
+		return err
+	}
+	mem.mutex.Lock()
+	defer mem.mutex.Unlock()
+	if mem.leases[id] == nil {
+		return &platform.LeaseError{Lease: id}
+	}
+	mem.endLease(id)
+	return mem.leave("RevokeLease")
+}
+
+// Hosts implements platform.Store.
+func (mem *Memory) Hosts(ctx context.Context) ([]platform.HostState, error) {
+	if err := mem.enter(ctx, "Hosts"); err != nil {
+		return nil, err
+	}
+	mem.mutex.Lock()
+	defer mem.mutex.Unlock()
+	var hosts []platform.HostState
+	for _, cha := range mem.hosts {
+		state := cha.after
+		if mem.cfg.Now().Sub(cha.at) < mem.cfg.HostsLag {
+			state = cha.before
+		}
+		if state != nil {
+			hosts = append(hosts, *state)
+		}
+	}
+	slices.SortFunc(hosts, func(one, two platform.HostState) int { return cmp.Compare(one.Name, two.Name) })
+	return hosts, nil
+}
--- /dev/null
+++ b/reservation/reservation.go
@@ -0,0 +1,180 @@
+// Package reservation holds the messages between a gateway and a coordinator.
+//
+// # Usage
+//
+// A gateway sends Reserve, Withdraw, Release, Adopt and Hold; a coordinator
+// answers with Grant and Refuse. Fence, Vouch, Unvouch and Handover are
+// questions with an answer of their own type:
+//
+//	switch msg := msg.(type) {
+//	case reservation.Reserve:
+//	case reservation.Withdraw:
+//	...
+//	}
+//
+// The messages carry metadata only, never a request's body.
+package reservation
+
+import (
+	"time"
+
+	"lynxwell.dev/lynxwell/request"
+)
+
+// Message is one of the messages that travel on a session between two hosts.
+type Message interface {
+	// isMessage keeps the set of messages closed.
+	isMessage()
+}
+
+// Reserve asks a coordinator for a slot of an engine of the service.
+type Reserve struct {
+	ID      request.ID
+	Ballot  request.Ballot
+	Service string
+	// Tier is the tier's name; Rank is its rank, the highest served first.
+	Tier string
+	Rank int
+	// Account is the client account's name; Weight is its share against others.
+	Account string
+	Weight  float64
+	// PromptTokens and MaxTokens are estimates of the work.
+	PromptTokens int
+	MaxTokens    int
+	// PrefixHash names the shared part of the prompt; 0 is none.
+	PrefixHash uint64
+	// PrefixTokens is the length of the shared part.
+	PrefixTokens int
+	// Remaining is the time left until the deadline.
+	Remaining time.Duration
+	// Overflow asks to be kept beyond the line's bound, in exchange for a
+	// reservation that another coordinator has dropped.
+	Overflow bool
+}
+
+// Grant gives a gateway one slot of an engine for one request.
+type Grant struct {
+	ID     request.ID
+	Ballot request.Ballot
+	Engine string
+}
+
+// Reason says why a coordinator doesn't keep a reservation.
+type Reason uint8
+
+// The reasons of a Refuse. After ReasonExpired and ReasonClosed the
+// coordinator has recorded that the request never runs.
+const (
+	// ReasonFull says that the line is full of nothing lower; try another
+	// coordinator.
+	ReasonFull Reason = iota + 1
+	// ReasonMoved says that the host coordinates no engine of the service.
+	ReasonMoved
+	// ReasonExpired says that the deadline can't be met any more.
+	ReasonExpired
+	// ReasonClosed says that the request was closed on the gateway's wish.
+	ReasonClosed
+	// ReasonFenced says that another gateway holds the request.
+	ReasonFenced
+	// ReasonForgotten says that the id is older than the coordinator's memory.
+	ReasonForgotten
+	// ReasonNotGranter says that the host may not grant the request.
+	ReasonNotGranter
+)
+
+// String returns the reason's name.
+func (rea Reason) String() string {
+	names := [...]string{"None", "Full", "Moved", "Expired", "Closed", "Fenced", "Forgotten", "NotGranter"}
+	if int(rea) >= len(names) {
+		return "Invalid"
+	}
+	return names[rea]
+}
+
+// Refuse ends a reservation without a slot.
+type Refuse struct {
+	ID     request.ID
+	Ballot request.Ballot
+	Reason Reason
+	// Holder is the gateway epoch that holds a fenced request.
+	Holder request.Epoch
+	// RetryAfter is when a new try may find room.
+	RetryAfter time.Duration
+	// FloorRank is the lowest rank that is newly kept, with ReasonFull.
+	FloorRank int
+}
+
+// Withdraw ends a waiting reservation. With Close, the coordinator records that
+// the request never runs and answers with a Refuse.
+type Withdraw struct {
+	ID     request.ID
+	Ballot request.Ballot
+	Close  bool
+}
+
+// Release gives a slot back.
+type Release struct {
+	ID     request.ID
+	Ballot request.Ballot
+	Engine string
+	// Dispatched is false when the engine certainly never got the request.
+	Dispatched bool
+	// Failed is set when the engine broke off or couldn't be reached.
+	Failed bool
+	// PrefillTokens, FirstToken, DecodeTokens and Total measure the run.
+	PrefillTokens int
+	DecodeTokens  int
+	FirstToken    time.Duration
+	Total         time.Duration
+}
+
+// Adopt tells an engine's new coordinator of a slot that a former one granted.
+type Adopt struct {
+	ID     request.ID
+	Ballot request.Ballot
+	Engine string
+}
+
+// Hold lists everything that the gateway holds from the coordinator; it opens
+// a session. Grants that it doesn't list were never dispatched and never will be.
+type Hold struct {
+	IDs []request.ID
+}
+
+// Evict asks a coordinator that can't grant to the gateway to drop one
+// reservation of a lower rank, so that another coordinator may keep a higher one.
+type Evict struct {
+	ID      request.ID
+	Service string
+	Rank    int
+}
+
+// Evicted answers Evict.
+type Evicted struct {
+	ID request.ID
+	// Done is set when a lower reservation was dropped.
+	Done bool
+	// FloorRank is the lowest rank that is newly kept when none was dropped.
+	FloorRank int
+}
+
+// Load is what a coordinator tells of one service, on its messages.
+type Load struct {
+	Service string
+	// FreeSlots is how many requests could start at once.
+	FreeSlots int
+	// Waiting is how many reservations wait.
+	Waiting int
+	// Delay is how long a new reservation of middling size would wait.
+	Delay time.Duration
+}
+
+func (Reserve) isMessage()  {}
+func (Grant) isMessage()    {}
+func (Refuse) isMessage()   {}
+func (Withdraw) isMessage() {}
+func (Release) isMessage()  {}
+func (Adopt) isMessage()    {}
+func (Hold) isMessage()     {}
+func (Evict) isMessage()    {}
+func (Evicted) isMessage()  {}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,181 @@
+// Package settings reads the settings of one host's process.
+//
+// # Usage
+//
+//	sets, err := settings.Load("host.json")
+//
+// The file is JSON with comments; the names are those of the fields here. Load
+// checks every field and names the first that can't be used.
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lynxwell.dev/lynxwell/format"
+)
+
+// minKeyLen is the shortest shared key that is taken, in bytes.
+const minKeyLen = 16
+
+// Settings are what one host's process is told at its start.
+type Settings struct {
+	// Name is the host's name, unique in the system.
+	Name string
+	// Domain is the host's failure domain.
+	Domain string
+	// CallerAddress is where callers connect.
+	CallerAddress netip.AddrPort
+	// PeerAddress is where the other hosts connect.
+	PeerAddress netip.AddrPort
+	// OperatorAddress is where operators connect.
+	OperatorAddress netip.AddrPort
+	// PlatformAddress is where the platform's key-value service listens.
+	PlatformAddress netip.AddrPort
+	// Seeds are peer addresses to ask when the platform is out at the start.
+	Seeds []netip.AddrPort
+	// PeerKey is the key that all hosts share.
+	PeerKey string
+	// PeerKeyFile holds the key when PeerKey is empty.
+	PeerKeyFile string
+	// OperatorKey is the bearer key of operators.
+	OperatorKey string
+	// OperatorKeyFile holds the key when OperatorKey is empty.
+	OperatorKeyFile string
+	// LogLevel is a zerolog level; empty stands for "info".
+	LogLevel string
+	// Timing holds the clocks; each has a default.
+	Timing Timing
+}
+
+// Timing holds the intervals of a host. Zero stands for the default.
+type Timing struct {
+	// Lease is the time to live of the host's lease, default 10 s.
+	Lease format.Duration
+	// Heartbeat is how often an idle session between hosts says that it lives,
+	// default 500 ms.
+	Heartbeat format.Duration
+	// PeerTimeout is after how much silence a session counts as lost, default 1.5 s.
+	PeerTimeout format.Duration
+	// Window is how long a request prefix is handed out, default 5 m.
+	Window format.Duration
+	// KeepAddresses is how long callers may keep an addresses answer, default 30 s.
+	KeepAddresses format.Duration
+	// OrphanGrace is how long a stream goes on without its caller, default 10 s.
+	OrphanGrace format.Duration
+	// DrainLimit bounds a planned stop, default 10 m.
+	DrainLimit format.Duration
+}
+
+// The defaults of Timing.
+const (
+	defaultLease         = 10 * time.Second
+	defaultHeartbeat     = 500 * time.Millisecond
+	defaultPeerTimeout   = 1500 * time.Millisecond
+	defaultWindow        = 5 * time.Minute
+	defaultKeepAddresses = 30 * time.Second
+	defaultOrphanGrace   = 10 * time.Second
+	defaultDrainLimit    = 10 * time.Minute
+)
+
+// Load reads and checks the settings file. It returns a *format.FieldError
+// that names the field.
+func Load(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	return Parse(file, data)
+}
+
+// Parse reads and checks settings from data.
+func Parse(file string, data []byte) (Settings, error) {
+	var set Settings
+	if err := format.Decode(file, data, &set); err != nil {
+		return Settings{}, err
+	}
+	if err := readKey(file, "PeerKeyFile", set.PeerKeyFile, &set.PeerKey); err != nil {
+		return Settings{}, err
+	}
+	if err := readKey(file, "OperatorKeyFile", set.OperatorKeyFile, &set.OperatorKey); err != nil {
+		return Settings{}, err
+	}
+	if err := set.check(file); err != nil {
+		return Settings{}, err
+	}
+	set.Timing = set.Timing.WithDefaults()
+	return set, nil
+}
+
+// WithDefaults returns the timing with every zero replaced by its default.
+func (tim Timing) WithDefaults() Timing {
+	fill(&tim.Lease, defaultLease)
+	fill(&tim.Heartbeat, defaultHeartbeat)
+	fill(&tim.PeerTimeout, defaultPeerTimeout)
+	fill(&tim.Window, defaultWindow)
+	fill(&tim.KeepAddresses, defaultKeepAddresses)
+	fill(&tim.OrphanGrace, defaultOrphanGrace)
+	fill(&tim.DrainLimit, defaultDrainLimit)
+	return tim
+}
+
+func fill(dur *format.Duration, def time.Duration) {
+	if *dur == 0 {
+		*dur = format.Duration(def)
+	}
+}
+
+func readKey(file, field, name string, key *string) error {
+	if name == "" || *key != "" {
+		return nil
+	}
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return &format.FieldError{File: file, Field: field, Reason: err.Error()}
+	}
+	*key = string(trimNewline(data))
+	return nil
+}
+
+func trimNewline(data []byte) []byte {
+	for len(data) > 0 && (data[len(data)-1] == '\n' || data[len(data)-1] == '\r') {
+		data = data[:len(data)-1]
+	}
+	return data
+}
+
+func (set Settings) check(file string) error {
+	checks := []struct {
+		holds  bool
+		field  string
+		reason string
+	}{
+		{set.Name != "", "Name", "want a host name"},
+		{set.Domain != "", "Domain", "want a failure domain"},
+		{usable(set.CallerAddress), "CallerAddress", "want IP:PORT"},
+		{usable(set.PeerAddress), "PeerAddress", "want IP:PORT"},
+		{usable(set.OperatorAddress), "OperatorAddress", "want IP:PORT"},
+		{usable(set.PlatformAddress), "PlatformAddress", "want IP:PORT"},
+		{len(set.PeerKey) >= minKeyLen, "PeerKey", "want a key of 16 bytes or more, here or in PeerKeyFile"},
+		{len(set.OperatorKey) >= minKeyLen, "OperatorKey", "want a key of 16 bytes or more, here or in OperatorKeyFile"},
+		{set.PeerKey != set.OperatorKey, "OperatorKey", "must differ from PeerKey"},
+		{set.Timing.notNegative(), "Timing", "want durations of 0 or more"},
+	}
+	for _, chk := range checks {
+		if !chk.holds {
+			return &format.FieldError{File: file, Field: chk.field, Reason: chk.reason}
+		}
+	}
+	return nil
+}
+
+func (tim Timing) notNegative() bool {
+	return min(tim.Lease, tim.Heartbeat, tim.PeerTimeout, tim.Window, tim.KeepAddresses, tim.OrphanGrace, tim.DrainLimit) >= 0
+}
+
+func usable(adr netip.AddrPort) bool {
+	return adr.IsValid() && adr.Port() != 0
+}
