fix: close a request at once whose old prefix nobody can grant

Cause: prefixes are kept for a while, and a host grants only ids of views that it is in. Ruled out: the engines (none had got the lost requests) and the callers. Change: such a request is closed at a granter and its caller told NotRun with Retry-After 0; without any granter left a fence decides. Conclusion: callers take a fresh prefix at once; nothing waits for nobody.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -95,13 +95,29 @@
 	ent.phase = phaseWaiting
 	ent.coordinator = 0
 	best := gat.best(now, ent)
-	if best == 0 {
-		if len(ent.refused) > 0 {
-			gat.seekEviction(now, ent)
+	switch {
+	case best != 0:
+		gat.sendReserve(now, ent, best)
+	case len(ent.refused) > 0:
+		gat.seekEviction(now, ent)
+	case gat.outdated(ent):
+		gat.close(now, ent, Final{Cause: CauseRetired, Outcome: request.NotRun, Retry: true})
+	}
+}
+
+// outdated reports whether the service is coordinated only by hosts that
+// aren't in the id's view, so that nobody can grant the request any more.
+func (gat *Core) outdated(ent *entry) bool {
+	if ent.id.View == gat.views.Last().Number {
+		return false
+	}
+	shares := gat.shares[ent.spec.Service]
+	for _, sha := range shares {
+		if gat.mayTake(sha.Coordinator, ent) {
+			return false
 		}
-		return
 	}
-	gat.sendReserve(now, ent, best)
+	return len(shares) > 0
 }
 
 func (gat *Core) sendReserve(now time.Time, ent *entry, to request.Epoch) {
--- a/gateway/close.go
+++ b/gateway/close.go
@@ -15,15 +15,15 @@
 	ent.final = fin
 	ent.reserved = now
 	clear(ent.refused)
-	gat.askToClose(ent)
+	gat.askToClose(now, ent)
 }
 
 // askToClose asks the coordinator that the reservation is with, or any other
-// granter. With none left the outcome isn't known.
-func (gat *Core) askToClose(ent *entry) {
+// granter. Where none is connected, a fence finds out whether any is left.
+func (gat *Core) askToClose(now time.Time, ent *entry) {
 	to := gat.closer(ent)
 	if to == 0 {
-		gat.undecided(ent)
+		gat.fenceRound(now, ent, ent.ballot.Round+1)
 		return
 	}
 	ent.coordinator = to
@@ -50,13 +50,12 @@
 }
 
 // undecided tells the caller that nothing certain is known, and forgets the
-// request unless this gateway decides it, so that a repeat is looked at anew.
+// request, so that a repeat is looked at anew. It is only for requests that
+// this gateway hasn't dispatched: what another one may have done with them
+// stands in the granters' ledgers.
 func (gat *Core) undecided(ent *entry) {
-	fin := Final{Cause: CauseUndecided, Outcome: request.Unknown, Retry: true, RetryAfter: undecidedRetry}
-	gat.finish(ent, fin)
-	if ent.id.Epoch != gat.cfg.Self {
-		gat.forget(ent)
-	}
+	gat.finish(ent, Final{Cause: CauseUndecided, Outcome: request.Unknown, Retry: true, RetryAfter: undecidedRetry})
+	gat.forget(ent)
 }
 
 // finish gives every attached caller the final answer and keeps it for repeats.
@@ -123,7 +122,7 @@
 	case phaseWaiting:
 		gat.refusedWaiting(now, ent, ref)
 	case phaseClosing:
-		gat.refusedClosing(ent, ref)
+		gat.refusedClosing(now, ent, ref)
 	case phaseEvicting, phaseFencing, phaseRunning, phaseResuming, phaseDone, phaseGivenUp:
 		// The refusal is about a reservation that no longer matters.
 	}
@@ -149,7 +148,7 @@
 	}
 }
 
-func (gat *Core) refusedClosing(ent *entry, ref reservation.Refuse) {
+func (gat *Core) refusedClosing(now time.Time, ent *entry, ref reservation.Refuse) {
 	from := ent.coordinator
 	switch ref.Reason {
 	case reservation.ReasonClosed, reservation.ReasonExpired:
@@ -158,13 +157,13 @@
 	case reservation.ReasonFenced:
 		if ref.Holder == gat.cfg.Self {
 			// Its own grant was on the way; it has been given back by now.
-			gat.askToClose(ent)
+			gat.askToClose(now, ent)
 			return
 		}
 		gat.takenAway(ent, ref)
 	case reservation.ReasonFull, reservation.ReasonMoved, reservation.ReasonNotGranter, reservation.ReasonForgotten:
 		ent.refused[from] = true
-		gat.askToClose(ent)
+		gat.askToClose(now, ent)
 	}
 }
 
@@ -176,9 +175,6 @@
 		gat.undecided(ent)
 		return
 	}
-	fin := Final{Cause: CauseMoved, Outcome: request.Unknown, Retry: true, Holder: holder}
-	gat.finish(ent, fin)
-	if ent.id.Epoch != gat.cfg.Self {
-		gat.forget(ent)
-	}
+	gat.finish(ent, Final{Cause: CauseMoved, Outcome: request.Unknown, Retry: true, Holder: holder})
+	gat.forget(ent)
 }
--- /dev/null
+++ b/gateway/core_test.go
@@ -0,0 +1,147 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lynxwell.dev/lynxwell/gateway"
+	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/reservation"
+	"lynxwell.dev/lynxwell/resource"
+	"lynxwell.dev/lynxwell/view"
+)
+
+const self request.Epoch = 1
+
+var start = time.Unix(1000, 0)
+
+// member is host number num in the domain, with the number as its epoch.
+func member(num int, domain string) view.Member {
+	return view.Member{Name: fmt.Sprintf("host-%d", num), Epoch: request.Epoch(num), Domain: domain}
+}
+
+func configuration(engines int) resource.Configuration {
+	entries := []resource.Entry{
+		{Revision: 1, Resource: resource.Tier{Name: "Normal", Rank: 10}},
+		{Revision: 1, Resource: resource.Service{Name: "menus", Protocol: resource.ProtocolModel}},
+		{Revision: 1, Resource: resource.ClientAccount{Name: "care", Tiers: []string{"Normal"}}},
+	}
+	for num := range engines {
+		entries = append(entries, resource.Entry{Revision: 1, Resource: resource.Engine{
+			Name: fmt.Sprintf("engine-%d", num), Service: "menus", Slots: 2,
+			Address: netip.MustParseAddrPort("127.0.0.1:1"),
+		}})
+	}
+	return resource.NewConfiguration(1, entries)
+}
+
+// bench drives one gateway core and collects its actions.
+type bench struct {
+	t       *testing.T
+	core    *gateway.Core
+	now     time.Time
+	callers gateway.CallerID
+}
+
+func newBench(t *testing.T, engines int, members ...view.Member) *bench {
+	ben := &bench{t: t, now: start, core: gateway.New(gateway.Config{Self: self, Started: start, Window: time.Minute})}
+	ben.handle(gateway.ViewChanged{View: view.View{Number: 1, Members: members}})
+	ben.handle(gateway.ConfigurationChanged{Configuration: configuration(engines)})
+	for _, mem := range members {
+		ben.handle(gateway.PeerUp{Peer: mem.Epoch})
+	}
+	return ben
+}
+
+func (ben *bench) handle(evt gateway.Event) []gateway.Action {
+	return ben.core.Handle(ben.now, evt)
+}
+
+func (ben *bench) id(number uint64, epoch request.Epoch, unique string) request.ID {
+	return request.ID{Prefix: request.Prefix{View: number, Epoch: epoch, Window: ben.core.Window(ben.now)}, Unique: unique}
+}
+
+func (ben *bench) arrive(id request.ID) []gateway.Action {
+	ben.callers++
+	return ben.handle(gateway.Arrived{Caller: ben.callers, ID: id, Spec: gateway.Spec{
+		Service: "menus", Tier: "Normal", Rank: 10, Account: "care", PromptTokens: 100, MaxTokens: 10, Remaining: time.Minute,
+	}})
+}
+
+// find returns the first action of the type.
+func find[T gateway.Action](actions []gateway.Action) (T, bool) {
+	for _, act := range actions {
+		if found, same := act.(T); same {
+			return found, true
+		}
+	}
+	var none T
+	return none, false
+}
+
+// sent returns the first message of the type, and whom it goes to.
+func sent[T reservation.Message](actions []gateway.Action) (request.Epoch, T, bool) {
+	for _, act := range actions {
+		if snd, isSend := act.(gateway.Send); isSend {
+			if msg, same := snd.Message.(T); same {
+				return snd.To, msg, true
+			}
+		}
+	}
+	var none T
+	return 0, none, false
+}
+
+func TestRequestIsDispatchedOnAGrantFromOutsideTheDomain(t *testing.T) {
+	ben := newBench(t, 4, member(1, "a"), member(2, "a"), member(3, "b"))
+	actions := ben.arrive(ben.id(1, self, "one"))
+	_, attached := find[gateway.Attach](actions)
+	assert.Assert(t, attached)
+	to, res, reserved := sent[reservation.Reserve](actions)
+	assert.Assert(t, reserved)
+	assert.Equal(t, to, request.Epoch(3))
+	actions = ben.handle(gateway.Received{From: to, Message: reservation.Grant{ID: res.ID, Ballot: res.Ballot, Engine: "engine-0"}})
+	dis, dispatched := find[gateway.Dispatch](actions)
+	assert.Assert(t, dispatched)
+	assert.Equal(t, dis.Engine, "engine-0")
+}
+
+func TestGrantTwiceIsDispatchedOnce(t *testing.T) {
+	ben := newBench(t, 4, member(1, "a"), member(3, "b"))
+	to, res, _ := sent[reservation.Reserve](ben.arrive(ben.id(1, self, "one")))
+	gra := gateway.Received{From: to, Message: reservation.Grant{ID: res.ID, Ballot: res.Ballot, Engine: "engine-0"}}
+	_, first := find[gateway.Dispatch](ben.handle(gra))
+	_, second := find[gateway.Dispatch](ben.handle(gra))
+	assert.Assert(t, first)
+	assert.Assert(t, !second)
+}
+
+// An id of an old view can't be granted by hosts that joined since. Where only
+// those coordinate the service, the caller must be told to take a new prefix
+// at once instead of waiting until its deadline.
+func TestIDOfAnOldViewWithoutCoordinatorIsClosedAtOnce(t *testing.T) {
+	ben := newBench(t, 1, member(1, "a"), member(3, "b"))
+	ben.handle(gateway.ViewChanged{View: view.View{Number: 2, Members: []view.Member{
+		member(1, "a"), leaving(member(3, "b")), member(4, "b"),
+	}}})
+	ben.handle(gateway.PeerUp{Peer: 4})
+	to, wit, withdrawn := sent[reservation.Withdraw](ben.arrive(ben.id(1, self, "one")))
+	assert.Assert(t, withdrawn)
+	assert.Assert(t, wit.Close)
+	assert.Equal(t, to, request.Epoch(3))
+	actions := ben.handle(gateway.Received{From: to, Message: reservation.Refuse{ID: wit.ID, Ballot: wit.Ballot, Reason: reservation.ReasonClosed}})
+	fin, finished := find[gateway.Finish](actions)
+	assert.Assert(t, finished)
+	assert.Equal(t, fin.Final.Cause, gateway.CauseRetired)
+	assert.Equal(t, fin.Final.Outcome, request.NotRun)
+	assert.Assert(t, fin.Final.Retry)
+}
+
+func leaving(mem view.Member) view.Member {
+	mem.Leaving = true
+	return mem
+}
--- a/gateway/vouch.go
+++ b/gateway/vouch.go
@@ -58,7 +58,7 @@
 		gat.seekEviction(now, ent)
 	case phaseClosing:
 		ent.refused[ent.coordinator] = true
-		gat.askToClose(ent)
+		gat.askToClose(now, ent)
 	case phaseFencing, phaseRunning, phaseResuming, phaseDone, phaseGivenUp:
 		// These don't wait for the coordinator.
 	}
