fix: never run a request that may have been closed unheard

A gateway that asked a granter to close a request and heard nothing forgot it and ran it on a repeat, while a fence had read the granter's record and told a caller NotRun. Reading on showed a second way: a coordinator closes what is overdue by itself, so its record alone proves nothing while another one may have granted. Ruled out: the ballots and the vouches; the grant was in order by both. Change: a request that was asked to be closed stays in memory until it is closed, and vouches say so; a fence that reads Closed hears every granter and then closes the request itself instead of answering at once.

--- a/coordinator/ledger.go
+++ b/coordinator/ledger.go
@@ -61,6 +61,8 @@
 	switch {
 	case rec == nil:
 		return 0, 0
+	case rec.standing == reservation.StandingForgotten:
+		return reservation.ReasonForgotten, 0
 	case rec.standing == reservation.StandingClosed:
 		return reservation.ReasonClosed, 0
 	case bal.Less(rec.ballot):
@@ -126,7 +128,7 @@
 		ans.Standing, ans.Ballot, ans.Engine = rec.standing, rec.ballot, rec.engine
 	case rec != nil && rec.standing == reservation.StandingClosed:
 		ans.Standing, ans.Ballot = rec.standing, rec.ballot
-	case led.forgotten(fen.ID):
+	case led.forgotten(fen.ID) || (rec != nil && rec.standing == reservation.StandingForgotten):
 		ans.Standing = reservation.StandingForgotten
 	case rec != nil && fen.Ballot.Less(rec.ballot):
 		ans.Standing, ans.Ballot = reservation.StandingOutbid, rec.ballot
@@ -229,7 +231,7 @@
 func (led *Ledger) merge(now time.Time, records []reservation.Record) {
 	for _, rep := range records {
 		rec := led.touch(now, rep.ID, rep.Ballot)
-		if rep.Standing == reservation.StandingGranted || (rep.Standing == reservation.StandingClosed && rec.standing == reservation.StandingPromised) {
+		if rep.Standing == reservation.StandingGranted || rec.standing == reservation.StandingPromised {
 			rec.standing = rep.Standing
 			rec.engine = rep.Engine
 			rec.ballot = rep.Ballot
--- a/gateway/arrive.go
+++ b/gateway/arrive.go
@@ -23,7 +23,7 @@
 }
 
 // attach gives a repeat what there is of the request.
-func (gat *Core) attach(_ time.Time, ent *entry, arr Arrived) {
+func (gat *Core) attach(now time.Time, ent *entry, arr Arrived) {
 	if ent.spec.Fingerprint != arr.Spec.Fingerprint {
 		gat.act(Answer{Caller: arr.Caller, Final: Final{Cause: CauseOtherBody, Outcome: request.Unknown}})
 		return
@@ -31,6 +31,9 @@
 	ent.callers++
 	ent.abandoned = time.Time{}
 	gat.act(Attach{Caller: arr.Caller, ID: ent.id})
+	if ent.phase == phaseUnclosed {
+		gat.close(now, ent, ent.final)
+	}
 }
 
 func (gat *Core) arrivedOwn(now time.Time, arr Arrived) {
--- a/gateway/close.go
+++ b/gateway/close.go
@@ -12,6 +12,7 @@
 // taken the request over meanwhile.
 func (gat *Core) close(now time.Time, ent *entry, fin Final) {
 	ent.phase = phaseClosing
+	ent.closeAsked = true
 	ent.final = fin
 	ent.reserved = now
 	clear(ent.refused)
@@ -49,13 +50,26 @@
 	}
 }
 
-// undecided tells the caller that nothing certain is known, and forgets the
-// request, so that a repeat is looked at anew. It is only for requests that
-// this gateway hasn't dispatched: what another one may have done with them
-// stands in the granters' ledgers.
+// undecided tells the caller that nothing certain is known, so that a repeat is
+// looked at anew. It is only for requests that this gateway hasn't dispatched:
+// what another one may have done with them stands in the granters' ledgers.
 func (gat *Core) undecided(ent *entry) {
-	gat.finish(ent, Final{Cause: CauseUndecided, Outcome: request.Unknown, Retry: true, RetryAfter: undecidedRetry})
-	gat.forget(ent)
+	fin := Final{Cause: CauseUndecided, Outcome: request.Unknown, Retry: true, RetryAfter: undecidedRetry}
+	gat.act(Finish{ID: ent.id, Final: fin})
+	gat.setAside(ent)
+}
+
+// setAside ends a request that this gateway doesn't decide for now. Where a
+// granter may have closed it unheard it stays in memory, since this gateway
+// must neither run it nor vouch that it was never closed.
+func (gat *Core) setAside(ent *entry) {
+	if !ent.closeAsked {
+		gat.forget(ent)
+		return
+	}
+	ent.phase = phaseUnclosed
+	ent.callers = 0
+	gat.act(Forget{ID: ent.id})
 }
 
 // finish gives every attached caller the final answer and keeps it for repeats.
@@ -123,7 +137,7 @@
 		gat.refusedWaiting(now, ent, ref)
 	case phaseClosing:
 		gat.refusedClosing(now, ent, ref)
-	case phaseEvicting, phaseFencing, phaseRunning, phaseResuming, phaseDone, phaseGivenUp:
+	case phaseEvicting, phaseFencing, phaseRunning, phaseResuming, phaseDone, phaseUnclosed, phaseGivenUp:
 		// The refusal is about a reservation that no longer matters.
 	}
 }
@@ -143,7 +157,10 @@
 	case reservation.ReasonExpired:
 		ent.granter = from
 		gat.finish(ent, Final{Cause: CauseExpired, Outcome: request.NotRun})
-	case reservation.ReasonClosed, reservation.ReasonFenced, reservation.ReasonForgotten:
+	case reservation.ReasonClosed:
+		ent.granter = from
+		gat.finish(ent, Final{Cause: CauseExpired, Outcome: request.NotRun})
+	case reservation.ReasonFenced, reservation.ReasonForgotten:
 		gat.takenAway(ent, ref)
 	}
 }
@@ -175,6 +192,7 @@
 		gat.undecided(ent)
 		return
 	}
-	gat.finish(ent, Final{Cause: CauseMoved, Outcome: request.Unknown, Retry: true, Holder: holder})
-	gat.forget(ent)
+	fin := Final{Cause: CauseMoved, Outcome: request.Unknown, Retry: true, Holder: holder}
+	gat.act(Finish{ID: ent.id, Final: fin})
+	gat.setAside(ent)
 }
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -302,7 +302,7 @@
 	case phaseRunning, phaseResuming:
 		ent.abandoned = time.Time{}
 		gat.act(Cancel{ID: ent.id})
-	case phaseEvicting, phaseClosing, phaseFencing, phaseDone, phaseGivenUp:
+	case phaseEvicting, phaseClosing, phaseFencing, phaseDone, phaseUnclosed, phaseGivenUp:
 		// These end by themselves.
 	}
 }
--- a/gateway/core_test.go
+++ b/gateway/core_test.go
@@ -61,8 +61,8 @@
 	return ben.core.Handle(ben.now, evt)
 }
 
-func (ben *bench) id(number uint64, epoch request.Epoch, unique string) request.ID {
-	return request.ID{Prefix: request.Prefix{View: number, Epoch: epoch, Window: ben.core.Window(ben.now)}, Unique: unique}
+func (ben *bench) id(epoch request.Epoch, unique string) request.ID {
+	return request.ID{Prefix: request.Prefix{View: 1, Epoch: epoch, Window: ben.core.Window(ben.now)}, Unique: unique}
 }
 
 func (ben *bench) arrive(id request.ID) []gateway.Action {
@@ -98,7 +98,7 @@
 
 func TestRequestIsDispatchedOnAGrantFromOutsideTheDomain(t *testing.T) {
 	ben := newBench(t, 4, member(1, "a"), member(2, "a"), member(3, "b"))
-	actions := ben.arrive(ben.id(1, self, "one"))
+	actions := ben.arrive(ben.id(self, "one"))
 	_, attached := find[gateway.Attach](actions)
 	assert.Assert(t, attached)
 	to, res, reserved := sent[reservation.Reserve](actions)
@@ -112,7 +112,7 @@
 
 func TestGrantTwiceIsDispatchedOnce(t *testing.T) {
 	ben := newBench(t, 4, member(1, "a"), member(3, "b"))
-	to, res, _ := sent[reservation.Reserve](ben.arrive(ben.id(1, self, "one")))
+	to, res, _ := sent[reservation.Reserve](ben.arrive(ben.id(self, "one")))
 	gra := gateway.Received{From: to, Message: reservation.Grant{ID: res.ID, Ballot: res.Ballot, Engine: "engine-0"}}
 	_, first := find[gateway.Dispatch](ben.handle(gra))
 	_, second := find[gateway.Dispatch](ben.handle(gra))
@@ -129,7 +129,7 @@
 		member(1, "a"), leaving(member(3, "b")), member(4, "b"),
 	}}})
 	ben.handle(gateway.PeerUp{Peer: 4})
-	to, wit, withdrawn := sent[reservation.Withdraw](ben.arrive(ben.id(1, self, "one")))
+	to, wit, withdrawn := sent[reservation.Withdraw](ben.arrive(ben.id(self, "one")))
 	assert.Assert(t, withdrawn)
 	assert.Assert(t, wit.Close)
 	assert.Equal(t, to, request.Epoch(3))
@@ -145,3 +145,48 @@
 	mem.Leaving = true
 	return mem
 }
+
+// A granter may have closed a request although its word was lost, and another
+// gateway may have told its caller so. The owner must not run it afterwards.
+func TestRequestIsNotRunAfterAnUnheardClose(t *testing.T) {
+	ben := newBench(t, 4, member(1, "a"), member(2, "b"), member(3, "c"))
+	id := ben.id(self, "one")
+	ben.arrive(id)
+	ben.now = ben.now.Add(time.Minute)
+	_, wit, withdrawn := sent[reservation.Withdraw](ben.handle(gateway.Tick{}))
+	assert.Assert(t, withdrawn && wit.Close)
+	ben.now = ben.now.Add(gateway.DefaultCloseTimeout)
+	fin, finished := find[gateway.Finish](ben.handle(gateway.Tick{}))
+	assert.Assert(t, finished)
+	assert.Equal(t, fin.Final.Outcome, request.Unknown)
+	actions := ben.arrive(id)
+	_, _, reserved := sent[reservation.Reserve](actions)
+	assert.Assert(t, !reserved)
+	_, wit, withdrawn = sent[reservation.Withdraw](actions)
+	assert.Assert(t, withdrawn && wit.Close)
+}
+
+// A coordinator closes what is overdue by itself, while the gateway may have
+// had a grant from another one: a fence must hear all before it says NotRun.
+func TestFenceThatHearsClosedFirstStillFindsTheGrant(t *testing.T) {
+	ben := newBench(t, 4, member(1, "a"), member(2, "b"), member(3, "c"), member(4, "d"))
+	ben.handle(gateway.PeerLost{Peer: 4})
+	id := ben.id(4, "one")
+	fences := 0
+	var bal request.Ballot
+	for _, act := range ben.arrive(id) {
+		if ask, isAsk := act.(gateway.AskFence); isAsk {
+			fences++
+			bal = ask.Fence.Ballot
+		}
+	}
+	assert.Equal(t, fences, 3)
+	answer := func(from request.Epoch, sta reservation.Standing) []gateway.Action {
+		return ben.handle(gateway.FenceAnswered{Ballot: bal, Answer: reservation.FenceAnswer{ID: id, From: from, Standing: sta, Engine: "engine-1"}})
+	}
+	_, early := find[gateway.Finish](answer(2, reservation.StandingClosed))
+	assert.Assert(t, !early)
+	res, resumed := find[gateway.Resume](answer(3, reservation.StandingGranted))
+	assert.Assert(t, resumed)
+	assert.Equal(t, res.Engine, "engine-1")
+}
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -19,7 +19,7 @@
 		gat.ranDone(now, ent, evt.Result)
 	case phaseResuming:
 		gat.resumeDone(ent, evt.Result)
-	case phaseWaiting, phaseEvicting, phaseClosing, phaseFencing, phaseDone, phaseGivenUp:
+	case phaseWaiting, phaseEvicting, phaseClosing, phaseFencing, phaseDone, phaseUnclosed, phaseGivenUp:
 		// Nothing runs, so nothing can end.
 	}
 }
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -25,13 +25,15 @@
 	phaseResuming
 	// phaseDone: the whole answer has come.
 	phaseDone
+	// phaseUnclosed: a granter was asked to close it and nothing was heard.
+	phaseUnclosed
 	// phaseGivenUp: it has a final answer other than a whole one.
 	phaseGivenUp
 )
 
 // String returns the phase's name.
 func (pha phase) String() string {
-	names := [...]string{"None", "Waiting", "Evicting", "Closing", "Fencing", "Running", "Resuming", "Done", "GivenUp"}
+	names := [...]string{"None", "Waiting", "Evicting", "Closing", "Fencing", "Running", "Resuming", "Done", "Unclosed", "GivenUp"}
 	return names[pha]
 }
 
@@ -58,14 +60,17 @@
 	granter request.Epoch
 	engine  string
 	final   Final
-	fence   *fenceState
+	// closeAsked is set once a granter was asked to record that the request
+	// never runs: from then on it must not run, whatever is heard of it.
+	closeAsked bool
+	fence      *fenceState
 	// rounds counts the fences tried.
 	rounds uint32
 }
 
 // over reports whether the request has its final answer.
 func (ent *entry) over() bool {
-	return ent.phase == phaseDone || ent.phase == phaseGivenUp
+	return ent.phase == phaseDone || ent.phase == phaseGivenUp || ent.phase == phaseUnclosed
 }
 
 // holds reports whether the request occupies a slot of an engine.
@@ -83,11 +88,20 @@
 	}
 }
 
-// record returns what a vouch says of the request.
-func (ent *entry) record() reservation.Record {
-	rec := reservation.Record{ID: ent.id, Ballot: ent.ballot, Standing: reservation.StandingGranted, Engine: ent.engine}
-	if ent.engine == "" {
+// record returns what a vouch for the coordinator epoch says of the request,
+// if anything.
+func (ent *entry) record(lost request.Epoch) (reservation.Record, bool) {
+	rec := reservation.Record{ID: ent.id, Ballot: ent.ballot}
+	switch {
+	case ent.granter == lost && ent.engine != "":
+		rec.Standing, rec.Engine = reservation.StandingGranted, ent.engine
+	case ent.granter == lost:
 		rec.Standing = reservation.StandingClosed
+	case ent.closeAsked && ent.granter == 0:
+		// The lost one may have closed it, and somebody may know.
+		rec.Standing = reservation.StandingForgotten
+	default:
+		return rec, false
 	}
-	return rec
+	return rec, true
 }
--- a/gateway/fence.go
+++ b/gateway/fence.go
@@ -74,12 +74,9 @@
 	switch ans.Standing {
 	case reservation.StandingGranted:
 		gat.resume(ent, ans)
-	case reservation.StandingClosed:
-		ent.granter = ans.From
-		gat.finish(ent, Final{Cause: CauseUndecided, Outcome: request.NotRun, Retry: true})
 	case reservation.StandingOutbid:
 		gat.outbid(now, ent, ans)
-	case reservation.StandingPromised, reservation.StandingForgotten, reservation.StandingBystander:
+	case reservation.StandingClosed, reservation.StandingPromised, reservation.StandingForgotten, reservation.StandingBystander:
 		gat.judgeFence(now, ent)
 	}
 }
@@ -144,8 +141,10 @@
 // settled reports whether it is certain that the granter hasn't granted the
 // request and won't under a lower ballot.
 func (fes *fenceState) settled(granter, owner request.Epoch) bool {
-	if fes.answers[granter].Standing == reservation.StandingPromised {
+	switch fes.answers[granter].Standing {
+	case reservation.StandingPromised, reservation.StandingClosed:
 		return true
+	case reservation.StandingGranted, reservation.StandingOutbid, reservation.StandingForgotten, reservation.StandingBystander:
 	}
 	if fes.stopped(granter) {
 		return true
@@ -192,18 +191,37 @@
 	return false
 }
 
-// takeOver makes this gateway the holder of the request.
-func (gat *Core) takeOver(now time.Time, ent *entry) {
-	for _, mem := range ent.fence.granters {
-		if ent.fence.answers[mem.Epoch].Standing == reservation.StandingPromised {
-			ent.fence = nil
-			gat.admitTakenOver(now, ent)
-			return
+// anyStanding reports whether any host answered with the standing.
+func (fes *fenceState) anyStanding(sta reservation.Standing) bool {
+	for _, ans := range fes.answers {
+		if ans.Standing == sta {
+			return true
 		}
 	}
-	// Every granter has stopped in order without a grant, so there is nobody
-	// who could grant it any more.
-	gat.finish(ent, Final{Cause: CauseRetired, Outcome: request.NotRun, Retry: true})
+	return false
+}
+
+// takeOver makes this gateway the holder of the request. Where a granter has
+// closed it, somebody may have been told so, and it must not run any more; that
+// word alone isn't enough, since a granter closes what is overdue by itself
+// while its gateway may have had a grant from another.
+func (gat *Core) takeOver(now time.Time, ent *entry) {
+	fes := ent.fence
+	ent.fence = nil
+	closed := fes.anyStanding(reservation.StandingClosed)
+	promised := fes.anyStanding(reservation.StandingPromised)
+	switch {
+	case ent.closeAsked:
+		gat.close(now, ent, ent.final)
+	case closed:
+		gat.close(now, ent, Final{Cause: CauseExpired, Outcome: request.NotRun})
+	case promised:
+		gat.admitTakenOver(now, ent)
+	default:
+		// Every granter has stopped in order without a grant, so there is
+		// nobody who could grant it any more.
+		gat.finish(ent, Final{Cause: CauseRetired, Outcome: request.NotRun, Retry: true})
+	}
 }
 
 func (gat *Core) admitTakenOver(now time.Time, ent *entry) {
--- a/gateway/vouch.go
+++ b/gateway/vouch.go
@@ -59,7 +59,7 @@
 	case phaseClosing:
 		ent.refused[ent.coordinator] = true
 		gat.askToClose(now, ent)
-	case phaseFencing, phaseRunning, phaseResuming, phaseDone, phaseGivenUp:
+	case phaseFencing, phaseRunning, phaseResuming, phaseDone, phaseUnclosed, phaseGivenUp:
 		// These don't wait for the coordinator.
 	}
 }
@@ -67,8 +67,8 @@
 func (gat *Core) vouchFor(epo request.Epoch) {
 	var records []reservation.Record
 	for _, ent := range gat.sorted() {
-		if ent.granter == epo {
-			records = append(records, ent.record())
+		if rec, some := ent.record(epo); some {
+			records = append(records, rec)
 		}
 	}
 	los := gat.lost[epo]
--- /dev/null
+++ b/modeltest/choice.go
@@ -0,0 +1,410 @@
+package modeltest
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"lynxwell.dev/lynxwell/coordinator"
+	"lynxwell.dev/lynxwell/gateway"
+	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/reservation"
+)
+
+// Choice is one thing that can happen next.
+type Choice struct {
+	// Name says what happens, for reading a failure.
+	Name string
+	// Fault is set when it is a fault.
+	Fault bool
+	take  func()
+}
+
+// Take has the choice happen.
+func (wor *World) Take(cho Choice) {
+	wor.steps++
+	if cho.Fault {
+		wor.faults++
+	}
+	cho.take()
+}
+
+// Choices returns everything that can happen next, in a fixed order.
+func (wor *World) Choices() []Choice {
+	var all []Choice
+	all = append(all, wor.arrivals()...)
+	all = append(all, wor.deliveries()...)
+	all = append(all, wor.answers()...)
+	all = append(all, wor.relayChoices()...)
+	all = append(all, wor.runChoices()...)
+	all = append(all, wor.hostChoices()...)
+	if wor.faults < wor.cfg.MaxFaults {
+		all = append(all, wor.faultChoices()...)
+	}
+	return all
+}
+
+func (wor *World) arrivals() []Choice {
+	var all []Choice
+	for _, id := range wor.ids {
+		if wor.repeats[id] > wor.cfg.MaxRepeats {
+			continue
+		}
+		for _, hst := range wor.hosts {
+			if wor.running(hst.epoch) == nil {
+				continue
+			}
+			all = append(all, Choice{Name: fmt.Sprintf("arrive %s at host-%d", id.Unique, hst.number), take: func() {
+				wor.repeats[id]++
+				wor.callers++
+				wor.manage(hst, wor.arrivalOf(id))
+			}})
+		}
+	}
+	return all
+}
+
+// deliveries are the next message of each session, and the news that one is lost.
+func (wor *World) deliveries() []Choice {
+	var all []Choice
+	for _, ses := range wor.sessions {
+		gat, cor := wor.running(ses.gat), wor.running(ses.cor)
+		if gat != nil && !ses.gatLost {
+			all = append(all, wor.toGatewayChoices(ses, gat)...)
+		}
+		if cor != nil && !ses.corLost {
+			all = append(all, wor.toCoordinatorChoices(ses, cor)...)
+		}
+	}
+	return all
+}
+
+func (wor *World) toGatewayChoices(ses *session, gat *simHost) []Choice {
+	var all []Choice
+	if len(ses.toGat) > 0 {
+		all = append(all, Choice{Name: fmt.Sprintf("%T from %d to gateway %d", ses.toGat[0], ses.cor, ses.gat), take: func() {
+			msg := ses.toGat[0]
+			ses.toGat = ses.toGat[1:]
+			wor.manage(gat, gateway.Received{From: ses.cor, Message: msg})
+		}})
+	}
+	if ses.broken {
+		all = append(all, Choice{Name: fmt.Sprintf("gateway %d loses %d", ses.gat, ses.cor), take: func() { wor.loseAtGateway(ses) }})
+	}
+	return all
+}
+
+func (wor *World) toCoordinatorChoices(ses *session, cor *simHost) []Choice {
+	var all []Choice
+	if len(ses.toCor) > 0 {
+		all = append(all, Choice{Name: fmt.Sprintf("%T from %d to coordinator %d", ses.toCor[0], ses.gat, ses.cor), take: func() {
+			msg := ses.toCor[0]
+			ses.toCor = ses.toCor[1:]
+			wor.coordinate(cor, coordinator.Received{From: ses.gat, Message: msg})
+		}})
+	}
+	if ses.broken {
+		all = append(all, Choice{Name: fmt.Sprintf("coordinator %d loses %d", ses.cor, ses.gat), take: func() { wor.loseAtCoordinator(ses) }})
+	}
+	return all
+}
+
+// answers are the questions that arrive, are answered, or get lost.
+func (wor *World) answers() []Choice {
+	var all []Choice
+	for _, que := range wor.questions {
+		asker := wor.running(que.from)
+		answered := que.answer != nil || que.release != nil
+		switch {
+		case asker == nil:
+		case answered:
+			all = append(all, Choice{Name: fmt.Sprintf("answer of %d reaches %d", que.to, que.from), take: func() { wor.answer(que, asker) }})
+		case wor.running(que.to) != nil:
+			all = append(all, Choice{Name: fmt.Sprintf("question of %d reaches %d", que.from, que.to), take: func() { wor.ask(que) }})
+		default:
+			all = append(all, Choice{Name: fmt.Sprintf("question of %d can't reach %d", que.from, que.to), take: func() { wor.fail(que, asker) }})
+		}
+	}
+	return all
+}
+
+func (wor *World) drop(que *question) {
+	wor.questions = slices.DeleteFunc(wor.questions, func(other *question) bool { return other == que })
+}
+
+func (wor *World) ask(que *question) {
+	hst := wor.host(que.to)
+	switch {
+	case que.fence != nil:
+		ans, actions := hst.cor.Fence(wor.now, *que.fence)
+		que.answer = &ans
+		wor.coordinatorActions(hst, actions)
+	case que.vouch != nil:
+		hst.cor.Vouch(wor.now, *que.vouch)
+		wor.drop(que)
+	case que.unvouch != nil:
+		ans := hst.cor.Unvouch(*que.unvouch)
+		que.release = &ans
+	}
+}
+
+func (wor *World) answer(que *question, asker *simHost) {
+	wor.drop(que)
+	if que.answer != nil {
+		wor.manage(asker, gateway.FenceAnswered{Ballot: que.fence.Ballot, Answer: *que.answer})
+		return
+	}
+	wor.manage(asker, gateway.Unvouched{Voucher: que.to, Answer: *que.release})
+}
+
+// fail ends a question without an answer, whether or not it arrived.
+func (wor *World) fail(que *question, asker *simHost) {
+	wor.drop(que)
+	switch {
+	case que.fence != nil:
+		wor.manage(asker, gateway.FenceFailed{ID: que.fence.ID, Ballot: que.fence.Ballot, Peer: que.to})
+	case que.unvouch != nil:
+		ans := reservation.UnvouchAnswer{VouchKey: que.unvouch.VouchKey}
+		wor.manage(asker, gateway.Unvouched{Voucher: que.to, Answer: ans, Failed: true})
+	}
+}
+
+func (wor *World) relayChoices() []Choice {
+	var all []Choice
+	for _, rel := range wor.relays {
+		target := wor.running(rel.to)
+		source := wor.running(rel.from)
+		switch {
+		case target != nil:
+			all = append(all, Choice{Name: fmt.Sprintf("relay reaches %d", rel.to), take: func() {
+				wor.dropRelay(rel)
+				arr := rel.arrived
+				arr.Relayed = true
+				wor.manage(target, arr)
+			}})
+		case source != nil && !rel.moved:
+			all = append(all, Choice{Name: fmt.Sprintf("relay can't reach %d", rel.to), take: func() {
+				wor.dropRelay(rel)
+				wor.manage(source, gateway.RelayFailed{Arrived: rel.arrived, To: rel.to})
+			}})
+		}
+	}
+	return all
+}
+
+func (wor *World) dropRelay(rel *relay) {
+	wor.relays = slices.DeleteFunc(wor.relays, func(other *relay) bool { return other == rel })
+}
+
+func (wor *World) runChoices() []Choice {
+	var all []Choice
+	for _, rnn := range wor.runs {
+		hst := wor.running(rnn.host)
+		if hst == nil {
+			continue
+		}
+		switch {
+		case rnn.resume:
+			all = append(all, Choice{Name: "resume " + rnn.id.Unique, take: func() { wor.resume(hst, rnn) }})
+		case rnn.sent:
+			all = append(all, Choice{Name: "engine ends " + rnn.id.Unique, take: func() {
+				wor.endRun(hst, rnn, gateway.Result{Dispatched: true, Answered: true, Whole: true})
+			}})
+		default:
+			all = append(all, Choice{Name: fmt.Sprintf("host-%d dispatches %s", hst.number, rnn.id.Unique), take: func() {
+				rnn.sent = true
+				wor.dispatched[rnn.id]++
+			}})
+			if wor.cfg.DialErrors {
+				all = append(all, Choice{Name: "engine can't be reached for " + rnn.id.Unique, take: func() { wor.endRun(hst, rnn, gateway.Result{}) }})
+			}
+		}
+	}
+	return all
+}
+
+func (wor *World) resume(hst *simHost, rnn *run) {
+	res := gateway.Result{Dispatched: true, NotKnown: true}
+	if wor.dispatched[rnn.id] > 0 {
+		res = gateway.Result{Dispatched: true, Answered: true, Whole: true}
+	}
+	wor.endRun(hst, rnn, res)
+}
+
+func (wor *World) endRun(hst *simHost, rnn *run, res gateway.Result) {
+	wor.runs = slices.DeleteFunc(wor.runs, func(other *run) bool { return other == rnn })
+	wor.manage(hst, gateway.EngineDone{ID: rnn.id, Result: res})
+}
+
+// hostChoices are what hosts do by themselves, and recoveries from faults.
+func (wor *World) hostChoices() []Choice {
+	var all []Choice
+	for _, hst := range wor.hosts {
+		if hst.alive && hst.frozen {
+			all = append(all, Choice{Name: fmt.Sprintf("host-%d wakes", hst.number), take: func() { hst.frozen = false }})
+		}
+		if !hst.alive && wor.cfg.Restarts {
+			all = append(all, Choice{Name: fmt.Sprintf("host-%d starts anew", hst.number), take: func() { wor.begin(hst) }})
+		}
+		if wor.running(hst.epoch) == nil {
+			continue
+		}
+		all = append(all, wor.runningChoices(hst)...)
+	}
+	if wor.viewIsOld() {
+		all = append(all, Choice{Name: "a view is published", take: wor.publish})
+	}
+	if wor.cfg.Timeouts {
+		all = append(all, Choice{Name: "time passes", take: wor.passTime})
+	}
+	return all
+}
+
+func (wor *World) runningChoices(hst *simHost) []Choice {
+	var all []Choice
+	if hst.known < len(wor.views) {
+		all = append(all, Choice{Name: fmt.Sprintf("host-%d learns view %d", hst.number, hst.known+1), take: func() { wor.learn(hst) }})
+	}
+	for _, other := range wor.hosts {
+		if other == hst || wor.running(other.epoch) == nil || wor.session(hst.epoch, other.epoch) != nil || !wor.knows(hst, other) {
+			continue
+		}
+		all = append(all, Choice{Name: fmt.Sprintf("host-%d connects to host-%d", hst.number, other.number), take: func() { wor.open(hst, other) }})
+	}
+	if hst.leaving && hst.gat.InFlight() == 0 && !wor.hasRun(hst) {
+		all = append(all, Choice{Name: fmt.Sprintf("host-%d ends its planned stop", hst.number), take: func() { wor.endStop(hst) }})
+	}
+	return all
+}
+
+// knows reports whether the host's latest view has the other one's process.
+func (wor *World) knows(hst, other *simHost) bool {
+	if hst.known == 0 {
+		return false
+	}
+	_, member := wor.views[hst.known-1].Member(other.epoch)
+	return member
+}
+
+func (wor *World) hasRun(hst *simHost) bool {
+	return slices.ContainsFunc(wor.runs, func(rnn *run) bool { return rnn.host == hst.epoch })
+}
+
+// viewIsOld reports whether the newest view differs from the hosts that run.
+func (wor *World) viewIsOld() bool {
+	last := wor.views[len(wor.views)-1]
+	count := 0
+	for _, hst := range wor.hosts {
+		if !hst.alive {
+			continue
+		}
+		count++
+		mem, member := last.Member(hst.epoch)
+		if !member || mem.Leaving != hst.leaving {
+			return true
+		}
+	}
+	return count != len(last.Members)
+}
+
+// timeStep is how far time goes at once.
+const timeStep = 4 * time.Second
+
+func (wor *World) passTime() {
+	wor.now = wor.now.Add(timeStep)
+	for _, hst := range wor.hosts {
+		if wor.running(hst.epoch) != nil {
+			wor.manage(hst, gateway.Tick{})
+			wor.coordinate(hst, coordinator.Tick{})
+		}
+	}
+}
+
+// faultChoices are the faults: kills, freezes, cuts, lost answers and planned stops.
+func (wor *World) faultChoices() []Choice {
+	var all []Choice
+	for _, hst := range wor.hosts {
+		if !hst.alive {
+			continue
+		}
+		all = append(all, Choice{Name: fmt.Sprintf("host-%d is killed", hst.number), Fault: true, take: func() { wor.kill(hst) }})
+		if hst.frozen {
+			continue
+		}
+		all = append(all, Choice{Name: fmt.Sprintf("host-%d freezes", hst.number), Fault: true, take: func() { wor.freeze(hst) }})
+		if wor.cfg.Stops && !hst.leaving {
+			all = append(all, Choice{Name: fmt.Sprintf("host-%d leaves", hst.number), Fault: true, take: func() { wor.leave(hst) }})
+		}
+	}
+	for _, ses := range wor.sessions {
+		if !ses.broken {
+			all = append(all, Choice{Name: fmt.Sprintf("session %d-%d breaks", ses.gat, ses.cor), Fault: true, take: func() { wor.breakSession(ses, true) }})
+		}
+	}
+	for _, que := range wor.questions {
+		if asker := wor.running(que.from); asker != nil {
+			all = append(all, Choice{Name: fmt.Sprintf("question %d-%d gets lost", que.from, que.to), Fault: true, take: func() { wor.fail(que, asker) }})
+		}
+	}
+	return all
+}
+
+// breakSession ends a session; with lose, what is on its way in it is lost.
+func (wor *World) breakSession(ses *session, lose bool) {
+	ses.broken = true
+	if lose {
+		ses.toCor, ses.toGat = nil, nil
+	}
+}
+
+// breakAll ends the host's sessions. What has arrived at the other ends may
+// still be read there.
+func (wor *World) breakAll(epo request.Epoch) {
+	for _, ses := range wor.sessions {
+		if ses.gat == epo || ses.cor == epo {
+			wor.breakSession(ses, false)
+		}
+	}
+}
+
+func (wor *World) kill(hst *simHost) {
+	hst.alive = false
+	wor.breakAll(hst.epoch)
+	for _, ses := range slices.Clone(wor.sessions) {
+		if ses.gat == hst.epoch {
+			ses.gatLost, ses.toGat = true, nil
+		}
+		if ses.cor == hst.epoch {
+			ses.corLost, ses.toCor = true, nil
+		}
+	}
+	wor.sweep()
+	wor.runs = slices.DeleteFunc(wor.runs, func(rnn *run) bool { return rnn.host == hst.epoch })
+	wor.questions = slices.DeleteFunc(wor.questions, func(que *question) bool { return que.from == hst.epoch })
+	wor.relays = slices.DeleteFunc(wor.relays, func(rel *relay) bool { return rel.from == hst.epoch })
+}
+
+// freeze stops a host that still believes that it runs; the others see silence.
+func (wor *World) freeze(hst *simHost) {
+	hst.frozen = true
+	wor.breakAll(hst.epoch)
+}
+
+func (wor *World) leave(hst *simHost) {
+	hst.leaving = true
+	wor.manage(hst, gateway.Drain{})
+	wor.coordinate(hst, coordinator.Drain{})
+}
+
+// endStop hands the ledger over to two hosts that run, and ends the process.
+func (wor *World) endStop(hst *simHost) {
+	han := hst.cor.Handover()
+	given := 0
+	for _, other := range wor.hosts {
+		if other != hst && given < 2 && wor.running(other.epoch) != nil && !other.leaving {
+			other.cor.TakeOver(wor.now, han)
+			given++
+		}
+	}
+	wor.kill(hst)
+}
--- /dev/null
+++ b/modeltest/world_test.go
@@ -0,0 +1,63 @@
+package modeltest_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lynxwell.dev/lynxwell/modeltest"
+)
+
+// walk takes random choices, as many as rapid likes.
+func walk(t *rapid.T, cfg modeltest.Config, steps int) *modeltest.World {
+	wor := modeltest.NewWorld(cfg)
+	for range steps {
+		choices := wor.Choices()
+		if len(choices) == 0 {
+			break
+		}
+		cho := choices[rapid.IntRange(0, len(choices)-1).Draw(t, "choice")]
+		t.Log(cho.Name)
+		wor.Take(cho)
+		if err := wor.Check(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return wor
+}
+
+func TestModelRandomWalks(t *testing.T) {
+	cases := map[string]modeltest.Config{
+		"ThreeDomains": {
+			Domains: []string{"a", "b", "c"}, MaxFaults: 4, MaxRepeats: 4, Restarts: true, DialErrors: true, Timeouts: true,
+		},
+		"TwoHostsADomain": {
+			Domains: []string{"a", "a", "b", "c"}, MaxFaults: 4, MaxRepeats: 4, Uniques: []string{"x", "y"}, Timeouts: true,
+		},
+		"PlannedStops": {
+			Domains: []string{"a", "b", "c"}, MaxFaults: 5, MaxRepeats: 4, Restarts: true, Stops: true, Timeouts: true,
+		},
+		"TwoDomains": {
+			Domains: []string{"a", "b", "b"}, MaxFaults: 4, MaxRepeats: 4, Restarts: true, Stops: true,
+		},
+	}
+	for name, cfg := range cases {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) { walk(t, cfg, 120) })
+		})
+	}
+}
+
+func TestRequestIsServedWithoutFaults(t *testing.T) {
+	wor := modeltest.NewWorld(modeltest.Config{Domains: []string{"a", "b", "c"}})
+	for range 100 {
+		choices := wor.Choices()
+		if len(choices) == 0 {
+			break
+		}
+		wor.Take(choices[0])
+		assert.NilError(t, wor.Check())
+	}
+	assert.Equal(t, wor.Summary(), modeltest.Summary{Dispatched: 1})
+}
--- a/reservation/fence.go
+++ b/reservation/fence.go
@@ -66,7 +66,8 @@
 type Record struct {
 	ID     request.ID
 	Ballot request.Ballot
-	// Standing is StandingPromised, StandingGranted or StandingClosed.
+	// Standing is StandingPromised, StandingGranted, StandingClosed or, where
+	// the gateway doesn't know whether it was closed, StandingForgotten.
 	Standing Standing
 	Engine   string
 }
