fix: a lost grant is closed at once, and a broken answer isn't repeated in part

Cause: a mutation run overflowed the stack: a gateway that closed a request whose grant had been lost was told that it held it itself, and asked again at once, without end over the loopback to its own coordinator. Separately, the process tests showed 120 repeats of three requests on a dead engine: each repeat got the partial answer again and broke off instead of hearing that it ran. Change: a close under the ballot of the grant takes the grant back; a repeat of a broken answer gets the error alone.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -175,6 +175,11 @@
 	exc.mutex.Lock()
 	defer exc.mutex.Unlock()
 	pro := Progress{Status: exc.status, Header: exc.header, Over: exc.over, Whole: exc.whole, Final: exc.final}
+	if exc.final != nil && rea.offset == 0 {
+		// Whoever hasn't had any of a broken answer gets the error alone.
+		pro.Status = 0
+		return pro, true, nil
+	}
 	if rea.offset < exc.base {
 		pro.Trimmed = true
 		return pro, true, nil
--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -191,3 +191,14 @@
 	ben.handle(coordinator.Tick{})
 	assert.DeepEqual(t, messages(ben.receive(reserveOf("one", 10))), []string{"Refuse one Forgotten"})
 }
+
+// A grant can be lost with its session. The holder that then closes the request
+// knows that it wasn't dispatched; told that it is "fenced by itself", it would
+// ask again without end.
+func TestCloseTakesALostGrantBack(t *testing.T) {
+	ben := newBench(benchConfig{slots: 1})
+	assert.DeepEqual(t, messages(ben.receive(reserveOf("one", 10))), []string{"Grant one"})
+	ben.receive(reserveOf("two", 10))
+	wit := reservation.Withdraw{ID: requestID("one"), Ballot: request.Ballot{Holder: gatewayEpoch}, Close: true}
+	assert.DeepEqual(t, messages(ben.receive(wit)), []string{"Grant two", "Refuse one Closed"})
+}
--- a/coordinator/ledger.go
+++ b/coordinator/ledger.go
@@ -107,11 +107,11 @@
 	if reason != 0 {
 		return reason, holder
 	}
+	// A grant under this very ballot was lost on its way: its holder says itself
+	// that it hasn't dispatched the request and won't.
 	rec := led.touch(now, id, bal)
-	if rec.standing == reservation.StandingGranted {
-		return reservation.ReasonFenced, rec.ballot.Holder
-	}
 	rec.standing = reservation.StandingClosed
+	rec.engine = ""
 	return 0, 0
 }
 
--- a/coordinator/service.go
+++ b/coordinator/service.go
@@ -347,6 +347,7 @@
 	reason, holder := cor.mayKeep(wai.reserve)
 	if reason == 0 {
 		reason, holder = cor.ledger.Close(now, wit.ID, wit.Ballot)
+		cor.freeSlot(now, wit.ID)
 	}
 	if reason == 0 {
 		reason = reservation.ReasonClosed
@@ -354,6 +355,16 @@
 	cor.refuse(wai, reason, holder, svc)
 }
 
+// freeSlot frees the slot of a grant that was lost on its way.
+func (cor *Core) freeSlot(now time.Time, id request.ID) {
+	for _, ens := range cor.engines {
+		if _, held := ens.held[id]; held {
+			delete(ens.held, id)
+			cor.scheduleService(now, ens)
+		}
+	}
+}
+
 func (cor *Core) release(now time.Time, rel reservation.Release) {
 	if !rel.Dispatched {
 		cor.ledger.Ungrant(rel.ID, rel.Ballot)
--- a/gateway/close.go
+++ b/gateway/close.go
@@ -172,11 +172,6 @@
 		ent.granter = from
 		gat.finish(ent, ent.final)
 	case reservation.ReasonFenced:
-		if ref.Holder == gat.cfg.Self {
-			// Its own grant was on the way; it has been given back by now.
-			gat.askToClose(now, ent)
-			return
-		}
 		gat.takenAway(ent, ref)
 	case reservation.ReasonFull, reservation.ReasonMoved, reservation.ReasonNotGranter, reservation.ReasonForgotten:
 		ent.refused[from] = true
--- a/modeltest/explore.go
+++ b/modeltest/explore.go
@@ -36,15 +36,15 @@
 }
 
 func (exp *explorer) from(wor *World, way []int) error {
-	print := wor.Fingerprint()
-	if exp.seen[print] {
+	mark := wor.Fingerprint()
+	if exp.seen[mark] {
 		return nil
 	}
 	if len(exp.seen) >= exp.max {
 		exp.full = true
 		return nil
 	}
-	exp.seen[print] = true
+	exp.seen[mark] = true
 	exp.result.Deepest = max(exp.result.Deepest, len(way))
 	count := len(wor.Choices())
 	if count == 0 {
--- /dev/null
+++ b/processtest/faults_test.go
@@ -0,0 +1,176 @@
+package processtest_test
+
+import (
+	"context"
+	"flag"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lynxwell.dev/lynxwell/enginetest"
+	"lynxwell.dev/lynxwell/format"
+	"lynxwell.dev/lynxwell/load"
+	"lynxwell.dev/lynxwell/platformtest"
+	"lynxwell.dev/lynxwell/processtest"
+	"lynxwell.dev/lynxwell/settings"
+)
+
+func TestMain(m *testing.M) { processtest.Main(m) }
+
+var long = flag.Bool("long", false, "run every pair of faults, not only the short set")
+
+// fault is something that goes wrong, and how it ends.
+type fault struct {
+	name  string
+	begin func(sys *processtest.System)
+	end   func(sys *processtest.System)
+}
+
+func nothing(*processtest.System) {}
+
+var faults = []fault{
+	{"HostKilled", func(sys *processtest.System) { sys.Hosts[0].Kill() }, func(sys *processtest.System) { sys.StartHost(sys.Hosts[0]) }},
+	{"HostFrozen", func(sys *processtest.System) { sys.Hosts[1].Freeze() }, func(sys *processtest.System) { sys.Hosts[1].Wake() }},
+	{"HostStopped", func(sys *processtest.System) { sys.Hosts[2].Terminate() }, nothing},
+	{
+		"PlatformDown",
+		func(sys *processtest.System) { sys.PlatformFaults(platformtest.Faults{Down: true}) },
+		func(sys *processtest.System) { sys.PlatformFaults(platformtest.Faults{}) },
+	},
+	{
+		"PlatformSlowAndLosing",
+		func(sys *processtest.System) {
+			sys.PlatformFaults(platformtest.Faults{Delay: 300 * time.Millisecond, LoseReplies: 5})
+		},
+		func(sys *processtest.System) { sys.PlatformFaults(platformtest.Faults{}) },
+	},
+	{
+		"EngineDead",
+		func(sys *processtest.System) { sys.EngineFaults(sys.Engines[0], enginetest.Faults{Dead: true}) },
+		func(sys *processtest.System) { sys.EngineFaults(sys.Engines[0], enginetest.Faults{}) },
+	},
+	{
+		"EngineFrozen",
+		func(sys *processtest.System) { sys.EngineFaults(sys.Engines[1], enginetest.Faults{Frozen: true}) },
+		func(sys *processtest.System) { sys.EngineFaults(sys.Engines[1], enginetest.Faults{}) },
+	},
+	{
+		"RepliesDropped",
+		func(sys *processtest.System) { sys.EngineFaults(sys.Engines[2], enginetest.Faults{DropReplies: 5}) },
+		nothing,
+	},
+}
+
+// shortPairs are the pairs of faults in the short set, by index.
+var shortPairs = [][2]int{{0, 3}, {0, 1}, {2, 4}}
+
+// quickTiming has faults noticed fast enough for a short test.
+var quickTiming = settings.Timing{
+	Lease: format.Duration(2 * time.Second), Heartbeat: format.Duration(100 * time.Millisecond),
+	PeerTimeout: format.Duration(500 * time.Millisecond),
+}
+
+// kinds is a small mixed load.
+func kinds() []load.Kind {
+	seconds := format.Duration(time.Second)
+	return []load.Kind{
+		{
+			Name: "AllergyCheck", Service: "menus", Tier: "Urgent", Account: processtest.AccountName, PerSecond: 25,
+			PromptTokens: 60, AnswerTokens: 6, Deadline: 15 * seconds,
+		},
+		{
+			Name: "ResidentFile", Service: "menus", Tier: "Routine", Account: processtest.AccountName, PerSecond: 5,
+			PromptTokens: 1500, SharedTokens: 800, SharedPrefixes: 3, AnswerTokens: 30, Deadline: 20 * seconds,
+		},
+		{
+			Name: "TrayLabel", Service: "labels", Plain: true, Tier: "Urgent", Account: processtest.AccountName, PerSecond: 15,
+			Deadline: 15 * seconds, Once: true,
+		},
+	}
+}
+
+func faultSystem(t *testing.T) *processtest.System {
+	return processtest.Start(t, processtest.Config{
+		Hosts: 4, Domains: 4, Engines: 4, Backends: 2, Timing: quickTiming,
+		EngineFlags: []string{"--prefill", "20000", "--decode", "200"},
+	})
+}
+
+// underFaults sends the load while the faults begin and end, and returns what
+// became of it.
+func underFaults(t *testing.T, sys *processtest.System, some ...fault) load.Report {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	clients := map[string]*load.Client{processtest.AccountName: sys.Caller(load.ClientConfig{Seed: 1})}
+	begun, ended := false, false
+	ends, err := load.Run(ctx, load.Config{
+		Clients: clients, Kinds: kinds(), For: 4 * time.Second, Seed: 1,
+		Progress: func(cou load.Counts) {
+			if !begun && cou.Ended > cou.Sent/4 {
+				begun = true
+				for _, fau := range some {
+					fau.begin(sys)
+				}
+			}
+			if !ended && cou.Ended > cou.Sent*2/3 {
+				ended = true
+				for _, fau := range some {
+					fau.end(sys)
+				}
+			}
+		},
+	})
+	assert.NilError(t, err)
+	return load.Summarize(ends, load.AuditRun(ends, sys.Dispatches()))
+}
+
+// mustHold checks what holds under any fault.
+func mustHold(t *testing.T, rep load.Report) {
+	t.Helper()
+	assert.Equal(t, len(rep.Audit.Doubled), 0, "doubled: %v", rep.Audit.Doubled)
+	assert.Equal(t, rep.Audit.Mixed, 0)
+	assert.Equal(t, len(rep.Audit.FalselyNotRun), 0, "falsely told: %v", rep.Audit.FalselyNotRun)
+	for _, tir := range rep.Tiers {
+		t.Logf("%s: sent %d, whole %d, given up %d, lost %d, repeats %d", tir.Tier, tir.Sent, tir.Whole, tir.GivenUp, tir.Lost, tir.Repeats)
+	}
+	t.Logf("codes %v, dispatches %d for %d requests", rep.Codes, rep.Audit.Dispatches, rep.Audit.Requests)
+}
+
+func TestNoFault(t *testing.T) {
+	t.Parallel()
+	rep := underFaults(t, faultSystem(t))
+	mustHold(t, rep)
+	for _, tir := range rep.Tiers {
+		assert.Equal(t, tir.Whole, tir.Sent)
+	}
+}
+
+func TestSingleFaults(t *testing.T) {
+	for _, fau := range faults {
+		t.Run(fau.name, func(t *testing.T) {
+			t.Parallel()
+			mustHold(t, underFaults(t, faultSystem(t), fau))
+		})
+	}
+}
+
+func TestPairsOfFaults(t *testing.T) {
+	pairs := shortPairs
+	if *long {
+		pairs = nil
+		for one := range faults {
+			for two := one + 1; two < len(faults); two++ {
+				pairs = append(pairs, [2]int{one, two})
+			}
+		}
+	}
+	for _, pair := range pairs {
+		one, two := faults[pair[0]], faults[pair[1]]
+		t.Run(one.name+"And"+two.name, func(t *testing.T) {
+			t.Parallel()
+			mustHold(t, underFaults(t, faultSystem(t), one, two))
+		})
+	}
+}
--- a/tools/mutate/main.go
+++ b/tools/mutate/main.go
@@ -127,8 +127,8 @@
 	last := ""
 	for line := range strings.Lines(out) {
 		line = strings.TrimSpace(line)
-		if strings.Contains(line, "request ") && strings.Contains(line, "dispatched") {
-			return line[strings.Index(line, "request "):]
+		if _, violation, found := strings.Cut(line, "request "); found && strings.Contains(violation, "dispatched") {
+			return "request " + violation
 		}
 		if strings.Contains(line, "_test.go:") && !strings.Contains(line, "rapid]") {
 			last = line
