feat: engines of a lost host go to others without a new view

Cause: with the platform down the view stands still, and a host killed then left its engines without a coordinator: 41 of 192 requests got no answer. A host that started in the outage counted the dead ones as coordinators, since it had never reached them, and another 8 waited until their deadlines. Ruled out: the fence (every lost request hung waiting for a coordinator). Change: who coordinates what is worked out without the hosts that can't be reached; a request that no coordinator can be asked for is given up after 2 s; a host without configuration says so instead of refusing keys; engines are spread over failure domains to within one, so that every gateway has some.

--- a/caller/problem.go
+++ b/caller/problem.go
@@ -81,6 +81,7 @@
 	gateway.CauseExpired:       {http.StatusGatewayTimeout, "the deadline can't be met any more"},
 	gateway.CauseAccountRate:   {http.StatusTooManyRequests, "the client account is over its rate"},
 	gateway.CauseAccountBusy:   {http.StatusTooManyRequests, "the client account has too many requests in flight"},
+	gateway.CauseStranded:      {http.StatusServiceUnavailable, "no host that this one reaches has engines of the service"},
 	gateway.CauseDraining:      {http.StatusServiceUnavailable, "this host is leaving; ask for the addresses again"},
 	gateway.CauseAbandoned:     {http.StatusServiceUnavailable, "the caller left before the request was started"},
 	gateway.CauseRetired:       {http.StatusServiceUnavailable, "the id's prefix is no longer served; ask for the addresses again and send under a new id"},
--- a/caller/server.go
+++ b/caller/server.go
@@ -207,6 +207,12 @@
 	if !bearer || key == "" {
 		return resource.ClientAccount{}, &problem{status: http.StatusUnauthorized, code: "NoKey", message: "Authorization: want a bearer key of a client account"}
 	}
+	if srv.cfg.Backend.Configuration().Revision == 0 {
+		return resource.ClientAccount{}, &problem{
+			status: http.StatusServiceUnavailable, code: "NoConfiguration", message: "this host knows no configuration yet",
+			outcome: request.Unknown, retry: true, retryAfter: time.Second,
+		}
+	}
 	acc, known := srv.cfg.Backend.Account(resource.Digest([]byte(key)))
 	if !known {
 		return resource.ClientAccount{}, &problem{status: http.StatusUnauthorized, code: "UnknownKey", message: "Authorization: no client account has this key"}
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -63,6 +63,9 @@
 	services map[string]*serviceState
 	engines  map[string]*engineState
 	gateways map[request.Epoch]bool
+	// lost are the hosts that can't be reached from here: their engines go to
+	// the next ones, without waiting for a new view.
+	lost     map[request.Epoch]bool
 	draining bool
 	// stopped is set once the ledger was handed over: what it promised after
 	// that would be known to nobody.
@@ -83,6 +86,7 @@
 		services: make(map[string]*serviceState),
 		engines:  make(map[string]*engineState),
 		gateways: make(map[request.Epoch]bool),
+		lost:     make(map[request.Epoch]bool),
 	}
 }
 
@@ -105,6 +109,10 @@
 		cor.gateways[evt.Gateway] = true
 	case GatewayLost:
 		cor.gatewayLost(now, evt.Gateway)
+	case HostLost:
+		cor.hostLost(now, evt.Host)
+	case HostUp:
+		cor.hostUp(now, evt.Host)
 	case Received:
 		cor.received(now, evt.From, evt.Message)
 	case Reported:
@@ -216,8 +224,9 @@
 	if cor.draining {
 		return mine
 	}
-	for service, engines := range EnginesByService(cor.conf) {
-		for _, sha := range view.Assign(cor.view, service, engines) {
+	reached := cor.view.Without(func(epo request.Epoch) bool { return cor.lost[epo] })
+	for service, engines := range cor.conf.SlotsByService() {
+		for _, sha := range view.Assign(reached, service, engines) {
 			if sha.Coordinator == cor.cfg.Self {
 				mine[sha.Engine] = sha
 			}
@@ -226,17 +235,6 @@
 	return mine
 }
 
-// EnginesByService returns the engines that take new work, by service.
-func EnginesByService(conf resource.Configuration) map[string][]view.EngineSlots {
-	groups := make(map[string][]view.EngineSlots)
-	for _, eng := range conf.Engines() {
-		if !eng.Leaving {
-			groups[eng.Service] = append(groups[eng.Service], view.EngineSlots{Engine: eng.Name, Slots: eng.Slots})
-		}
-	}
-	return groups
-}
-
 func (cor *Core) take(now time.Time, name string, sha view.Share) {
 	eng, _ := cor.conf.Engine(name)
 	ens := cor.engines[name]
@@ -279,6 +277,22 @@
 	}
 }
 
+func (cor *Core) hostLost(now time.Time, epo request.Epoch) {
+	if cor.lost[epo] {
+		return
+	}
+	cor.lost[epo] = true
+	cor.reassign(now)
+}
+
+func (cor *Core) hostUp(now time.Time, epo request.Epoch) {
+	if !cor.lost[epo] {
+		return
+	}
+	delete(cor.lost, epo)
+	cor.reassign(now)
+}
+
 func (cor *Core) gatewayLost(now time.Time, gateway request.Epoch) {
 	delete(cor.gateways, gateway)
 	for _, svc := range cor.services {
--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -24,6 +24,12 @@
 // GatewayLost says that the session with a gateway epoch is lost.
 type GatewayLost struct{ Gateway request.Epoch }
 
+// HostLost says that this host can't reach another one; HostUp that it can again.
+type HostLost struct{ Host request.Epoch }
+
+// HostUp says that this host reaches another one.
+type HostUp struct{ Host request.Epoch }
+
 // Received brings a gateway's message.
 type Received struct {
 	From    request.Epoch
@@ -54,6 +60,8 @@
 func (ConfigurationChanged) isEvent() {}
 func (GatewayUp) isEvent()            {}
 func (GatewayLost) isEvent()          {}
+func (HostLost) isEvent()             {}
+func (HostUp) isEvent()               {}
 func (Received) isEvent()             {}
 func (Reported) isEvent()             {}
 func (CacheChanged) isEvent()         {}
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -39,6 +39,9 @@
 	CloseTimeout time.Duration
 	// OrphanGrace is how long a request goes on without its caller.
 	OrphanGrace time.Duration
+	// StrandedTime is how long a request waits without any coordinator that
+	// could be asked.
+	StrandedTime time.Duration
 	// MoveAfter is how long a reservation waits before it moves to a
 	// coordinator with a free slot.
 	MoveAfter time.Duration
@@ -49,6 +52,7 @@
 	DefaultWindow       = 5 * time.Minute
 	DefaultCloseTimeout = time.Second
 	DefaultOrphanGrace  = 10 * time.Second
+	DefaultStrandedTime = 2 * time.Second
 	DefaultMoveAfter    = 250 * time.Millisecond
 )
 
@@ -60,13 +64,15 @@
 
 // Core is the gateway of one host.
 type Core struct {
-	cfg      Config
-	conf     resource.Configuration
-	views    view.History
-	shares   map[string][]view.Share
-	peers    map[request.Epoch]*peerState
-	entries  map[request.ID]*entry
-	lost     map[request.Epoch]*lostState
+	cfg     Config
+	conf    resource.Configuration
+	views   view.History
+	shares  map[string][]view.Share
+	peers   map[request.Epoch]*peerState
+	entries map[request.ID]*entry
+	lost    map[request.Epoch]*lostState
+	// away are the hosts that can't be reached now: their engines go to others.
+	away     map[request.Epoch]bool
 	limits   *limiter
 	sequence uint64
 	draining bool
@@ -84,6 +90,7 @@
 	fill(&cfg.Window, DefaultWindow)
 	fill(&cfg.CloseTimeout, DefaultCloseTimeout)
 	fill(&cfg.OrphanGrace, DefaultOrphanGrace)
+	fill(&cfg.StrandedTime, DefaultStrandedTime)
 	fill(&cfg.MoveAfter, DefaultMoveAfter)
 	return &Core{
 		cfg:     cfg,
@@ -91,6 +98,7 @@
 		peers:   make(map[request.Epoch]*peerState),
 		entries: make(map[request.ID]*entry),
 		lost:    make(map[request.Epoch]*lostState),
+		away:    make(map[request.Epoch]bool),
 		limits:  newLimiter(),
 	}
 }
@@ -137,6 +145,8 @@
 		gat.peerUp(now, evt.Peer)
 	case PeerLost:
 		gat.peerLost(now, evt.Peer)
+	case PeerUnreachable:
+		gat.unreachable(now, evt.Peer)
 	case Received:
 		gat.received(now, evt)
 	case FenceAnswered:
@@ -181,8 +191,9 @@
 func (gat *Core) reroute(now time.Time) {
 	former := gat.shares
 	gat.shares = make(map[string][]view.Share)
-	for service, engines := range engineSlots(gat.conf) {
-		gat.shares[service] = view.Assign(gat.views.Last(), service, engines)
+	reached := gat.views.Last().Without(func(epo request.Epoch) bool { return gat.away[epo] })
+	for service, engines := range gat.conf.SlotsByService() {
+		gat.shares[service] = view.Assign(reached, service, engines)
 	}
 	for _, ent := range gat.sorted() {
 		if ent.holds() {
@@ -211,16 +222,6 @@
 	return epochs
 }
 
-func engineSlots(conf resource.Configuration) map[string][]view.EngineSlots {
-	groups := make(map[string][]view.EngineSlots)
-	for _, eng := range conf.Engines() {
-		if !eng.Leaving {
-			groups[eng.Service] = append(groups[eng.Service], view.EngineSlots{Engine: eng.Name, Slots: eng.Slots})
-		}
-	}
-	return groups
-}
-
 // sorted returns the entries by id, so that the order of actions is the same
 // for the same events.
 func (gat *Core) sorted() []*entry {
@@ -266,6 +267,8 @@
 		gat.shed(now, ent)
 	case ent.phase == phaseWaiting && !now.Before(ent.deadline):
 		gat.close(now, ent, Final{Cause: CauseExpired, Outcome: request.NotRun})
+	case ent.phase == phaseWaiting && ent.coordinator == 0 && now.Sub(ent.reserved) >= gat.cfg.StrandedTime:
+		gat.close(now, ent, Final{Cause: CauseStranded, Outcome: request.NotRun, Retry: true, RetryAfter: undecidedRetry})
 	case ent.phase == phaseWaiting && ent.coordinator == 0:
 		gat.reserve(now, ent)
 	case ent.phase == phaseWaiting:
--- a/gateway/core_test.go
+++ b/gateway/core_test.go
@@ -61,7 +61,7 @@
 	return ben.core.Handle(ben.now, evt)
 }
 
-func (ben *bench) id(epoch request.Epoch, unique string) request.ID {
+func (ben *bench) idOf(epoch request.Epoch, unique string) request.ID {
 	return request.ID{Prefix: request.Prefix{View: 1, Epoch: epoch, Window: ben.core.Window(ben.now)}, Unique: unique}
 }
 
@@ -98,7 +98,7 @@
 
 func TestRequestIsDispatchedOnAGrantFromOutsideTheDomain(t *testing.T) {
 	ben := newBench(t, 4, member(1, "a"), member(2, "a"), member(3, "b"))
-	actions := ben.arrive(ben.id(self, "one"))
+	actions := ben.arrive(ben.idOf(self, "one"))
 	_, attached := find[gateway.Attach](actions)
 	assert.Assert(t, attached)
 	to, res, reserved := sent[reservation.Reserve](actions)
@@ -112,7 +112,7 @@
 
 func TestGrantTwiceIsDispatchedOnce(t *testing.T) {
 	ben := newBench(t, 4, member(1, "a"), member(3, "b"))
-	to, res, _ := sent[reservation.Reserve](ben.arrive(ben.id(self, "one")))
+	to, res, _ := sent[reservation.Reserve](ben.arrive(ben.idOf(self, "one")))
 	gra := gateway.Received{From: to, Message: reservation.Grant{ID: res.ID, Ballot: res.Ballot, Engine: "engine-0"}}
 	_, first := find[gateway.Dispatch](ben.handle(gra))
 	_, second := find[gateway.Dispatch](ben.handle(gra))
@@ -129,7 +129,7 @@
 		member(1, "a"), leaving(member(3, "b")), member(4, "b"),
 	}}})
 	ben.handle(gateway.PeerUp{Peer: 4})
-	to, wit, withdrawn := sent[reservation.Withdraw](ben.arrive(ben.id(self, "one")))
+	to, wit, withdrawn := sent[reservation.Withdraw](ben.arrive(ben.idOf(self, "one")))
 	assert.Assert(t, withdrawn)
 	assert.Assert(t, wit.Close)
 	assert.Equal(t, to, request.Epoch(3))
@@ -150,7 +150,7 @@
 // gateway may have told its caller so. The owner must not run it afterwards.
 func TestRequestIsNotRunAfterAnUnheardClose(t *testing.T) {
 	ben := newBench(t, 4, member(1, "a"), member(2, "b"), member(3, "c"))
-	id := ben.id(self, "one")
+	id := ben.idOf(self, "one")
 	ben.arrive(id)
 	ben.now = ben.now.Add(time.Minute)
 	_, wit, withdrawn := sent[reservation.Withdraw](ben.handle(gateway.Tick{}))
@@ -171,7 +171,7 @@
 func TestFenceThatHearsClosedFirstStillFindsTheGrant(t *testing.T) {
 	ben := newBench(t, 4, member(1, "a"), member(2, "b"), member(3, "c"), member(4, "d"))
 	ben.handle(gateway.PeerLost{Peer: 4})
-	id := ben.id(4, "one")
+	id := ben.idOf(4, "one")
 	fences := 0
 	var bal request.Ballot
 	for _, act := range ben.arrive(id) {
@@ -190,3 +190,56 @@
 	assert.Assert(t, resumed)
 	assert.Equal(t, res.Engine, "engine-1")
 }
+
+// A coordinator that was lost may have granted what others were told it hadn't.
+// It counts for nothing until every voucher has released its vouch.
+func TestLostCoordinatorIsRefusedUntilEveryVouchIsReleased(t *testing.T) {
+	ben := newBench(t, 4, member(1, "a"), member(2, "b"), member(3, "c"))
+	vou, vouched := find[gateway.SendVouch](ben.handle(gateway.PeerLost{Peer: 2}))
+	assert.Assert(t, vouched)
+	assert.Equal(t, vou.To.Epoch, request.Epoch(3))
+	unv, asked := find[gateway.SendUnvouch](ben.handle(gateway.PeerUp{Peer: 2}))
+	assert.Assert(t, asked)
+	for num := range 8 {
+		to, _, reserved := sent[reservation.Reserve](ben.arrive(ben.idOf(self, fmt.Sprintf("before-%d", num))))
+		assert.Assert(t, reserved)
+		assert.Equal(t, to, request.Epoch(3))
+	}
+	ben.handle(gateway.Unvouched{Voucher: 3, Answer: reservation.UnvouchAnswer{VouchKey: unv.Unvouch.VouchKey, Released: true}})
+	used := make(map[request.Epoch]bool)
+	for num := range 8 {
+		to, _, _ := sent[reservation.Reserve](ben.arrive(ben.idOf(self, fmt.Sprintf("after-%d", num))))
+		used[to] = true
+	}
+	assert.Assert(t, used[2])
+}
+
+// A grant of a coordinator that the reservation has left is given back.
+func TestGrantOfAFormerCoordinatorIsReturned(t *testing.T) {
+	ben := newBench(t, 4, member(1, "a"), member(2, "b"), member(3, "c"))
+	first, res, _ := sent[reservation.Reserve](ben.arrive(ben.idOf(self, "one")))
+	refuse := gateway.Received{From: first, Message: reservation.Refuse{ID: res.ID, Ballot: res.Ballot, Reason: reservation.ReasonFull}}
+	second, _, moved := sent[reservation.Reserve](ben.handle(refuse))
+	assert.Assert(t, moved && second != first)
+	actions := ben.handle(gateway.Received{From: first, Message: reservation.Grant{ID: res.ID, Ballot: res.Ballot, Engine: "engine-0"}})
+	_, dispatched := find[gateway.Dispatch](actions)
+	assert.Assert(t, !dispatched)
+	to, rel, returned := sent[reservation.Release](actions)
+	assert.Assert(t, returned && !rel.Dispatched)
+	assert.Equal(t, to, first)
+}
+
+// A request that no coordinator can be asked for is given up soon, with when to
+// come back, instead of being held until its deadline.
+func TestStrandedRequestIsGivenUpSoon(t *testing.T) {
+	ben := newBench(t, 4, member(1, "a"), member(2, "b"))
+	ben.handle(gateway.PeerLost{Peer: 2})
+	ben.arrive(ben.idOf(self, "one"))
+	ben.now = ben.now.Add(gateway.DefaultStrandedTime)
+	ask, asked := find[gateway.AskFence](ben.handle(gateway.Tick{}))
+	assert.Assert(t, asked)
+	fin, finished := find[gateway.Finish](ben.handle(gateway.FenceFailed{ID: ask.Fence.ID, Ballot: ask.Fence.Ballot, Peer: 2}))
+	assert.Assert(t, finished)
+	assert.Equal(t, fin.Final.Outcome, request.Unknown)
+	assert.Assert(t, fin.Final.Retry)
+}
--- a/gateway/event.go
+++ b/gateway/event.go
@@ -64,6 +64,9 @@
 // PeerLost says that the session with a coordinator epoch is lost.
 type PeerLost struct{ Peer request.Epoch }
 
+// PeerUnreachable says that no session with a coordinator epoch came to stand.
+type PeerUnreachable struct{ Peer request.Epoch }
+
 // Received brings a coordinator's message.
 type Received struct {
 	From    request.Epoch
@@ -131,6 +134,7 @@
 func (RelayFailed) isEvent()          {}
 func (PeerUp) isEvent()               {}
 func (PeerLost) isEvent()             {}
+func (PeerUnreachable) isEvent()      {}
 func (Received) isEvent()             {}
 func (FenceAnswered) isEvent()        {}
 func (FenceFailed) isEvent()          {}
--- a/gateway/final.go
+++ b/gateway/final.go
@@ -16,6 +16,7 @@
 	CauseExpired       Cause = "DeadlineNotMet"
 	CauseAccountRate   Cause = "AccountRateExceeded"
 	CauseAccountBusy   Cause = "AccountInFlightExceeded"
+	CauseStranded      Cause = "NoCoordinator"
 	CauseDraining      Cause = "HostLeaving"
 	CauseAbandoned     Cause = "CallerLeft"
 	CauseRetired       Cause = "PrefixRetired"
--- a/gateway/vouch.go
+++ b/gateway/vouch.go
@@ -39,10 +39,12 @@
 		return
 	}
 	delete(gat.peers, epo)
+	gat.away[epo] = true
 	if gat.lost[epo] == nil {
 		gat.lost[epo] = &lostState{vouchers: make(map[request.Epoch]*voucherState)}
 	}
 	gat.vouchFor(epo)
+	gat.reroute(now)
 	for _, ent := range gat.sorted() {
 		if ent.coordinator == epo {
 			gat.leaveCoordinator(now, ent)
@@ -50,6 +52,15 @@
 	}
 }
 
+// unreachable has the engines of a host go to others.
+func (gat *Core) unreachable(now time.Time, epo request.Epoch) {
+	if gat.away[epo] || gat.isUp(epo) {
+		return
+	}
+	gat.away[epo] = true
+	gat.reroute(now)
+}
+
 func (gat *Core) leaveCoordinator(now time.Time, ent *entry) {
 	switch ent.phase {
 	case phaseWaiting:
@@ -102,6 +113,10 @@
 	if gat.lost[epo] != nil {
 		gat.retryUnvouch()
 	}
+	if gat.away[epo] {
+		delete(gat.away, epo)
+		gat.reroute(now)
+	}
 	gat.tellHeld(epo)
 	gat.retryWaiting(now)
 }
--- a/host/sessions.go
+++ b/host/sessions.go
@@ -95,6 +95,7 @@
 func (lop *loop) outboundUp(now time.Time, out *outbound) {
 	out.up = true
 	lop.outbound[out.member.Epoch] = out
+	lop.coordinatorEvent(now, coordinator.HostUp{Host: out.member.Epoch})
 	lop.gatewayEvent(now, gateway.PeerUp{Peer: out.member.Epoch})
 }
 
@@ -111,11 +112,17 @@
 }
 
 func (lop *loop) outboundLost(now time.Time, out *outbound) {
+	if !out.up {
+		lop.coordinatorEvent(now, coordinator.HostLost{Host: out.member.Epoch})
+		lop.gatewayEvent(now, gateway.PeerUnreachable{Peer: out.member.Epoch})
+		return
+	}
 	if lop.outbound[out.member.Epoch] != out {
 		return
 	}
 	delete(lop.outbound, out.member.Epoch)
 	lop.host.shared.forgetHeader(out.member.Epoch)
+	lop.coordinatorEvent(now, coordinator.HostLost{Host: out.member.Epoch})
 	lop.gatewayEvent(now, gateway.PeerLost{Peer: out.member.Epoch})
 }
 
--- a/modeltest/explore_test.go
+++ b/modeltest/explore_test.go
@@ -32,7 +32,7 @@
 // request and all that may have granted it are never lost together, so the
 // answer to whether it ran is certain.
 func TestLossOfADomainLeavesNoDoubt(t *testing.T) {
-	wor := modeltest.NewWorld(modeltest.Config{Domains: []string{"a", "a", "b", "c"}, MaxFaults: 2, MaxRepeats: 1})
+	wor := modeltest.NewWorld(modeltest.Config{Domains: []string{"a", "a", "b", "c"}, MaxFaults: 2, MaxRepeats: 1, Timeouts: true})
 	take(t, wor, "arrive x at host-1")
 	take(t, wor, "host-1 is killed")
 	take(t, wor, "host-2 is killed")
--- a/modeltest/world.go
+++ b/modeltest/world.go
@@ -264,6 +264,7 @@
 	}
 	wor.sessions = append(wor.sessions, &session{gat: from.epoch, cor: to.epoch})
 	wor.coordinate(to, coordinator.GatewayUp{Gateway: from.epoch})
+	wor.coordinate(from, coordinator.HostUp{Host: to.epoch})
 	wor.manage(from, gateway.PeerUp{Peer: to.epoch})
 }
 
@@ -271,6 +272,7 @@
 	ses.gatLost = true
 	ses.toGat = nil
 	if hst := wor.host(ses.gat); hst != nil && hst.alive {
+		wor.coordinate(hst, coordinator.HostLost{Host: ses.cor})
 		wor.manage(hst, gateway.PeerLost{Peer: ses.cor})
 	}
 	wor.sweep()
--- a/processtest/faults_test.go
+++ b/processtest/faults_test.go
@@ -123,6 +123,11 @@
 		},
 	})
 	assert.NilError(t, err)
+	for _, end := range ends {
+		if !end.Own {
+			t.Logf("%s %v: code %q, outcome %q, %d repeats, error %v", end.Kind.Name, end.Answer.IDs, end.Answer.Code, end.Answer.Outcome, end.Answer.Repeats, end.Answer.Err)
+		}
+	}
 	return load.Summarize(ends, load.AuditRun(ends, sys.Dispatches()))
 }
 
--- a/processtest/processtest.go
+++ b/processtest/processtest.go
@@ -112,6 +112,8 @@
 type Host struct {
 	*Process
 	Settings settings.Settings
+	// Platform is the host's way to the platform.
+	Platform *Link
 	file     string
 }
 
@@ -230,8 +232,10 @@
 func (sys *System) newHost(idx int) *Host {
 	hst := &Host{Settings: settings.Settings{
 		Name: fmt.Sprintf("host-%d", idx+1), Domain: fmt.Sprintf("domain-%c", 'a'+rune(idx%sys.cfg.Domains)),
-		PlatformAddress: sys.platform, PeerKey: peerKey, OperatorKey: operatorKey, Timing: sys.cfg.Timing, LogLevel: "debug",
+		PeerKey: peerKey, OperatorKey: operatorKey, Timing: sys.cfg.Timing, LogLevel: "debug",
 	}}
+	hst.Platform = NewLink(sys.t, sys.platform)
+	hst.Settings.PlatformAddress = hst.Platform.Address
 	hst.file = filepath.Join(sys.dir, hst.Settings.Name+".json")
 	for _, adr := range []*netip.AddrPort{&hst.Settings.CallerAddress, &hst.Settings.PeerAddress, &hst.Settings.OperatorAddress} {
 		free, err := embedded.FreeAddress()
@@ -351,6 +355,11 @@
 	return cli
 }
 
+// PlatformAddress returns where the platform listens.
+func (sys *System) PlatformAddress() netip.AddrPort {
+	return sys.platform
+}
+
 // Entries returns the callers' addresses of all hosts.
 func (sys *System) Entries() []netip.AddrPort {
 	var entries []netip.AddrPort
@@ -413,3 +422,28 @@
 	assert.NilError(sys.t, json.NewDecoder(rep.Body).Decode(&some))
 	return some
 }
+
+// PostChat sends one chat request to the address under the id and returns the answer.
+func (sys *System) PostChat(ctx context.Context, adr netip.AddrPort, id, text string) (int, string) {
+	chat := engine.ChatRequest{Model: "menus", Messages: []engine.Message{{Role: "user", Content: text}}, MaxTokens: 4}
+	data, err := json.Marshal(chat)
+	if err != nil {
+		return 0, err.Error()
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+adr.String()+engine.PathChat, bytes.NewReader(data))
+	if err != nil {
+		return 0, err.Error()
+	}
+	req.Header.Set("Authorization", "Bearer "+accountKey)
+	req.Header.Set("Idempotency-Key", id)
+	rep, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer rep.Body.Close()
+	body, err := io.ReadAll(rep.Body)
+	if err != nil {
+		return rep.StatusCode, err.Error()
+	}
+	return rep.StatusCode, string(body)
+}
--- a/resource/configuration.go
+++ b/resource/configuration.go
@@ -77,6 +77,23 @@
 	return collect[ClientAccount](con)
 }
 
+// EngineSlots names an engine and the number of requests it runs at once.
+type EngineSlots struct {
+	Engine string
+	Slots  int
+}
+
+// SlotsByService returns the engines that take new work, by service.
+func (con Configuration) SlotsByService() map[string][]EngineSlots {
+	groups := make(map[string][]EngineSlots)
+	for _, eng := range con.Engines() {
+		if !eng.Leaving {
+			groups[eng.Service] = append(groups[eng.Service], EngineSlots{Engine: eng.Name, Slots: eng.Slots})
+		}
+	}
+	return groups
+}
+
 func lookup[T Resource](con Configuration, key Key) (T, bool) {
 	res, known := con.entries[key].Resource.(T)
 	return res, known
--- a/tools/mutate/mutations.go
+++ b/tools/mutate/mutations.go
@@ -27,11 +27,11 @@
 	},
 	{
 		"Epoch check: grants of a lost epoch are refused", "gateway/choose.go",
-		"	if gat.lost[epo] != nil {\n		return false\n	}\n	vie, known", "	vie, known", model,
+		"	if gat.lost[epo] != nil {\n		return false\n	}\n	vie, known", "	vie, known", cores,
 	},
 	{
 		"Epoch check: a grant counts only from the coordinator asked", "gateway/close.go",
-		"ent.phase == phaseWaiting && ent.coordinator == from &&", "ent.phase == phaseWaiting &&", model,
+		"ent.phase == phaseWaiting && ent.coordinator == from &&", "ent.phase == phaseWaiting &&", cores,
 	},
 	{
 		"Grant: a request that runs isn't dispatched again", "gateway/close.go",
--- a/view/assign.go
+++ b/view/assign.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/resource"
 )
 
 // deputyShare is the part of an engine's slots, one in deputyShare, that a
@@ -24,33 +25,26 @@
 	Deputy bool
 }
 
-// EngineSlots names an engine and the number of requests it runs at once.
-type EngineSlots struct {
-	Engine string
-	Slots  int
-}
-
 // Assign spreads the engines of one service over the view's active members:
 // evenly over failure domains, then by rendezvous, so that a change of one host
 // moves only that host's engines. A service whose engines all fall to one
 // failure domain gets deputies in another, since a gateway takes no grant from
 // its own domain.
-func Assign(vie View, service string, engines []EngineSlots) []Share {
+func Assign(vie View, service string, engines []resource.EngineSlots) []Share {
 	active := vie.Active()
 	if len(active) == 0 || len(engines) == 0 {
 		return nil
 	}
 	byDomain := groupByDomain(active)
 	domains := sortedDomains(byDomain, service)
-	limit := (len(engines) + len(domains) - 1) / len(domains)
 	load := make(map[string]int, len(domains))
 	ordered := slices.Clone(engines)
-	slices.SortFunc(ordered, func(one, two EngineSlots) int {
+	slices.SortFunc(ordered, func(one, two resource.EngineSlots) int {
 		return cmp.Or(cmp.Compare(Score(service, one.Engine), Score(service, two.Engine)), cmp.Compare(one.Engine, two.Engine))
 	})
 	shares := make([]Share, 0, len(engines))
 	for _, eng := range ordered {
-		domain := bestDomain(domains, load, limit, eng.Engine)
+		domain := bestDomain(domains, load, eng.Engine)
 		load[domain]++
 		host := bestMember(byDomain[domain], eng.Engine)
 		shares = append(shares, Share{Engine: eng.Engine, Coordinator: host.Epoch, Slots: eng.Slots})
@@ -80,13 +74,14 @@
 	return domains
 }
 
-func bestDomain(domains []string, load map[string]int, limit int, engine string) string {
+// bestDomain returns the domain with the least load, and of those the one that
+// the engine prefers.
+func bestDomain(domains []string, load map[string]int, engine string) string {
 	best := ""
 	for _, domain := range domains {
-		if load[domain] >= limit {
-			continue
-		}
-		if best == "" || Score(engine, domain) > Score(engine, best) {
+		less := best == "" || load[domain] < load[best]
+		same := best != "" && load[domain] == load[best]
+		if less || (same && Score(engine, domain) > Score(engine, best)) {
 			best = domain
 		}
 	}
@@ -103,7 +98,7 @@
 	deputies := make([]Share, 0, len(shares))
 	for idx := range shares {
 		sha := &shares[idx]
-		domain := bestDomain(domains, load, 1, sha.Engine)
+		domain := bestDomain(domains, load, sha.Engine)
 		host := bestMember(byDomain[domain], sha.Engine)
 		part := max(1, sha.Slots/deputyShare)
 		deputies = append(deputies, Share{Engine: sha.Engine, Coordinator: host.Epoch, Slots: part, Deputy: true})
--- /dev/null
+++ b/view/main_test.go
@@ -0,0 +1,16 @@
+package view_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	// The same walks on every run.
+	if err := flag.Set("rapid.seed", "20261202"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
--- a/view/view.go
+++ b/view/view.go
@@ -108,6 +108,19 @@
 	return active
 }
 
+// Without returns the view without the members that the function names. It is
+// for working out who coordinates what while hosts are lost; who may grant
+// what is always worked out from the whole view.
+func (vie View) Without(lost func(request.Epoch) bool) View {
+	left := View{Number: vie.Number}
+	for _, mem := range vie.Members {
+		if !lost(mem.Epoch) {
+			left.Members = append(left.Members, mem)
+		}
+	}
+	return left
+}
+
 // SameMembers reports whether other has the same members, whatever its number.
 func (vie View) SameMembers(other []Member) bool {
 	return slices.Equal(vie.Members, other)
--- /dev/null
+++ b/view/view_test.go
@@ -0,0 +1,117 @@
+package view_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/resource"
+	"lynxwell.dev/lynxwell/view"
+)
+
+func drawView(t *rapid.T) view.View {
+	vie := view.View{Number: 1}
+	for num := range rapid.IntRange(1, 12).Draw(t, "hosts") {
+		vie.Members = append(vie.Members, view.Member{
+			Name: fmt.Sprintf("host-%02d", num), Epoch: request.Epoch(num + 1),
+			Domain: fmt.Sprintf("domain-%d", rapid.IntRange(0, 4).Draw(t, "domain")),
+		})
+	}
+	return vie
+}
+
+func drawEngines(t *rapid.T) []resource.EngineSlots {
+	var engines []resource.EngineSlots
+	for num := range rapid.IntRange(1, 12).Draw(t, "engines") {
+		engines = append(engines, resource.EngineSlots{Engine: fmt.Sprintf("engine-%d", num), Slots: rapid.IntRange(2, 8).Draw(t, "slots")})
+	}
+	return engines
+}
+
+// Whatever the members, every gateway of a view with two domains or more can
+// use some engine of each service, and no engine's slots are given out twice.
+func TestEveryGatewayHasAnEngineAndNoSlotTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vie, engines := drawView(t), drawEngines(t)
+		shares := view.Assign(vie, "menus", engines)
+		given := make(map[string]int)
+		for _, sha := range shares {
+			given[sha.Engine] += sha.Slots
+		}
+		for _, eng := range engines {
+			assert.Equal(t, given[eng.Engine], eng.Slots)
+		}
+		for _, mem := range vie.Members {
+			usable := 0
+			for _, sha := range shares {
+				if vie.MayGrant(sha.Coordinator, mem.Epoch) {
+					usable++
+				}
+			}
+			assert.Assert(t, usable > 0, "%s in %s has none of %v", mem.Name, mem.Domain, shares)
+		}
+	})
+}
+
+// A host that goes moves only the engines of its own domain, or, where its
+// domain goes with it, at most as many as rebalancing the domains takes.
+func TestLossOfAHostMovesItsOwnEnginesOnly(t *testing.T) {
+	vie := view.View{Number: 1}
+	for num := range 9 {
+		vie.Members = append(vie.Members, view.Member{Name: fmt.Sprintf("host-%d", num), Epoch: request.Epoch(num + 1), Domain: fmt.Sprintf("domain-%d", num%3)})
+	}
+	var engines []resource.EngineSlots
+	for num := range 30 {
+		engines = append(engines, resource.EngineSlots{Engine: fmt.Sprintf("engine-%d", num), Slots: 4})
+	}
+	before := view.Assign(vie, "menus", engines)
+	after := view.Assign(vie.Without(func(epo request.Epoch) bool { return epo == 4 }), "menus", engines)
+	for idx, sha := range before {
+		if sha.Coordinator != 4 {
+			assert.DeepEqual(t, after[idx], sha)
+		}
+	}
+}
+
+func TestProposeKeepsHostsThatAreSeenAlive(t *testing.T) {
+	current := view.View{Number: 3, Members: []view.Member{{Name: "a", Epoch: 1}, {Name: "b", Epoch: 2}, {Name: "c", Epoch: 3}}}
+	cases := map[string]struct {
+		leased []view.Member
+		alive  map[request.Epoch]bool
+		want   []view.Member
+	}{
+		"AllLeased":      {current.Members, nil, current.Members},
+		"LeasesLapsed":   {nil, map[request.Epoch]bool{1: true, 2: true, 3: true}, current.Members},
+		"LostAndLapsed":  {current.Members[:2], map[request.Epoch]bool{1: true}, current.Members[:2]},
+		"StartedAnew":    {[]view.Member{{Name: "b", Epoch: 9}}, map[request.Epoch]bool{1: true, 2: true}, []view.Member{{Name: "a", Epoch: 1}, {Name: "b", Epoch: 9}}},
+		"LeavingByLease": {[]view.Member{{Name: "a", Epoch: 1, Leaving: true}}, map[request.Epoch]bool{1: true}, []view.Member{{Name: "a", Epoch: 1, Leaving: true}}},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := view.Propose(current, cas.leased, func(mem view.Member) bool { return cas.alive[mem.Epoch] })
+			assert.Assert(t, slices.Equal(got, cas.want), "%v", got)
+		})
+	}
+}
+
+func TestHeadKeepsPastViewsWithinTheValueLimit(t *testing.T) {
+	hea := view.Head{}
+	var members []view.Member
+	for num := range 350 {
+		members = append(members, view.Member{Name: fmt.Sprintf("host-%d", num), Epoch: request.Epoch(num), Domain: "d"})
+	}
+	for range 40 {
+		hea = hea.Next(members)
+	}
+	data, err := hea.Encode()
+	assert.NilError(t, err)
+	assert.Assert(t, len(data) <= 512<<10, "%d bytes", len(data))
+	back, err := view.ParseHead(data)
+	assert.NilError(t, err)
+	assert.Equal(t, back.Current.Number, uint64(40))
+	assert.Assert(t, len(back.Past) >= 2)
+}
