--- a/embedded/embedded.go
+++ b/embedded/embedded.go
@@ -17,6 +17,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -165,23 +167,30 @@
 	return lis, errors.Wrap(err, "listen")
 }
 
-// FreeAddress returns a loopback address that was free a moment ago.
-func FreeAddress() (netip.AddrPort, error) {
-	lis, err := listen()
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	defer lis.Close()
-	return netip.MustParseAddrPort(lis.Addr().String()), nil
+// The loopback addresses of one process lie in a network of their own, and
+// their ports below those that outgoing connections take.
+const (
+	firstPort     = 7001
+	addressesAnIP = 20
+	ipsANetwork   = 250
+)
+
+var addressesTaken atomic.Uint32
+
+// NextAddress returns a loopback address that no other part of this process
+// has, and no other process that takes its addresses so.
+func NextAddress() netip.AddrPort {
+	count := int(addressesTaken.Add(1)) - 1
+	pid := os.Getpid()
+	ip := netip.AddrFrom4([4]byte{
+		127, byte(1 + pid%ipsANetwork), byte(1 + pid/ipsANetwork%ipsANetwork), byte(1 + count/addressesAnIP%ipsANetwork),
+	})
+	return netip.AddrPortFrom(ip, uint16(firstPort+count%addressesAnIP))
 }
 
 func (sys *System) startHosts(ctx context.Context) error {
 	for idx := range sys.cfg.Hosts {
-		set, err := sys.newSettings(idx)
-		if err != nil {
-			return err
-		}
-		sys.settings = append(sys.settings, set)
+		sys.settings = append(sys.settings, sys.newSettings(idx))
 	}
 	for idx := range sys.settings {
 		for _, other := range sys.settings {
@@ -196,18 +205,15 @@
 	return nil
 }
 
-func (sys *System) newSettings(idx int) (settings.Settings, error) {
+func (sys *System) newSettings(idx int) settings.Settings {
 	set := settings.Settings{
 		Name: fmt.Sprintf("host-%d", idx+1), Domain: fmt.Sprintf("domain-%c", 'a'+rune(idx%sys.cfg.Domains)),
 		PlatformAddress: sys.platform, PeerKey: peerKey, OperatorKey: OperatorKey, Timing: sys.cfg.Timing.WithDefaults(),
 	}
-	var err error
 	for _, adr := range []*netip.AddrPort{&set.CallerAddress, &set.PeerAddress, &set.OperatorAddress} {
-		if *adr, err = FreeAddress(); err != nil {
-			return set, err
-		}
+		*adr = NextAddress()
 	}
-	return set, nil
+	return set
 }
 
 func (sys *System) startHost(ctx context.Context, set settings.Settings) (*host.Host, error) {
--- a/processtest/processtest.go
+++ b/processtest/processtest.go
@@ -238,9 +238,7 @@
 	hst.Settings.PlatformAddress = hst.Platform.Address
 	hst.file = filepath.Join(sys.dir, hst.Settings.Name+".json")
 	for _, adr := range []*netip.AddrPort{&hst.Settings.CallerAddress, &hst.Settings.PeerAddress, &hst.Settings.OperatorAddress} {
-		free, err := embedded.FreeAddress()
-		assert.NilError(sys.t, err)
-		*adr = free
+		*adr = embedded.NextAddress()
 	}
 	return hst
 }
