fix: end a session's sender before its handler

Cause: a host panicked in the rolling restart ('Write called after Handler finished'): the server's end of a session returned while its sender was still writing. Found in a log of TestRollingRestartCutsNothing, three failures of three under load. Ruled out: the restart itself; the panic was in a host that wasn't restarted. Change: the pump waits for both goroutines; a send or a receive that waits is ended by a deadline in the past.

--- a/peer/client.go
+++ b/peer/client.go
@@ -101,7 +101,7 @@
 	cli.cfg.Security.sign(stream.RequestHeader())
 	var wrong *EpochError
 	first := true
-	pum := &pump{stream: clientStream{stream}, queue: que.out, timing: cli.cfg.Timing, self: cli.cfg.Self}
+	pum := &pump{stream: clientStream{stream}, queue: que.out, timing: cli.cfg.Timing, self: cli.cfg.Self, unblock: func() {}}
 	pum.deliver = func(frame *peerpb.Frame) {
 		hea := headerFromWire(frame.GetHeader())
 		if hea.Epoch != mem.Epoch {
--- a/peer/pump.go
+++ b/peer/pump.go
@@ -20,18 +20,29 @@
 	timing  Timing
 	self    func() Header
 	deliver func(*peerpb.Frame)
+	// unblock ends a send or a receive that waits.
+	unblock func()
 }
 
-// run returns when either direction ends or the peer falls silent. The caller
-// cancels the stream's context afterwards, which ends the reader.
+// run returns when either direction ends or the peer falls silent, and both
+// goroutines have ended: a stream must not be used once its handler is over.
 func (pum *pump) run(ctx context.Context, cancel context.CancelFunc) error {
 	heard := make(chan struct{}, 1)
 	readEnd := make(chan error, 1)
-	go func() { readEnd <- pum.read(heard) }()
+	go func() {
+		readEnd <- pum.read(heard)
+		close(readEnd)
+	}()
 	writeEnd := make(chan error, 1)
-	go func() { writeEnd <- pum.write(ctx) }()
+	go func() {
+		writeEnd <- pum.write(ctx)
+		close(writeEnd)
+	}()
 	err := pum.watch(ctx, heard, readEnd, writeEnd)
 	cancel()
+	pum.unblock()
+	<-readEnd
+	<-writeEnd
 	return err
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -59,10 +59,28 @@
 			http.Error(wri, "peer key missing or wrong", http.StatusUnauthorized)
 			return
 		}
-		handler.ServeHTTP(wri, req)
+		controller := http.NewResponseController(wri)
+		handler.ServeHTTP(wri, req.WithContext(context.WithValue(req.Context(), controllerKey{}, controller)))
 	})
 }
 
+// controllerKey is the context's key of a request's response controller.
+type controllerKey struct{}
+
+// unblocker returns a function that ends any use of the request's stream that waits.
+func unblocker(ctx context.Context) func() {
+	controller, known := ctx.Value(controllerKey{}).(*http.ResponseController)
+	return func() {
+		if !known {
+			return
+		}
+		past := time.Now().Add(-time.Second)
+		// A stream that takes no deadline has ended already.
+		_ = controller.SetReadDeadline(past)
+		_ = controller.SetWriteDeadline(past)
+	}
+}
+
 // HTTPServer returns an HTTP server that speaks HTTP/2, as sessions need.
 func (srv *Server) HTTPServer() *http.Server {
 	var protocols http.Protocols
@@ -88,7 +106,7 @@
 	deliver := func(rec Received) { srv.cfg.Backend.SessionMessage(num, rec) }
 	spread(first, deliver)
 	pum := &pump{
-		stream: str, queue: que.out, timing: srv.cfg.Timing, self: srv.cfg.Backend.Header,
+		stream: str, queue: que.out, timing: srv.cfg.Timing, self: srv.cfg.Backend.Header, unblock: unblocker(ctx),
 		deliver: func(frame *peerpb.Frame) { spread(frame, deliver) },
 	}
 	err = pum.run(ctx, cancel)
