feat: bench overhead and bench capacity

Change: measures a request through lynxwell against the same one direct to the engine's stand-in, and control bytes, processor time, memory and the platform's calls against the number of hosts and the rate of requests.

--- /dev/null
+++ b/cmd/benchcmd.go
@@ -0,0 +1,140 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/rs/zerolog"
+
+	"lynxwell.dev/lynxwell/bench"
+	"lynxwell.dev/lynxwell/format"
+)
+
+// benchCmd measures a whole system in this process.
+type benchCmd struct {
+	sub      *flaggy.Subcommand
+	overhead *flaggy.Subcommand
+	capacity *flaggy.Subcommand
+	opts     benchOptions
+}
+
+// benchOptions are the options of bench.
+type benchOptions struct {
+	json      bool
+	length    time.Duration
+	inFlight  []int
+	hosts     []int
+	rates     []float64
+	accounts  int
+	heartbeat time.Duration
+}
+
+// benchLength is how long each measurement lasts by default.
+const benchLength = 5 * time.Second
+
+func newBenchCmd() *benchCmd {
+	com := &benchCmd{
+		sub:      newSubcommand("bench", "measure a whole system in this process", "    lynxwell bench overhead\n    lynxwell bench capacity --hosts 6 --hosts 24 --rate 0 --rate 7"),
+		overhead: newSubcommand("overhead", "a request through lynxwell against the same one direct", "    lynxwell bench overhead --in-flight 1 --in-flight 64"),
+		capacity: newSubcommand("capacity", "how control work grows with hosts and requests", "    lynxwell bench capacity --hosts 6 --hosts 24 --rate 0 --rate 7"),
+	}
+	com.opts.length = benchLength
+	for _, sub := range []*flaggy.Subcommand{com.overhead, com.capacity} {
+		sub.Bool(&com.opts.json, "j", "json", "print the result as JSON")
+		sub.Duration(&com.opts.length, "", "for", "how long each measurement lasts (default 5s)")
+		com.sub.AttachSubcommand(sub, 1)
+	}
+	com.overhead.IntSlice(&com.opts.inFlight, "", "in-flight", "requests in flight; may be given again (default 1, 64, 512)")
+	com.capacity.IntSlice(&com.opts.hosts, "", "hosts", "number of hosts; may be given again (default 6, 12, 24)")
+	com.capacity.Float64Slice(&com.opts.rates, "", "rate", "requests a second and host; may be given again (default 0, 3.5, 7)")
+	com.capacity.Int(&com.opts.accounts, "", "accounts", "client accounts in the configuration")
+	com.capacity.Duration(&com.opts.heartbeat, "", "heartbeat", "how often idle sessions beat (default 500ms)")
+	return com
+}
+
+func (com *benchCmd) subcommand() *flaggy.Subcommand { return com.sub }
+
+func (com *benchCmd) run(ctx context.Context, str streams) error {
+	log, err := newLogger(str.err, zerolog.ErrorLevel.String())
+	if err != nil {
+		return err
+	}
+	switch {
+	case com.overhead.Used:
+		return com.runOverhead(ctx, str, log)
+	case com.capacity.Used:
+		return com.runCapacity(ctx, str, log)
+	default:
+		return &usageError{flag: "bench", reason: "want overhead or capacity"}
+	}
+}
+
+func (com *benchCmd) runOverhead(ctx context.Context, str streams, log zerolog.Logger) error {
+	if len(com.opts.inFlight) == 0 {
+		com.opts.inFlight = []int{1, 64, 512}
+	}
+	rows, err := bench.Overhead(ctx, bench.OverheadConfig{InFlight: com.opts.inFlight, For: com.opts.length, Log: log})
+	if err != nil {
+		return err
+	}
+	if com.opts.json {
+		return printJSON(str, rows)
+	}
+	tab := tabwriter.NewWriter(str.out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(tab, "InFlight\tDirect/s\tThrough/s\tDirectP50\tThroughP50\tAdded\tRatio\tDirectP99\tThroughP99\tAdded\tRatio\t")
+	for _, row := range rows {
+		fmt.Fprintf(tab, "%d\t%.0f\t%.0f\t%s\t%s\t%s\t%.2f\t%s\t%s\t%s\t%.2f\t\n", row.InFlight, row.DirectRate, row.Rate,
+			row.DirectP50, row.P50, row.P50-row.DirectP50, ratio(row.P50, row.DirectP50),
+			row.DirectP99, row.P99, row.P99-row.DirectP99, ratio(row.P99, row.DirectP99))
+	}
+	return tab.Flush()
+}
+
+func ratio(one, two time.Duration) float64 {
+	if two == 0 {
+		return 0
+	}
+	return float64(one) / float64(two)
+}
+
+func (com *benchCmd) runCapacity(ctx context.Context, str streams, log zerolog.Logger) error {
+	if len(com.opts.hosts) == 0 {
+		com.opts.hosts = []int{6, 12, 24}
+	}
+	if len(com.opts.rates) == 0 {
+		com.opts.rates = []float64{0, 3.5, 7}
+	}
+	cfg := bench.CapacityConfig{
+		Hosts: com.opts.hosts, Rates: com.opts.rates, Accounts: com.opts.accounts,
+		For: com.opts.length, Heartbeat: com.opts.heartbeat, Log: log,
+	}
+	rows, err := bench.Capacity(ctx, cfg, func(row bench.CapacityRow) {
+		fmt.Fprintf(str.err, "%d hosts at %g requests a second each: done\n", row.Hosts, row.Rate)
+	})
+	if err != nil {
+		return err
+	}
+	if com.opts.json {
+		return printJSON(str, rows)
+	}
+	tab := tabwriter.NewWriter(str.out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(tab, "Hosts\tRate\tControlB/s\tB/request\tCPU%\tHeapKB\tGoroutines\tSessions\tPlatform/s\tConfiguration\tWhole\tSent\t")
+	for _, row := range rows {
+		fmt.Fprintf(tab, "%d\t%.1f\t%.0f\t%.0f\t%.2f\t%.0f\t%.0f\t%.0f\t%.1f\t%s\t%d\t%d\t\n", row.Hosts, row.Rate, row.ControlBytes,
+			row.BytesARequest, row.CPU, row.HeapBytes/1024, row.Goroutines, row.Sessions, row.PlatformCalls,
+			row.ConfigurationTime.Round(time.Millisecond), row.Whole, row.Sent)
+	}
+	return tab.Flush()
+}
+
+func printJSON(str streams, value any) error {
+	data, err := format.Encode(value)
+	if err != nil {
+		return err
+	}
+	_, err = str.out.Write(data)
+	return err
+}
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -55,6 +55,7 @@
 		newDemoCmd(),
 		newServeCmd(),
 		newStandinCmd(),
+		newBenchCmd(),
 		newAddressesCmd(),
 		newApplyCmd(),
 		newGetCmd(),
