fix: cost of a request no longer grows with the requests remembered

Cause: the gateway sorted every remembered request, finished ones included, on each message of a coordinator, and counted an account's requests one by one; the coordinator added up its whole line for each load it told. A stream's connection to its engine was closed after the end mark instead of being used again. Change: requests in flight, stranded and finished are kept apart; an account's requests and a line's work are counted as they change; the end of a stream is read.

--- a/coordinator/line.go
+++ b/coordinator/line.go
@@ -30,6 +30,8 @@
 type line struct {
 	byID  map[request.ID]*waiting
 	tiers []*tierLine
+	// work is the predicted work of all of them.
+	work time.Duration
 }
 
 type tierLine struct {
@@ -59,6 +61,7 @@
 
 func (lin *line) add(wai *waiting) {
 	lin.byID[wai.reserve.ID] = wai
+	lin.work += wai.work
 	til := lin.tier(wai.reserve.Rank)
 	wai.place = til.arrivals.PushBack(wai)
 	acl := til.accounts[wai.reserve.Account]
@@ -91,6 +94,7 @@
 		return nil
 	}
 	delete(lin.byID, id)
+	lin.work -= wai.work
 	til := lin.tier(wai.reserve.Rank)
 	til.arrivals.Remove(wai.place)
 	acl := til.accounts[wai.reserve.Account]
@@ -158,18 +162,6 @@
 	return nil
 }
 
-// ahead returns the predicted work that is served before a new reservation of
-// the rank.
-func (lin *line) ahead(rank int) time.Duration {
-	var total time.Duration
-	for _, wai := range lin.byID {
-		if wai.reserve.Rank >= rank {
-			total += wai.work
-		}
-	}
-	return total
-}
-
 // all returns every reservation, in no order.
 func (lin *line) all() []*waiting {
 	waits := make([]*waiting, 0, len(lin.byID))
--- a/coordinator/service.go
+++ b/coordinator/service.go
@@ -68,10 +68,14 @@
 
 func sortedWaiting(lin *line) []*waiting {
 	waits := lin.all()
+	sortByArrival(waits)
+	return waits
+}
+
+func sortByArrival(waits []*waiting) {
 	slices.SortFunc(waits, func(one, two *waiting) int {
 		return cmp.Or(one.arrived.Compare(two.arrived), compareIDs(one.reserve.ID, two.reserve.ID))
 	})
-	return waits
 }
 
 func (svc *serviceState) slots() int {
@@ -104,7 +108,7 @@
 	for _, ens := range svc.engines {
 		busy += time.Duration(len(ens.held)) * svc.typicalRun(ens) / 2
 	}
-	return (svc.line.ahead(0) + busy) / time.Duration(slots)
+	return (svc.line.work + busy) / time.Duration(slots)
 }
 
 // typicalRun is a middling run time on the engine, for a rough delay only.
@@ -323,13 +327,24 @@
 	cor.refuse(wai, reason, holder, svc)
 }
 
+// overdue returns the reservations that can't meet their deadline any more, by
+// arrival.
+func (svc *serviceState) overdue(now time.Time) []*waiting {
+	var late []*waiting
+	for _, wai := range svc.line.byID {
+		if tooLate(now, wai, svc) {
+			late = append(late, wai)
+		}
+	}
+	sortByArrival(late)
+	return late
+}
+
 // expire gives up every reservation that can't meet its deadline any more.
 func (cor *Core) expire(now time.Time, svc *serviceState) {
 	svc.now = now
-	for _, wai := range sortedWaiting(svc.line) {
-		if tooLate(now, wai, svc) {
-			cor.refuseExpired(now, wai, svc)
-		}
+	for _, wai := range svc.overdue(now) {
+		cor.refuseExpired(now, wai, svc)
 	}
 }
 
--- a/engine/client.go
+++ b/engine/client.go
@@ -38,6 +38,9 @@
 // dialTimeout bounds the connection to an engine; nothing was sent before it stands.
 const dialTimeout = 2 * time.Second
 
+// drainTime bounds the wait for a stream's end after its end mark.
+const drainTime = 100 * time.Millisecond
+
 // doneMark ends a stream that is whole.
 const doneMark = "[DONE]"
 
@@ -169,12 +172,23 @@
 	}
 	rea.run(&res, sink)
 	res.Total = time.Since(start)
+	if res.Whole {
+		silence.Reset(drainTime)
+		drain(rep.Body)
+	}
 	if res.Err != nil {
 		res.Err = causeOf(ctx, res.Err)
 	}
 	return res
 }
 
+// drain reads the end of a stream after its end mark, without which its
+// connection couldn't be used again.
+func drain(body io.Reader) {
+	// What comes after the end mark is no part of the answer, whatever it is.
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxErrorBytes))
+}
+
 func refusal(res Result, rep *http.Response) Result {
 	body, _ := io.ReadAll(io.LimitReader(rep.Body, maxErrorBytes))
 	res.NotKnown = rep.StatusCode == http.StatusNotFound
--- a/gateway/arrive.go
+++ b/gateway/arrive.go
@@ -11,7 +11,7 @@
 const undecidedRetry = time.Second
 
 func (gat *Core) arrived(now time.Time, arr Arrived) {
-	if ent := gat.entries[arr.ID]; ent != nil {
+	if ent := gat.table.byID[arr.ID]; ent != nil {
 		gat.attach(now, ent, arr)
 		return
 	}
@@ -61,7 +61,7 @@
 		arrived: now, deadline: now.Add(arr.Spec.Remaining), reserved: now,
 		callers: 1, refused: make(map[request.Epoch]bool),
 	}
-	gat.entries[ent.id] = ent
+	gat.table.add(ent)
 	gat.act(Attach{Caller: arr.Caller, ID: ent.id})
 	return ent
 }
@@ -72,23 +72,13 @@
 		gat.close(now, ent, Final{Cause: CauseDraining, Outcome: request.NotRun, Retry: true})
 		return
 	}
-	if fin, over := gat.limits.take(now, gat.conf, ent.spec.Account, len(gat.views.Last().Active()), gat.accountInFlight(ent.spec.Account)); over {
+	if fin, over := gat.limits.take(now, gat.conf, ent.spec.Account, len(gat.views.Last().Active()), gat.table.accounts[ent.spec.Account]); over {
 		gat.close(now, ent, fin)
 		return
 	}
 	gat.reserve(now, ent)
 }
 
-func (gat *Core) accountInFlight(account string) int {
-	count := 0
-	for _, ent := range gat.entries {
-		if ent.spec.Account == account && !ent.over() {
-			count++
-		}
-	}
-	return count
-}
-
 // arrivedForeign handles an id that names another gateway: it goes there, or
 // is taken over where that gateway can't be reached.
 func (gat *Core) arrivedForeign(now time.Time, arr Arrived) {
@@ -125,7 +115,7 @@
 }
 
 func (gat *Core) relayFailed(now time.Time, fai RelayFailed) {
-	if ent := gat.entries[fai.ID]; ent != nil {
+	if ent := gat.table.byID[fai.ID]; ent != nil {
 		gat.attach(now, ent, fai.Arrived)
 		return
 	}
@@ -139,7 +129,7 @@
 }
 
 func (gat *Core) callerLeft(now time.Time, id request.ID) {
-	ent := gat.entries[id]
+	ent := gat.table.byID[id]
 	if ent == nil {
 		return
 	}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -92,7 +92,7 @@
 // reserve sends the reservation to the best coordinator that hasn't refused
 // it. Where all have, lower reservations are looked for elsewhere.
 func (gat *Core) reserve(now time.Time, ent *entry) {
-	ent.phase = phaseWaiting
+	gat.table.enter(ent, phaseWaiting)
 	ent.coordinator = 0
 	best := gat.best(now, ent)
 	switch {
@@ -102,6 +102,8 @@
 		gat.seekEviction(now, ent)
 	case gat.outdated(ent):
 		gat.close(now, ent, Final{Cause: CauseRetired, Outcome: request.NotRun, Retry: true})
+	default:
+		gat.table.stranded[ent.id] = ent
 	}
 }
 
@@ -121,6 +123,7 @@
 }
 
 func (gat *Core) sendReserve(now time.Time, ent *entry, to request.Epoch) {
+	delete(gat.table.stranded, ent.id)
 	ent.coordinator = to
 	ent.reserved = now
 	gat.peer(to).loadOf(ent.spec.Service).sent++
@@ -241,7 +244,7 @@
 // seekEviction asks the coordinators that may not grant to this gateway for a
 // lower reservation to drop. When none is left to ask, the request is shed.
 func (gat *Core) seekEviction(now time.Time, ent *entry) {
-	ent.phase = phaseEvicting
+	gat.table.enter(ent, phaseEvicting)
 	ent.reserved = now
 	for _, epo := range gat.coordinators(ent.spec.Service) {
 		if ent.refused[epo] {
@@ -256,7 +259,7 @@
 }
 
 func (gat *Core) evicted(now time.Time, from request.Epoch, evi reservation.Evicted) {
-	ent := gat.entries[evi.ID]
+	ent := gat.table.byID[evi.ID]
 	if ent == nil || ent.phase != phaseEvicting || ent.coordinator != from {
 		return
 	}
--- a/gateway/close.go
+++ b/gateway/close.go
@@ -11,7 +11,7 @@
 // once a granter has recorded that it never runs: another gateway may have
 // taken the request over meanwhile.
 func (gat *Core) close(now time.Time, ent *entry, fin Final) {
-	ent.phase = phaseClosing
+	gat.table.enter(ent, phaseClosing)
 	ent.closeAsked = true
 	ent.final = fin
 	ent.reserved = now
@@ -67,14 +67,14 @@
 		gat.forget(ent)
 		return
 	}
-	ent.phase = phaseUnclosed
+	gat.table.enter(ent, phaseUnclosed)
 	ent.callers = 0
 	gat.act(Forget{ID: ent.id})
 }
 
 // finish gives every attached caller the final answer and keeps it for repeats.
 func (gat *Core) finish(ent *entry, fin Final) {
-	ent.phase = phaseGivenUp
+	gat.table.enter(ent, phaseGivenUp)
 	ent.final = fin
 	gat.act(Finish{ID: ent.id, Final: fin})
 }
@@ -105,14 +105,14 @@
 }
 
 func (gat *Core) granted(from request.Epoch, gra reservation.Grant) {
-	ent := gat.entries[gra.ID]
+	ent := gat.table.byID[gra.ID]
 	wanted := ent != nil && ent.phase == phaseWaiting && ent.coordinator == from &&
 		ent.ballot.Same(gra.Ballot) && gat.mayTake(from, ent)
 	if !wanted {
 		gat.returnGrant(from, ent, gra)
 		return
 	}
-	ent.phase = phaseRunning
+	gat.table.enter(ent, phaseRunning)
 	ent.granter = from
 	ent.engine = gra.Engine
 	gat.act(Dispatch{ID: ent.id, Engine: gra.Engine})
@@ -128,7 +128,7 @@
 }
 
 func (gat *Core) refused(now time.Time, from request.Epoch, ref reservation.Refuse) {
-	ent := gat.entries[ref.ID]
+	ent := gat.table.byID[ref.ID]
 	if ent == nil || ent.coordinator != from || !ent.ballot.Same(ref.Ballot) {
 		return
 	}
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -15,8 +15,6 @@
 package gateway
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -64,13 +62,13 @@
 
 // Core is the gateway of one host.
 type Core struct {
-	cfg     Config
-	conf    resource.Configuration
-	views   view.History
-	shares  map[string][]view.Share
-	peers   map[request.Epoch]*peerState
-	entries map[request.ID]*entry
-	lost    map[request.Epoch]*lostState
+	cfg    Config
+	conf   resource.Configuration
+	views  view.History
+	shares map[string][]view.Share
+	peers  map[request.Epoch]*peerState
+	table  *table
+	lost   map[request.Epoch]*lostState
 	// away are the hosts that can't be reached now: their engines go to others.
 	away     map[request.Epoch]bool
 	limits   *limiter
@@ -93,13 +91,13 @@
 	fill(&cfg.StrandedTime, DefaultStrandedTime)
 	fill(&cfg.MoveAfter, DefaultMoveAfter)
 	return &Core{
-		cfg:     cfg,
-		views:   view.NewHistory(viewsKept),
-		peers:   make(map[request.Epoch]*peerState),
-		entries: make(map[request.ID]*entry),
-		lost:    make(map[request.Epoch]*lostState),
-		away:    make(map[request.Epoch]bool),
-		limits:  newLimiter(),
+		cfg:    cfg,
+		views:  view.NewHistory(viewsKept),
+		peers:  make(map[request.Epoch]*peerState),
+		table:  newTable(),
+		lost:   make(map[request.Epoch]*lostState),
+		away:   make(map[request.Epoch]bool),
+		limits: newLimiter(),
 	}
 }
 
@@ -122,13 +120,7 @@
 
 // InFlight returns how many requests don't have their final answer yet.
 func (gat *Core) InFlight() int {
-	count := 0
-	for _, ent := range gat.entries {
-		if !ent.over() {
-			count++
-		}
-	}
-	return count
+	return len(gat.table.active)
 }
 
 // Handle takes one event and returns what is to be done about it.
@@ -195,7 +187,7 @@
 	for service, engines := range gat.conf.SlotsByService() {
 		gat.shares[service] = view.Assign(reached, service, engines)
 	}
-	for _, ent := range gat.sorted() {
+	for _, ent := range inOrder(gat.table.active) {
 		if ent.holds() {
 			gat.adopt(ent, former[ent.spec.Service])
 		}
@@ -222,43 +214,32 @@
 	return epochs
 }
 
-// sorted returns the entries by id, so that the order of actions is the same
-// for the same events.
-func (gat *Core) sorted() []*entry {
-	return slices.SortedFunc(maps.Values(gat.entries), func(one, two *entry) int {
-		return cmp.Or(
-			cmp.Compare(one.id.View, two.id.View),
-			cmp.Compare(one.id.Epoch, two.id.Epoch),
-			cmp.Compare(one.id.Window, two.id.Window),
-			cmp.Compare(one.id.Unique, two.id.Unique),
-		)
-	})
-}
-
 func (gat *Core) isUp(epo request.Epoch) bool {
 	pee := gat.peers[epo]
 	return pee != nil && pee.up
 }
 
 func (gat *Core) retryWaiting(now time.Time) {
-	for _, ent := range gat.sorted() {
-		if ent.phase == phaseWaiting && ent.coordinator == 0 {
-			gat.reserve(now, ent)
-		}
+	if len(gat.table.stranded) == 0 {
+		return
+	}
+	for _, ent := range inOrder(gat.table.stranded) {
+		gat.reserve(now, ent)
 	}
 }
 
 func (gat *Core) tick(now time.Time) {
-	for _, ent := range gat.sorted() {
+	for _, ent := range inOrder(gat.table.active) {
 		gat.tickEntry(now, ent)
 	}
+	for ent := gat.table.oldest(); ent != nil && gat.tooOld(now, ent); ent = gat.table.oldest() {
+		gat.forget(ent)
+	}
 	gat.retryUnvouch()
 }
 
 func (gat *Core) tickEntry(now time.Time, ent *entry) {
 	switch {
-	case ent.over():
-		gat.forgetOld(now, ent)
 	case gat.isAbandoned(now, ent):
 		gat.abandon(now, ent)
 	case ent.phase == phaseClosing:
@@ -276,20 +257,17 @@
 	}
 }
 
-// forgetOld drops a finished request whose id is too old to be taken again.
-func (gat *Core) forgetOld(now time.Time, ent *entry) {
-	current := gat.Window(now)
-	if ent.id.Epoch == gat.cfg.Self && ent.id.Window+WindowsKept > current {
-		return
-	}
-	if ent.id.Epoch != gat.cfg.Self && now.Sub(ent.reserved) < WindowsKept*gat.cfg.Window {
-		return
+// tooOld reports whether the id of a finished request is too old to be taken
+// again, so that it needn't be remembered.
+func (gat *Core) tooOld(now time.Time, ent *entry) bool {
+	if ent.id.Epoch == gat.cfg.Self {
+		return ent.id.Window+WindowsKept <= gat.Window(now)
 	}
-	gat.forget(ent)
+	return now.Sub(ent.reserved) >= WindowsKept*gat.cfg.Window
 }
 
 func (gat *Core) forget(ent *entry) {
-	delete(gat.entries, ent.id)
+	gat.table.remove(ent)
 	gat.act(Forget{ID: ent.id})
 }
 
--- a/gateway/dump.go
+++ b/gateway/dump.go
@@ -43,7 +43,7 @@
 // Dump returns the state of the gateway.
 func (gat *Core) Dump(now time.Time) Dump {
 	dum := Dump{Requests: make(map[string]int), Draining: gat.draining}
-	for _, ent := range gat.sorted() {
+	for _, ent := range inOrder(gat.table.byID) {
 		dum.Requests[ent.phase.String()]++
 		if ent.over() {
 			continue
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -9,7 +9,7 @@
 
 // engineDone takes note of how a dispatch or a resumption ended.
 func (gat *Core) engineDone(now time.Time, evt EngineDone) {
-	ent := gat.entries[evt.ID]
+	ent := gat.table.byID[evt.ID]
 	if ent == nil {
 		return
 	}
@@ -48,7 +48,7 @@
 func (gat *Core) ranDone(now time.Time, ent *entry, res Result) {
 	switch {
 	case res.Whole:
-		ent.phase = phaseDone
+		gat.table.enter(ent, phaseDone)
 	case !res.Dispatched:
 		gat.retryDispatch(now, ent)
 	default:
@@ -83,7 +83,7 @@
 func (gat *Core) resumeDone(ent *entry, res Result) {
 	switch {
 	case res.Whole:
-		ent.phase = phaseDone
+		gat.table.enter(ent, phaseDone)
 	case res.NotKnown:
 		gat.undecided(ent)
 	default:
--- a/gateway/fence.go
+++ b/gateway/fence.go
@@ -35,7 +35,7 @@
 		return
 	}
 	vie, _ := gat.views.Get(ent.id.View)
-	ent.phase = phaseFencing
+	gat.table.enter(ent, phaseFencing)
 	ent.reserved = now
 	ent.ballot = request.Ballot{Round: round, Holder: gat.cfg.Self}
 	fes := &fenceState{
@@ -91,7 +91,7 @@
 }
 
 func (gat *Core) fencing(id request.ID, bal request.Ballot) *entry {
-	ent := gat.entries[id]
+	ent := gat.table.byID[id]
 	if ent == nil || ent.phase != phaseFencing || !ent.ballot.Same(bal) {
 		return nil
 	}
@@ -99,7 +99,7 @@
 }
 
 func (gat *Core) resume(ent *entry, ans reservation.FenceAnswer) {
-	ent.phase = phaseResuming
+	gat.table.enter(ent, phaseResuming)
 	ent.engine = ans.Engine
 	gat.act(Resume{ID: ent.id, Engine: ans.Engine})
 }
--- a/gateway/vouch.go
+++ b/gateway/vouch.go
@@ -45,7 +45,7 @@
 	}
 	gat.vouchFor(epo)
 	gat.reroute(now)
-	for _, ent := range gat.sorted() {
+	for _, ent := range inOrder(gat.table.byID) {
 		if ent.coordinator == epo {
 			gat.leaveCoordinator(now, ent)
 		}
@@ -77,7 +77,7 @@
 
 func (gat *Core) vouchFor(epo request.Epoch) {
 	var records []reservation.Record
-	for _, ent := range gat.sorted() {
+	for _, ent := range inOrder(gat.table.byID) {
 		if rec, some := ent.record(epo); some {
 			records = append(records, rec)
 		}
@@ -124,7 +124,7 @@
 // tellHeld opens a session with all that the gateway holds from the coordinator.
 func (gat *Core) tellHeld(epo request.Epoch) {
 	hol := reservation.Hold{}
-	for _, ent := range gat.sorted() {
+	for _, ent := range inOrder(gat.table.byID) {
 		if !ent.holds() {
 			continue
 		}
