--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -90,6 +90,7 @@
 	parser := flaggy.NewParser("lynxwell")
 	parser.Description = "A request scheduler for language-model engines of unequal speed."
 	parser.Version = Version
+	parser.DisableShowVersionWithVersion()
 	parser.AdditionalHelpAppend = "\n  Examples:\n    lynxwell demo\n    lynxwell serve --settings host.json\n    lynxwell apply --file menus.json --host 127.0.0.1:7003 --key-file operator.key"
 	for _, com := range all {
 		parser.AttachSubcommand(com.subcommand(), 1)
--- /dev/null
+++ b/cmd/script_test.go
@@ -0,0 +1,60 @@
+package cmd_test
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"lynxwell.dev/lynxwell/cmd"
+	"lynxwell.dev/lynxwell/embedded"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"lynxwell": func() { os.Exit(cmd.Run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) },
+	})
+}
+
+// addressNames are the variables that scripts find free addresses in.
+var addressNames = []string{"CALLER", "PEER", "OPERATOR", "PLATFORM", "ENGINE"}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:  "testdata/script",
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"envsubst": substitute, "retry": retry},
+		Setup: func(env *testscript.Env) error {
+			for _, name := range addressNames {
+				env.Setenv(name, embedded.NextAddress().String())
+			}
+			return nil
+		},
+	})
+}
+
+// substitute writes a file with the script's variables put in.
+func substitute(ts *testscript.TestScript, _ bool, args []string) {
+	text := os.Expand(ts.ReadFile(args[0]), ts.Getenv)
+	ts.Check(os.WriteFile(ts.MkAbs(args[1]), []byte(text), 0o600))
+}
+
+// The bounds of retry.
+const (
+	retryTries = 100
+	retryPause = 50 * time.Millisecond
+)
+
+// retry runs a command until it succeeds.
+func retry(ts *testscript.TestScript, _ bool, args []string) {
+	ticker := time.NewTicker(retryPause)
+	defer ticker.Stop()
+	var err error
+	for range retryTries {
+		if err = ts.Exec(args[0], args[1:]...); err == nil {
+			return
+		}
+		<-ticker.C
+	}
+	ts.Fatalf("%v: %v", args, err)
+}
