feat: idle sessions beat slowly; mutual TLS between hosts

Change: a session beats fast while messages travel on it and six times slower when idle; its queue has 512 places; the platform's list of hosts is read every 2 s instead of every second, the lease renewed at half its time instead of a third. Hosts may show certificates in place of the shared key.

--- a/host/host.go
+++ b/host/host.go
@@ -17,8 +17,8 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/binary"
-	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -61,6 +61,7 @@
 	log     zerolog.Logger
 	epoch   request.Epoch
 	started time.Time
+	tls     *tls.Config
 	store   *platform.Recorder
 	metrics metrics.Registry
 
@@ -91,7 +92,12 @@
 	if err != nil {
 		return nil, err
 	}
+	peerTLS, err := cfg.Settings.PeerTLS.Config()
+	if err != nil {
+		return nil, errors.Wrap(err, "PeerTLS")
+	}
 	hos := &Host{
+		tls: peerTLS,
 		cfg: cfg, set: cfg.Settings, epoch: epoch, started: time.Now(),
 		log:     cfg.Log.With().Str("Host", cfg.Settings.Name).Stringer("Epoch", epoch).Logger(),
 		store:   platform.NewRecorder(cfg.Store),
@@ -138,7 +144,7 @@
 }
 
 func (hos *Host) security() peer.Security {
-	return peer.Security{Key: hos.set.PeerKey}
+	return peer.Security{Key: hos.set.PeerKey, TLS: hos.tls}
 }
 
 func (hos *Host) timing() peer.Timing {
@@ -197,15 +203,17 @@
 	peerServer := peer.NewServer(peer.ServerConfig{Backend: hos, Security: hos.security(), Timing: hos.timing()})
 	operatorServer := operator.NewServer(operator.ServerConfig{Backend: hos, Key: hos.set.OperatorKey, Log: hos.log})
 	hos.servers = []*http.Server{hos.callers.HTTPServer(), peerServer.HTTPServer(), operatorServer.HTTPServer()}
-	for idx, lsn := range []net.Listener{lis.caller, lis.peer, lis.operator} {
-		srv := hos.servers[idx]
-		tks.run(fmt.Sprintf("server %s", lsn.Addr()), func() error {
-			if err := srv.Serve(lsn); !errors.Is(err, http.ErrServerClosed) {
-				return err
-			}
-			return nil
-		})
+	tks.run("callers' server", func() error { return served(hos.servers[0].Serve(lis.caller)) })
+	tks.run("peers' server", func() error { return served(peerServer.Serve(lis.peer, hos.servers[1])) })
+	tks.run("operators' server", func() error { return served(hos.servers[2].Serve(lis.operator)) })
+}
+
+// served returns the error of a server that ended otherwise than by its closing.
+func served(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
 	}
+	return err
 }
 
 // Stop ends the host at once: requests in flight are cut.
--- a/host/membership.go
+++ b/host/membership.go
@@ -46,7 +46,7 @@
 	wait := minBackoff
 	for {
 		err := kee.step(ctx)
-		next := hos.set.Timing.Lease.Std() / 3
+		next := hos.set.Timing.Lease.Std() / 2
 		if err != nil {
 			next, wait = wait, min(maxBackoff, 2*wait)
 			hos.log.Debug().Err(err).Msg("lease not kept")
--- a/host/monitor.go
+++ b/host/monitor.go
@@ -13,7 +13,7 @@
 // hostsInterval is how often it reads the platform's list of hosts.
 const (
 	reportInterval = 500 * time.Millisecond
-	hostsInterval  = time.Second
+	hostsInterval  = 2 * time.Second
 )
 
 // reportTimeout bounds the reading of one report.
--- a/load/client.go
+++ b/load/client.go
@@ -62,12 +62,17 @@
 	known   caller.Addresses
 	fetched time.Time
 	count   uint64
+	// salt keeps the ids of different clients apart, whatever their seeds.
+	salt uint32
 }
 
 // NewClient returns a client that knows no addresses yet.
 func NewClient(cfg ClientConfig) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: 1024, IdleConnTimeout: time.Minute, DisableCompression: true}
-	return &Client{cfg: cfg, http: &http.Client{Transport: transport}, random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed+1))}
+	return &Client{
+		cfg: cfg, http: &http.Client{Transport: transport},
+		random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed+1)), salt: rand.Uint32(),
+	}
 }
 
 // Close drops the idle connections.
@@ -251,7 +256,7 @@
 	cli.mutex.Lock()
 	defer cli.mutex.Unlock()
 	cli.count++
-	return fmt.Sprintf("%x.%d", cli.random.Uint32(), cli.count)
+	return fmt.Sprintf("%x.%d", cli.salt, cli.count)
 }
 
 func (cli *Client) pick(known caller.Addresses, last netip.AddrPort) caller.Address {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -29,7 +29,7 @@
 
 // queueLen bounds the messages that wait for one session; a peer that falls
 // further behind loses the session.
-const queueLen = 8192
+const queueLen = 512
 
 // maxBatch bounds the messages of one frame.
 const maxBatch = 256
@@ -60,9 +60,17 @@
 	Timeout time.Duration
 }
 
+// idleFactor is how much slower a session beats, and how much longer it may be
+// silent, while nothing but heartbeats travels on it.
+const idleFactor = 6
+
+// idleAfter is how many heartbeats beyond the timeout a session stays busy after
+// a message.
+const idleAfter = 2
+
 // Security says how hosts know one another.
 type Security struct {
-	// Key is shared by all hosts.
+	// Key is shared by all hosts; it may be empty with TLS.
 	Key string
 	// TLS, when set, has both sides show a certificate.
 	TLS *tls.Config
@@ -73,6 +81,10 @@
 }
 
 func (sec Security) admits(header http.Header) bool {
+	if sec.TLS != nil && sec.Key == "" {
+		// Both sides have shown their certificates by now.
+		return true
+	}
 	given := []byte(header.Get("Authorization"))
 	return subtle.ConstantTimeCompare(given, []byte("Bearer "+sec.Key)) == 1
 }
--- a/peer/pump.go
+++ b/peer/pump.go
@@ -22,15 +22,16 @@
 	deliver func(*peerpb.Frame)
 	// unblock ends a send or a receive that waits.
 	unblock func()
+	pulse   pulse
 }
 
 // run returns when either direction ends or the peer falls silent, and both
 // goroutines have ended: a stream must not be used once its handler is over.
 func (pum *pump) run(ctx context.Context, cancel context.CancelFunc) error {
-	heard := make(chan struct{}, 1)
+	pum.pulse.begin(time.Now())
 	readEnd := make(chan error, 1)
 	go func() {
-		readEnd <- pum.read(heard)
+		readEnd <- pum.read()
 		close(readEnd)
 	}()
 	writeEnd := make(chan error, 1)
@@ -38,7 +39,7 @@
 		writeEnd <- pum.write(ctx)
 		close(writeEnd)
 	}()
-	err := pum.watch(ctx, heard, readEnd, writeEnd)
+	err := pum.watch(ctx, readEnd, writeEnd)
 	cancel()
 	pum.unblock()
 	<-readEnd
@@ -47,35 +48,32 @@
 }
 
 // watch waits for the first end of either direction, or for silence.
-func (pum *pump) watch(ctx context.Context, heard <-chan struct{}, readEnd, writeEnd <-chan error) error {
-	silence := time.NewTimer(pum.timing.Timeout)
-	defer silence.Stop()
+func (pum *pump) watch(ctx context.Context, readEnd, writeEnd <-chan error) error {
+	look := time.NewTicker(pum.timing.Heartbeat)
+	defer look.Stop()
 	for {
 		select {
-		case <-heard:
-			silence.Reset(pum.timing.Timeout)
 		case err := <-readEnd:
 			return err
 		case err := <-writeEnd:
 			return err
-		case <-silence.C:
-			return &SilenceError{After: pum.timing.Timeout}
+		case now := <-look.C:
+			if silent, limit := pum.pulse.silent(now, pum.timing); silent {
+				return &SilenceError{After: limit}
+			}
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
-func (pum *pump) read(heard chan<- struct{}) error {
+func (pum *pump) read() error {
 	for {
 		frame, err := pum.stream.Receive()
 		if err != nil {
 			return err
 		}
-		select {
-		case heard <- struct{}{}:
-		default:
-		}
+		pum.pulse.heard(time.Now(), len(frame.GetEnvelopes()) > 0, pum.timing)
 		pum.deliver(frame)
 	}
 }
@@ -94,7 +92,11 @@
 				return nil
 			}
 			batch = pum.gather(out)
-		case <-beat.C:
+			pum.pulse.sent(time.Now(), pum.timing)
+		case now := <-beat.C:
+			if !pum.pulse.due(now, pum.timing) {
+				continue
+			}
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/peer/server.go
+++ b/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -89,6 +90,15 @@
 	return &http.Server{Handler: srv.Handler(), Protocols: &protocols, TLSConfig: srv.cfg.Security.TLS, ReadHeaderTimeout: headerTimeout}
 }
 
+// Serve serves the listener, with TLS where the security asks for it, until the
+// HTTP server is closed.
+func (srv *Server) Serve(lis net.Listener, server *http.Server) error {
+	if srv.cfg.Security.TLS != nil {
+		return server.ServeTLS(lis, "", "")
+	}
+	return server.Serve(lis)
+}
+
 // headerTimeout bounds how long a connection may take to say what it wants.
 const headerTimeout = 10 * time.Second
 
--- /dev/null
+++ b/peer/tls_test.go
@@ -0,0 +1,101 @@
+package peer_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lynxwell.dev/lynxwell/peer"
+	"lynxwell.dev/lynxwell/settings"
+	"lynxwell.dev/lynxwell/view"
+)
+
+// newAuthority returns an authority that signs hosts' certificates, and its file.
+func newAuthority(t *testing.T) (*x509.Certificate, *ecdsa.PrivateKey, string) {
+	t.Helper()
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, template, template, &private.PublicKey, private)
+	assert.NilError(t, err)
+	certificate, err := x509.ParseCertificate(raw)
+	assert.NilError(t, err)
+	return certificate, private, writePEM(t, "CERTIFICATE", raw)
+}
+
+func writePEM(t *testing.T, kind string, raw []byte) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "file.pem")
+	assert.NilError(t, os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: raw}), 0o600))
+	return file
+}
+
+// newFiles returns a host's files, signed by a new authority unless one is given.
+func newFiles(t *testing.T, authority *x509.Certificate, signer *ecdsa.PrivateKey, authorityFile string) *settings.TLSFiles {
+	t.Helper()
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: "host"}, NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, template, authority, &private.PublicKey, signer)
+	assert.NilError(t, err)
+	rawKey, err := x509.MarshalECPrivateKey(private)
+	assert.NilError(t, err)
+	return &settings.TLSFiles{
+		CertificateFile: writePEM(t, "CERTIFICATE", raw), KeyFile: writePEM(t, "EC PRIVATE KEY", rawKey), AuthorityFile: authorityFile,
+	}
+}
+
+func tlsClient(t *testing.T, files *settings.TLSFiles) *peer.Client {
+	t.Helper()
+	cfg, err := files.Config()
+	assert.NilError(t, err)
+	cli := peer.NewClient(peer.ClientConfig{Security: peer.Security{TLS: cfg}, Timing: timing, Self: func() peer.Header { return peer.Header{Epoch: 1} }})
+	t.Cleanup(cli.Close)
+	return cli
+}
+
+func TestMutualTLSInPlaceOfTheKey(t *testing.T) {
+	authority, signer, file := newAuthority(t)
+	cfg, err := newFiles(t, authority, signer, file).Config()
+	assert.NilError(t, err)
+	var lcf net.ListenConfig
+	lis, err := lcf.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	srv := peer.NewServer(peer.ServerConfig{Backend: newBackend(5), Security: peer.Security{TLS: cfg}, Timing: timing})
+	server := srv.HTTPServer()
+	end := make(chan error, 1)
+	go func() { end <- srv.Serve(lis, server) }()
+	t.Cleanup(func() {
+		_ = server.Close()
+		<-end
+	})
+	mem := view.Member{Name: "host", Epoch: 5, PeerAddress: netip.MustParseAddrPort(lis.Addr().String())}
+
+	hea, err := tlsClient(t, newFiles(t, authority, signer, file)).Probe(t.Context(), mem)
+	assert.NilError(t, err)
+	assert.Equal(t, hea.View, uint64(3))
+
+	other, otherSigner, _ := newAuthority(t)
+	_, err = tlsClient(t, newFiles(t, other, otherSigner, file)).Probe(t.Context(), mem)
+	assert.Assert(t, err != nil, "a host of another authority was let in")
+	_, err = newClient(t, key).Probe(t.Context(), mem)
+	assert.Assert(t, err != nil, "a host without a certificate was let in")
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -41,6 +41,8 @@
 	PeerKey string
 	// PeerKeyFile holds the key when PeerKey is empty.
 	PeerKeyFile string
+	// PeerTLS has hosts show one another certificates; then PeerKey may be empty.
+	PeerTLS *TLSFiles
 	// OperatorKey is the bearer key of operators.
 	OperatorKey string
 	// OperatorKeyFile holds the key when OperatorKey is empty.
@@ -103,6 +105,9 @@
 	if err := readKey(file, "OperatorKeyFile", set.OperatorKeyFile, &set.OperatorKey); err != nil {
 		return Settings{}, err
 	}
+	if err := set.PeerTLS.check(file); err != nil {
+		return Settings{}, err
+	}
 	if err := set.check(file); err != nil {
 		return Settings{}, err
 	}
@@ -159,7 +164,7 @@
 		{usable(set.PeerAddress), "PeerAddress", "want IP:PORT"},
 		{usable(set.OperatorAddress), "OperatorAddress", "want IP:PORT"},
 		{usable(set.PlatformAddress), "PlatformAddress", "want IP:PORT"},
-		{len(set.PeerKey) >= minKeyLen, "PeerKey", "want a key of 16 bytes or more, here or in PeerKeyFile"},
+		{len(set.PeerKey) >= minKeyLen || (set.PeerTLS != nil && set.PeerKey == ""), "PeerKey", "want a key of 16 bytes or more, here or in PeerKeyFile"},
 		{len(set.OperatorKey) >= minKeyLen, "OperatorKey", "want a key of 16 bytes or more, here or in OperatorKeyFile"},
 		{set.PeerKey != set.OperatorKey, "OperatorKey", "must differ from PeerKey"},
 		{set.Timing.notNegative(), "Timing", "want durations of 0 or more"},
