--- a/backend/backend.go
+++ b/backend/backend.go
@@ -12,9 +12,7 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"net/textproto"
@@ -24,13 +22,14 @@
 	"github.com/cockroachdb/errors"
 
 	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/transport"
 )
 
 // HeaderRequestID carries the request's id to the backend server.
 const HeaderRequestID = "X-Request-Id"
 
-// dialTimeout bounds the connection; nothing was sent before it stands.
-const dialTimeout = 2 * time.Second
+// idleConnections is how many connections are kept to each backend server.
+const idleConnections = 64
 
 // chunkBytes is how much of an answer is passed on at once.
 const chunkBytes = 32 << 10
@@ -55,17 +54,12 @@
 	if cfg.SilenceTimeout == 0 {
 		cfg.SilenceTimeout = 30 * time.Second
 	}
-	return &Client{cfg: cfg, kept: httpClient(false), fresh: httpClient(true)}
+	return &Client{cfg: cfg, kept: httpClient(idleConnections), fresh: httpClient(0)}
 }
 
-func httpClient(fresh bool) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute,
-		DisableCompression: true, DisableKeepAlives: fresh,
-	}
+func httpClient(idle int) *http.Client {
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
+	return &http.Client{Transport: transport.New(idle), CheckRedirect: noRedirect}
 }
 
 // Close drops the idle connections.
@@ -108,22 +102,20 @@
 // Call makes the call and streams the answer into the sink.
 func (cli *Client) Call(ctx context.Context, cal Call, sink Sink) Result {
 	start := time.Now()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	silence := time.AfterFunc(cli.cfg.SilenceTimeout, func() { cancel(&SilenceError{After: cli.cfg.SilenceTimeout}) })
-	defer silence.Stop()
+	ctx, wat := transport.Watch(ctx, cli.cfg.SilenceTimeout)
+	defer wat.Stop()
 	req, err := newRequest(ctx, cal)
 	if err != nil {
 		return Result{Err: err}
 	}
 	rep, err := cli.choose(req).Do(req)
 	if err != nil {
-		return Result{Dispatched: !isDialError(err), Err: causeOf(ctx, err)}
+		return Result{Dispatched: !transport.NotSent(err), Err: transport.Cause(ctx, err)}
 	}
 	defer rep.Body.Close()
 	res := Result{Dispatched: true, Answered: true, FirstByte: time.Since(start)}
 	sink.Head(rep.StatusCode, EndToEnd(rep.Header))
-	res.Err = pass(rep.Body, sink, func() { silence.Reset(cli.cfg.SilenceTimeout) })
+	res.Err = pass(rep.Body, sink, wat.Heard)
 	res.Whole = res.Err == nil
 	res.Total = time.Since(start)
 	return res
@@ -199,25 +191,3 @@
 	}
 	return kept
 }
-
-// SilenceError reports a backend server that sent nothing for too long.
-type SilenceError struct {
-	After time.Duration
-}
-
-// Error names the time of silence.
-func (ser *SilenceError) Error() string {
-	return fmt.Sprintf("backend server was silent for %s", ser.After)
-}
-
-func causeOf(ctx context.Context, err error) error {
-	if cause := context.Cause(ctx); cause != nil {
-		return cause
-	}
-	return err
-}
-
-func isDialError(err error) bool {
-	var oer *net.OpError
-	return errors.As(err, &oer) && oer.Op == "dial"
-}
--- a/engine/client.go
+++ b/engine/client.go
@@ -18,7 +18,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -27,6 +26,7 @@
 	"github.com/cockroachdb/errors"
 
 	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/transport"
 )
 
 // maxEventBytes bounds one event of a stream.
@@ -35,8 +35,8 @@
 // maxErrorBytes bounds the body of an engine's refusal.
 const maxErrorBytes = 64 << 10
 
-// dialTimeout bounds the connection to an engine; nothing was sent before it stands.
-const dialTimeout = 2 * time.Second
+// idleConnections is how many connections are kept to each engine.
+const idleConnections = 256
 
 // drainTime bounds the wait for a stream's end after its end mark.
 const drainTime = 100 * time.Millisecond
@@ -62,14 +62,7 @@
 	if cfg.SilenceTimeout == 0 {
 		cfg.SilenceTimeout = 30 * time.Second
 	}
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: 256,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
-	}
-	return &Client{cfg: cfg, http: &http.Client{Transport: transport}}
+	return &Client{cfg: cfg, http: &http.Client{Transport: transport.New(idleConnections)}}
 }
 
 // Close drops the idle connections.
@@ -150,15 +143,13 @@
 }
 
 func (cli *Client) stream(req *http.Request, start time.Time, offset int, sink Sink) Result {
-	ctx, cancel := context.WithCancelCause(req.Context())
-	defer cancel(nil)
-	silence := time.AfterFunc(cli.cfg.SilenceTimeout, func() { cancel(&SilenceError{After: cli.cfg.SilenceTimeout}) })
-	defer silence.Stop()
+	ctx, wat := transport.Watch(req.Context(), cli.cfg.SilenceTimeout)
+	defer wat.Stop()
 	res := Result{Dispatched: true, Events: offset}
 	rep, err := cli.http.Do(req.WithContext(ctx))
 	if err != nil {
-		res.Dispatched = !isDialError(err)
-		res.Err = causeOf(ctx, err)
+		res.Dispatched = !transport.NotSent(err)
+		res.Err = transport.Cause(ctx, err)
 		return res
 	}
 	defer rep.Body.Close()
@@ -168,16 +159,16 @@
 	}
 	rea := &eventReader{
 		lines: bufio.NewReaderSize(rep.Body, 4096), start: start,
-		heard: func() { silence.Reset(cli.cfg.SilenceTimeout) },
+		heard: wat.Heard,
 	}
 	rea.run(&res, sink)
 	res.Total = time.Since(start)
 	if res.Whole {
-		silence.Reset(drainTime)
+		wat.Shorten(drainTime)
 		drain(rep.Body)
 	}
 	if res.Err != nil {
-		res.Err = causeOf(ctx, res.Err)
+		res.Err = transport.Cause(ctx, res.Err)
 	}
 	return res
 }
@@ -196,30 +187,6 @@
 	return res
 }
 
-// SilenceError reports an engine that sent nothing for too long.
-type SilenceError struct {
-	After time.Duration
-}
-
-// Error names the time of silence.
-func (ser *SilenceError) Error() string {
-	return fmt.Sprintf("engine was silent for %s", ser.After)
-}
-
-func causeOf(ctx context.Context, err error) error {
-	if cause := context.Cause(ctx); cause != nil {
-		return cause
-	}
-	return err
-}
-
-// isDialError reports whether no connection came to stand, so that nothing can
-// have been sent.
-func isDialError(err error) bool {
-	var oer *net.OpError
-	return errors.As(err, &oer) && oer.Op == "dial"
-}
-
 // eventReader reads server-sent events.
 type eventReader struct {
 	lines *bufio.Reader
