--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -202,3 +202,42 @@
 	wit := reservation.Withdraw{ID: requestID("one"), Ballot: request.Ballot{Holder: gatewayEpoch}, Close: true}
 	assert.DeepEqual(t, messages(ben.receive(wit)), []string{"Grant two", "Refuse one Closed"})
 }
+
+// Once a fence has relied on a vouch, the lost epoch must stay refused: what it
+// grants now could come beside what the fence let run.
+func TestVouchThatAFenceReliedOnIsNotReleased(t *testing.T) {
+	key := reservation.VouchKey{Lost: otherEpoch, Holder: gatewayEpoch}
+	vou := reservation.Vouch{VouchKey: key, Sequence: 1}
+	fen := reservation.Fence{ID: requestID("one"), Ballot: request.Ballot{Round: 1, Holder: otherEpoch}}
+	cases := map[string]struct {
+		fenced   bool
+		released bool
+	}{
+		"NotReliedOn": {false, true},
+		"ReliedOn":    {true, false},
+	}
+	for name, cas := range cases {
+		t.Run(name, func(t *testing.T) {
+			ben := newBench(benchConfig{slots: 1})
+			ben.core.Vouch(ben.now, vou)
+			if cas.fenced {
+				ans, _ := ben.core.Fence(ben.now, fen)
+				assert.DeepEqual(t, ans.Vouches, []reservation.VouchKey{key})
+			}
+			ans := ben.core.Unvouch(reservation.Unvouch{VouchKey: key, Sequence: 2})
+			assert.Equal(t, ans.Released, cas.released)
+			after, _ := ben.core.Fence(ben.now, fen)
+			assert.Equal(t, len(after.Vouches) == 0, cas.released)
+		})
+	}
+}
+
+// A vouch that arrives after it was taken back counts for nothing.
+func TestVouchThatArrivesLateCountsForNothing(t *testing.T) {
+	key := reservation.VouchKey{Lost: otherEpoch, Holder: gatewayEpoch}
+	ben := newBench(benchConfig{slots: 1})
+	assert.Assert(t, ben.core.Unvouch(reservation.Unvouch{VouchKey: key, Sequence: 2}).Released)
+	ben.core.Vouch(ben.now, reservation.Vouch{VouchKey: key, Sequence: 1})
+	ans, _ := ben.core.Fence(ben.now, reservation.Fence{ID: requestID("one"), Ballot: request.Ballot{Round: 1, Holder: otherEpoch}})
+	assert.Equal(t, len(ans.Vouches), 0)
+}
--- a/tools/mutate/mutations.go
+++ b/tools/mutate/mutations.go
@@ -43,7 +43,7 @@
 	},
 	{
 		"Vouching: a vouch that a fence relied on isn't taken back", "coordinator/ledger.go",
-		"	case known.fenced:\n		ans.Released = false\n", "", model,
+		"	case known.fenced:\n		ans.Released = false\n", "", cores,
 	},
 	{
 		"Close: NotRun is told only on a granter's word", "gateway/close.go",
@@ -51,13 +51,26 @@
 	},
 	{
 		"Close: a request asked to be closed stays in memory", "gateway/close.go",
-		"	if !ent.closeAsked {\n		gat.forget(ent)\n		return\n	}\n	ent.phase = phaseUnclosed", "	if true {\n		gat.forget(ent)\n		return\n	}\n	ent.phase = phaseUnclosed", cores,
+		"	if !ent.closeAsked {\n		gat.forget(ent)", "	if true {\n		gat.forget(ent)", cores,
 	},
 	{
 		"Close: a fence that reads Closed hears every granter", "gateway/fence.go",
 		"	case reservation.StandingOutbid:\n		gat.outbid(now, ent, ans)\n	case reservation.StandingClosed,",
 		"	case reservation.StandingOutbid:\n		gat.outbid(now, ent, ans)\n	case reservation.StandingClosed:\n		gat.finish(ent, Final{Outcome: request.NotRun})\n	case", cores,
 	},
+	{
+		"Floor: a line that refused a rank keeps nothing newly below it", "coordinator/service.go",
+		"	if now.Before(svc.floorUntil) && res.Rank < svc.floorRank {\n		return false\n	}\n", "", cores,
+	},
+	{
+		"Shedding: the lowest tier goes first", "coordinator/line.go",
+		"	for _, til := range slices.Backward(lin.tiers) {", "	for _, til := range lin.tiers {", cores,
+	},
+	{
+		"Revisions: only a higher one is put in force", "host/configuration.go",
+		"	if con.Revision <= lop.host.Configuration().Revision {\n		return\n	}\n", "",
+		[]string{"./host"},
+	},
 	{
 		"Handover: a stopping ledger is handed over whole", "coordinator/ledger.go",
 		"		han.Records = append(han.Records, reservation.Record{ID: id, Ballot: rec.ballot, Standing: rec.standing, Engine: rec.engine})\n",
