fix: a refusal counts from when it was asked for, and not for long

Cause: the model check, given tiers and short lines, found a request shed while a lower one waited: the refusal had been on its way while the floor behind it ran out, and lower work was kept again.

--- a/gateway/arrive.go
+++ b/gateway/arrive.go
@@ -59,7 +59,7 @@
 	ent := &entry{
 		id: arr.ID, ballot: bal, spec: arr.Spec, phase: phaseWaiting,
 		arrived: now, deadline: now.Add(arr.Spec.Remaining), reserved: now,
-		callers: 1, refused: make(map[request.Epoch]bool),
+		callers: 1, refused: make(map[request.Epoch]time.Time),
 	}
 	gat.table.add(ent)
 	gat.act(Attach{Caller: arr.Caller, ID: ent.id})
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -16,6 +16,10 @@
 // that the delay of the message doesn't matter.
 const fullTime = 400 * time.Millisecond
 
+// refusalTrust is for how long a coordinator's refusal counts: it must be over
+// before the floor that it raised is.
+const refusalTrust = 700 * time.Millisecond
+
 // movedTime is for how long a coordinator that coordinates nothing of a
 // service is passed over.
 const movedTime = 200 * time.Millisecond
@@ -153,7 +157,7 @@
 }
 
 func (gat *Core) mayAsk(now time.Time, epo request.Epoch, ent *entry) bool {
-	if ent.refused[epo] || !gat.mayTake(epo, ent) {
+	if ent.hasRefused(epo) || !gat.mayTake(epo, ent) {
 		return false
 	}
 	los := gat.peer(epo).loadOf(ent.spec.Service)
@@ -162,7 +166,7 @@
 	}
 	if now.Before(los.floorUntil) && ent.spec.Rank < los.floorRank {
 		// It has said so already; asking again would change nothing.
-		ent.refused[epo] = true
+		ent.refused[epo] = los.floorUntil.Add(-fullTime)
 		return false
 	}
 	return true
@@ -247,10 +251,10 @@
 	gat.table.enter(ent, phaseEvicting)
 	ent.reserved = now
 	for _, epo := range gat.coordinators(ent.spec.Service) {
-		if ent.refused[epo] {
+		if ent.hasRefused(epo) {
 			continue
 		}
-		ent.refused[epo] = true
+		ent.refused[epo] = now
 		ent.coordinator = epo
 		gat.send(epo, reservation.Evict{ID: ent.id, Service: ent.spec.Service, Rank: ent.spec.Rank})
 		return
@@ -272,8 +276,15 @@
 	gat.reserve(now, ent)
 }
 
-// shed gives the request up after every coordinator said that it keeps nothing lower.
+// shed gives the request up after every coordinator said that it keeps nothing
+// lower. Where the first of them said so too long ago to be sure of it still,
+// they are asked anew.
 func (gat *Core) shed(now time.Time, ent *entry) {
+	if now.Sub(ent.oldestRefusal(now)) > refusalTrust {
+		clear(ent.refused)
+		gat.reserve(now, ent)
+		return
+	}
 	gat.close(now, ent, Final{Cause: CauseShed, Outcome: request.NotRun, Retry: true, RetryAfter: gat.retryAfter(ent)})
 }
 
--- a/gateway/close.go
+++ b/gateway/close.go
@@ -32,12 +32,12 @@
 }
 
 func (gat *Core) closer(ent *entry) request.Epoch {
-	if gat.isUp(ent.coordinator) && gat.mayTake(ent.coordinator, ent) && !ent.refused[ent.coordinator] {
+	if gat.isUp(ent.coordinator) && gat.mayTake(ent.coordinator, ent) && !ent.hasRefused(ent.coordinator) {
 		return ent.coordinator
 	}
 	vie, _ := gat.views.Get(ent.id.View)
 	for _, mem := range vie.Granters(ent.id.Epoch) {
-		if gat.isUp(mem.Epoch) && gat.mayTake(mem.Epoch, ent) && !ent.refused[mem.Epoch] {
+		if gat.isUp(mem.Epoch) && gat.mayTake(mem.Epoch, ent) && !ent.hasRefused(mem.Epoch) {
 			return mem.Epoch
 		}
 	}
@@ -148,8 +148,9 @@
 	switch ref.Reason {
 	case reservation.ReasonFull:
 		los.floorRank = ref.FloorRank
-		los.floorUntil = now.Add(fullTime)
-		ent.refused[from] = true
+		// The refusal may have been long on its way; when it was asked for is sure.
+		los.floorUntil = ent.reserved.Add(fullTime)
+		ent.refused[from] = ent.reserved
 		gat.reserve(now, ent)
 	case reservation.ReasonMoved, reservation.ReasonNotGranter:
 		los.movedUntil = now.Add(movedTime)
@@ -174,7 +175,7 @@
 	case reservation.ReasonFenced:
 		gat.takenAway(ent, ref)
 	case reservation.ReasonFull, reservation.ReasonMoved, reservation.ReasonNotGranter, reservation.ReasonForgotten:
-		ent.refused[from] = true
+		ent.refused[from] = now
 		gat.askToClose(now, ent)
 	}
 }
--- a/gateway/dump.go
+++ b/gateway/dump.go
@@ -31,6 +31,8 @@
 	Callers     int
 	Coordinator request.Epoch
 	Engine      string
+	// Cause is why the request is being given up, while it is.
+	Cause Cause `json:",omitempty"`
 }
 
 // LostDump is a coordinator epoch whose grants are refused.
@@ -51,7 +53,7 @@
 		dum.InFlight = append(dum.InFlight, RequestDump{
 			ID: ent.id, Phase: ent.phase.String(), Service: ent.spec.Service, Tier: ent.spec.Tier, Account: ent.spec.Account,
 			Age: now.Sub(ent.arrived).String(), Remaining: ent.deadline.Sub(now).String(),
-			Callers: ent.callers, Coordinator: ent.coordinator, Engine: ent.engine,
+			Callers: ent.callers, Coordinator: ent.coordinator, Engine: ent.engine, Cause: ent.final.Cause,
 		})
 	}
 	for _, epo := range slices.Sorted(maps.Keys(gat.lost)) {
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -52,7 +52,7 @@
 	coordinator request.Epoch
 	reserved    time.Time
 	// refused are the coordinators that keep nothing lower, since when.
-	refused map[request.Epoch]bool
+	refused map[request.Epoch]time.Time
 	// overflow is set once another coordinator has dropped a lower reservation.
 	overflow bool
 	attempts int
@@ -68,6 +68,24 @@
 	rounds uint32
 }
 
+// hasRefused reports whether the coordinator has said that it keeps nothing
+// lower, or can't close the request.
+func (ent *entry) hasRefused(epo request.Epoch) bool {
+	_, refused := ent.refused[epo]
+	return refused
+}
+
+// oldestRefusal returns when the first of the refusals was given.
+func (ent *entry) oldestRefusal(now time.Time) time.Time {
+	oldest := now
+	for _, at := range ent.refused {
+		if at.Before(oldest) {
+			oldest = at
+		}
+	}
+	return oldest
+}
+
 // over reports whether the request has its final answer.
 func (ent *entry) over() bool {
 	return ent.phase == phaseDone || ent.phase == phaseGivenUp || ent.phase == phaseUnclosed
--- a/gateway/vouch.go
+++ b/gateway/vouch.go
@@ -68,7 +68,7 @@
 	case phaseEvicting:
 		gat.seekEviction(now, ent)
 	case phaseClosing:
-		ent.refused[ent.coordinator] = true
+		ent.refused[ent.coordinator] = now
 		gat.askToClose(now, ent)
 	case phaseFencing, phaseRunning, phaseResuming, phaseDone, phaseUnclosed, phaseGivenUp:
 		// These don't wait for the coordinator.
--- a/modeltest/fingerprint.go
+++ b/modeltest/fingerprint.go
@@ -8,7 +8,7 @@
 )
 
 // unseenFields don't matter for what can happen next.
-var unseenFields = map[string]bool{"steps": true, "callers": true, "actions": true, "cfg": true, "conf": true, "shares": true}
+var unseenFields = map[string]bool{"steps": true, "shed": true, "callers": true, "actions": true, "cfg": true, "conf": true, "shares": true}
 
 // Fingerprint is the same for two worlds in the same state.
 func (wor *World) Fingerprint() uint64 {
--- a/modeltest/world.go
+++ b/modeltest/world.go
@@ -35,6 +35,11 @@
 	Engines int
 	// Uniques are the requests' own parts of their ids; nil stands for one request.
 	Uniques []string
+	// Ranks are the requests' ranks, by their own part; 0 stands for 10.
+	Ranks map[string]int
+	// Slots is each engine's slots, default 2; MaxWaiting each line's bound.
+	Slots      int
+	MaxWaiting int
 	// MaxFaults bounds the faults; MaxRepeats the arrivals of each request.
 	MaxFaults  int
 	MaxRepeats int
@@ -68,6 +73,8 @@
 	told       map[request.ID]request.Outcome
 	callers    gateway.CallerID
 	steps      int
+	shed       map[request.ID]bool
+	violation  error
 }
 
 // simHost is one host's two cores.
@@ -134,12 +141,15 @@
 	if cfg.Engines == 0 {
 		cfg.Engines = 3
 	}
+	if cfg.Slots == 0 {
+		cfg.Slots = 2
+	}
 	if cfg.Uniques == nil {
 		cfg.Uniques = []string{"x"}
 	}
 	wor := &World{
-		cfg: cfg, now: time.Unix(1000, 0), conf: configuration(cfg.Engines),
-		repeats: make(map[request.ID]int), dispatched: make(map[request.ID]int), told: make(map[request.ID]request.Outcome),
+		cfg: cfg, now: time.Unix(1000, 0), conf: configuration(cfg),
+		repeats: make(map[request.ID]int), dispatched: make(map[request.ID]int), told: make(map[request.ID]request.Outcome), shed: make(map[request.ID]bool),
 	}
 	for num, domain := range cfg.Domains {
 		wor.hosts = append(wor.hosts, &simHost{number: num + 1, domain: domain})
@@ -159,8 +169,9 @@
 	for _, hst := range wor.hosts {
 		wor.coordinate(hst, coordinator.Tick{})
 	}
-	for _, unique := range cfg.Uniques {
-		wor.ids = append(wor.ids, request.ID{Prefix: request.Prefix{View: 1, Epoch: wor.hosts[0].epoch, Window: 1}, Unique: unique})
+	for num, unique := range cfg.Uniques {
+		owner := wor.hosts[num%len(wor.hosts)]
+		wor.ids = append(wor.ids, request.ID{Prefix: request.Prefix{View: 1, Epoch: owner.epoch, Window: 1}, Unique: unique})
 	}
 	return wor
 }
@@ -175,15 +186,15 @@
 	}
 }
 
-func configuration(engines int) resource.Configuration {
+func configuration(cfg Config) resource.Configuration {
 	entries := []resource.Entry{
 		{Revision: 1, Resource: resource.Tier{Name: "Normal", Rank: 10}},
-		{Revision: 1, Resource: resource.Service{Name: "menus", Protocol: resource.ProtocolModel}},
+		{Revision: 1, Resource: resource.Service{Name: "menus", Protocol: resource.ProtocolModel, MaxWaiting: cfg.MaxWaiting}},
 		{Revision: 1, Resource: resource.ClientAccount{Name: "care", Tiers: []string{"Normal"}}},
 	}
-	for num := range engines {
+	for num := range cfg.Engines {
 		entries = append(entries, resource.Entry{Revision: 1, Resource: resource.Engine{
-			Name: fmt.Sprintf("engine-%d", num), Service: "menus", Slots: 2, Address: netip.MustParseAddrPort("127.0.0.1:1"),
+			Name: fmt.Sprintf("engine-%d", num), Service: "menus", Slots: cfg.Slots, Address: netip.MustParseAddrPort("127.0.0.1:1"),
 		}})
 	}
 	return resource.NewConfiguration(1, entries)
@@ -294,11 +305,25 @@
 
 // manage brings an event to a host's gateway and takes its actions.
 func (wor *World) manage(hst *simHost, evt gateway.Event) {
-	for _, act := range hst.gat.Handle(wor.now, evt) {
+	actions := hst.gat.Handle(wor.now, evt)
+	if wor.cfg.MaxWaiting > 0 {
+		wor.noteSheds(hst)
+	}
+	for _, act := range actions {
 		wor.gatewayAction(hst, evt, act)
 	}
 }
 
+// noteSheds looks for requests that the host has just decided to shed.
+func (wor *World) noteSheds(hst *simHost) {
+	for _, req := range hst.gat.Dump(wor.now).InFlight {
+		if req.Cause == gateway.CauseShed && !wor.shed[req.ID] {
+			wor.shed[req.ID] = true
+			wor.checkShed(hst, req.ID)
+		}
+	}
+}
+
 func (wor *World) gatewayAction(hst *simHost, evt gateway.Event, act gateway.Action) {
 	switch act := act.(type) {
 	case gateway.Attach, gateway.Cancel, gateway.Forget:
@@ -388,11 +413,51 @@
 }
 
 func (wor *World) arrivalOf(id request.ID) gateway.Arrived {
+	rank := wor.rankOf(id)
 	return gateway.Arrived{Caller: wor.callers, ID: id, Spec: gateway.Spec{
-		Service: "menus", Tier: "Normal", Rank: 10, Account: "care", PromptTokens: 10, MaxTokens: 10, Remaining: deadline,
+		Service: "menus", Tier: fmt.Sprint(rank), Rank: rank, Account: "care", PromptTokens: 10, MaxTokens: 10, Remaining: deadline,
 	}}
 }
 
+func (wor *World) rankOf(id request.ID) int {
+	if rank := wor.cfg.Ranks[id.Unique]; rank > 0 {
+		return rank
+	}
+	return 10
+}
+
+// checkShed notes a violation where a request is shed while one of a lower rank
+// is kept by a coordinator that its gateway reaches.
+func (wor *World) checkShed(hst *simHost, id request.ID) {
+	for _, other := range wor.hosts {
+		if wor.running(other.epoch) == nil || !wor.reaches(hst, other) {
+			continue
+		}
+		for _, svc := range other.cor.Dump(wor.now).Services {
+			for _, wai := range svc.Waiting {
+				if wor.rankOf(wai.ID) < wor.rankOf(id) && !wor.isLeftBehind(wai.ID, wai.Gateway) {
+					wor.violation = &ViolationError{ID: id, Reason: fmt.Sprintf("shed while %s of a lower rank waits at host-%d", wai.ID.Unique, other.number)}
+				}
+			}
+		}
+	}
+}
+
+func (wor *World) reaches(hst, other *simHost) bool {
+	if hst == other {
+		return true
+	}
+	ses := wor.session(hst.epoch, other.epoch)
+	return ses != nil && !ses.broken
+}
+
+// isLeftBehind reports whether a waiting reservation's gateway is gone, so that
+// it is only waiting to be cleared away.
+func (wor *World) isLeftBehind(id request.ID, gat request.Epoch) bool {
+	_, told := wor.told[id]
+	return told || wor.running(gat) == nil
+}
+
 // Steps returns how many choices were taken.
 func (wor *World) Steps() int {
 	return wor.steps
@@ -403,11 +468,12 @@
 	Dispatched int
 	NotRun     int
 	Unknown    int
+	Shed       int
 }
 
 // Summary returns what came of the requests so far.
 func (wor *World) Summary() Summary {
-	sum := Summary{Dispatched: len(wor.dispatched)}
+	sum := Summary{Dispatched: len(wor.dispatched), Shed: len(wor.shed)}
 	for _, outcome := range wor.told {
 		switch outcome {
 		case request.NotRun:
@@ -434,6 +500,9 @@
 // Check returns a *ViolationError unless every request was dispatched at most
 // once, and none of which a caller was told NotRun was dispatched.
 func (wor *World) Check() error {
+	if wor.violation != nil {
+		return wor.violation
+	}
 	for id, count := range wor.dispatched {
 		if count > 1 {
 			return &ViolationError{ID: id, Reason: fmt.Sprintf("dispatched %d times", count)}
