feat: in a large view a gateway keeps sessions by service; small frames go uncompressed

The library compresses every answer by default, which makes small frames larger. In a view of more than 24 hosts the sessions were drawn without regard to services, so some service could have had no coordinator in reach. Change: messages under 4 KiB go uncompressed, and frames after the first leave the host's name out; sessions are chosen for each service, in different domains. At 350 hosts and 22 services each gateway reaches two domains of each service (TestReach...).

--- a/bench/capacity.go
+++ b/bench/capacity.go
@@ -87,6 +87,9 @@
 		return nil, errors.Wrapf(err, "%d hosts", hosts)
 	}
 	defer sys.Stop()
+	if err := settle(ctx); err != nil {
+		return nil, err
+	}
 	var rows []CapacityRow
 	idle := 0.0
 	for _, rate := range cfg.Rates {
@@ -105,6 +108,21 @@
 	return rows, nil
 }
 
+// settleTime is how long a system rests after its start: sessions are busy for
+// a while after they were opened.
+const settleTime = 5 * time.Second
+
+func settle(ctx context.Context) error {
+	timer := time.NewTimer(settleTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // reading is what the counters show at one time.
 type reading struct {
 	bytes uint64
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -50,9 +50,6 @@
 	DefaultRetention  = 20 * time.Minute
 )
 
-// viewsKept is how many past views a host remembers.
-const viewsKept = 256
-
 // Core is the coordinator of one host.
 type Core struct {
 	cfg      Config
@@ -82,7 +79,7 @@
 	return &Core{
 		cfg:      cfg,
 		ledger:   NewLedger(cfg.Self),
-		views:    view.NewHistory(viewsKept),
+		views:    view.NewHistory(),
 		services: make(map[string]*serviceState),
 		engines:  make(map[string]*engineState),
 		gateways: make(map[request.Epoch]bool),
--- a/embedded/embedded.go
+++ b/embedded/embedded.go
@@ -316,12 +316,15 @@
 
 // Stop ends everything at once.
 func (sys *System) Stop() {
+	stopped := make(chan struct{})
 	for _, hos := range sys.Hosts {
-		select {
-		case <-hos.Done():
-		default:
-			hos.Stop()
-		}
+		go func() {
+			stopHost(hos)
+			stopped <- struct{}{}
+		}()
+	}
+	for range sys.Hosts {
+		<-stopped
 	}
 	sys.cancel()
 	for _, srv := range sys.servers {
@@ -332,3 +335,11 @@
 		<-sys.ends
 	}
 }
+
+func stopHost(hos *host.Host) {
+	select {
+	case <-hos.Done():
+	default:
+		hos.Stop()
+	}
+}
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -57,9 +57,6 @@
 // WindowsKept is how many windows, the current one among them, ids may be of.
 const WindowsKept = 3
 
-// viewsKept is how many past views a host remembers.
-const viewsKept = 256
-
 // Core is the gateway of one host.
 type Core struct {
 	cfg    Config
@@ -92,7 +89,7 @@
 	fill(&cfg.MoveAfter, DefaultMoveAfter)
 	return &Core{
 		cfg:    cfg,
-		views:  view.NewHistory(viewsKept),
+		views:  view.NewHistory(),
 		peers:  make(map[request.Epoch]*peerState),
 		table:  newTable(),
 		lost:   make(map[request.Epoch]*lostState),
--- a/host/callerbackend.go
+++ b/host/callerbackend.go
@@ -158,7 +158,7 @@
 	if len(vie.Members) != members {
 		return false
 	}
-	for _, mem := range vie.Reach(hos.epoch) {
+	for _, mem := range vie.Reach(hos.epoch, hos.Configuration().SlotsByService()) {
 		if _, known := hos.shared.header(mem.Epoch); !known {
 			return false
 		}
--- a/host/configuration.go
+++ b/host/configuration.go
@@ -116,6 +116,7 @@
 	lop.host.shared.config.Store(newInForce(hea, con))
 	lop.host.shared.setProblem("")
 	lop.applyConfiguration(now, con)
+	lop.host.shared.wake()
 	lop.host.log.Info().Uint64("Revision", con.Revision).Msg("configuration in force")
 }
 
--- a/host/sessions.go
+++ b/host/sessions.go
@@ -48,7 +48,7 @@
 			cancel()
 		}
 	}
-	for _, mem := range vie.Reach(hos.epoch) {
+	for _, mem := range vie.Reach(hos.epoch, hos.Configuration().SlotsByService()) {
 		if running[mem.Epoch] != nil {
 			continue
 		}
--- a/host/shared.go
+++ b/host/shared.go
@@ -29,12 +29,9 @@
 	accounts      map[string]resource.ClientAccount
 }
 
-// viewsKept is how many past views a host remembers.
-const viewsKept = 256
-
 func newShared() *shared {
 	sha := &shared{
-		history:     view.NewHistory(viewsKept),
+		history:     view.NewHistory(),
 		headers:     make(map[request.Epoch]peer.Header),
 		viewChanged: make(chan struct{}),
 	}
@@ -86,6 +83,14 @@
 	return sha.viewChanged
 }
 
+// wake has those who wait for the next view look again.
+func (sha *shared) wake() {
+	sha.mutex.Lock()
+	defer sha.mutex.Unlock()
+	close(sha.viewChanged)
+	sha.viewChanged = make(chan struct{})
+}
+
 // noteHeader remembers what a peer said of itself.
 func (sha *shared) noteHeader(hea peer.Header) {
 	sha.mutex.Lock()
--- a/peer/client.go
+++ b/peer/client.go
@@ -78,7 +78,7 @@
 		if cli.cfg.Security.TLS != nil {
 			scheme = "https://"
 		}
-		stub = peerpbconnect.NewPeerServiceClient(cli.http, scheme+adr.String(), connect.WithReadMaxBytes(maxMessageBytes))
+		stub = peerpbconnect.NewPeerServiceClient(cli.http, scheme+adr.String(), connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(compressFrom))
 		cli.stubs[adr] = stub
 	}
 	return stub
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -34,6 +34,10 @@
 // maxBatch bounds the messages of one frame.
 const maxBatch = 256
 
+// compressFrom is the size from which messages are compressed: small ones only
+// grow by it.
+const compressFrom = 4096
+
 // maxMessageBytes bounds one message between hosts.
 const maxMessageBytes = 8 << 20
 
--- a/peer/pump.go
+++ b/peer/pump.go
@@ -81,7 +81,8 @@
 func (pum *pump) write(ctx context.Context) error {
 	beat := time.NewTicker(pum.timing.Heartbeat)
 	defer beat.Stop()
-	if err := pum.stream.Send(pum.frame(nil)); err != nil {
+	opening := &peerpb.Frame{Header: headerToWire(pum.self())}
+	if err := pum.stream.Send(opening); err != nil {
 		return err
 	}
 	for {
@@ -123,6 +124,9 @@
 	return batch
 }
 
+// frame leaves the name out, which the first frame has told.
 func (pum *pump) frame(batch []*peerpb.Envelope) *peerpb.Frame {
-	return &peerpb.Frame{Header: headerToWire(pum.self()), Envelopes: batch}
+	hea := pum.self()
+	hea.Name = ""
+	return &peerpb.Frame{Header: headerToWire(hea), Envelopes: batch}
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -54,7 +54,7 @@
 
 // Handler returns the HTTP handler; requests without the shared key get 401.
 func (srv *Server) Handler() http.Handler {
-	_, handler := peerpbconnect.NewPeerServiceHandler(srv, connect.WithReadMaxBytes(maxMessageBytes))
+	_, handler := peerpbconnect.NewPeerServiceHandler(srv, connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(compressFrom))
 	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
 		if !srv.cfg.Security.admits(req.Header) {
 			http.Error(wri, "peer key missing or wrong", http.StatusUnauthorized)
--- a/view/reach.go
+++ b/view/reach.go
@@ -5,44 +5,54 @@
 	"slices"
 
 	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/resource"
 )
 
-// maxReach bounds the hosts that a gateway keeps sessions with.
-const maxReach = 24
+// allReach is the largest number of other hosts that a gateway keeps sessions
+// with all of.
+const allReach = 24
+
+// serviceReach is how many coordinators of each service a gateway keeps
+// sessions with in a larger view.
+const serviceReach = 3
 
 // Reach returns the members that the gateway with the epoch keeps sessions
-// with: all others of a small view, and of a large one a part of each failure
-// domain that differs from gateway to gateway.
-func (vie View) Reach(gateway request.Epoch) []Member {
+// with: all others of a small view, and of a large one, for each service, a few
+// coordinators outside its own failure domain, in different domains as far as
+// there are any, which differ from gateway to gateway.
+func (vie View) Reach(gateway request.Epoch, services map[string][]resource.EngineSlots) []Member {
 	var others []Member
 	for _, mem := range vie.Members {
 		if mem.Epoch != gateway {
 			others = append(others, mem)
 		}
 	}
-	if len(others) <= maxReach {
+	if len(others) <= allReach {
 		return others
 	}
-	key := gateway.String()
-	slices.SortFunc(others, func(one, two Member) int {
-		return cmp.Compare(Score(key, two.Name), Score(key, one.Name))
-	})
-	return pickByDomain(others, maxReach)
+	wanted := make(map[request.Epoch]bool)
+	for service, engines := range services {
+		for _, mem := range vie.reachOf(gateway, service, engines) {
+			wanted[mem.Epoch] = true
+		}
+	}
+	return slices.DeleteFunc(others, func(mem Member) bool { return !wanted[mem.Epoch] })
 }
 
-// pickByDomain takes count members, in turn from each failure domain.
-func pickByDomain(members []Member, count int) []Member {
-	groups := groupByDomain(members)
-	domains := View{Members: members}.Domains()
-	picked := make([]Member, 0, count)
-	for rank := 0; len(picked) < count; rank++ {
-		for _, domain := range domains {
-			if rank < len(groups[domain]) && len(picked) < count {
-				picked = append(picked, groups[domain][rank])
-			}
+func (vie View) reachOf(gateway request.Epoch, service string, engines []resource.EngineSlots) []Member {
+	var coordinators []Member
+	for _, sha := range Assign(vie, service, engines) {
+		mem, _ := vie.Member(sha.Coordinator)
+		known := func(other Member) bool { return other.Epoch == mem.Epoch }
+		if vie.MayGrant(mem.Epoch, gateway) && !slices.ContainsFunc(coordinators, known) {
+			coordinators = append(coordinators, mem)
 		}
 	}
-	return picked
+	key := gateway.String()
+	slices.SortFunc(coordinators, func(one, two Member) int {
+		return cmp.Compare(Score(key, two.Name), Score(key, one.Name))
+	})
+	return Spread(coordinators, serviceReach)
 }
 
 // Spread takes count members, the first of each failure domain before any
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -115,3 +115,31 @@
 	assert.Equal(t, back.Current.Number, uint64(40))
 	assert.Assert(t, len(back.Past) >= 2)
 }
+
+// In a view too large for sessions with everybody, each gateway still reaches
+// two failure domains' coordinators of every service.
+func TestReachOfALargeViewHasEveryService(t *testing.T) {
+	vie := view.View{Number: 1}
+	for num := range 350 {
+		vie.Members = append(vie.Members, view.Member{Name: fmt.Sprintf("host-%d", num), Epoch: request.Epoch(num + 1), Domain: fmt.Sprintf("domain-%d", num%5)})
+	}
+	services := make(map[string][]resource.EngineSlots)
+	for num := range 650 {
+		service := fmt.Sprintf("model-%d", num%22)
+		services[service] = append(services[service], resource.EngineSlots{Engine: fmt.Sprintf("engine-%d", num), Slots: 8})
+	}
+	for _, gat := range vie.Members[:20] {
+		reach := vie.Reach(gat.Epoch, services)
+		assert.Assert(t, len(reach) <= 66, "%d sessions", len(reach))
+		for service, engines := range services {
+			domains := make(map[string]bool)
+			for _, sha := range view.Assign(vie, service, engines) {
+				if slices.ContainsFunc(reach, func(mem view.Member) bool { return mem.Epoch == sha.Coordinator && mem.Domain != gat.Domain }) {
+					mem, _ := vie.Member(sha.Coordinator)
+					domains[mem.Domain] = true
+				}
+			}
+			assert.Assert(t, len(domains) >= 2, "%s reaches %d domains of %s", gat.Name, len(domains), service)
+		}
+	}
+}
