--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -181,11 +181,12 @@
 }
 
 func (cor *Core) viewChanged(now time.Time, vie view.View) {
+	cor.views.Add(vie)
 	if vie.Number <= cor.view.Number {
+		// A past view says who may grant what; nothing goes by it otherwise.
 		return
 	}
 	cor.view = vie
-	cor.views.Add(vie)
 	cor.reassign(now)
 }
 
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -168,10 +168,12 @@
 }
 
 func (gat *Core) viewChanged(now time.Time, vie view.View) {
-	if vie.Number <= gat.views.Last().Number {
+	newest := vie.Number > gat.views.Last().Number
+	gat.views.Add(vie)
+	if !newest {
+		// A past view says who may grant what; nothing goes by it otherwise.
 		return
 	}
-	gat.views.Add(vie)
 	gat.reroute(now)
 }
 
--- a/gateway/core_test.go
+++ b/gateway/core_test.go
@@ -243,3 +243,16 @@
 	assert.Equal(t, fin.Final.Outcome, request.Unknown)
 	assert.Assert(t, fin.Final.Retry)
 }
+
+// A host that starts learns past views after the current one; ids of them must
+// then be relayed or fenced, not refused as too old.
+func TestPastViewLearnedLaterCounts(t *testing.T) {
+	ben := &bench{t: t, now: start, core: gateway.New(gateway.Config{Self: self, Started: start})}
+	ben.handle(gateway.ViewChanged{View: view.View{Number: 2, Members: []view.Member{member(1, "a"), member(3, "b")}}})
+	ans, answered := find[gateway.Answer](ben.arrive(ben.idOf(2, "one")))
+	assert.Assert(t, answered && ans.Final.Cause == gateway.CauseTooOld)
+	ben.handle(gateway.ViewChanged{View: view.View{Number: 1, Members: []view.Member{member(2, "a"), member(3, "b")}}})
+	rel, relayed := find[gateway.Relay](ben.arrive(ben.idOf(2, "one")))
+	assert.Assert(t, relayed)
+	assert.Equal(t, rel.To.Epoch, request.Epoch(2))
+}
--- a/host/catchup.go
+++ b/host/catchup.go
@@ -104,3 +104,23 @@
 		}
 	}
 }
+
+// fetchPast has a host that has just started learn the views before it from a
+// peer: ids of them may still come. It returns whether there is nothing left to learn.
+func (hos *Host) fetchPast(ctx context.Context) bool {
+	if hos.shared.view().Number <= 1 {
+		return true
+	}
+	for _, mem := range hos.shared.view().Active() {
+		if mem.Epoch == hos.epoch {
+			continue
+		}
+		asking, cancel := context.WithTimeout(ctx, questionTimeout)
+		sta, err := hos.peers.FetchState(asking, mem.PeerAddress, 1, hos.Configuration().Revision)
+		cancel()
+		if err == nil {
+			return hos.takeViews(ctx, sta.Views) == nil
+		}
+	}
+	return false
+}
--- a/host/membership.go
+++ b/host/membership.go
@@ -132,8 +132,12 @@
 // watchPlatform follows the platform: members, views and configuration.
 func (hos *Host) watchPlatform(ctx context.Context) error {
 	wait := minBackoff
+	pastKnown := false
 	for ctx.Err() == nil {
 		rev, err := hos.refresh(ctx)
+		if err == nil && !pastKnown {
+			pastKnown = hos.fetchPast(ctx)
+		}
 		if err == nil {
 			_, err = hos.store.Watch(ctx, watchedPrefix, rev, watchWait)
 		}
--- a/view/propose.go
+++ b/view/propose.go
@@ -8,8 +8,9 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxHeadBytes bounds the stored head, well under the platform's limit on a value.
-const maxHeadBytes = 512 << 10
+// maxHeadBytes bounds the stored head: every host reads it at each change. What
+// has no room in it is fetched from peers.
+const maxHeadBytes = 128 << 10
 
 // Head is the stored value that orders views: the current one, and as many of
 // the last ones as there is room for, so that a host that starts knows them.
