fix: an empty name in a file is named in the error

Cause: found by FuzzParse in its first second: {"": []} gave 'f:1: : unknown field'. Result: the input stands in the fuzz corpus; it fails before and passes after.

--- a/format/format.go
+++ b/format/format.go
@@ -180,6 +180,10 @@
 }
 
 func join(path, name string) string {
+	if name == "" {
+		// A field without a name must still show in the error.
+		name = `""`
+	}
 	if path == "" {
 		return name
 	}
