test: processes under test end with their test

Cause: one of 28 pairs of faults reported a doubled dispatch without an id. A test binary ended by its time limit (the rolling restart, earlier) had left ten processes running; their hosts went on calling their platform at a port that a backend server's stand-in of a later test had got. Ruled out: lynxwell's own dispatches, which all carry an id; the pair alone ran ten times without a failure. Change: a process under test ends when its standard input closes; the lists of dispatches name the call.

--- a/backendtest/backendtest.go
+++ b/backendtest/backendtest.go
@@ -155,7 +155,9 @@
 		return fau
 	}
 	srv.running++
-	srv.records = append(srv.records, engine.DispatchRecord{ID: req.Header.Get(backend.HeaderRequestID), Finished: true})
+	srv.records = append(srv.records, engine.DispatchRecord{
+		ID: req.Header.Get(backend.HeaderRequestID), Call: req.Method + " " + req.URL.Path, Finished: true,
+	})
 	if fau.DropReplies > 0 {
 		srv.faults.DropReplies--
 	}
--- a/engine/wire.go
+++ b/engine/wire.go
@@ -92,7 +92,9 @@
 
 // DispatchRecord is a dispatch that an engine's stand-in received.
 type DispatchRecord struct {
-	ID       string
+	ID string
+	// Call is the method and path that it came by.
+	Call     string
 	Priority int
 	// PromptTokens is the whole prompt, PrefillTokens the part computed.
 	PromptTokens  int
--- a/enginetest/handler.go
+++ b/enginetest/handler.go
@@ -102,7 +102,7 @@
 	orInt(&wanted, defaultAnswer)
 	eng.mutex.Lock()
 	defer eng.mutex.Unlock()
-	rec := &engine.DispatchRecord{ID: id, Priority: priority, PromptTokens: prompt.Tokens}
+	rec := &engine.DispatchRecord{ID: id, Call: req.Method + " " + req.URL.Path, Priority: priority, PromptTokens: prompt.Tokens}
 	eng.dispatches = append(eng.dispatches, rec)
 	jb = &job{
 		record: rec, priority: priority, model: chat.Model, mark: Mark(chat.Messages),
--- a/load/run.go
+++ b/load/run.go
@@ -150,7 +150,7 @@
 	for _, dis := range dispatches {
 		seen[dis.ID]++
 		if seen[dis.ID] == 2 {
-			aud.Doubled = append(aud.Doubled, dis.ID)
+			aud.Doubled = append(aud.Doubled, dis.ID+" by "+dis.Call)
 		}
 		if seen[dis.ID] == 1 && told[dis.ID] == request.NotRun {
 			aud.FalselyNotRun = append(aud.FalselyNotRun, dis.ID)
--- a/processtest/processtest.go
+++ b/processtest/processtest.go
@@ -63,11 +63,23 @@
 // Main runs the tests, or the program where a test has started it.
 func Main(m *testing.M) {
 	if os.Getenv(envProgram) != "" {
+		go endWithParent()
 		os.Exit(cmd.Run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
 	}
 	os.Exit(m.Run())
 }
 
+// exitOrphan is the exit code of a process whose test is gone.
+const exitOrphan = 9
+
+// endWithParent ends the program when the test that started it is gone, which
+// closes its standard input. A test that is ended by its time limit cleans
+// nothing up, and what it left running would call at ports that others have by then.
+func endWithParent() {
+	_, _ = io.Copy(io.Discard, os.Stdin)
+	os.Exit(exitOrphan)
+}
+
 // Process is one running process.
 type Process struct {
 	Name string
@@ -192,6 +204,8 @@
 	pro.com = exec.Command(os.Args[0], args...)
 	pro.com.Env = append(os.Environ(), envProgram+"=1")
 	pro.com.Stderr = log
+	_, err = pro.com.StdinPipe()
+	assert.NilError(sys.t, err)
 	out, err := pro.com.StdoutPipe()
 	assert.NilError(sys.t, err)
 	assert.NilError(sys.t, pro.com.Start())
