feat: the load tool's callers give silent addresses up

Cause: a frozen host takes connections and stays silent: in the pair of a killed and a frozen host 19 of 169 urgent requests hung until their deadline. Change: an attempt without an answer for 3 s is repeated at another address; an address that failed is passed over for 3 s; a request of which nothing was sent takes a new id with the next address's prefix. Ruled out as mendable here: with a host killed and another frozen before it could vouch, nobody can answer for the first one; the design says so.

--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -241,3 +241,11 @@
 	ans, _ := ben.core.Fence(ben.now, reservation.Fence{ID: requestID("one"), Ballot: request.Ballot{Round: 1, Holder: otherEpoch}})
 	assert.Equal(t, len(ans.Vouches), 0)
 }
+
+func TestOfSeveralLowerTiersTheLowestIsDropped(t *testing.T) {
+	ben := newBench(benchConfig{slots: 1, maxWaiting: 2})
+	ben.receive(reserveOf("running", 10))
+	ben.receive(reserveOf("low", 10))
+	ben.receive(reserveOf("middle", 15))
+	assert.DeepEqual(t, messages(ben.receive(reserveOf("high", 20))), []string{"Refuse low Full"})
+}
--- a/load/client.go
+++ b/load/client.go
@@ -28,6 +28,7 @@
 
 	"lynxwell.dev/lynxwell/caller"
 	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/transport"
 )
 
 // The pauses of a caller that repeats.
@@ -37,6 +38,13 @@
 	attemptLimit   = 40
 )
 
+// attemptTime is how long an address may say nothing before the request is
+// repeated at another one: a host that is frozen takes connections and is silent.
+const attemptTime = 3 * time.Second
+
+// avoidTime is for how long an address that failed is passed over.
+const avoidTime = 3 * time.Second
+
 // maxAnswerBytes bounds one answer.
 const maxAnswerBytes = 64 << 20
 
@@ -64,14 +72,19 @@
 	count   uint64
 	// salt keeps the ids of different clients apart, whatever their seeds.
 	salt uint32
+	// silent are the addresses that failed lately, since when.
+	silent map[netip.AddrPort]time.Time
 }
 
 // NewClient returns a client that knows no addresses yet.
 func NewClient(cfg ClientConfig) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 1024, IdleConnTimeout: time.Minute, DisableCompression: true}
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: 1024, IdleConnTimeout: time.Minute, DisableCompression: true, ResponseHeaderTimeout: attemptTime,
+	}
 	return &Client{
 		cfg: cfg, http: &http.Client{Transport: transport},
 		random: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed+1)), salt: rand.Uint32(),
+		silent: make(map[netip.AddrPort]time.Time),
 	}
 }
 
@@ -200,7 +213,9 @@
 	answer  Answer
 	id      request.ID
 	named   bool
-	last    netip.AddrPort
+	// sent is set once anything may have been sent under the id.
+	sent bool
+	last netip.AddrPort
 }
 
 // attempt sends the request once; it reports whether that settled it.
@@ -213,8 +228,11 @@
 	}
 	rep, err := sen.post(ctx, adr)
 	if err != nil {
+		sen.client.avoid(adr)
+		sen.unname(err)
 		return sen.broken(ctx, err)
 	}
+	sen.sent = true
 	defer rep.Body.Close()
 	return sen.read(ctx, rep)
 }
@@ -264,12 +282,22 @@
 	defer cli.mutex.Unlock()
 	count := len(known.Addresses)
 	start := cli.random.IntN(count)
-	if known.Addresses[start].Address == last && count > 1 {
-		start = (start + 1) % count
+	for step := range count {
+		adr := known.Addresses[(start+step)%count]
+		if adr.Address != last && time.Since(cli.silent[adr.Address]) > avoidTime {
+			return adr
+		}
 	}
 	return known.Addresses[start]
 }
 
+// avoid passes an address over for a while.
+func (cli *Client) avoid(adr netip.AddrPort) {
+	cli.mutex.Lock()
+	defer cli.mutex.Unlock()
+	cli.silent[adr] = time.Now()
+}
+
 func (sen *sending) post(ctx context.Context, adr netip.AddrPort) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, sen.request.Method, "http://"+adr.String()+sen.request.Path, bytes.NewReader(sen.request.Body))
 	if err != nil {
@@ -287,6 +315,17 @@
 	return sen.client.http.Do(req)
 }
 
+// unname has the request take a new id where nothing was sent under this one:
+// its prefix names the host that couldn't be reached.
+func (sen *sending) unname(err error) {
+	if !transport.NotSent(err) {
+		sen.sent = true
+	}
+	if !sen.sent {
+		sen.named = false
+	}
+}
+
 // broken repeats after a connection that failed, under the same id.
 func (sen *sending) broken(ctx context.Context, err error) bool {
 	sen.answer.Err = err
@@ -340,7 +379,7 @@
 		return true
 	case ans.Outcome == request.NotRun && after == 0:
 		// The host or the prefix is going away: a new id at another address.
-		sen.named = false
+		sen.named, sen.sent = false, false
 		_, _ = sen.client.Refresh(ctx)
 		sleep(ctx, repeatPause)
 		return false
