fix: memory of answers and of hosts that are gone is bounded

Cause: found by reading: answers that were forgotten went on counting against the 16 MB for answers, so that after some time every new answer was dropped at once; the order of kept answers, vouches, lost epochs and handed-over epochs grew for as long as the process ran. Change: what is forgotten is taken off the count; epochs that no remembered view has are dropped.

--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -182,6 +182,7 @@
 
 func (cor *Core) viewChanged(now time.Time, vie view.View) {
 	cor.views.Add(vie)
+	cor.ledger.ForgetHosts(cor.views.Knows)
 	if vie.Number <= cor.view.Number {
 		// A past view says who may grant what; nothing goes by it otherwise.
 		return
--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -249,3 +249,15 @@
 	ben.receive(reserveOf("middle", 15))
 	assert.DeepEqual(t, messages(ben.receive(reserveOf("high", 20))), []string{"Refuse low Full"})
 }
+
+// What is kept of hosts that are gone must not grow for as long as the process runs.
+func TestVouchesOfHostsThatNoViewKnowsAreForgotten(t *testing.T) {
+	ben := newBench(benchConfig{slots: 1})
+	ben.core.Vouch(ben.now, reservation.Vouch{VouchKey: reservation.VouchKey{Lost: otherEpoch, Holder: gatewayEpoch}, Sequence: 1})
+	assert.Equal(t, ben.core.Dump(ben.now).Vouches, 1)
+	members := []view.Member{{Name: "host-1", Epoch: gatewayEpoch, Domain: "a"}, {Name: "host-2", Epoch: selfEpoch, Domain: "b"}}
+	for number := uint64(2); ben.core.Dump(ben.now).Vouches > 0; number++ {
+		assert.Assert(t, number < 1000, "the vouch is kept")
+		ben.handle(coordinator.ViewChanged{View: view.View{Number: number, Members: members}})
+	}
+}
--- a/coordinator/ledger.go
+++ b/coordinator/ledger.go
@@ -250,6 +250,21 @@
 	}
 }
 
+// ForgetHosts drops vouches and successions about epochs that aren't known any
+// more: no id that is still taken can lead to them.
+func (led *Ledger) ForgetHosts(known func(request.Epoch) bool) {
+	for key := range led.vouches {
+		if !known(key.Lost) {
+			delete(led.vouches, key)
+		}
+	}
+	for epo := range led.successions {
+		if !known(epo) {
+			delete(led.successions, epo)
+		}
+	}
+}
+
 func (led *Ledger) forgotten(id request.ID) bool {
 	floor, known := led.floors[id.Epoch]
 	return known && id.Window <= floor
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -170,6 +170,7 @@
 func (gat *Core) viewChanged(now time.Time, vie view.View) {
 	newest := vie.Number > gat.views.Last().Number
 	gat.views.Add(vie)
+	gat.forgetHosts()
 	if !newest {
 		// A past view says who may grant what; nothing goes by it otherwise.
 		return
@@ -177,6 +178,21 @@
 	gat.reroute(now)
 }
 
+// forgetHosts drops what is kept of epochs that no remembered view has: no id
+// that is still taken can lead to them.
+func (gat *Core) forgetHosts() {
+	for epo := range gat.lost {
+		if !gat.views.Knows(epo) {
+			delete(gat.lost, epo)
+		}
+	}
+	for epo := range gat.away {
+		if !gat.views.Knows(epo) {
+			delete(gat.away, epo)
+		}
+	}
+}
+
 // reroute follows a change of who coordinates what: new coordinators are told
 // of the slots in use, and requests that waited for a coordinator try again.
 func (gat *Core) reroute(now time.Time) {
--- a/host/actions.go
+++ b/host/actions.go
@@ -50,6 +50,7 @@
 			jb.cancel()
 		}
 	case gateway.Forget:
+		lop.dropKept(act.ID)
 		delete(lop.jobs, act.ID)
 	case gateway.Send:
 		lop.sendToCoordinator(now, act.To, act.Message)
@@ -108,16 +109,28 @@
 // keepAnswer keeps a finished answer for repeats, and drops the oldest ones
 // where they take too much memory.
 func (lop *loop) keepAnswer(id request.ID, jb *job) {
-	lop.keptBytes += jb.exchange.Size()
+	lop.keptBytes += jb.exchange.Size() - jb.kept
+	jb.kept = jb.exchange.Size()
 	lop.keptOrder = append(lop.keptOrder, id)
-	for lop.keptBytes > maxKeptAnswers && len(lop.keptOrder) > 0 {
+	for len(lop.keptOrder) > 0 {
 		oldest := lop.keptOrder[0]
-		lop.keptOrder = lop.keptOrder[1:]
-		if old := lop.jobs[oldest]; old != nil {
-			lop.keptBytes -= old.exchange.Size()
-			old.exchange.Drop()
+		if lop.keptBytes <= maxKeptAnswers && lop.jobs[oldest] != nil {
+			break
 		}
+		lop.keptOrder = lop.keptOrder[1:]
+		lop.dropKept(oldest)
+	}
+}
+
+// dropKept gives up the answer that is kept of a request, if any.
+func (lop *loop) dropKept(id request.ID) {
+	jb := lop.jobs[id]
+	if jb == nil {
+		return
 	}
+	lop.keptBytes -= jb.kept
+	jb.kept = 0
+	jb.exchange.Drop()
 }
 
 func (lop *loop) askFence(now time.Time, act gateway.AskFence) {
--- a/host/loop.go
+++ b/host/loop.go
@@ -32,9 +32,12 @@
 	outbound    map[request.Epoch]*outbound
 	inbound     map[request.Epoch]*inbound
 	inboundByID map[uint64]*inbound
-	keptBytes   int
-	keptOrder   []request.ID
-	ctx         context.Context
+	// keptBytes is the memory of finished answers, keptOrder their requests, the
+	// oldest first.
+	keptBytes int
+	keptOrder []request.ID
+	// ctx ends with the loop, and what it started with it.
+	ctx context.Context
 }
 
 // job is a request's exchange, with what is needed to run it.
@@ -43,6 +46,8 @@
 	work     caller.Work
 	priority int
 	cancel   context.CancelFunc
+	// kept is how much of the answer counts against the memory for answers.
+	kept int
 }
 
 // arrival is a caller that waits for a decision.
--- a/view/history.go
+++ b/view/history.go
@@ -1,5 +1,7 @@
 package view
 
+import "lynxwell.dev/lynxwell/request"
+
 // History remembers the last views by number.
 type History struct {
 	limit uint64
@@ -51,6 +53,12 @@
 	return views
 }
 
+// Knows reports whether any remembered view has the epoch.
+func (his *History) Knows(epo request.Epoch) bool {
+	_, known := his.Find(func(mem Member) bool { return mem.Epoch == epo })
+	return known
+}
+
 // Find returns the newest member with the epoch in any remembered view.
 func (his *History) Find(match func(Member) bool) (Member, bool) {
 	for num := his.last; num > 0; num-- {
