--- a/backendtest/backendtest.go
+++ b/backendtest/backendtest.go
@@ -56,6 +56,7 @@
 	Path   string
 	Query  string
 	Body   string
+	Header http.Header
 }
 
 // Server is the stand-in.
@@ -144,7 +145,7 @@
 	if fau.DropReplies > 0 {
 		panic(http.ErrAbortHandler)
 	}
-	reply(wri, Echo{Server: srv.cfg.Name, Method: req.Method, Path: req.URL.Path, Query: req.URL.RawQuery, Body: string(body)})
+	reply(wri, Echo{Server: srv.cfg.Name, Method: req.Method, Path: req.URL.Path, Query: req.URL.RawQuery, Body: string(body), Header: req.Header})
 }
 
 func (srv *Server) take(req *http.Request) Faults {
