--- a/enginetest/contract_test.go
+++ b/enginetest/contract_test.go
@@ -36,6 +36,8 @@
 	cli := engine.NewClient(engine.ClientConfig{SilenceTimeout: 300 * time.Millisecond})
 	t.Cleanup(func() {
 		cli.Close()
+		// A frozen engine holds its callers until it wakes.
+		eng.SetFaults(enginetest.Faults{})
 		srv.CloseClientConnections()
 		srv.Close()
 		cancel()
@@ -52,12 +54,12 @@
 
 var messages = []engine.Message{{Role: "system", Content: strings.Repeat("shared ", 50)}, {Role: "user", Content: "is it safe?"}}
 
-func (fix fixture) dispatch(t *testing.T, ctx context.Context, unique string, tokens int) (engine.Result, string) {
+func (fix fixture) dispatch(t *testing.T, unique string, tokens int) (engine.Result, string) {
 	t.Helper()
 	body, err := json.Marshal(engine.ChatRequest{Model: "m", Messages: messages, MaxTokens: tokens, Stream: true})
 	assert.NilError(t, err)
 	text := ""
-	res := fix.client.Dispatch(ctx, engine.Dispatch{Address: fix.address, ID: requestID(unique), Body: body}, collect(&text))
+	res := fix.client.Dispatch(t.Context(), engine.Dispatch{Address: fix.address, ID: requestID(unique), Body: body}, collect(&text))
 	return res, text
 }
 
@@ -72,7 +74,7 @@
 
 func TestDispatchStreamsTheWholeAnswer(t *testing.T) {
 	fix := newFixture(t, fast)
-	res, text := fix.dispatch(t, t.Context(), "one", 5)
+	res, text := fix.dispatch(t, "one", 5)
 	assert.Assert(t, res.Whole && res.Dispatched && res.Answered, "%v", res.Err)
 	assert.Equal(t, text, enginetest.Answer(messages, 5))
 	assert.Equal(t, res.Usage.CompletionTokens, 5)
@@ -81,7 +83,7 @@
 
 func TestResumeReadsFromAnOffsetAndRunsNothing(t *testing.T) {
 	fix := newFixture(t, fast)
-	fix.dispatch(t, t.Context(), "one", 5)
+	fix.dispatch(t, "one", 5)
 	for _, offset := range []int{0, 2, 5} {
 		text := ""
 		res := fix.client.Resume(t.Context(), fix.address, requestID("one"), offset, collect(&text))
@@ -109,7 +111,7 @@
 		t.Run(name, func(t *testing.T) {
 			fix := newFixture(t, fast)
 			fix.engine.SetFaults(cas.faults)
-			res, _ := fix.dispatch(t, t.Context(), "one", 5)
+			res, _ := fix.dispatch(t, "one", 5)
 			assert.Assert(t, !res.Whole)
 			assert.Equal(t, res.Dispatched, cas.dispatched)
 			assert.Equal(t, res.Answered, cas.answered)
@@ -122,14 +124,14 @@
 func TestUnreachableEngineGotNothing(t *testing.T) {
 	fix := newFixture(t, fast)
 	fix.address = netip.MustParseAddrPort("127.0.0.1:1")
-	res, _ := fix.dispatch(t, t.Context(), "one", 5)
+	res, _ := fix.dispatch(t, "one", 5)
 	assert.Assert(t, !res.Dispatched && !res.Answered && !res.Whole)
 }
 
 func TestDroppedReplyIsResumed(t *testing.T) {
 	fix := newFixture(t, fast)
 	fix.engine.SetFaults(enginetest.Faults{DropReplies: 1})
-	fix.dispatch(t, t.Context(), "one", 5)
+	fix.dispatch(t, "one", 5)
 	text := ""
 	res := fix.client.Resume(t.Context(), fix.address, requestID("one"), 0, collect(&text))
 	assert.Assert(t, res.Whole, "%v", res.Err)
@@ -156,8 +158,8 @@
 
 func TestSecondPromptWithThePrefixIsCached(t *testing.T) {
 	fix := newFixture(t, fast)
-	first, _ := fix.dispatch(t, t.Context(), "one", 2)
-	second, _ := fix.dispatch(t, t.Context(), "two", 2)
+	first, _ := fix.dispatch(t, "one", 2)
+	second, _ := fix.dispatch(t, "two", 2)
 	assert.Equal(t, first.Usage.Details.CachedTokens, 0)
 	prompt := engine.Weigh(messages)
 	assert.Equal(t, second.Usage.Details.CachedTokens, prompt.PrefixTokens)
