feat: short requests avoid engines that still work on long prompts

Ruled out: the lines (nothing waited for a slot) and prompts recomputed (none). Change: a coordinator counts the prompt work ahead on each engine when it chooses one, and tells the least of its free engines with its load; gateways let that decay with time. The new unit test fails before the change.

--- a/coordinator/core_test.go
+++ b/coordinator/core_test.go
@@ -33,6 +33,8 @@
 type benchConfig struct {
 	slots      int
 	maxWaiting int
+	// second adds another engine, half as fast.
+	second bool
 }
 
 func newBench(cfg benchConfig) *bench {
@@ -49,6 +51,12 @@
 			PrefillTokensPerSecond: 1000, DecodeTokensPerSecond: 100,
 		}},
 	}
+	if cfg.second {
+		entries = append(entries, resource.Entry{Revision: 1, Resource: resource.Engine{
+			Name: "engine-2", Service: "menus", Slots: cfg.slots, Address: netip.MustParseAddrPort("127.0.0.1:2"),
+			PrefillTokensPerSecond: 500, DecodeTokensPerSecond: 50,
+		}})
+	}
 	ben.handle(coordinator.ConfigurationChanged{Configuration: resource.NewConfiguration(1, entries)})
 	ben.handle(coordinator.ViewChanged{View: view.View{Number: 1, Members: members}})
 	ben.now = ben.now.Add(time.Second)
@@ -261,3 +269,26 @@
 		ben.handle(coordinator.ViewChanged{View: view.View{Number: number, Members: members}})
 	}
 }
+
+// A short request isn't sent to an engine that still works on a long prompt:
+// its few tokens would wait for that, also on the fastest engine.
+func TestShortRequestAvoidsAnEngineWithALongPrompt(t *testing.T) {
+	ben := newBench(benchConfig{slots: 4, second: true})
+	long := reserveOf("long", 10)
+	long.PromptTokens = 8000
+	assert.Equal(t, grantedEngine(ben.receive(long)), "engine-1")
+	assert.Equal(t, grantedEngine(ben.receive(reserveOf("short", 10))), "engine-2")
+	ben.now = ben.now.Add(8 * time.Second)
+	assert.Equal(t, grantedEngine(ben.receive(reserveOf("later", 10))), "engine-1")
+}
+
+func grantedEngine(actions []coordinator.Action) string {
+	for _, act := range actions {
+		if snd, isSend := act.(coordinator.Send); isSend {
+			if gra, isGrant := snd.Message.(reservation.Grant); isGrant {
+				return gra.Engine
+			}
+		}
+	}
+	return ""
+}
--- a/coordinator/engine.go
+++ b/coordinator/engine.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/reservation"
 	"lynxwell.dev/lynxwell/resource"
 )
 
@@ -44,6 +45,8 @@
 // hold is one slot in use.
 type hold struct {
 	gateway request.Epoch
+	// prefilled is when the request's prompt is expected to be done.
+	prefilled time.Time
 	// orphaned is when the gateway was lost; zero while it is there.
 	orphaned time.Time
 }
@@ -75,6 +78,25 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
+// prefillAhead is how long the engine is expected to work on prompts that were
+// granted already: until then every stream on it is slow.
+func (ens *engineState) prefillAhead(now time.Time) time.Duration {
+	var total time.Duration
+	for _, hol := range ens.held {
+		total += max(0, hol.prefilled.Sub(now))
+	}
+	return total
+}
+
+// prefillTime is how long the engine works on a prompt.
+func (ens *engineState) prefillTime(res reservation.Reserve) time.Duration {
+	uncached := res.PromptTokens
+	if ens.prefixes.has(res.PrefixHash) {
+		uncached -= res.PrefixTokens
+	}
+	return ens.predict(uncached, 0, 0)
+}
+
 // learn corrects the engine's speeds by one finished run.
 func (ens *engineState) learn(prefillTokens, decodeTokens int, firstToken, total time.Duration) {
 	if prefillTokens > 0 && firstToken >= minMeasured {
--- a/coordinator/service.go
+++ b/coordinator/service.go
@@ -94,10 +94,26 @@
 	loa := reservation.Load{Service: svc.name, FreeSlots: free, Waiting: svc.line.len()}
 	if free == 0 {
 		loa.Delay = svc.delay()
+	} else {
+		loa.Delay = svc.leastPrefillAhead()
 	}
 	return loa
 }
 
+// leastPrefillAhead is the prompt work ahead on the free engine that has the least.
+func (svc *serviceState) leastPrefillAhead() time.Duration {
+	least := time.Duration(-1)
+	for _, ens := range svc.engines {
+		if ens.free(svc.now) == 0 {
+			continue
+		}
+		if ahead := ens.prefillAhead(svc.now); least < 0 || ahead < least {
+			least = ahead
+		}
+	}
+	return max(0, least)
+}
+
 // delay is how long a reservation at the end of the line would wait.
 func (svc *serviceState) delay() time.Duration {
 	slots := svc.slots()
@@ -156,7 +172,7 @@
 		if ens.free(now) == 0 {
 			continue
 		}
-		run := predictReserve(ens, res)
+		run := predictReserve(ens, res) + ens.prefillAhead(now)
 		if best == nil || run < bestRun {
 			best, bestRun = ens, run
 		}
@@ -312,7 +328,7 @@
 	svc.line.serve(wai)
 	res := wai.reserve
 	cor.ledger.Grant(now, res.ID, res.Ballot, ens.engine.Name)
-	ens.held[res.ID] = &hold{gateway: wai.gateway}
+	ens.held[res.ID] = &hold{gateway: wai.gateway, prefilled: now.Add(ens.prefillTime(res))}
 	ens.prefixes.add(res.PrefixHash)
 	cor.send(wai.gateway, reservation.Grant{ID: res.ID, Ballot: res.Ballot, Engine: ens.engine.Name}, svc)
 }
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -31,8 +31,9 @@
 // loadState is what a coordinator last told of one service.
 type loadState struct {
 	load reservation.Load
-	// sent counts the reservations sent since that word.
-	sent int
+	// noted is when that word came; sent counts the reservations sent since.
+	noted time.Time
+	sent  int
 	// floorRank is the lowest rank newly kept until floorUntil.
 	floorRank  int
 	floorUntil time.Time
@@ -145,7 +146,7 @@
 		if !gat.mayAsk(now, epo, ent) {
 			continue
 		}
-		cost := gat.cost(epo, ent)
+		cost := gat.cost(now, epo, ent)
 		if epo != preferred {
 			cost += prefixCost(ent.spec)
 		}
@@ -174,11 +175,12 @@
 
 // cost is the predicted wait at the coordinator, corrected by what was sent
 // there since it last told its load.
-func (gat *Core) cost(epo request.Epoch, ent *entry) time.Duration {
+func (gat *Core) cost(now time.Time, epo request.Epoch, ent *entry) time.Duration {
 	los := gat.peer(epo).loadOf(ent.spec.Service)
 	free := los.load.FreeSlots - los.sent
 	if free > 0 {
-		return time.Duration(0)
+		// Prompts get done while time passes.
+		return max(0, los.load.Delay-now.Sub(los.noted))
 	}
 	slots := max(1, gat.slotsOf(epo, ent.spec.Service))
 	return los.load.Delay + time.Duration(1-free)*unknownRun/time.Duration(slots)
--- a/gateway/close.go
+++ b/gateway/close.go
@@ -81,7 +81,7 @@
 
 // received takes one message of a coordinator.
 func (gat *Core) received(now time.Time, rec Received) {
-	gat.noteLoad(rec)
+	gat.noteLoad(now, rec)
 	switch msg := rec.Message.(type) {
 	case reservation.Grant:
 		gat.granted(rec.From, msg)
@@ -95,12 +95,13 @@
 	gat.retryWaiting(now)
 }
 
-func (gat *Core) noteLoad(rec Received) {
+func (gat *Core) noteLoad(now time.Time, rec Received) {
 	if rec.Load.Service == "" {
 		return
 	}
 	los := gat.peer(rec.From).loadOf(rec.Load.Service)
 	los.load = rec.Load
+	los.noted = now
 	los.sent = 0
 }
 
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -165,7 +165,8 @@
 	FreeSlots int
 	// Waiting is how many reservations wait.
 	Waiting int
-	// Delay is how long a new reservation of middling size would wait.
+	// Delay is how long a new reservation of middling size would wait; with free
+	// slots, for prompts that the least busy engine still works on.
 	Delay time.Duration
 }
 
