--- a/host/dump.go
+++ b/host/dump.go
@@ -34,10 +34,14 @@
 	Jobs        int
 	KeptBytes   int
 	Inbox       int
-	Goroutines  int
-	HeapBytes   uint64
-	Platform    map[string]uint64
-	Traffic     Traffic
+	// Goroutines counts all of the process; Tasks names the host's lasting ones,
+	// Spawned counts its dispatches and questions on their way.
+	Goroutines int
+	Tasks      []string
+	Spawned    int64
+	HeapBytes  uint64
+	Platform   map[string]uint64
+	Traffic    Traffic
 }
 
 // PeerDump is a session of this gateway with a coordinator.
@@ -72,6 +76,8 @@
 	runtime.ReadMemStats(&mem)
 	dum.HeapBytes = mem.HeapAlloc
 	dum.Goroutines = runtime.NumGoroutine()
+	dum.Tasks = hos.tasks.names()
+	dum.Spawned = hos.spawnedNow.Load()
 	dum.Platform = hos.store.Counts()
 	dum.Traffic = Traffic{Received: hos.meter.Received(), Sent: hos.meter.Sent()}
 	return dum
--- a/host/host.go
+++ b/host/host.go
@@ -78,10 +78,13 @@
 	// leaving wakes the lease keeper when the host starts to leave.
 	leaving chan struct{}
 	// ahead names peers that have views or configuration that this host has not.
-	ahead   chan netip.AddrPort
-	spawned sync.WaitGroup
-	servers []*http.Server
-	cancel  context.CancelFunc
+	ahead chan netip.AddrPort
+	tasks *tasks
+	// spawned waits for the short work beside the loop; spawnedNow counts it.
+	spawned    sync.WaitGroup
+	spawnedNow atomic.Int64
+	servers    []*http.Server
+	cancel     context.CancelFunc
 	// done is closed when every goroutine has ended.
 	done chan struct{}
 }
@@ -115,6 +118,7 @@
 	hos.backends = backend.NewClient(backend.ClientConfig{})
 	hos.callers = caller.NewServer(caller.ServerConfig{Backend: hos, Log: hos.log, HostName: hos.set.Name})
 	hos.parts = newParts()
+	hos.tasks = newTasks(hos.log)
 	hos.loop = newLoop(hos)
 	return hos, nil
 }
@@ -160,7 +164,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	hos.cancel = cancel
-	tasks := newTasks(hos.log)
+	tasks := hos.tasks
 	tasks.run("loop", func() error { return hos.loop.run(ctx) })
 	hos.serve(tasks, listeners)
 	tasks.run("lease", func() error { return hos.keepLease(ctx) })
@@ -233,5 +237,9 @@
 
 // spawn runs short work beside the loop, which it reports back to by post.
 func (hos *Host) spawn(work func()) {
-	hos.spawned.Go(work)
+	hos.spawnedNow.Add(1)
+	hos.spawned.Go(func() {
+		defer hos.spawnedNow.Add(-1)
+		work()
+	})
 }
--- a/host/tasks.go
+++ b/host/tasks.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
@@ -12,6 +14,8 @@
 	log     zerolog.Logger
 	started int
 	ends    chan taskEnd
+	mutex   sync.Mutex
+	running []string
 }
 
 // taskEnd is the end of one goroutine.
@@ -27,13 +31,26 @@
 // run starts a goroutine. All must be started before wait is called.
 func (tks *tasks) run(name string, work func() error) {
 	tks.started++
+	tks.mutex.Lock()
+	tks.running = append(tks.running, name)
+	tks.mutex.Unlock()
 	go func() { tks.ends <- taskEnd{name: name, err: work()} }()
 }
 
+// names returns the goroutines that haven't ended.
+func (tks *tasks) names() []string {
+	tks.mutex.Lock()
+	defer tks.mutex.Unlock()
+	return slices.Clone(tks.running)
+}
+
 // wait returns when every goroutine has ended.
 func (tks *tasks) wait() {
 	for range tks.started {
 		end := <-tks.ends
+		tks.mutex.Lock()
+		tks.running = slices.DeleteFunc(tks.running, func(name string) bool { return name == end.name })
+		tks.mutex.Unlock()
 		if end.err != nil && !errors.Is(end.err, context.Canceled) {
 			tks.log.Error().Err(end.err).Str("Task", end.name).Msg("task ended")
 		}
