--- /dev/null
+++ b/embedded/slow_test.go
@@ -0,0 +1,59 @@
+package embedded_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// slowCallers is how many broken callers the test has at once.
+const slowCallers = 50
+
+// Callers that send half a request and stop must neither stand in the way of
+// others nor leave anything behind when their connection ends.
+func TestHalfSentRequestsStandInNobodysWay(t *testing.T) {
+	sys := startSystem(t)
+	var dialer net.Dialer
+	var half []net.Conn
+	for range slowCallers {
+		con, err := dialer.DialContext(t.Context(), "tcp", sys.Entries()[0].String())
+		assert.NilError(t, err)
+		_, err = fmt.Fprintf(con, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 1000\r\n\r\n{\"model\"", accountKey)
+		assert.NilError(t, err)
+		half = append(half, con)
+	}
+	rep, body := ask{"POST", "/v1/chat/completions", chat, nil}.send(t, sys)
+	assert.Equal(t, rep.StatusCode, 200, body)
+	for _, con := range half {
+		assert.NilError(t, con.Close())
+	}
+	assert.Equal(t, len(sys.Dispatches()), 1)
+}
+
+// A body longer than announced limits is refused without being read to its end.
+func TestEndlessBodyIsRefused(t *testing.T) {
+	sys := startSystem(t)
+	var dialer net.Dialer
+	con, err := dialer.DialContext(t.Context(), "tcp", sys.Entries()[0].String())
+	assert.NilError(t, err)
+	defer con.Close()
+	assert.NilError(t, con.SetDeadline(time.Now().Add(20*time.Second)))
+	_, err = fmt.Fprintf(con, "POST /services/labels/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nTransfer-Encoding: chunked\r\n\r\n", accountKey)
+	assert.NilError(t, err)
+	go func() {
+		chunk := "400\r\n" + string(make([]byte, 1024)) + "\r\n"
+		for {
+			if _, werr := io.WriteString(con, chunk); werr != nil {
+				return
+			}
+		}
+	}()
+	line, err := bufio.NewReader(con).ReadString('\n')
+	assert.NilError(t, err)
+	assert.Equal(t, line, "HTTP/1.1 413 Request Entity Too Large\r\n")
+}
