refactor: dead state gone, and three twins made one

Read once more as a whole. The coordinator kept which gateways are up and never asked; the field and its event are gone. The gateway's Prefix had no caller. The number of a window was worked out in the gateway and again in the host, waking those who wait for a change stood twice in the shared state, and the benchmark waited in two ways, one of which didn't end with its context. Left as they are: the two directions of a session in the model (they read better side by side), and the error types of a silent engine and a silent peer, which say different things.

--- a/bench/capacity.go
+++ b/bench/capacity.go
@@ -87,7 +87,7 @@
 		return nil, errors.Wrapf(err, "%d hosts", hosts)
 	}
 	defer sys.Stop()
-	if err := settle(ctx); err != nil {
+	if err := rest(ctx, settleTime); err != nil {
 		return nil, err
 	}
 	var rows []CapacityRow
@@ -112,8 +112,9 @@
 // a while after they were opened.
 const settleTime = 5 * time.Second
 
-func settle(ctx context.Context) error {
-	timer := time.NewTimer(settleTime)
+// rest lets the time pass.
+func rest(ctx context.Context, length time.Duration) error {
+	timer := time.NewTimer(length)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -197,10 +198,7 @@
 // use sends requests at the rate, or lets the time pass.
 func (row *CapacityRow) use(ctx context.Context, sys *embedded.System, cfg CapacityConfig, rate float64) error {
 	if rate == 0 {
-		timer := time.NewTimer(cfg.For)
-		defer timer.Stop()
-		<-timer.C
-		return nil
+		return rest(ctx, cfg.For)
 	}
 	cli := load.NewClient(load.ClientConfig{Entries: sys.Entries(), Key: accountKey, Seed: 1})
 	defer cli.Close()
--- a/coordinator/core.go
+++ b/coordinator/core.go
@@ -59,7 +59,6 @@
 	conf     resource.Configuration
 	services map[string]*serviceState
 	engines  map[string]*engineState
-	gateways map[request.Epoch]bool
 	// lost are the hosts that can't be reached from here: their engines go to
 	// the next ones, without waiting for a new view.
 	lost     map[request.Epoch]bool
@@ -82,7 +81,6 @@
 		views:    view.NewHistory(),
 		services: make(map[string]*serviceState),
 		engines:  make(map[string]*engineState),
-		gateways: make(map[request.Epoch]bool),
 		lost:     make(map[request.Epoch]bool),
 	}
 }
@@ -102,8 +100,6 @@
 	case ConfigurationChanged:
 		cor.conf = evt.Configuration
 		cor.reassign(now)
-	case GatewayUp:
-		cor.gateways[evt.Gateway] = true
 	case GatewayLost:
 		cor.gatewayLost(now, evt.Gateway)
 	case HostLost:
@@ -293,7 +289,6 @@
 }
 
 func (cor *Core) gatewayLost(now time.Time, gateway request.Epoch) {
-	delete(cor.gateways, gateway)
 	for _, svc := range cor.services {
 		for _, wai := range sortedWaiting(svc.line) {
 			if wai.gateway == gateway {
--- a/coordinator/event.go
+++ b/coordinator/event.go
@@ -18,9 +18,6 @@
 // ConfigurationChanged brings a newer configuration.
 type ConfigurationChanged struct{ Configuration resource.Configuration }
 
-// GatewayUp says that a session with a gateway epoch stands.
-type GatewayUp struct{ Gateway request.Epoch }
-
 // GatewayLost says that the session with a gateway epoch is lost.
 type GatewayLost struct{ Gateway request.Epoch }
 
@@ -58,7 +55,6 @@
 
 func (ViewChanged) isEvent()          {}
 func (ConfigurationChanged) isEvent() {}
-func (GatewayUp) isEvent()            {}
 func (GatewayLost) isEvent()          {}
 func (HostLost) isEvent()             {}
 func (HostUp) isEvent()               {}
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -104,15 +104,14 @@
 	}
 }
 
-// Window returns the number of the current window; the first one is 1.
-func (gat *Core) Window(now time.Time) uint64 {
-	return uint64(max(0, now.Sub(gat.cfg.Started))/gat.cfg.Window) + 1
+// WindowAt returns the number of the window at a time; the first one is 1.
+func WindowAt(started time.Time, length time.Duration, now time.Time) uint64 {
+	return uint64(max(0, now.Sub(started))/length) + 1
 }
 
-// Prefix returns the prefix to hand out for this gateway now; its view is 0
-// while there is none.
-func (gat *Core) Prefix(now time.Time) request.Prefix {
-	return request.Prefix{View: gat.views.Last().Number, Epoch: gat.cfg.Self, Window: gat.Window(now)}
+// Window returns the number of the current window.
+func (gat *Core) Window(now time.Time) uint64 {
+	return WindowAt(gat.cfg.Started, gat.cfg.Window, now)
 }
 
 // InFlight returns how many requests don't have their final answer yet.
--- a/host/loop.go
+++ b/host/loop.go
@@ -106,7 +106,6 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	lop.gatewayEvent(time.Now(), gateway.PeerUp{Peer: lop.host.epoch})
-	lop.coordinatorEvent(time.Now(), coordinator.GatewayUp{Gateway: lop.host.epoch})
 	for {
 		select {
 		case work := <-lop.inbox:
--- a/host/peerbackend.go
+++ b/host/peerbackend.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"lynxwell.dev/lynxwell/gateway"
 	"lynxwell.dev/lynxwell/peer"
 	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/reservation"
@@ -110,7 +111,7 @@
 
 // window returns the gateway's current window without asking the loop.
 func (hos *Host) window() uint64 {
-	return uint64(time.Since(hos.started)/hos.set.Timing.Window.Std()) + 1
+	return gateway.WindowAt(hos.started, hos.set.Timing.Window.Std(), time.Now())
 }
 
 // prefix returns the prefix to hand out for this gateway.
--- a/host/sessions.go
+++ b/host/sessions.go
@@ -133,7 +133,6 @@
 	}
 	lop.inbound[inb.gateway] = inb
 	lop.inboundByID[inb.number] = inb
-	lop.coordinatorEvent(now, coordinator.GatewayUp{Gateway: inb.gateway})
 }
 
 func (lop *loop) inboundMessage(now time.Time, number uint64, rec peer.Received) {
--- a/host/shared.go
+++ b/host/shared.go
@@ -70,8 +70,7 @@
 	newest := vie.Number > sha.history.Last().Number
 	sha.history.Add(vie)
 	if newest {
-		close(sha.viewChanged)
-		sha.viewChanged = make(chan struct{})
+		sha.signal()
 	}
 	return newest
 }
@@ -87,6 +86,11 @@
 func (sha *shared) wake() {
 	sha.mutex.Lock()
 	defer sha.mutex.Unlock()
+	sha.signal()
+}
+
+// signal wakes the waiting; the mutex must be held.
+func (sha *shared) signal() {
 	close(sha.viewChanged)
 	sha.viewChanged = make(chan struct{})
 }
--- a/modeltest/world.go
+++ b/modeltest/world.go
@@ -210,7 +210,6 @@
 	wor.manage(hst, gateway.ConfigurationChanged{Configuration: wor.conf})
 	wor.coordinate(hst, coordinator.ConfigurationChanged{Configuration: wor.conf})
 	wor.manage(hst, gateway.PeerUp{Peer: hst.epoch})
-	wor.coordinate(hst, coordinator.GatewayUp{Gateway: hst.epoch})
 }
 
 // publish makes a view of the hosts that run.
@@ -274,7 +273,6 @@
 		}
 	}
 	wor.sessions = append(wor.sessions, &session{gat: from.epoch, cor: to.epoch})
-	wor.coordinate(to, coordinator.GatewayUp{Gateway: from.epoch})
 	wor.coordinate(from, coordinator.HostUp{Host: to.epoch})
 	wor.manage(from, gateway.PeerUp{Peer: to.epoch})
 }
