feat: limits with slack and headroom by urgency; settings reload on SIGHUP and on change

Change: a client account's bucket is widened by 0.3 of the allowed slack, starts at 0.4 of it after a takeover, and less urgent requests leave headroom; requests of one rank wait by their route's urgency.

--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -4,10 +4,11 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/integrii/flaggy"
-	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
@@ -68,27 +69,31 @@
 	if err != nil {
 		return err
 	}
-	return runEntry(ctx, set, log)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	return runEntry(ctx, entry.Config{Settings: set, Log: log, SettingsFile: file, Hangups: hangups})
 }
 
 // runEntry runs the host until the context ends, then makes a planned stop.
-func runEntry(ctx context.Context, set settings.Entry, log zerolog.Logger) error {
+func runEntry(ctx context.Context, cfg entry.Config) error {
 	app := fx.New(
-		fx.Supply(set, log),
+		fx.Supply(cfg),
 		fx.Provide(newEntryStore, newEntry),
 		fx.Invoke(keepEntry),
-		fx.StopTimeout(set.Bounds.Grace()+time.Second),
-		fx.WithLogger(func() fxevent.Logger { return &fxLogger{log: log} }),
+		fx.StopTimeout(cfg.Settings.Bounds.Grace()+time.Second),
+		fx.WithLogger(func() fxevent.Logger { return &fxLogger{log: cfg.Log} }),
 	)
 	return runApp(ctx, app)
 }
 
-func newEntryStore(set settings.Entry) store.Store {
-	return store.NewRecorder(platform.NewClient(platform.ClientConfig{Address: set.StoreAddress}))
+func newEntryStore(cfg entry.Config) store.Store {
+	return platform.NewClient(platform.ClientConfig{Address: cfg.Settings.StoreAddress})
 }
 
-func newEntry(set settings.Entry, log zerolog.Logger, sto store.Store) (*entry.Host, error) {
-	return entry.New(entry.Config{Settings: set, Log: log, Store: sto})
+func newEntry(cfg entry.Config, sto store.Store) (*entry.Host, error) {
+	cfg.Store = sto
+	return entry.New(cfg)
 }
 
 // keepEntry ties the host to the process's life: its end is a planned stop.
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -81,7 +81,7 @@
 		host: hos,
 		core: scheduler.New(scheduler.Config{Self: hos.epoch, Repeats: scheduler.Repeats{
 			Ratio: bou.RepeatRatio, Window: bou.RepeatWindow(), Slack: bou.RepeatSlack,
-		}}),
+		}, LimitSlack: bou.LimitSlack}),
 		changed: make(chan struct{}, 1),
 		links:   make(map[request.Epoch]*link),
 		inbound: make(map[uint64]*inbound),
@@ -161,7 +161,7 @@
 	}
 	des.holds[gra.ID] = &hold{adopt: ado}
 	if by != des.host.epoch {
-		des.step(scheduler.Received{From: des.host.epoch, Message: ado})
+		des.step(scheduler.GrantedElsewhere{Adopt: ado})
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -44,6 +45,11 @@
 	Settings settings.Entry
 	Log      zerolog.Logger
 	Store    store.Store
+	// SettingsFile is read again at each hangup and when it changes; empty for
+	// settings that never change.
+	SettingsFile string
+	// Hangups brings the signals that ask for it; nil for none.
+	Hangups <-chan os.Signal
 }
 
 // Host is one process of the system.
@@ -66,6 +72,8 @@
 	// nanoseconds of this process's steady clock.
 	confirmed atomic.Int64
 	started   time.Time
+	// bounds are those of the newest settings.
+	bounds   atomic.Pointer[settings.Bounds]
 	draining  atomic.Bool
 	// leaving is closed when the host starts to leave.
 	leaving chan struct{}
@@ -97,6 +105,7 @@
 		done:    make(chan struct{}),
 	}
 	hos.belief.Store(&belief{})
+	hos.bounds.Store(&cfg.Settings.Bounds)
 	hos.confirmed.Store(neverConfirmed)
 	hos.tasks = task.NewGroup(hos.log)
 	hos.upstream = upstream.NewClient(upstream.ClientConfig{
@@ -156,7 +165,7 @@
 
 // trusted reports whether the belief is young enough to act on.
 func (hos *Host) trusted(now time.Time) bool {
-	return hos.age(now) < time.Duration(trustShare*float64(hos.set.Bounds.Revoke()))
+	return hos.age(now) < time.Duration(trustShare*float64(hos.bounds.Load().Revoke()))
 }
 
 // ready reports whether the host takes requests, and if not, why.
@@ -190,6 +199,7 @@
 	hos.tasks.Run("observer", func() error { return hos.observe(ctx) })
 	hos.tasks.Run("lease", func() error { return hos.keepLease(ctx) })
 	hos.tasks.Run("sessions", func() error { return hos.desk.keepSessions(ctx) })
+	hos.tasks.Run("settings", func() error { return hos.followSettings(ctx) })
 	hos.tasks.Run("housekeeping", func() error { return hos.keepHouse(ctx) })
 	go func() {
 		hos.tasks.Wait()
@@ -285,11 +295,11 @@
 // requests while callers may still be sent to it, and returns when the last one
 // has its answer or the grace is over.
 func (hos *Host) Drain(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, hos.set.Bounds.Grace()-stopMargin)
+	ctx, cancel := context.WithTimeout(ctx, hos.bounds.Load().Grace()-stopMargin)
 	defer cancel()
 	hos.draining.Store(true)
 	close(hos.leaving)
-	hos.log.Info().Dur("Grace", hos.set.Bounds.Grace()).Msg("planned stop")
+	hos.log.Info().Dur("Grace", hos.bounds.Load().Grace()).Msg("planned stop")
 	accept := time.NewTimer(acceptAfterStop)
 	defer accept.Stop()
 	select {
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -206,6 +206,10 @@
 		obs.host.log.Debug().Err(err).Uint64("Version", con.Version).Msg("configuration has a field that is passed over")
 	}
 	obs.table = tab
+	for _, acc := range con.Accounts {
+		obs.host.log.Debug().Str("Account", acc.Name).Float64("Rate", acc.Rate).Float64("Burst", acc.Burst).Bool("ByTokens", acc.ByTokens).
+			Interface("Rank", acc.Rank).Int("Keys", len(acc.Keys)).Uint64("Version", con.Version).Msg("client account")
+	}
 	obs.host.log.Info().Uint64("Version", con.Version).Uint64("Revision", uint64(val.Revision)).
 		Int("Routes", len(con.Routes)).Int("Accounts", len(con.Accounts)).Msg("configuration in force")
 }
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -51,6 +51,9 @@
 	// Overflow asks to be kept beyond the line's bound, in exchange for a
 	// reservation that another coordinator has dropped.
 	Overflow bool
+	// Urgency orders requests of the same rank, and those of one client account
+	// whose limit is nearly used up: 0 goes first.
+	Urgency int
 	// Domain is the gateway's failure domain.
 	Domain string
 	// Aim is within what time the first of the answer is in time, counted from
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -67,6 +67,9 @@
 		cor.receive(now, evt.From, evt.Message)
 	case GatewayLost:
 		cor.loseGateway(now, evt.Gateway)
+	case GrantedElsewhere:
+		cor.adopt(now, cor.cfg.Self, evt.Adopt)
+		cor.charge(now, evt.Adopt)
 	case ShareChanged:
 		cor.changeShare(now, evt.Hosts)
 	case Tick:
@@ -130,7 +133,7 @@
 
 func (cor *Core) changeTable(now time.Time, tab *route.Table) {
 	cor.table = tab
-	cor.buckets = newBuckets(now, cor.buckets, tab.Configuration().Accounts, cor.hosts)
+	cor.buckets = cor.newBuckets(now)
 	for _, ene := range cor.engines {
 		cor.equip(ene)
 	}
@@ -142,7 +145,7 @@
 	}
 	cor.hosts = hosts
 	if cor.table != nil {
-		cor.buckets = newBuckets(now, cor.buckets, cor.table.Configuration().Accounts, hosts)
+		cor.buckets = cor.newBuckets(now)
 	}
 }
 
@@ -182,7 +185,11 @@
 }
 
 func compareWaiters(one, two *waiter) int {
-	return cmp.Or(cmp.Compare(one.reserve.Rank, two.reserve.Rank), cmp.Compare(one.number, two.number))
+	return cmp.Or(
+		cmp.Compare(one.reserve.Rank, two.reserve.Rank),
+		cmp.Compare(one.reserve.Urgency, two.reserve.Urgency),
+		cmp.Compare(one.number, two.number),
+	)
 }
 
 // overLimit takes the request's cost from its account's limit.
@@ -191,10 +198,17 @@
 	if buc == nil {
 		return 0, false
 	}
-	taken, wait := buc.take(now, res.Cost)
+	taken, wait := buc.take(now, res.Cost, res.Urgency)
 	return wait, !taken
 }
 
+// charge takes the cost of a run that another scheduler admitted.
+func (cor *Core) charge(now time.Time, ado reservation.Adopt) {
+	if buc := cor.buckets[ado.Account]; buc != nil {
+		buc.charge(now, ado.Cost)
+	}
+}
+
 func (cor *Core) giveBack(account string, cost float64) {
 	if buc := cor.buckets[account]; buc != nil {
 		buc.giveBack(cost)
--- a/scheduler/limit.go
+++ b/scheduler/limit.go
@@ -14,17 +14,34 @@
 	filled time.Time
 }
 
-// newBuckets returns the buckets of a configuration's accounts, divided among
+const (
+	// slackInBurst is the part of the slack that an account's burst is widened by:
+	// hosts see requests in another order than their callers sent them.
+	slackInBurst = 0.3
+	// slackAtStart is the part of the slack that a scheduler which knows nothing of
+	// the spending so far begins with. Together with the burst that a former one
+	// may have given out, and this twice, it stays within the slack.
+	slackAtStart = 0.4
+	// headroomStep is the part of the burst that requests leave to the more urgent
+	// ones, for each step of urgency.
+	headroomStep = 0.15
+	// maxHeadroomSteps bounds that.
+	maxHeadroomSteps = 3
+)
+
+// newBuckets returns the buckets of the configuration's accounts, divided among
 // the hosts. An account that was known keeps its level, as far as it still fits.
-func newBuckets(now time.Time, former map[string]*bucket, accounts []route.Account, hosts int) map[string]*bucket {
+func (cor *Core) newBuckets(now time.Time) map[string]*bucket {
 	buckets := make(map[string]*bucket)
-	for _, acc := range accounts {
+	hosts := float64(cor.hosts)
+	for _, acc := range cor.table.Configuration().Accounts {
 		if acc.Rate <= 0 {
 			continue
 		}
-		buc := &bucket{rate: acc.Rate / float64(hosts), burst: acc.Burst / float64(hosts), filled: now}
-		buc.level = buc.burst
-		if old := former[acc.Name]; old != nil {
+		slack := cor.limitSlack(acc)
+		buc := &bucket{rate: acc.Rate / hosts, burst: (acc.Burst + slackInBurst*slack) / hosts, filled: now}
+		buc.level = min(buc.burst, slackAtStart*slack/hosts)
+		if old := cor.buckets[acc.Name]; old != nil {
 			old.fill(now)
 			buc.level = min(buc.burst, old.level)
 		}
@@ -33,6 +50,14 @@
 	return buckets
 }
 
+// limitSlack returns the slack of an account; it is told in tokens.
+func (cor *Core) limitSlack(acc route.Account) float64 {
+	if acc.ByTokens {
+		return cor.cfg.LimitSlack
+	}
+	return acc.Burst / 2
+}
+
 func (buc *bucket) fill(now time.Time) {
 	if now.After(buc.filled) {
 		buc.level = min(buc.burst, buc.level+now.Sub(buc.filled).Seconds()*buc.rate)
@@ -42,9 +67,10 @@
 
 // take takes the cost, or returns after what time it could be taken. A cost over
 // the burst is let through once the bucket is full, and leaves a debt.
-func (buc *bucket) take(now time.Time, cost float64) (bool, time.Duration) {
+func (buc *bucket) take(now time.Time, cost float64, urgency int) (bool, time.Duration) {
 	buc.fill(now)
-	need := min(cost, buc.burst)
+	headroom := headroomStep * float64(min(urgency, maxHeadroomSteps)) * buc.burst
+	need := min(cost+headroom, buc.burst)
 	if buc.level >= need {
 		buc.level -= cost
 		return true, 0
@@ -52,6 +78,13 @@
 	return false, time.Duration((need - buc.level) / buc.rate * float64(time.Second))
 }
 
+// charge takes a cost that another scheduler admitted, down to an empty burst
+// below nothing.
+func (buc *bucket) charge(now time.Time, cost float64) {
+	buc.fill(now)
+	buc.level = max(-buc.burst, buc.level-cost)
+}
+
 // giveBack returns the cost of a request that never ran.
 func (buc *bucket) giveBack(cost float64) {
 	buc.level = min(buc.burst, buc.level+cost)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -39,6 +39,9 @@
 	// Self is the epoch of the host whose core this is.
 	Self    request.Epoch
 	Repeats Repeats
+	// LimitSlack is how many units over all hosts may be served beyond a client
+	// account's limit before the users count it as broken.
+	LimitSlack float64
 }
 
 // Event is something that happened to the scheduler.
@@ -61,6 +64,10 @@
 // GatewayLost says that a gateway's session is gone.
 type GatewayLost struct{ Gateway request.Epoch }
 
+// GrantedElsewhere says that another host's scheduler gave this host a run, so
+// that this one knows of it in case it has to decide alone.
+type GrantedElsewhere struct{ Adopt reservation.Adopt }
+
 // ShareChanged says among how many hosts the limits are divided while each
 // decides alone; 1 where this host decides for all.
 type ShareChanged struct{ Hosts int }
@@ -72,6 +79,7 @@
 func (ConfigurationChanged) isEvent() {}
 func (Received) isEvent()             {}
 func (GatewayLost) isEvent()          {}
+func (GrantedElsewhere) isEvent()     {}
 func (ShareChanged) isEvent()         {}
 func (Tick) isEvent()                 {}
 
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -53,6 +53,9 @@
 	RepeatRatio         float64
 	RepeatWindowSeconds float64
 	RepeatSlack         float64
+	// LimitSlack is how many tokens may be served beyond a client account's limit
+	// in a window, over all hosts; default 100000.
+	LimitSlack float64
 }
 
 // The defaults of Bounds: what both users' deployments had at first.
@@ -63,6 +66,7 @@
 	defaultRepeatRatio         = 0.2
 	defaultRepeatWindowSeconds = 10
 	defaultRepeatSlack         = 50
+	defaultLimitSlack          = 100_000
 )
 
 // Revoke returns RevokeMilliseconds as a duration.
@@ -113,6 +117,7 @@
 	fillNumber(&bou.RepeatRatio, defaultRepeatRatio)
 	fillNumber(&bou.RepeatWindowSeconds, defaultRepeatWindowSeconds)
 	fillNumber(&bou.RepeatSlack, defaultRepeatSlack)
+	fillNumber(&bou.LimitSlack, defaultLimitSlack)
 	return bou
 }
 
@@ -124,7 +129,7 @@
 
 func (ent Entry) check(file string) error {
 	bou := ent.Bounds
-	lowest := min(bou.RevokeMilliseconds, bou.GraceSeconds, bou.MaxKeepSeconds, bou.RepeatRatio, bou.RepeatWindowSeconds, bou.RepeatSlack)
+	lowest := min(bou.RevokeMilliseconds, bou.GraceSeconds, bou.MaxKeepSeconds, bou.RepeatRatio, bou.RepeatWindowSeconds, bou.RepeatSlack, bou.LimitSlack)
 	return firstFailed(file, []fieldCheck{
 		{ent.Name != "", "Name", "want a host name"},
 		{ent.Domain != "", "Domain", "want a failure domain"},
