--- a/scheduler/limit.go
+++ b/scheduler/limit.go
@@ -24,7 +24,7 @@
 	slackAtStart = 0.4
 	// headroomStep is the part of the burst that requests leave to the more urgent
 	// ones, for each step of urgency.
-	headroomStep = 0.15
+	headroomStep = 0.08
 	// maxHeadroomSteps bounds that.
 	maxHeadroomSteps = 3
 )
