feat: long answers avoid engines too slow to finish them; headroom by cost; fewer store calls

Cause: engines differ fivefold in time per event (10.6, 19 and 53 ms), and long kv-check answers ran into their deadline on slow ones; a bucket nearly empty kept large prompts out; each engine's entry woke every watch at the start. Ruled out: prefill (first tokens within 0.7 s).

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -121,7 +121,7 @@
 	res := reservation.Reserve{
 		ID:      request.ID{Prefix: request.Prefix{Epoch: hos.epoch}, Unique: exc.request.ID},
 		Service: exc.service, Rank: exc.rank, Urgency: max(0, exc.route.Rank), Account: exc.account.Name,
-		PromptTokens: exc.request.PromptTokens, MaxTokens: exc.request.MaxTokens,
+		PromptTokens: exc.request.PromptTokens, MaxTokens: exc.request.MaxTokens, AnswerTokens: exc.request.HintTokens,
 		Remaining: exc.remaining(), Domain: hos.set.Domain, Aim: exc.route.Aim - time.Since(exc.started),
 		Cost: exc.account.Cost(exc.request.Tokens()), Attempt: exc.attempts, Exclude: exc.exclude, Parts: exc.request.Parts,
 	}
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -16,7 +16,10 @@
 const (
 	// watchWait is how long a watch waits for a change: its answer confirms the
 	// configuration's age, and a silent store is noticed by its lack.
-	watchWait = time.Second
+	watchWait = 1400 * time.Millisecond
+	// gatherPause is how long changes are let come together after some have come:
+	// each answer is a call, and a bound of seconds leaves room for it.
+	gatherPause = 100 * time.Millisecond
 	// minRetry and maxRetry bound the pause before the store is asked again: each
 	// call counts against its rate, and a configuration must be in force soon.
 	minRetry = 50 * time.Millisecond
@@ -153,6 +156,9 @@
 	if len(changes.Changes) > 0 || settled {
 		obs.publish()
 	}
+	if len(changes.Changes) > 0 {
+		sleep(ctx, gatherPause)
+	}
 	return nil
 }
 
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -113,7 +113,7 @@
 		RemainingUs: msg.Remaining.Microseconds(), Overflow: msg.Overflow,
 		Domain: msg.Domain, AimUs: msg.Aim.Microseconds(), Cost: msg.Cost, Attempt: uint32(msg.Attempt),
 		Exclude: msg.Exclude, Parts: partsToWire(msg.Parts),
-		Urgency: uint32(msg.Urgency),
+		Urgency: uint32(msg.Urgency), AnswerTokens: uint32(msg.AnswerTokens),
 	}
 }
 
@@ -207,7 +207,7 @@
 		Remaining: fromMicros(wre.GetRemainingUs()), Overflow: wre.GetOverflow(),
 		Domain: wre.GetDomain(), Aim: fromMicros(wre.GetAimUs()), Cost: wre.GetCost(), Attempt: int(wre.GetAttempt()),
 		Exclude: wre.GetExclude(), Parts: partsFromWire(wre.GetParts()),
-		Urgency: int(wre.GetUrgency()),
+		Urgency: int(wre.GetUrgency()), AnswerTokens: int(wre.GetAnswerTokens()),
 	}
 }
 
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -51,6 +51,8 @@
 	// Overflow asks to be kept beyond the line's bound, in exchange for a
 	// reservation that another coordinator has dropped.
 	Overflow bool
+	// AnswerTokens is a guess at the answer's length; 0 for none.
+	AnswerTokens int
 	// Urgency orders requests of the same rank, and those of one client account
 	// whose limit is nearly used up: 0 goes first.
 	Urgency int
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -126,7 +126,11 @@
 		return
 	}
 	svc, known := cor.table.Service(ene.Service)
-	if known && svc.Model != nil && svc.Model.CacheTokens > 0 {
+	if !known || svc.Model == nil {
+		return
+	}
+	ene.eventTokens = max(1, svc.Model.EventTokens)
+	if svc.Model.CacheTokens > 0 {
 		ene.cacheTokens = svc.Model.CacheTokens
 	}
 }
@@ -318,7 +322,9 @@
 		if res.PromptTokens > 0 {
 			tokens = ene.toRead(res.PromptTokens, res.Parts)
 		}
-		cost := ene.firstToken(now, tokens) + loadCost*time.Duration(len(ene.running))/time.Duration(max(1, ene.Slots))
+		first := ene.firstToken(now, tokens)
+		cost := first + loadCost*time.Duration(len(ene.running))/time.Duration(max(1, ene.Slots))
+		cost += time.Duration(overrunCost * float64(ene.overrun(first, res.AnswerTokens, res.Remaining)))
 		if ene.Domain != res.Domain {
 			cost += crossCost
 		}
@@ -392,6 +398,9 @@
 	default:
 		ene.health.forgotten()
 	}
+	if rel.FirstToken > 0 {
+		ene.learnStep(rel.DecodeTokens, rel.Total-rel.FirstToken)
+	}
 	if rnn.unread {
 		ene.readUntil = ene.readUntil.Add(-time.Duration(rnn.tokens) * ene.pace)
 		ene.read(now, rnn)
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -18,6 +18,9 @@
 	pace time.Duration
 	// work is the time of a request without a prompt.
 	work time.Duration
+	// step is the time between two events of an answer, each of eventTokens.
+	step        time.Duration
+	eventTokens int
 	// readUntil is when everything given to the engine so far is read.
 	readUntil time.Time
 	// parts are the parts of prompts taken to be in the engine's cache.
@@ -46,7 +49,8 @@
 
 func newEngine(eng fleet.Engine) *engine {
 	ene := &engine{
-		Engine: eng, running: make(map[request.ID]*run), pace: assumedPace, work: assumedWork, cacheTokens: assumedCacheTokens,
+		Engine: eng, running: make(map[request.ID]*run), pace: assumedPace, work: assumedWork,
+		step: assumedStep, eventTokens: 1, cacheTokens: assumedCacheTokens,
 	}
 	// The only error is a size below 1.
 	ene.parts, _ = simplelru.NewLRU(maxParts, func(_ uint64, tokens int) { ene.partTokens -= tokens })
@@ -109,6 +113,23 @@
 	ene.work += time.Duration(paceGain * float64(took-ene.work))
 }
 
+// learnStep takes the measured time between the events of an answer.
+func (ene *engine) learnStep(events int, took time.Duration) {
+	if events < minLearnEvents {
+		return
+	}
+	step := took / time.Duration(events-1)
+	ene.step += time.Duration(paceGain * float64(step-ene.step))
+}
+
+// overrun predicts how much longer than it may an answer would take, were it as
+// much longer than its guess as one in ten is.
+func (ene *engine) overrun(first time.Duration, answerTokens int, remaining time.Duration) time.Duration {
+	events := float64(answerTokens) / float64(ene.eventTokens)
+	whole := first + time.Duration(longAnswer*events*float64(ene.step))
+	return max(0, whole-remaining)
+}
+
 // read says that the engine has read a run's prompt.
 func (ene *engine) read(now time.Time, rnn *run) {
 	rnn.unread = false
--- a/scheduler/limit.go
+++ b/scheduler/limit.go
@@ -22,11 +22,10 @@
 	// the spending so far begins with. Together with the burst that a former one
 	// may have given out, and this twice, it stays within the slack.
 	slackAtStart = 0.4
-	// headroomStep is the part of the burst that requests leave to the more urgent
-	// ones, for each step of urgency.
-	headroomStep = 0.08
-	// maxHeadroomSteps bounds that.
-	maxHeadroomSteps = 3
+	// headroomFactor is how many times its own cost a request leaves to more urgent
+	// ones, by the square of its urgency: small requests always fit into a bucket that
+	// is nearly empty, and would keep the large urgent ones out.
+	headroomFactor = 1.2
 )
 
 // newBuckets returns the buckets of the configuration's accounts, divided among
@@ -69,8 +68,7 @@
 // the burst is let through once the bucket is full, and leaves a debt.
 func (buc *bucket) take(now time.Time, cost float64, urgency int) (bool, time.Duration) {
 	buc.fill(now)
-	headroom := headroomStep * float64(min(urgency, maxHeadroomSteps)) * buc.burst
-	need := min(cost+headroom, buc.burst)
+	need := min(cost*(1+headroomFactor*float64(urgency*urgency)), buc.burst)
 	if buc.level >= need {
 		buc.level -= cost
 		return true, 0
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -115,6 +115,16 @@
 	paceGain = 0.2
 	// minLearnTokens is the shortest prompt whose reading tells the pace.
 	minLearnTokens = 400
+	// assumedStep is the time between two events at an engine nothing is known of.
+	assumedStep = 25 * time.Millisecond
+	// minLearnEvents is the shortest answer whose events tell their pace.
+	minLearnEvents = 8
+	// longAnswer is how much longer than the caller's guess an answer must be
+	// taken to become: one in ten is twice as long or more, measured on calm days.
+	longAnswer = 2.5
+	// overrunCost is what a time beyond the deadline counts in the choice, beside
+	// the time to the first token.
+	overrunCost = 0.25
 	// minPace and maxPace bound the learned pace against outliers: a fifth of the
 	// assumed one and fifty times it.
 	minPace = assumedPace / 5
@@ -124,7 +134,7 @@
 	loadCost = 40 * time.Millisecond
 	// crossCost is what an engine in another failure domain counts, for the way
 	// and the bytes.
-	crossCost = 4 * time.Millisecond
+	crossCost = 40 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound when a refused caller comes back: a
 	// burst lasts some seconds, and callers wait a third of their time at most.
 	minRetryAfter = 300 * time.Millisecond
