--- a/scheduler/limit.go
+++ b/scheduler/limit.go
@@ -17,15 +17,18 @@
 const (
 	// slackInBurst is the part of the slack that an account's burst is widened by:
 	// hosts see requests in another order than their callers sent them.
-	slackInBurst = 0.3
+	slackInBurst = 0.25
 	// slackAtStart is the part of the slack that a scheduler which knows nothing of
 	// the spending so far begins with. Together with the burst that a former one
 	// may have given out, and this twice, it stays within the slack.
-	slackAtStart = 0.4
+	slackAtStart = 0.3
 	// headroomFactor is how many times its own cost a request leaves to more urgent
-	// ones, by the square of its urgency: small requests always fit into a bucket that
+	// ones, for each step of urgency: small requests always fit into a bucket that
 	// is nearly empty, and would keep the large urgent ones out.
-	headroomFactor = 1.2
+	headroomFactor = 3.0
+	// admitShare is the part of the burst that lets a request of any size in; what
+	// it costs beyond that is a debt. Else the largest would never find enough.
+	admitShare = 0.04
 )
 
 // newBuckets returns the buckets of the configuration's accounts, divided among
@@ -64,11 +67,10 @@
 	}
 }
 
-// take takes the cost, or returns after what time it could be taken. A cost over
-// the burst is let through once the bucket is full, and leaves a debt.
+// take takes the cost, or returns after what time it could be taken.
 func (buc *bucket) take(now time.Time, cost float64, urgency int) (bool, time.Duration) {
 	buc.fill(now)
-	need := min(cost*(1+headroomFactor*float64(urgency*urgency)), buc.burst)
+	need := min(min(cost, admitShare*buc.burst)*(1+headroomFactor*float64(urgency)), buc.burst)
 	if buc.level >= need {
 		buc.level -= cost
 		return true, 0
