feat: slot waits predicted, no engine whose first token would be late; hosts tested against stand-ins

Change: the wait for a slot is part of the predicted first token, engines where it would be late are passed over, callers come back after a second or more.

--- a/entry/figures.go
+++ b/entry/figures.go
@@ -16,6 +16,10 @@
 	dialed        metrics.Counter
 	storeFailures metrics.Counter
 	logDropped    metrics.Counter
+	// version, engines and members tell what the host believes.
+	version metrics.Gauge
+	engines metrics.Gauge
+	members metrics.Gauge
 }
 
 // The reservoir of a histogram: its size, and how much it prefers what is new.
@@ -28,12 +32,14 @@
 	reg := metrics.NewRegistry()
 	fig := &figures{
 		registry: reg, dialed: metrics.NewCounter(), storeFailures: metrics.NewCounter(), logDropped: metrics.NewCounter(),
+		version: metrics.NewGauge(), engines: metrics.NewGauge(), members: metrics.NewGauge(),
 	}
-	for name, count := range map[string]metrics.Counter{
+	for name, figure := range map[string]any{
 		"EngineConnections": fig.dialed, "StoreFailures": fig.storeFailures, "LogLinesDropped": fig.logDropped,
+		"ConfigurationVersion": fig.version, "EnginesReady": fig.engines, "Members": fig.members,
 	} {
 		// A fresh registry holds no such name yet.
-		_ = reg.Register(name, count)
+		_ = reg.Register(name, figure)
 	}
 	return fig
 }
@@ -64,6 +70,8 @@
 		switch val := value.(type) {
 		case metrics.Counter:
 			lines = append(lines, fmt.Sprintf("%s %d", name, val.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("%s %d", name, val.Value()))
 		case metrics.Histogram:
 			snap := val.Snapshot()
 			lines = append(lines, fmt.Sprintf("%s.Count %d", name, snap.Count()))
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -227,6 +227,7 @@
 	for _, eng := range engines {
 		bel.engines[eng.ID] = eng
 	}
+	obs.gauge(bel)
 	former := obs.host.belief.Swap(bel)
 	if bel.table != nil && former.table != bel.table {
 		obs.host.desk.handle(scheduler.ConfigurationChanged{Table: bel.table})
@@ -235,6 +236,21 @@
 	obs.host.desk.changeMembers(bel.members)
 }
 
+// gauge tells what the host believes.
+func (obs *observer) gauge(bel *belief) {
+	ready := int64(0)
+	for _, eng := range bel.engines {
+		if !eng.Draining {
+			ready++
+		}
+	}
+	obs.host.figures.engines.Update(ready)
+	obs.host.figures.members.Update(int64(len(bel.members)))
+	if bel.table != nil {
+		obs.host.figures.version.Update(int64(bel.table.Version()))
+	}
+}
+
 // sleep waits, but not beyond the context.
 func sleep(ctx context.Context, wait time.Duration) {
 	timer := time.NewTimer(wait)
--- /dev/null
+++ b/entrytest/entrytest.go
@@ -0,0 +1,363 @@
+// Package entrytest runs hosts of the users' platform for tests: a stand-in of
+// its store, engines, and hosts, all in one process over loopback TCP.
+//
+// # Usage
+//
+//	sys := entrytest.Start(t, entrytest.Config{Hosts: 2, Engines: engines})
+//	sys.Configure(entrytest.Configuration{Version: 1})
+//	ans := sys.Send(t, sys.Hosts[0], entrytest.Request{ID: "r1", Path: "/plain/x"})
+package entrytest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"lynxwell.dev/lynxwell/entry"
+	"lynxwell.dev/lynxwell/platform"
+	"lynxwell.dev/lynxwell/platformtest"
+	"lynxwell.dev/lynxwell/settings"
+	"lynxwell.dev/lynxwell/store"
+	"lynxwell.dev/lynxwell/upstreamtest"
+)
+
+// The services, the host name and the key of every system.
+const (
+	// Model streams, Plain answers whole.
+	Model = "model"
+	Plain = "plain"
+	// HostName is the one that the routes are for.
+	HostName = "menus.example"
+	// Key is held by the account named Account.
+	Key     = "key-of-kitchen"
+	Account = "kitchen"
+)
+
+// waitLimit is how long anything may take to come about.
+const waitLimit = 10 * time.Second
+
+// Config holds what a System is made from.
+type Config struct {
+	Hosts   int
+	Engines []*upstreamtest.Engine
+	// Bounds change the hosts' settings.
+	Bounds settings.Bounds
+}
+
+// System is a running system.
+type System struct {
+	Store *platformtest.Memory
+	Hosts []*Host
+	// front is what stands between the hosts and the store, for troubles.
+	front *httptest.Server
+	log   *Log
+	t     *testing.T
+}
+
+// Host is a running host.
+type Host struct {
+	*entry.Host
+	Settings settings.Entry
+}
+
+// Log keeps what the hosts log.
+type Log struct {
+	mutex sync.Mutex
+	text  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (log *Log) Write(data []byte) (int, error) {
+	log.mutex.Lock()
+	defer log.mutex.Unlock()
+	return log.text.Write(data)
+}
+
+// String returns all lines so far.
+func (log *Log) String() string {
+	log.mutex.Lock()
+	defer log.mutex.Unlock()
+	return log.text.String()
+}
+
+// Start starts everything; no configuration is in force yet.
+func Start(t *testing.T, cfg Config) *System {
+	t.Helper()
+	sys := &System{Store: platformtest.NewMemory(platformtest.MemoryConfig{}), log: &Log{}, t: t}
+	sys.front = httptest.NewServer(platformtest.NewServer(sys.Store).Handler())
+	t.Cleanup(sys.front.Close)
+	for _, eng := range cfg.Engines {
+		srv := httptest.NewServer(eng.Handler())
+		t.Cleanup(srv.CloseClientConnections)
+		sys.Enter(eng, srv.Listener.Addr().String(), false)
+	}
+	for idx := range cfg.Hosts {
+		sys.start(idx, cfg.Bounds)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(sys.log.String())
+		}
+	})
+	return sys
+}
+
+// Enter writes an engine's entry.
+func (sys *System) Enter(eng *upstreamtest.Engine, address string, draining bool) {
+	sys.t.Helper()
+	state := "ready"
+	if draining {
+		state = "draining"
+	}
+	sys.put("servers/"+eng.ID(), fmt.Sprintf(`{"service":%q,"address":%q,"zone":"d0","slots":%d,"state":%q,"cold_left_ms":0,"seq":1}`,
+		eng.Service(), address, eng.Slots(), state))
+}
+
+// Remove takes an engine's entry away.
+func (sys *System) Remove(id string) {
+	sys.t.Helper()
+	_, err := sys.Store.Put(sys.t.Context(), store.Write{Key: "servers/" + id, Delete: true, Blind: true})
+	assert.NilError(sys.t, err)
+}
+
+func (sys *System) put(key, value string) {
+	sys.t.Helper()
+	_, err := sys.Store.Put(sys.t.Context(), store.Write{Key: key, Data: []byte(value), Blind: true})
+	assert.NilError(sys.t, err)
+}
+
+func (sys *System) start(idx int, bou settings.Bounds) {
+	sys.t.Helper()
+	data, err := json.Marshal(settings.Entry{
+		Name: fmt.Sprintf("host-%d", idx), Domain: fmt.Sprintf("d%d", idx),
+		CallerAddress: freeAddress(sys.t), ReadyAddress: freeAddress(sys.t), DirectoryAddress: freeAddress(sys.t),
+		PeerAddress: freeAddress(sys.t), MetricsAddress: freeAddress(sys.t),
+		StoreAddress: netip.MustParseAddrPort(sys.front.Listener.Addr().String()),
+		PeerKey:      "key between the hosts under test", Bounds: bou,
+	})
+	assert.NilError(sys.t, err)
+	set, err := settings.ParseEntry("test", data)
+	assert.NilError(sys.t, err)
+	hos, err := entry.New(entry.Config{
+		Settings: set, Log: zerolog.New(sys.log).With().Timestamp().Logger(),
+		Store: platform.NewClient(platform.ClientConfig{Address: set.StoreAddress}),
+	})
+	assert.NilError(sys.t, err)
+	assert.NilError(sys.t, hos.Start(sys.t.Context()))
+	one := &Host{Host: hos, Settings: set}
+	sys.Hosts = append(sys.Hosts, one)
+	sys.t.Cleanup(hos.Stop)
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	var cfg net.ListenConfig
+	lis, err := cfg.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer lis.Close()
+	return netip.MustParseAddrPort(lis.Addr().String())
+}
+
+// Configuration is what a test puts in force; zero stands for the defaults.
+type Configuration struct {
+	Version uint64
+	// Attempts is how many engines a request may be sent to, default 2.
+	Attempts int
+	// Timeout is how long a request may be held, default 5 s.
+	Timeout time.Duration
+	// Aim is within what time an answer is in time, default 2 s.
+	Aim time.Duration
+	// Keys are the account's keys, default Key alone.
+	Keys []string
+	// Rate and Burst limit the account by tokens; 0 is no limit.
+	Rate  float64
+	Burst float64
+	// NoRoutes leaves the routes out.
+	NoRoutes bool
+}
+
+// Configure puts a configuration into the store.
+func (sys *System) Configure(con Configuration) {
+	sys.t.Helper()
+	sys.put("op/config", con.JSON())
+}
+
+// ConfigureText puts any text into the configuration's place.
+func (sys *System) ConfigureText(text string) {
+	sys.t.Helper()
+	sys.put("op/config", text)
+}
+
+// UntilVersion waits until each host has a configuration in force.
+func (sys *System) UntilVersion(version uint64) {
+	sys.t.Helper()
+	sys.untilFigure(fmt.Sprintf("ConfigurationVersion %d\n", version))
+}
+
+// UntilEngines waits until each host knows so many engines that take work.
+func (sys *System) UntilEngines(count int) {
+	sys.t.Helper()
+	sys.untilFigure(fmt.Sprintf("EnginesReady %d\n", count))
+}
+
+func (sys *System) untilFigure(line string) {
+	sys.t.Helper()
+	for _, hos := range sys.Hosts {
+		sys.Until(line, func() bool { return strings.Contains(sys.Figures(hos), line) })
+	}
+}
+
+// JSON returns the configuration as operators write it.
+func (con Configuration) JSON() string {
+	if con.Attempts == 0 {
+		con.Attempts = 2
+	}
+	if con.Timeout == 0 {
+		con.Timeout = 5 * time.Second
+	}
+	if con.Aim == 0 {
+		con.Aim = 2 * time.Second
+	}
+	if con.Keys == nil {
+		con.Keys = []string{Key}
+	}
+	var routes []string
+	for _, rou := range []struct{ name, kind, service, more string }{
+		{"stream", "streaming", Model, `,"sticky":true,"gap_aim_ms":400`},
+		{"resume", "streaming", Model, `,"sticky":true,"resumable":true,"gap_aim_ms":400`},
+		{"safe", "safe", Plain, ""},
+		{"unsafe", "unsafe", Plain, ""},
+		{"public", "safe", Plain, `,"public":true`},
+	} {
+		routes = append(routes, fmt.Sprintf(`{"name":%q,"hostname":%q,"path_prefix":"/%s/","kind":%q,"timeout_ms":%d,"target_latency_ms":%d,"priority":1,"service":%q,"max_attempts":%d%s}`,
+			rou.name, HostName, rou.name, rou.kind, con.Timeout.Milliseconds(), con.Aim.Milliseconds(), rou.service, con.Attempts, rou.more))
+	}
+	if con.NoRoutes {
+		routes = nil
+	}
+	keys, _ := json.Marshal(con.Keys)
+	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":%q,"health_path":"/health","max_conns":50,"engine":{"slots":4,"kv_capacity":100000,"stride":5}},{"name":%q,"max_conns":50}],`+
+		`"limits":{"max_header_bytes":16384,"max_body_bytes":1048576},"tenants":[{"name":%q,"api_keys":%s,"unit":"tokens","plain_tokens":10,"rate_per_s":%g,"burst":%g}]}`,
+		con.Version, strings.Join(routes, ","), Model, Plain, Account, keys, con.Rate, con.Burst)
+}
+
+// UntilReady waits until each host takes requests and knows all others.
+func (sys *System) UntilReady() {
+	sys.t.Helper()
+	for _, hos := range sys.Hosts {
+		sys.Until("host ready", func() bool {
+			ans := sys.get("http://" + hos.Settings.ReadyAddress.String() + "/ready")
+			return ans.Status == http.StatusOK && len(sys.Addresses(hos)) == len(sys.Hosts)
+		})
+	}
+}
+
+// pollInterval is how often a condition is looked at.
+const pollInterval = 5 * time.Millisecond
+
+// Until waits for a condition.
+func (sys *System) Until(what string, holds func() bool) {
+	sys.t.Helper()
+	ctx, cancel := context.WithTimeout(sys.t.Context(), waitLimit)
+	defer cancel()
+	tick := time.NewTicker(pollInterval)
+	defer tick.Stop()
+	for !holds() {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			sys.t.Fatalf("not within %s: %s", waitLimit, what)
+		}
+	}
+}
+
+// Addresses asks a host where callers are to go.
+func (sys *System) Addresses(hos *Host) []string {
+	ans := sys.get("http://" + hos.Settings.DirectoryAddress.String() + "/resolve?name=" + HostName + "&region=r&zone=d0")
+	var body struct {
+		Addresses []string `json:"addresses"`
+	}
+	if ans.Status != http.StatusOK || json.Unmarshal([]byte(ans.Body), &body) != nil {
+		return nil
+	}
+	return body.Addresses
+}
+
+// Figures returns what a host tells on its metrics address.
+func (sys *System) Figures(hos *Host) string {
+	return sys.get("http://" + hos.Settings.MetricsAddress.String() + "/metrics").Body
+}
+
+// Log returns what the hosts have logged.
+func (sys *System) Log() string { return sys.log.String() }
+
+// Request is what a caller sends; Path is by its route, as "/safe/1".
+type Request struct {
+	ID     string
+	Path   string
+	Key    string
+	Body   string
+	Header map[string]string
+}
+
+// Answer is what the caller got.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   string
+	// Err is set when the answer broke off.
+	Err error
+}
+
+// Send sends a request to a host, with Key where none is given.
+func (sys *System) Send(ctx context.Context, hos *Host, req Request) Answer {
+	sys.t.Helper()
+	method := http.MethodGet
+	if req.Body != "" {
+		method = http.MethodPost
+	}
+	htr, err := http.NewRequestWithContext(ctx, method, "http://"+hos.Settings.CallerAddress.String()+req.Path, strings.NewReader(req.Body))
+	assert.NilError(sys.t, err)
+	htr.Host = HostName
+	if req.Key == "" {
+		req.Key = Key
+	}
+	htr.Header.Set("Authorization", "Bearer "+req.Key)
+	htr.Header.Set("Request-Id", req.ID)
+	for name, value := range req.Header {
+		htr.Header.Set(name, value)
+	}
+	return do(htr)
+}
+
+func (sys *System) get(url string) Answer {
+	req, err := http.NewRequestWithContext(sys.t.Context(), http.MethodGet, url, http.NoBody)
+	assert.NilError(sys.t, err)
+	return do(req)
+}
+
+// do makes a call on a connection of its own.
+func do(req *http.Request) Answer {
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	rep, err := transport.RoundTrip(req)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	defer rep.Body.Close()
+	body, err := io.ReadAll(rep.Body)
+	return Answer{Status: rep.StatusCode, Header: rep.Header, Body: string(body), Err: err}
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -323,6 +323,9 @@
 			tokens = ene.toRead(res.PromptTokens, res.Parts)
 		}
 		first := ene.firstToken(now, tokens)
+		if first > res.Aim && len(ene.running) > 0 {
+			continue
+		}
 		cost := first + loadCost*time.Duration(len(ene.running))/time.Duration(max(1, ene.Slots))
 		cost += time.Duration(overrunCost * float64(ene.overrun(first, res.AnswerTokens, res.Remaining)))
 		if ene.Domain != res.Domain {
@@ -399,6 +402,7 @@
 		ene.health.forgotten()
 	}
 	if rel.FirstToken > 0 {
+		ene.learnStay(rel.Total)
 		ene.learnStep(rel.DecodeTokens, rel.Total-rel.FirstToken)
 	}
 	if rnn.unread {
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -18,6 +18,8 @@
 	pace time.Duration
 	// work is the time of a request without a prompt.
 	work time.Duration
+	// stay is how long a request with a prompt keeps a slot.
+	stay time.Duration
 	// step is the time between two events of an answer, each of eventTokens.
 	step        time.Duration
 	eventTokens int
@@ -50,7 +52,7 @@
 func newEngine(eng fleet.Engine) *engine {
 	ene := &engine{
 		Engine: eng, running: make(map[request.ID]*run), pace: assumedPace, work: assumedWork,
-		step: assumedStep, eventTokens: 1, cacheTokens: assumedCacheTokens,
+		stay: assumedStay, step: assumedStep, eventTokens: 1, cacheTokens: assumedCacheTokens,
 	}
 	// The only error is a size below 1.
 	ene.parts, _ = simplelru.NewLRU(maxParts, func(_ uint64, tokens int) { ene.partTokens -= tokens })
@@ -94,7 +96,9 @@
 		queued := max(0, len(ene.running)-ene.Slots+1)
 		return ene.work + ene.work*time.Duration(queued)/time.Duration(max(1, ene.Slots))
 	}
-	return ene.unreadTime(now) + time.Duration(tokens)*ene.pace + firstOverhead
+	queued := max(0, len(ene.running)-ene.Slots+1)
+	slotWait := ene.stay * time.Duration(queued) / time.Duration(max(1, ene.Slots))
+	return max(ene.unreadTime(now), slotWait) + time.Duration(tokens)*ene.pace + firstOverhead
 }
 
 // learn takes a measured first token into the pace.
@@ -113,6 +117,11 @@
 	ene.work += time.Duration(paceGain * float64(took-ene.work))
 }
 
+// learnStay takes the measured time of a request with a prompt.
+func (ene *engine) learnStay(took time.Duration) {
+	ene.stay += time.Duration(stayGain * float64(took-ene.stay))
+}
+
 // learnStep takes the measured time between the events of an answer.
 func (ene *engine) learnStep(events int, took time.Duration) {
 	if events < minLearnEvents {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -115,6 +115,11 @@
 	paceGain = 0.2
 	// minLearnTokens is the shortest prompt whose reading tells the pace.
 	minLearnTokens = 400
+	// assumedStay is how long a request keeps a slot of an engine nothing is known of.
+	assumedStay = time.Second
+	// stayGain is the weight of a new measurement in the learned stay: lengths
+	// differ a hundredfold, so it is slow.
+	stayGain = 0.05
 	// assumedStep is the time between two events at an engine nothing is known of.
 	assumedStep = 25 * time.Millisecond
 	// minLearnEvents is the shortest answer whose events tell their pace.
@@ -137,7 +142,7 @@
 	crossCost = 40 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound when a refused caller comes back: a
 	// burst lasts some seconds, and callers wait a third of their time at most.
-	minRetryAfter = 300 * time.Millisecond
+	minRetryAfter = time.Second
 	maxRetryAfter = 4 * time.Second
 	// cacheShare is the part of an engine's memory that is taken to hold cached
 	// parts; running requests need the rest.
--- /dev/null
+++ b/upstreamtest/engine.go
@@ -0,0 +1,368 @@
+// Package upstreamtest is a stand-in of the engines and backend servers of the
+// users' platform, with the troubles that they may have.
+//
+// # Usage
+//
+//	eng := upstreamtest.NewEngine(upstreamtest.Config{ID: "e1", Service: "menus", Slots: 4, Events: 3})
+//	http.Serve(lis, eng.Handler())
+//	eng.Trouble(upstreamtest.CutInEvent, 1) // the next request has it
+//	runs := eng.Runs()                      // what it ran
+//
+// It names the wire's headers by itself, so that a mistake of the adapter's shows.
+package upstreamtest
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Trouble is something wrong with an answer.
+type Trouble uint8
+
+// The troubles.
+const (
+	// None is a sound answer.
+	None Trouble = iota
+	// Error runs the request and answers with a signed 500.
+	Error
+	// TurnAway doesn't run the request and says so.
+	TurnAway
+	// Hang runs the request and stays silent until its connection ends.
+	Hang
+	// Lose runs the request and ends the connection without an answer.
+	Lose
+	// Cut breaks a whole answer off, or a stream between two events.
+	Cut
+	// CutInEvent breaks a stream off inside an event.
+	CutInEvent
+	// Extra sends a second answer behind the first.
+	Extra
+	// StrayFirst sends an answer of another request first.
+	StrayFirst
+	// Unframed sends an answer whose end is its connection's.
+	Unframed
+	// UnframedReset sends such an answer and resets the connection instead.
+	UnframedReset
+	// Unsigned answers with a success that no work stands behind.
+	Unsigned
+	// Early answers before the body has been read, and reads on later.
+	Early
+)
+
+// Config holds what an Engine is made from.
+type Config struct {
+	// ID is the run of the engine; others in Expect-Instance are turned away.
+	ID      string
+	Service string
+	// Slots is how many requests run at a time; as many again wait. 0 is no bound.
+	Slots int
+	// Events is the length of a stream; 0 has every answer be a plain one.
+	Events int
+	// Reading is the time to read a prompt's token, Step that between two events.
+	Reading time.Duration
+	Step    time.Duration
+}
+
+// Run is a request that the engine ran.
+type Run struct {
+	ID        string
+	Account   string
+	Deadline  string
+	LastEvent string
+	Key       string
+	Target    string
+	Body      string
+}
+
+// Engine is the stand-in.
+type Engine struct {
+	cfg      Config
+	mutex    sync.Mutex
+	troubles []Trouble
+	runs     []Run
+	taken    int
+	// left counts the requests whose connection ended before their answer did.
+	left int
+	// onTaken is called once, at the next request.
+	onTaken func()
+}
+
+// NewEngine returns a sound engine.
+func NewEngine(cfg Config) *Engine {
+	return &Engine{cfg: cfg}
+}
+
+// ID returns the engine's run.
+func (eng *Engine) ID() string { return eng.cfg.ID }
+
+// Service returns the service that the engine belongs to.
+func (eng *Engine) Service() string { return eng.cfg.Service }
+
+// Slots returns how many requests run at a time.
+func (eng *Engine) Slots() int { return max(1, eng.cfg.Slots) }
+
+// Trouble has the next requests meet a trouble.
+func (eng *Engine) Trouble(trb Trouble, times int) {
+	eng.mutex.Lock()
+	defer eng.mutex.Unlock()
+	for range times {
+		eng.troubles = append(eng.troubles, trb)
+	}
+}
+
+// Clear takes back all troubles to come.
+func (eng *Engine) Clear() {
+	eng.mutex.Lock()
+	defer eng.mutex.Unlock()
+	eng.troubles = nil
+}
+
+// OnTaken has a function called once, when the next request has its trouble.
+func (eng *Engine) OnTaken(call func()) {
+	eng.mutex.Lock()
+	defer eng.mutex.Unlock()
+	eng.onTaken = call
+}
+
+// Runs returns what the engine ran, in order.
+func (eng *Engine) Runs() []Run {
+	eng.mutex.Lock()
+	defer eng.mutex.Unlock()
+	return append([]Run(nil), eng.runs...)
+}
+
+// Left returns how many requests were given up before their answer's end.
+func (eng *Engine) Left() int {
+	eng.mutex.Lock()
+	defer eng.mutex.Unlock()
+	return eng.left
+}
+
+// Handler returns the HTTP handler.
+func (eng *Engine) Handler() http.Handler {
+	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		if expected := req.Header.Get("Expect-Instance"); expected != "" && expected != eng.cfg.ID {
+			wri.Header().Set("Instance-Id", eng.cfg.ID)
+			wri.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		trb, room, taken := eng.enter()
+		if taken != nil {
+			taken()
+		}
+		defer eng.leave()
+		wri.Header().Set("Request-Id", req.Header.Get("Request-Id"))
+		if trb == TurnAway || !room {
+			wri.Header().Set("Not-Executed", "1")
+			wri.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if trb == Early {
+			eng.run(req, "")
+			eng.early(wri, req)
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		eng.run(req, string(body))
+		eng.answer(wri, req, trb)
+	})
+}
+
+// enter takes the next trouble and a place.
+func (eng *Engine) enter() (Trouble, bool, func()) {
+	eng.mutex.Lock()
+	defer eng.mutex.Unlock()
+	eng.taken++
+	trb := None
+	if len(eng.troubles) > 0 {
+		trb, eng.troubles = eng.troubles[0], eng.troubles[1:]
+	}
+	taken := eng.onTaken
+	eng.onTaken = nil
+	return trb, eng.cfg.Slots == 0 || eng.taken <= 2*eng.cfg.Slots, taken
+}
+
+func (eng *Engine) leave() {
+	eng.mutex.Lock()
+	defer eng.mutex.Unlock()
+	eng.taken--
+}
+
+func (eng *Engine) run(req *http.Request, body string) {
+	eng.mutex.Lock()
+	defer eng.mutex.Unlock()
+	eng.runs = append(eng.runs, Run{
+		ID: req.Header.Get("Request-Id"), Account: req.Header.Get("Tenant"), Deadline: req.Header.Get("Deadline-Ms"),
+		LastEvent: req.Header.Get("Last-Event-Id"), Key: req.Header.Get("Authorization"), Target: req.RequestURI, Body: body,
+	})
+}
+
+// PlainBody is the body of a plain answer to a request.
+func PlainBody(id string) string {
+	return "answer to " + id
+}
+
+// EventText is one event of a stream.
+func EventText(id string, number int) string {
+	return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", number, id, number)
+}
+
+// StreamBody is the body of a whole stream.
+func StreamBody(id string, events int) string {
+	var text strings.Builder
+	for num := 1; num <= events; num++ {
+		text.WriteString(EventText(id, num))
+	}
+	return text.String()
+}
+
+func (eng *Engine) answer(wri http.ResponseWriter, req *http.Request, trb Trouble) {
+	id := req.Header.Get("Request-Id")
+	if trb != Unsigned {
+		wri.Header().Set("Response-Signature", "signed-"+id)
+	}
+	switch trb {
+	case Error:
+		wri.WriteHeader(http.StatusInternalServerError)
+	case Hang:
+		<-req.Context().Done()
+		eng.noteLeft()
+	case Lose:
+		panic(http.ErrAbortHandler)
+	case Extra, StrayFirst, Unframed, UnframedReset:
+		eng.raw(wri, id, trb)
+	default:
+		if eng.cfg.Events > 0 {
+			eng.stream(wri, req, trb)
+			return
+		}
+		eng.plain(wri, id, trb)
+	}
+}
+
+func (eng *Engine) plain(wri http.ResponseWriter, id string, trb Trouble) {
+	body := PlainBody(id)
+	wri.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if trb == Cut {
+		// The rest never comes.
+		_, _ = io.WriteString(wri, body[:len(body)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(wri, body)
+}
+
+func (eng *Engine) noteLeft() {
+	eng.mutex.Lock()
+	defer eng.mutex.Unlock()
+	eng.left++
+}
+
+// wait lets time pass, unless the request is given up.
+func wait(req *http.Request, dur time.Duration) bool {
+	if dur <= 0 {
+		return req.Context().Err() == nil
+	}
+	timer := time.NewTimer(dur)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-req.Context().Done():
+		return false
+	}
+}
+
+func (eng *Engine) stream(wri http.ResponseWriter, req *http.Request, trb Trouble) {
+	id := req.Header.Get("Request-Id")
+	prompt, _, _ := strings.Cut(req.Header.Get("Token-Counts"), ",")
+	tokens, _ := strconv.Atoi(prompt)
+	first, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+	wri.Header().Set("Content-Type", "text/event-stream")
+	if !wait(req, time.Duration(tokens)*eng.cfg.Reading) {
+		eng.noteLeft()
+		return
+	}
+	for num := first + 1; num <= eng.cfg.Events; num++ {
+		event := EventText(id, num)
+		middle := num == first+1+(eng.cfg.Events-first)/2
+		if middle && trb == Cut {
+			panic(http.ErrAbortHandler)
+		}
+		if middle && trb == CutInEvent {
+			_, _ = io.WriteString(wri, event[:len(event)/2])
+			_ = http.NewResponseController(wri).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, err := io.WriteString(wri, event)
+		if err == nil {
+			err = http.NewResponseController(wri).Flush()
+		}
+		if err != nil || !wait(req, eng.cfg.Step) {
+			eng.noteLeft()
+			return
+		}
+	}
+}
+
+// raw writes answers byte by byte, beside the library's framing.
+func (eng *Engine) raw(wri http.ResponseWriter, id string, trb Trouble) {
+	con, buf, err := http.NewResponseController(wri).Hijack()
+	if err != nil {
+		return
+	}
+	defer con.Close()
+	body := PlainBody(id)
+	if eng.cfg.Events > 0 {
+		body = StreamBody(id, eng.cfg.Events)
+	}
+	switch trb {
+	case Extra:
+		framed(buf, id, body)
+		framed(buf, "other", PlainBody("other"))
+	case StrayFirst:
+		framed(buf, "other", PlainBody("other"))
+		framed(buf, id, body)
+	default:
+		fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: signed-%s\r\n\r\n%s", id, id, body)
+	}
+	// Whoever reads may be gone.
+	_ = buf.Flush()
+	tcp, isTCP := con.(*net.TCPConn)
+	if trb == UnframedReset && isTCP {
+		_ = tcp.SetLinger(0)
+		return
+	}
+	if trb == Extra || trb == StrayFirst {
+		// The connection stays open, as a kept one does, until the other end closes it.
+		_, _ = io.Copy(io.Discard, con)
+	}
+}
+
+func framed(buf *bufio.ReadWriter, id, body string) {
+	fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: signed-%s\r\nContent-Length: %d\r\n\r\n%s", id, id, len(body), body)
+}
+
+// early answers before it has read the body, and goes on reading the connection
+// as if the rest were still to come.
+func (eng *Engine) early(wri http.ResponseWriter, req *http.Request) {
+	id := req.Header.Get("Request-Id")
+	con, buf, err := http.NewResponseController(wri).Hijack()
+	if err != nil {
+		return
+	}
+	defer con.Close()
+	fmt.Fprintf(buf, "HTTP/1.1 413 Request Entity Too Large\r\nRequest-Id: %s\r\nResponse-Signature: signed-%s\r\nContent-Length: 0\r\n\r\n", id, id)
+	// Whoever reads may be gone.
+	_ = buf.Flush()
+	_, _ = io.Copy(io.Discard, buf)
+}
