--- a/entry/entry.go
+++ b/entry/entry.go
@@ -74,7 +74,7 @@
 	started   time.Time
 	// bounds are those of the newest settings.
 	bounds   atomic.Pointer[settings.Bounds]
-	draining  atomic.Bool
+	draining atomic.Bool
 	// leaving is closed when the host starts to leave.
 	leaving chan struct{}
 	cancel  context.CancelFunc
--- /dev/null
+++ b/fleet/directory_test.go
@@ -0,0 +1,52 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lynxwell.dev/lynxwell/fleet"
+)
+
+func TestEntriesThatLapseInAnOutageAreKeptForAWhile(t *testing.T) {
+	now := time.Unix(100, 0)
+	dir := fleet.NewDirectory()
+	dir.SetEngine(fleet.Engine{ID: "a"})
+	dir.SetEngine(fleet.Engine{ID: "b"})
+	dir.SetMember(fleet.Member{Name: "h", Epoch: 1})
+	dir.Hold(now.Add(2 * time.Second))
+	dir.Replace(now, nil, nil)
+	assert.Equal(t, len(dir.Engines()), 2)
+	assert.Equal(t, len(dir.Members()), 1)
+	dir.SetEngine(fleet.Engine{ID: "a", Slots: 3})
+	assert.Assert(t, !dir.Settle(now.Add(time.Second)))
+	assert.Assert(t, dir.Settle(now.Add(2*time.Second)))
+	assert.Equal(t, len(dir.Engines()), 1)
+	assert.Equal(t, dir.Engines()[0].Slots, 3)
+	assert.Equal(t, len(dir.Members()), 0)
+}
+
+func TestOnACalmDayRemovalsCountAtOnce(t *testing.T) {
+	now := time.Unix(100, 0)
+	dir := fleet.NewDirectory()
+	dir.SetEngine(fleet.Engine{ID: "a"})
+	dir.RemoveEngine(now, "a")
+	dir.RemoveEngine(now, "never known")
+	assert.Equal(t, len(dir.Engines()), 0)
+}
+
+func TestMembersStandInTheOrderOfTheirStarts(t *testing.T) {
+	dir := fleet.NewDirectory()
+	dir.SetMember(fleet.Member{Name: "young", Epoch: 9})
+	dir.SetMember(fleet.Member{Name: "old", Epoch: 3})
+	dir.SetMember(fleet.Member{Name: "old", Epoch: 12})
+	dir.SetMember(fleet.Member{Name: "middle", Epoch: 10})
+	var names []string
+	for _, mem := range dir.Members() {
+		names = append(names, mem.Name)
+	}
+	assert.DeepEqual(t, names, []string{"young", "middle", "old"})
+	_, known := dir.Member(3)
+	assert.Assert(t, !known)
+}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -230,6 +230,7 @@
 func (exc *exchange) read(cal Call, req *http.Request) (*Answer, error) {
 	var stray string
 	for range maxStray {
+		//nolint:bodyclose // Answer.Close ends the whole connection or keeps it.
 		rep, err := http.ReadResponse(exc.connection.reader, req)
 		if err != nil {
 			return nil, err
