--- a/entry/entry.go
+++ b/entry/entry.go
@@ -61,6 +61,7 @@
 	store    store.Store
 	figures  *figures
 	desk     *desk
+	mirror   *mirror
 	upstream *upstream.Client
 	peers    *peer.Client
 	tasks    *task.Group
@@ -101,6 +102,7 @@
 		cfg: cfg, set: cfg.Settings, epoch: epoch, store: cfg.Store, started: time.Now(),
 		log:     cfg.Log.With().Str("Host", cfg.Settings.Name).Logger(),
 		figures: newFigures(),
+		mirror:  newMirror(),
 		leaving: make(chan struct{}),
 		done:    make(chan struct{}),
 	}
@@ -145,13 +147,17 @@
 func (hos *Host) member() fleet.Member {
 	return fleet.Member{
 		Name: hos.set.Name, Epoch: hos.epoch, Domain: hos.set.Domain,
-		CallerAddress: hos.set.CallerAddress, PeerAddress: hos.set.PeerAddress,
+		CallerAddress: hos.set.CallerAddress, PeerAddress: hos.set.PeerAddress, Capacity: hos.set.Cores * hos.set.CoreSpeed,
 	}
 }
 
-// confirm notes that the belief was current at the given time.
+// confirm notes that the belief was current at the given time. Where that comes
+// from another host it may be older than what is known.
 func (hos *Host) confirm(at time.Time) {
-	hos.confirmed.Store(int64(at.Sub(hos.started)))
+	since := int64(at.Sub(hos.started))
+	if since > hos.confirmed.Load() {
+		hos.confirmed.Store(since)
+	}
 }
 
 // age returns how long ago the belief was last known to be current.
@@ -218,7 +224,7 @@
 }
 
 func (hos *Host) serve(ctx context.Context) error {
-	peers := peer.NewServer(peer.ServerConfig{Sessions: hos.desk, Security: hos.security(), Timing: peerTiming})
+	peers := peer.NewServer(peer.ServerConfig{Sessions: hos.desk, Mirror: hos.mirror, Security: hos.security(), Timing: peerTiming})
 	all := []listener{
 		{"CallerAddress", hos.set.CallerAddress, hos.callerServer()},
 		{"ReadyAddress", hos.set.ReadyAddress, plainServer(hos.readyHandler())},
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/route"
@@ -14,9 +12,6 @@
 )
 
 const (
-	// watchWait is how long a watch waits for a change: its answer confirms the
-	// configuration's age, and a silent store is noticed by its lack.
-	watchWait = 1400 * time.Millisecond
 	// gatherPause is how long changes are let come together after some have come:
 	// each answer is a call, and a bound of seconds leaves room for it.
 	gatherPause = 100 * time.Millisecond
@@ -35,6 +30,10 @@
 	directory *fleet.Directory
 	table     *route.Table
 	revision  store.Revision
+	// whole is set while everything must be read anew.
+	whole bool
+	// direct is until when the store is read itself.
+	direct time.Time
 	// lostAt is when the store was first not reached; zero while it is.
 	lostAt time.Time
 	pause  time.Duration
@@ -42,31 +41,42 @@
 
 // observe follows the store until the context ends.
 func (hos *Host) observe(ctx context.Context) error {
-	obs := &observer{host: hos, directory: fleet.NewDirectory()}
-	whole := true
+	obs := &observer{host: hos, directory: fleet.NewDirectory(), whole: true}
 	for ctx.Err() == nil {
-		var err error
-		if whole {
-			err = obs.readAll(ctx)
-		} else {
-			err = obs.watch(ctx)
-		}
-		if err == nil {
-			whole = false
-			obs.regained()
+		upd, err := obs.read(ctx)
+		if err != nil {
+			obs.lost(ctx, err)
 			continue
 		}
-		var gone *store.CompactedError
-		if errors.As(err, &gone) {
-			hos.log.Info().Err(err).Msg("the store forgot its history, reading all")
-			whole = true
-			continue
+		obs.regained()
+		obs.apply(upd)
+		if len(upd.changes.Changes) > 0 && !upd.whole {
+			sleep(ctx, gatherPause)
 		}
-		obs.lost(ctx, err)
 	}
 	return ctx.Err()
 }
 
+// apply takes an update.
+func (obs *observer) apply(upd update) {
+	obs.whole = false
+	if upd.whole {
+		obs.replace(upd.values)
+		obs.host.mirror.replace(upd.values, max(obs.revision, upd.changes.Revision), upd.confirmed)
+	} else {
+		for _, cha := range upd.changes.Changes {
+			obs.take(cha)
+		}
+		obs.host.mirror.apply(upd.changes, upd.confirmed)
+	}
+	obs.revision = max(obs.revision, upd.changes.Revision)
+	settled := obs.directory.Settle(time.Now())
+	obs.host.confirm(upd.confirmed)
+	if upd.whole || len(upd.changes.Changes) > 0 || settled {
+		obs.publish()
+	}
+}
+
 // lost notes that the store wasn't reached, and waits before the next call.
 func (obs *observer) lost(ctx context.Context, err error) {
 	if ctx.Err() != nil {
@@ -95,13 +105,8 @@
 	obs.directory.Hold(now.Add(lapseHold))
 }
 
-// readAll reads everything anew.
-func (obs *observer) readAll(ctx context.Context) error {
-	asked := time.Now()
-	values, rev, err := obs.host.store.List(ctx, platform.Prefix)
-	if err != nil {
-		return err
-	}
+// replace takes a whole reading.
+func (obs *observer) replace(values []store.Value) {
 	var engines []fleet.Engine
 	var members []fleet.Member
 	for _, val := range values {
@@ -116,10 +121,6 @@
 		}
 	}
 	obs.directory.Replace(time.Now(), engines, members)
-	obs.revision = max(obs.revision, rev)
-	obs.host.confirm(asked)
-	obs.publish()
-	return nil
 }
 
 func (obs *observer) appendEngine(engines []fleet.Engine, val store.Value) []fleet.Engine {
@@ -140,28 +141,6 @@
 	return append(members, mem)
 }
 
-// watch waits for changes and takes them.
-func (obs *observer) watch(ctx context.Context) error {
-	asked := time.Now()
-	changes, err := obs.host.store.Watch(ctx, platform.Prefix, obs.revision, watchWait)
-	if err != nil {
-		return err
-	}
-	obs.revision = max(obs.revision, changes.Revision)
-	for _, cha := range changes.Changes {
-		obs.take(cha)
-	}
-	settled := obs.directory.Settle(time.Now())
-	obs.host.confirm(asked)
-	if len(changes.Changes) > 0 || settled {
-		obs.publish()
-	}
-	if len(changes.Changes) > 0 {
-		sleep(ctx, gatherPause)
-	}
-	return nil
-}
-
 // take takes one change.
 func (obs *observer) take(cha store.Change) {
 	kind, name := platform.KindOf(cha.Key)
--- /dev/null
+++ b/entry/source.go
@@ -0,0 +1,154 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/platform"
+	"lynxwell.dev/lynxwell/store"
+)
+
+const (
+	// watchWait is how long a watch waits for a change: its answer confirms the
+	// configuration's age, and a silent store is noticed by its lack.
+	watchWait = 1400 * time.Millisecond
+	// followedWait is that of a host through which others read: their knowledge is
+	// older than its own by what they wait.
+	followedWait = 800 * time.Millisecond
+	// followWait is how long a host waits for another to pass changes on.
+	followWait = 700 * time.Millisecond
+	// followSlack is how much longer than its wait the answer may take.
+	followSlack = 300 * time.Millisecond
+	// followers is how many hosts a failure domain has at least before one of them
+	// reads the store for all: below, it saves too little.
+	followers = 3
+	// followAge is the age of another host's knowledge from which the store is
+	// asked directly: its own watch must be late by then.
+	followAge = 1900 * time.Millisecond
+	// directFor is how long a host reads the store itself after the one that it
+	// followed failed it.
+	directFor = 2 * time.Second
+)
+
+// update is what a reading of the store, or of another host, brought.
+type update struct {
+	// whole has the values replace all that was known before.
+	whole   bool
+	values  []store.Value
+	changes store.Changes
+	// confirmed is when the store certainly was as told.
+	confirmed time.Time
+	// from is the host that passed it on; empty for the store itself.
+	from string
+}
+
+// read gets the next update: from the host of the own failure domain that reads
+// the store for all, or from the store.
+func (obs *observer) read(ctx context.Context) (update, error) {
+	if mem, found := obs.followed(); found {
+		upd, err := obs.follow(ctx, mem)
+		if err == nil || ctx.Err() != nil {
+			return upd, err
+		}
+		obs.direct = time.Now().Add(directFor)
+		obs.host.log.Info().Err(err).Str("Member", mem.Name).Msg("reading the store itself, the host followed failed")
+	}
+	if obs.whole {
+		return obs.list(ctx)
+	}
+	return obs.watch(ctx)
+}
+
+// followed returns the host to read through, if it isn't this one.
+func (obs *observer) followed() (fleet.Member, bool) {
+	if obs.table == nil || time.Now().Before(obs.direct) {
+		return fleet.Member{}, false
+	}
+	mates := obs.mates()
+	if len(mates) < followers || mates[0].Epoch == obs.host.epoch {
+		return fleet.Member{}, false
+	}
+	return mates[0], true
+}
+
+// mates returns the hosts of the own failure domain.
+func (obs *observer) mates() []fleet.Member {
+	var mates []fleet.Member
+	for _, mem := range obs.directory.Members() {
+		if mem.Domain == obs.host.set.Domain {
+			mates = append(mates, mem)
+		}
+	}
+	return mates
+}
+
+// StaleMirrorError reports a host that passes on what is too old.
+type StaleMirrorError struct {
+	Member string
+	Age    time.Duration
+}
+
+// Error names the host and the age.
+func (sme *StaleMirrorError) Error() string {
+	return "what " + sme.Member + " knows of the store is " + sme.Age.String() + " old"
+}
+
+// follow reads through another host.
+func (obs *observer) follow(ctx context.Context, mem fleet.Member) (update, error) {
+	ctx, cancel := context.WithTimeout(ctx, followWait+followSlack)
+	defer cancel()
+	after := obs.revision
+	if obs.whole {
+		after = 0
+	}
+	asked := time.Now()
+	fol, err := obs.host.peers.Follow(ctx, mem.PeerAddress, after, followWait)
+	if err != nil {
+		return update{}, err
+	}
+	upd := update{whole: fol.Whole, changes: fol.Changes, confirmed: asked.Add(fol.Confirmed), from: mem.Name}
+	if age := time.Since(upd.confirmed); age > followAge {
+		return update{}, &StaleMirrorError{Member: mem.Name, Age: age}
+	}
+	if upd.changes.Revision < obs.revision {
+		// It is behind: what it lacks must not be taken back.
+		return update{}, &StaleMirrorError{Member: mem.Name, Age: time.Since(upd.confirmed)}
+	}
+	if fol.Whole {
+		for _, cha := range fol.Changes.Changes {
+			upd.values = append(upd.values, cha.Value)
+		}
+	}
+	return upd, nil
+}
+
+// list reads everything from the store.
+func (obs *observer) list(ctx context.Context) (update, error) {
+	asked := time.Now()
+	values, rev, err := obs.host.store.List(ctx, platform.Prefix)
+	if err != nil {
+		return update{}, err
+	}
+	return update{whole: true, values: values, changes: store.Changes{Revision: rev}, confirmed: asked}, nil
+}
+
+// watch waits for changes at the store. Where it has forgotten its history,
+// everything is read.
+func (obs *observer) watch(ctx context.Context) (update, error) {
+	wait := watchWait
+	if mates := obs.mates(); len(mates) >= followers && mates[0].Epoch == obs.host.epoch {
+		wait = followedWait
+	}
+	asked := time.Now()
+	changes, err := obs.host.store.Watch(ctx, platform.Prefix, obs.revision, wait)
+	var gone *store.CompactedError
+	if errors.As(err, &gone) {
+		obs.host.log.Info().Err(err).Msg("the store forgot its history, reading all")
+		obs.whole = true
+		return obs.list(ctx)
+	}
+	return update{changes: changes, confirmed: asked}, err
+}
--- a/entrytest/entrytest.go
+++ b/entrytest/entrytest.go
@@ -55,6 +55,8 @@
 	Engines []*upstreamtest.Engine
 	// Bounds change the hosts' settings.
 	Bounds settings.Bounds
+	// OneDomain puts all hosts into one failure domain.
+	OneDomain bool
 }
 
 // System is a running system.
@@ -105,7 +107,7 @@
 		sys.Enter(eng, srv.Listener.Addr().String(), false)
 	}
 	for idx := range cfg.Hosts {
-		sys.start(idx, cfg.Bounds)
+		sys.start(idx, cfg)
 	}
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -139,14 +141,18 @@
 	assert.NilError(sys.t, err)
 }
 
-func (sys *System) start(idx int, bou settings.Bounds) {
+func (sys *System) start(idx int, cfg Config) {
 	sys.t.Helper()
+	domain := fmt.Sprintf("d%d", idx)
+	if cfg.OneDomain {
+		domain = "d0"
+	}
 	data, err := json.Marshal(settings.Entry{
-		Name: fmt.Sprintf("host-%d", idx), Domain: fmt.Sprintf("d%d", idx),
+		Name: fmt.Sprintf("host-%d", idx), Domain: domain,
 		CallerAddress: freeAddress(sys.t), ReadyAddress: freeAddress(sys.t), DirectoryAddress: freeAddress(sys.t),
 		PeerAddress: freeAddress(sys.t), MetricsAddress: freeAddress(sys.t),
 		StoreAddress: netip.MustParseAddrPort(sys.front.Listener.Addr().String()),
-		PeerKey:      "key between the hosts under test", Bounds: bou,
+		PeerKey:      "key between the hosts under test", Bounds: cfg.Bounds,
 	})
 	assert.NilError(sys.t, err)
 	set, err := settings.ParseEntry("test", data)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -47,4 +47,6 @@
 	CallerAddress netip.AddrPort
 	// PeerAddress is where other hosts connect.
 	PeerAddress netip.AddrPort
+	// Capacity is the host's processor, in usual cores.
+	Capacity float64
 }
--- a/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/peer/peerpb/peerpbconnect/peer.connect.go
@@ -48,6 +48,8 @@
 	PeerServiceFetchStateProcedure = "/lynxwell.peer.v1.PeerService/FetchState"
 	// PeerServiceProbeProcedure is the fully-qualified name of the PeerService's Probe RPC.
 	PeerServiceProbeProcedure = "/lynxwell.peer.v1.PeerService/Probe"
+	// PeerServiceFollowProcedure is the fully-qualified name of the PeerService's Follow RPC.
+	PeerServiceFollowProcedure = "/lynxwell.peer.v1.PeerService/Follow"
 )
 
 // PeerServiceClient is a client for the lynxwell.peer.v1.PeerService service.
@@ -61,6 +63,9 @@
 	// FetchState brings views and configuration to a host that is behind.
 	FetchState(context.Context, *connect.Request[peerpb.FetchStateRequest]) (*connect.Response[peerpb.FetchStateResponse], error)
 	Probe(context.Context, *connect.Request[peerpb.ProbeRequest]) (*connect.Response[peerpb.ProbeResponse], error)
+	// Follow waits for changes of the store that the host has seen, and passes
+	// them on with their age.
+	Follow(context.Context, *connect.Request[peerpb.FollowRequest]) (*connect.Response[peerpb.FollowResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the lynxwell.peer.v1.PeerService service. By
@@ -116,6 +121,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Probe")),
 			connect.WithClientOptions(opts...),
 		),
+		follow: connect.NewClient[peerpb.FollowRequest, peerpb.FollowResponse](
+			httpClient,
+			baseURL+PeerServiceFollowProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Follow")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -128,6 +139,7 @@
 	handover   *connect.Client[peerpb.HandoverRequest, peerpb.HandoverResponse]
 	fetchState *connect.Client[peerpb.FetchStateRequest, peerpb.FetchStateResponse]
 	probe      *connect.Client[peerpb.ProbeRequest, peerpb.ProbeResponse]
+	follow     *connect.Client[peerpb.FollowRequest, peerpb.FollowResponse]
 }
 
 // Session calls lynxwell.peer.v1.PeerService.Session.
@@ -165,6 +177,11 @@
 	return c.probe.CallUnary(ctx, req)
 }
 
+// Follow calls lynxwell.peer.v1.PeerService.Follow.
+func (c *peerServiceClient) Follow(ctx context.Context, req *connect.Request[peerpb.FollowRequest]) (*connect.Response[peerpb.FollowResponse], error) {
+	return c.follow.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the lynxwell.peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Session carries a gateway's messages one way and a coordinator's the other.
@@ -176,6 +193,9 @@
 	// FetchState brings views and configuration to a host that is behind.
 	FetchState(context.Context, *connect.Request[peerpb.FetchStateRequest]) (*connect.Response[peerpb.FetchStateResponse], error)
 	Probe(context.Context, *connect.Request[peerpb.ProbeRequest]) (*connect.Response[peerpb.ProbeResponse], error)
+	// Follow waits for changes of the store that the host has seen, and passes
+	// them on with their age.
+	Follow(context.Context, *connect.Request[peerpb.FollowRequest]) (*connect.Response[peerpb.FollowResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -227,6 +247,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Probe")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceFollowHandler := connect.NewUnaryHandler(
+		PeerServiceFollowProcedure,
+		svc.Follow,
+		connect.WithSchema(peerServiceMethods.ByName("Follow")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lynxwell.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceSessionProcedure:
@@ -243,6 +269,8 @@
 			peerServiceFetchStateHandler.ServeHTTP(w, r)
 		case PeerServiceProbeProcedure:
 			peerServiceProbeHandler.ServeHTTP(w, r)
+		case PeerServiceFollowProcedure:
+			peerServiceFollowHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -279,3 +307,7 @@
 func (UnimplementedPeerServiceHandler) Probe(context.Context, *connect.Request[peerpb.ProbeRequest]) (*connect.Response[peerpb.ProbeResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lynxwell.peer.v1.PeerService.Probe is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) Follow(context.Context, *connect.Request[peerpb.FollowRequest]) (*connect.Response[peerpb.FollowResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lynxwell.peer.v1.PeerService.Follow is not implemented"))
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -45,6 +45,8 @@
 	// Backend answers everything; without it, Sessions alone are served.
 	Backend  Backend
 	Sessions Sessions
+	// Mirror passes the store's changes on; nil passes nothing on.
+	Mirror   Mirror
 	Security Security
 	Timing   Timing
 }
@@ -139,6 +141,9 @@
 // errSessionsOnly answers what a host without request ledgers can't.
 var errSessionsOnly = connect.NewError(connect.CodeUnimplemented, errors.New("this host serves sessions only"))
 
+// errNoMirror answers those who want to read the store through this host.
+var errNoMirror = connect.NewError(connect.CodeUnimplemented, errors.New("this host passes nothing on"))
+
 // Fence implements the generated service.
 func (srv *Server) Fence(ctx context.Context, req *connect.Request[peerpb.FenceRequest]) (*connect.Response[peerpb.FenceResponse], error) {
 	if srv.cfg.Backend == nil {
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -33,6 +33,10 @@
 	PeerKey string
 	// LogLevel is a zerolog level; empty stands for "info".
 	LogLevel string
+	// Cores is the part of a core that the host has, CoreSpeed how fast that is
+	// beside a usual one; 0 stands for 1.
+	Cores     float64
+	CoreSpeed float64
 	// Bounds are what the users hold the system to.
 	Bounds Bounds
 }
@@ -107,6 +111,8 @@
 		return Entry{}, err
 	}
 	ent.Bounds = ent.Bounds.withDefaults()
+	fillNumber(&ent.Cores, 1)
+	fillNumber(&ent.CoreSpeed, 1)
 	return ent, nil
 }
 
@@ -140,6 +146,8 @@
 		{usable(ent.MetricsAddress), "MetricsAddress", wantAddress},
 		{usable(ent.StoreAddress), "StoreAddress", wantAddress},
 		{len(ent.PeerKey) >= minKeyLen, "PeerKey", "want a key of 16 bytes or more"},
+		{ent.Cores >= 0, "Cores", "want 0 or more"},
+		{ent.CoreSpeed >= 0, "CoreSpeed", "want 0 or more"},
 		{lowest >= 0, "Bounds", "want figures of 0 or more"},
 	})
 }
--- a/upstreamtest/engine.go
+++ b/upstreamtest/engine.go
@@ -352,8 +352,8 @@
 	fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: signed-%s\r\nContent-Length: %d\r\n\r\n%s", id, id, len(body), body)
 }
 
-// early answers before it has read the body, and goes on reading the connection
-// as if the rest were still to come.
+// early answers before it has read the body, reads the rest later, and goes on
+// with what follows on the connection.
 func (eng *Engine) early(wri http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("Request-Id")
 	con, buf, err := http.NewResponseController(wri).Hijack()
@@ -364,5 +364,23 @@
 	fmt.Fprintf(buf, "HTTP/1.1 413 Request Entity Too Large\r\nRequest-Id: %s\r\nResponse-Signature: signed-%s\r\nContent-Length: 0\r\n\r\n", id, id)
 	// Whoever reads may be gone.
 	_ = buf.Flush()
-	_, _ = io.Copy(io.Discard, buf)
+	if _, err := io.CopyN(io.Discard, buf, req.ContentLength); err != nil {
+		return
+	}
+	for {
+		next, err := http.ReadRequest(buf.Reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(next.Body)
+		if err != nil {
+			return
+		}
+		eng.run(next, string(body))
+		name := next.Header.Get("Request-Id")
+		framed(buf, name, PlainBody(name))
+		if buf.Flush() != nil {
+			return
+		}
+	}
 }
