--- a/cmd/standincmd.go
+++ b/cmd/standincmd.go
@@ -14,6 +14,7 @@
 	"lynxwell.dev/lynxwell/backendtest"
 	"lynxwell.dev/lynxwell/enginetest"
 	"lynxwell.dev/lynxwell/platformtest"
+	"lynxwell.dev/lynxwell/upstreamtest"
 )
 
 // standinCmd runs one of the stand-ins of the systems around lynxwell.
@@ -22,6 +23,7 @@
 	platform *flaggy.Subcommand
 	engine   *flaggy.Subcommand
 	backend  *flaggy.Subcommand
+	upstream *flaggy.Subcommand
 	opts     standinOptions
 }
 
@@ -31,6 +33,7 @@
 	hostsLag  time.Duration
 	engineCfg enginetest.Config
 	backCfg   backendtest.Config
+	upCfg     upstreamtest.Config
 }
 
 func newStandinCmd() *standinCmd {
@@ -41,7 +44,14 @@
 		engine:   newSubcommand("engine", "run a stand-in of a language-model engine", "    lynxwell standin engine --listen 127.0.0.1:7200 --name fast-1 --slots 8"),
 		backend:  newSubcommand("backend", "run a stand-in of a plain service's backend server", "    lynxwell standin backend --listen 127.0.0.1:7300 --name kitchen-1"),
 	}
-	for _, sub := range []*flaggy.Subcommand{com.platform, com.engine, com.backend} {
+	com.upstream = newSubcommand("upstream", "run a stand-in of an engine or backend server of the users' platform", "    lynxwell standin upstream --listen 127.0.0.1:7400 --id m1 --service model --events 8")
+	com.upstream.String(&com.opts.upCfg.ID, "i", "id", "the run of the engine, as its entry in the store is named")
+	com.upstream.String(&com.opts.upCfg.Service, "", "service", "the service that it belongs to")
+	com.upstream.Int(&com.opts.upCfg.Slots, "", "slots", "requests that run at once; 0 is no bound")
+	com.upstream.Int(&com.opts.upCfg.Events, "", "events", "length of a stream; 0 answers whole")
+	com.upstream.Duration(&com.opts.upCfg.Reading, "", "reading", "time to read one token of a prompt")
+	com.upstream.Duration(&com.opts.upCfg.Step, "", "step", "time between two events")
+	for _, sub := range []*flaggy.Subcommand{com.platform, com.engine, com.backend, com.upstream} {
 		sub.NetipAddrPort(&com.opts.listen, "l", "listen", "address to listen on, IP:PORT")
 		com.sub.AttachSubcommand(sub, 1)
 	}
@@ -76,8 +86,10 @@
 		return com.runEngine(ctx, str)
 	case com.backend.Used:
 		return serveStandin(ctx, str, com.opts.listen, backendtest.New(com.opts.backCfg).Handler())
+	case com.upstream.Used:
+		return serveStandin(ctx, str, com.opts.listen, upstreamtest.NewEngine(com.opts.upCfg).Handler())
 	default:
-		return &usageError{flag: "standin", reason: "want platform, engine or backend"}
+		return &usageError{flag: "standin", reason: "want platform, engine, backend or upstream"}
 	}
 }
 
--- a/platformtest/memory.go
+++ b/platformtest/memory.go
@@ -251,15 +251,32 @@
 	if err := mem.mayPut(wri); err != nil {
 		return 0, err
 	}
+	mem.write(wri)
+	return mem.revision, mem.leave("Put")
+}
+
+// Write makes a write whatever is wrong with the store: those who make it have
+// another way to it.
+func (mem *Memory) Write(wri store.Write) error {
+	mem.mutex.Lock()
+	defer mem.mutex.Unlock()
+	mem.lapse()
+	if err := mem.mayPut(wri); err != nil {
+		return err
+	}
+	mem.write(wri)
+	return nil
+}
+
+func (mem *Memory) write(wri store.Write) {
 	if wri.Delete {
 		mem.remove(wri.Key)
-		return mem.revision, mem.leave("Put")
+		return
 	}
 	mem.revision++
 	delete(mem.deleted, wri.Key)
 	mem.values[wri.Key] = store.Value{Key: wri.Key, Data: slices.Clone(wri.Data), Revision: mem.revision, Lease: wri.Lease}
 	mem.wake()
-	return mem.revision, mem.leave("Put")
 }
 
 func (mem *Memory) mayPut(wri store.Write) error {
--- a/platformtest/server.go
+++ b/platformtest/server.go
@@ -21,6 +21,10 @@
 	PathCalls = "/standin/calls"
 	// PathHost takes a store.HostState by POST; Gone removes it.
 	PathHost = "/standin/hosts"
+	// PathPut takes a store.Write by POST, as operators and engines make it.
+	PathPut = "/standin/put"
+	// PathCompact has the store forget its history.
+	PathCompact = "/standin/compact"
 )
 
 // HostChange is the body of PathHost.
@@ -111,6 +115,21 @@
 		srv.memory.SetHost(cha.Name, state)
 		reply(wri, http.StatusOK, struct{}{})
 	}).Methods(http.MethodPost)
+	rou.HandleFunc(PathPut, func(wri http.ResponseWriter, req *http.Request) {
+		var body store.Write
+		if !read(wri, req, &body) {
+			return
+		}
+		if err := srv.memory.Write(body); err != nil {
+			fail(wri, err)
+			return
+		}
+		reply(wri, http.StatusOK, struct{}{})
+	}).Methods(http.MethodPost)
+	rou.HandleFunc(PathCompact, func(wri http.ResponseWriter, _ *http.Request) {
+		srv.memory.Compact()
+		reply(wri, http.StatusOK, struct{}{})
+	}).Methods(http.MethodPost)
 	rou.HandleFunc(PathCalls, func(wri http.ResponseWriter, _ *http.Request) {
 		reply(wri, http.StatusOK, srv.memory.Counts())
 	}).Methods(http.MethodGet)
--- a/processtest/link.go
+++ b/processtest/link.go
@@ -1,11 +1,11 @@
 package processtest
 
 import (
-	"io"
 	"net"
 	"net/netip"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -17,7 +17,11 @@
 	lis     net.Listener
 	mutex   sync.Mutex
 	cut     bool
-	open    map[net.Conn]bool
+	// silent swallows bytes: those sent out, those that come back, or both.
+	silentOut  bool
+	silentBack bool
+	delay      time.Duration
+	open       map[net.Conn]bool
 }
 
 // NewLink returns a link to the target; it ends with the test.
@@ -53,11 +57,38 @@
 	clear(lnk.open)
 }
 
-// Restore lets connections through again.
+// Restore lets connections through again. Those on which bytes were swallowed
+// are ended, since they are no use any more.
 func (lnk *Link) Restore() {
 	lnk.mutex.Lock()
 	defer lnk.mutex.Unlock()
-	lnk.cut = false
+	if lnk.silentOut || lnk.silentBack {
+		for con := range lnk.open {
+			_ = con.Close()
+		}
+		clear(lnk.open)
+	}
+	lnk.cut, lnk.silentOut, lnk.silentBack, lnk.delay = false, false, false, 0
+}
+
+// Silence swallows what is sent out, what comes back, or both.
+func (lnk *Link) Silence(out, back bool) {
+	lnk.mutex.Lock()
+	defer lnk.mutex.Unlock()
+	lnk.silentOut, lnk.silentBack = out, back
+}
+
+// Delay holds what passes up.
+func (lnk *Link) Delay(wait time.Duration) {
+	lnk.mutex.Lock()
+	defer lnk.mutex.Unlock()
+	lnk.delay = wait
+}
+
+// Reset ends every connection; new ones are let through.
+func (lnk *Link) Reset() {
+	lnk.Cut()
+	lnk.Restore()
 }
 
 func (lnk *Link) accept() {
@@ -71,8 +102,8 @@
 			_ = con.Close()
 			continue
 		}
-		go pipe(con, out)
-		go pipe(out, con)
+		go lnk.pipe(con, out, false)
+		go lnk.pipe(out, con, true)
 	}
 }
 
@@ -88,8 +119,36 @@
 	return true
 }
 
-func pipe(to, from net.Conn) {
-	_, _ = io.Copy(to, from)
-	_ = to.Close()
-	_ = from.Close()
+// pipeBytes is how much passes at a time.
+const pipeBytes = 16 << 10
+
+// pipe passes bytes on until either end is closed.
+func (lnk *Link) pipe(to, from net.Conn, outward bool) {
+	defer to.Close()
+	defer from.Close()
+	buf := make([]byte, pipeBytes)
+	for {
+		num, err := from.Read(buf)
+		if err != nil || !lnk.pass(to, buf[:num], outward) {
+			return
+		}
+	}
+}
+
+// pass passes some bytes on as the link is just now.
+func (lnk *Link) pass(to net.Conn, data []byte, outward bool) bool {
+	lnk.mutex.Lock()
+	silent, wait := lnk.silentBack, lnk.delay
+	if outward {
+		silent = lnk.silentOut
+	}
+	lnk.mutex.Unlock()
+	if silent {
+		return true
+	}
+	if wait > 0 {
+		<-time.After(wait)
+	}
+	_, err := to.Write(data)
+	return err == nil
 }
--- a/processtest/processtest.go
+++ b/processtest/processtest.go
@@ -104,6 +104,11 @@
 	pro.signal(syscall.SIGCONT)
 }
 
+// Hangup asks the process to read its settings again.
+func (pro *Process) Hangup() {
+	pro.signal(syscall.SIGHUP)
+}
+
 // Terminate asks the process for a planned stop.
 func (pro *Process) Terminate() {
 	pro.signal(syscall.SIGTERM)
@@ -198,18 +203,52 @@
 
 func (sys *System) run(name string, args ...string) (*Process, io.Reader) {
 	sys.t.Helper()
-	pro := &Process{Name: name, end: make(chan error, 1), Log: filepath.Join(sys.dir, name+".log")}
+	return run(sys.t, sys.dir, name, args...)
+}
+
+// Run starts the program as a process that writes both its outputs to a file in
+// the directory. It ends with the test.
+func Run(t *testing.T, dir, name string, args ...string) *Process {
+	t.Helper()
+	pro, out := run(t, dir, name, args...)
+	file, err := os.OpenFile(pro.Log, os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(t, err)
+	go func() {
+		// The process may end within a line.
+		_, _ = io.Copy(file, out)
+		_ = file.Close()
+		pro.reap()
+	}()
+	return pro
+}
+
+// Standin starts a stand-in on a free port, which it names itself.
+func Standin(t *testing.T, dir, name string, args ...string) (*Process, netip.AddrPort) {
+	t.Helper()
+	pro, out := run(t, dir, name, append(append([]string{"standin"}, args...), "--listen", "127.0.0.1:0")...)
+	lines := bufio.NewReader(out)
+	line, err := lines.ReadString('\n')
+	assert.NilError(t, err)
+	go pro.reap()
+	adr, err := netip.ParseAddrPort(strings.TrimSpace(strings.TrimPrefix(line, "listening on ")))
+	assert.NilError(t, err)
+	return pro, adr
+}
+
+func run(t *testing.T, dir, name string, args ...string) (*Process, io.Reader) {
+	t.Helper()
+	pro := &Process{Name: name, end: make(chan error, 1), Log: filepath.Join(dir, name+".log")}
 	log, err := os.OpenFile(pro.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	assert.NilError(sys.t, err)
+	assert.NilError(t, err)
 	pro.com = exec.Command(os.Args[0], args...)
 	pro.com.Env = append(os.Environ(), envProgram+"=1")
 	pro.com.Stderr = log
 	_, err = pro.com.StdinPipe()
-	assert.NilError(sys.t, err)
+	assert.NilError(t, err)
 	out, err := pro.com.StdoutPipe()
-	assert.NilError(sys.t, err)
-	assert.NilError(sys.t, pro.com.Start())
-	sys.t.Cleanup(func() {
+	assert.NilError(t, err)
+	assert.NilError(t, pro.com.Start())
+	t.Cleanup(func() {
 		pro.Wake()
 		pro.Kill()
 		pro.Wait()
@@ -224,17 +263,9 @@
 	close(pro.end)
 }
 
-// standin starts a stand-in on a free port, which it names itself.
 func (sys *System) standin(name string, args ...string) (*Process, netip.AddrPort) {
 	sys.t.Helper()
-	pro, out := sys.run(name, append(append([]string{"standin"}, args...), "--listen", "127.0.0.1:0")...)
-	lines := bufio.NewReader(out)
-	line, err := lines.ReadString('\n')
-	assert.NilError(sys.t, err)
-	go pro.reap()
-	adr, err := netip.ParseAddrPort(strings.TrimSpace(strings.TrimPrefix(line, "listening on ")))
-	assert.NilError(sys.t, err)
-	return pro, adr
+	return Standin(sys.t, sys.dir, name, args...)
 }
 
 func (sys *System) engine(name string) *Engine {
--- a/upstreamtest/engine.go
+++ b/upstreamtest/engine.go
@@ -72,7 +72,9 @@
 
 // Run is a request that the engine ran.
 type Run struct {
-	ID        string
+	ID string
+	// At is when it began.
+	At        time.Time
 	Account   string
 	Deadline  string
 	LastEvent string
@@ -148,6 +150,9 @@
 // Handler returns the HTTP handler.
 func (eng *Engine) Handler() http.Handler {
 	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		if eng.serveSwitch(wri, req) {
+			return
+		}
 		if expected := req.Header.Get("Expect-Instance"); expected != "" && expected != eng.cfg.ID {
 			wri.Header().Set("Instance-Id", eng.cfg.ID)
 			wri.WriteHeader(http.StatusMisdirectedRequest)
@@ -202,7 +207,7 @@
 	eng.mutex.Lock()
 	defer eng.mutex.Unlock()
 	eng.runs = append(eng.runs, Run{
-		ID: req.Header.Get("Request-Id"), Account: req.Header.Get("Tenant"), Deadline: req.Header.Get("Deadline-Ms"),
+		ID: req.Header.Get("Request-Id"), At: time.Now(), Account: req.Header.Get("Tenant"), Deadline: req.Header.Get("Deadline-Ms"),
 		LastEvent: req.Header.Get("Last-Event-Id"), Key: req.Header.Get("Authorization"), Target: req.RequestURI, Body: body,
 	})
 }
