--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,253 @@
+// Package soak runs the real programs as separate processes, brings faults upon
+// them from outside, in series and overlapping, and checks what callers and
+// engines see.
+//
+// # Usage
+//
+//	func TestMain(m *testing.M) { processtest.Main(m) }
+//	soak.Play(t, soak.Config{Seed: 17})
+//
+// A seed decides the faults, their order and the requests; how the processes
+// interleave is up to the machine. Only processes that a play started are ended,
+// by their ids.
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lynxwell.dev/lynxwell/embedded"
+	"lynxwell.dev/lynxwell/entrytest"
+	"lynxwell.dev/lynxwell/platform"
+	"lynxwell.dev/lynxwell/platformtest"
+	"lynxwell.dev/lynxwell/processtest"
+	"lynxwell.dev/lynxwell/settings"
+	"lynxwell.dev/lynxwell/store"
+	"lynxwell.dev/lynxwell/upstreamtest"
+)
+
+const (
+	defaultHosts = 3
+	// perService is how many engines each of the two services has.
+	perService = 3
+	// steps is how many faults a play has, stepMean how far apart they are.
+	steps    = 8
+	stepMean = 500 * time.Millisecond
+	// visitors is how many callers there are.
+	visitors = 6
+	// settleTime lets everything recover before the last requests.
+	settleTime = 3 * time.Second
+	// startLimit bounds the start, and any condition waited for.
+	startLimit = 20 * time.Second
+	// events is the length of a stream.
+	events = 5
+)
+
+// Config holds what a play is made from.
+type Config struct {
+	Seed  uint64
+	Hosts int
+}
+
+// system is the processes of a play.
+type system struct {
+	t      *testing.T
+	dir    string
+	random *rand.Rand
+	store  netip.AddrPort
+	hosts  []*host
+	// engines are all that ever ran; entered are those with an entry.
+	engines []*engine
+	version uint64
+	keys    []string
+	mutex   sync.Mutex
+	revoked map[string]time.Time
+}
+
+type host struct {
+	*processtest.Process
+	set   settings.Entry
+	store *processtest.Link
+	file  string
+	down  bool
+}
+
+type engine struct {
+	id      string
+	service string
+	address netip.AddrPort
+	// leftAt is when its entry was taken away or began to drain; zero before.
+	leftAt time.Time
+}
+
+// Play plays a seed and checks the promises.
+func Play(t *testing.T, cfg Config) {
+	t.Helper()
+	if cfg.Hosts == 0 {
+		cfg.Hosts = defaultHosts
+	}
+	sys := start(t, cfg)
+	ctx, cancel := context.WithCancel(t.Context())
+	sent := sys.visit(ctx, cfg.Seed)
+	for range steps {
+		sys.fault()
+		sys.wait(time.Duration(float64(stepMean) * sys.random.ExpFloat64()))
+	}
+	sys.heal()
+	sys.wait(settleTime)
+	cancel()
+	results := <-sent
+	sys.check(results)
+	sys.serves(cfg.Seed)
+}
+
+// wait lets time pass: faults need their time to work.
+func (sys *system) wait(dur time.Duration) {
+	<-time.After(min(dur, 4*stepMean+settleTime))
+}
+
+func start(t *testing.T, cfg Config) *system {
+	t.Helper()
+	sys := &system{t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(cfg.Seed, 1)), revoked: make(map[string]time.Time)}
+	_, sys.store = processtest.Standin(t, sys.dir, "store", "platform")
+	for idx := range perService {
+		sys.addEngine(fmt.Sprintf("m%d", idx), entrytest.Model)
+		sys.addEngine(fmt.Sprintf("p%d", idx), entrytest.Plain)
+	}
+	sys.keys = []string{entrytest.Key}
+	sys.configure()
+	for idx := range cfg.Hosts {
+		sys.addHost(idx)
+	}
+	t.Cleanup(sys.keepLogs)
+	for _, hos := range sys.hosts {
+		sys.until("host ready", func() bool { return sys.ready(hos) })
+	}
+	return sys
+}
+
+// keepLogs copies the logs of a failed play to where they stay.
+func (sys *system) keepLogs() {
+	keep := os.Getenv("LYNXWELL_SOAK_LOGS")
+	if !sys.t.Failed() || keep == "" {
+		return
+	}
+	target := filepath.Join(keep, filepath.Base(sys.t.Name()))
+	if err := os.CopyFS(target, os.DirFS(sys.dir)); err != nil {
+		sys.t.Log("logs not kept:", err)
+	}
+}
+
+func (sys *system) addEngine(id, service string) {
+	sys.t.Helper()
+	args := []string{"upstream", "--id", id, "--service", service}
+	if service == entrytest.Model {
+		args = append(args, "--events", fmt.Sprint(events), "--step", "20ms")
+	}
+	_, adr := processtest.Standin(sys.t, sys.dir, "engine-"+id, args...)
+	eng := &engine{id: id, service: service, address: adr}
+	sys.engines = append(sys.engines, eng)
+	sys.enter(eng, "ready")
+}
+
+func (sys *system) enter(eng *engine, state string) {
+	sys.put(store.Write{Key: "servers/" + eng.id, Blind: true, Data: fmt.Appendf(nil,
+		`{"service":%q,"address":%q,"zone":"d0","slots":4,"state":%q,"cold_left_ms":0,"seq":1}`, eng.service, eng.address, state)})
+}
+
+func (sys *system) put(wri store.Write) {
+	sys.t.Helper()
+	sys.post(sys.store, platformtest.PathPut, wri)
+}
+
+// configure puts the next version in force.
+func (sys *system) configure() {
+	sys.t.Helper()
+	sys.version += 1 + sys.random.Uint64N(3)
+	con := entrytest.Configuration{Version: sys.version, Keys: sys.keys}
+	sys.put(store.Write{Key: "op/config", Blind: true, Data: []byte(con.JSON())})
+}
+
+func (sys *system) post(adr netip.AddrPort, path string, body any) {
+	sys.t.Helper()
+	data, err := json.Marshal(body)
+	assert.NilError(sys.t, err)
+	req, err := http.NewRequestWithContext(sys.t.Context(), http.MethodPost, "http://"+adr.String()+path, bytes.NewReader(data))
+	assert.NilError(sys.t, err)
+	rep, err := http.DefaultClient.Do(req)
+	assert.NilError(sys.t, err)
+	assert.NilError(sys.t, rep.Body.Close())
+	assert.Equal(sys.t, rep.StatusCode, http.StatusOK)
+}
+
+func (sys *system) addHost(idx int) {
+	sys.t.Helper()
+	hos := &host{store: processtest.NewLink(sys.t, sys.store)}
+	hos.set = settings.Entry{
+		Name: fmt.Sprintf("host-%d", idx), Domain: fmt.Sprintf("d%d", idx%2), StoreAddress: hos.store.Address, PeerKey: "key between the hosts of a soak",
+		CallerAddress: embedded.NextAddress(), ReadyAddress: embedded.NextAddress(), DirectoryAddress: embedded.NextAddress(),
+		PeerAddress: embedded.NextAddress(), MetricsAddress: embedded.NextAddress(),
+	}
+	hos.file = filepath.Join(sys.dir, hos.set.Name+".json")
+	sys.hosts = append(sys.hosts, hos)
+	sys.run(hos)
+}
+
+func (sys *system) run(hos *host) {
+	sys.t.Helper()
+	data, err := json.Marshal(hos.set)
+	assert.NilError(sys.t, err)
+	assert.NilError(sys.t, os.WriteFile(hos.file, data, 0o600))
+	hos.Process = processtest.Run(sys.t, sys.dir, hos.set.Name, "entry", "--settings", hos.file)
+	hos.down = false
+}
+
+func (sys *system) ready(hos *host) bool {
+	req, err := http.NewRequestWithContext(sys.t.Context(), http.MethodGet, "http://"+hos.set.ReadyAddress.String()+platform.PathReady, http.NoBody)
+	assert.NilError(sys.t, err)
+	rep, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = rep.Body.Close()
+	return rep.StatusCode == http.StatusOK
+}
+
+func (sys *system) until(what string, holds func() bool) {
+	sys.t.Helper()
+	limit := time.After(startLimit)
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for !holds() {
+		select {
+		case <-tick.C:
+		case <-limit:
+			sys.t.Fatalf("not within %s: %s", startLimit, what)
+		}
+	}
+}
+
+// runs returns what an engine ran.
+func (sys *system) runs(eng *engine) []upstreamtest.Run {
+	sys.t.Helper()
+	req, err := http.NewRequestWithContext(sys.t.Context(), http.MethodGet, "http://"+eng.address.String()+upstreamtest.PathRuns, http.NoBody)
+	assert.NilError(sys.t, err)
+	rep, err := http.DefaultClient.Do(req)
+	assert.NilError(sys.t, err)
+	defer rep.Body.Close()
+	var runs []upstreamtest.Run
+	assert.NilError(sys.t, json.NewDecoder(rep.Body).Decode(&runs))
+	return runs
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,50 @@
+package soak_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"lynxwell.dev/lynxwell/processtest"
+	"lynxwell.dev/lynxwell/soak"
+)
+
+func TestMain(m *testing.M) { processtest.Main(m) }
+
+var (
+	seeds = flag.Int("soak.seeds", 0, "play so many fresh seeds from soak.first on")
+	first = flag.Uint64("soak.first", 1, "the first of the fresh seeds")
+	hosts = flag.Int("soak.hosts", 0, "hosts of the fresh seeds; 0 is the usual size")
+)
+
+// regressions are seeds that failed once, with the cause.
+var regressions = map[uint64]string{}
+
+func TestSeeds(t *testing.T) {
+	for _, seed := range []uint64{101, 102} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			soak.Play(t, soak.Config{Seed: seed})
+		})
+	}
+}
+
+func TestRegressions(t *testing.T) {
+	for seed, why := range regressions {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			t.Log(why)
+			soak.Play(t, soak.Config{Seed: seed})
+		})
+	}
+}
+
+func TestFreshSeeds(t *testing.T) {
+	for idx := range *seeds {
+		seed := *first + uint64(idx)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			soak.Play(t, soak.Config{Seed: seed, Hosts: *hosts})
+		})
+	}
+}
