--- a/cmd/dumpcmd.go
+++ b/cmd/dumpcmd.go
@@ -4,10 +4,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
+	"net/http"
 	"net/netip"
 
 	"github.com/cockroachdb/errors"
 	"github.com/integrii/flaggy"
+
+	"lynxwell.dev/lynxwell/entry"
 )
 
 // dumpCmd prints the state of a host's process.
@@ -21,12 +25,14 @@
 	hostOptions
 	address string
 	metrics bool
+	entry   netip.AddrPort
 }
 
 func newDumpCmd() *dumpCmd {
-	com := &dumpCmd{sub: newSubcommand("dump", "print the state of a host's process", "    lynxwell dump 127.0.0.1:7003 --key-file operator.key\n    lynxwell dump 127.0.0.1:7003 --metrics")}
+	com := &dumpCmd{sub: newSubcommand("dump", "print the state of a host's process", "    lynxwell dump 127.0.0.1:7003 --key-file operator.key\n    lynxwell dump 127.0.0.1:7003 --metrics\n    lynxwell dump --entry 10.1.0.25:7601")}
 	com.opts.attach(com.sub)
 	com.sub.AddPositionalValue(&com.opts.address, "HOST", 1, false, "operator address of the host, instead of --host")
+	com.sub.NetipAddrPort(&com.opts.entry, "e", "entry", "metrics address of a host on the users' platform, which needs no key")
 	com.sub.Bool(&com.opts.metrics, "m", "metrics", "print the measurements instead")
 	return com
 }
@@ -34,6 +40,9 @@
 func (com *dumpCmd) subcommand() *flaggy.Subcommand { return com.sub }
 
 func (com *dumpCmd) run(ctx context.Context, str streams) error {
+	if com.opts.entry.IsValid() {
+		return com.runEntry(ctx, str)
+	}
 	if com.opts.address != "" {
 		adr, err := netip.ParseAddrPort(com.opts.address)
 		if err != nil {
@@ -56,11 +65,43 @@
 	if err != nil {
 		return err
 	}
+	return printIndented(str, raw)
+}
+
+// runEntry prints the state, or the figures, of a host on the users' platform.
+func (com *dumpCmd) runEntry(ctx context.Context, str streams) error {
+	ctx, cancel := context.WithTimeout(ctx, com.opts.timeout)
+	defer cancel()
+	path := entry.PathDump
+	if com.opts.metrics {
+		path = "/metrics"
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+com.opts.entry.String()+path, http.NoBody)
+	if err != nil {
+		return errors.Wrap(err, "make call")
+	}
+	rep, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer rep.Body.Close()
+	raw, err := io.ReadAll(rep.Body)
+	if err != nil {
+		return errors.Wrap(err, "read answer")
+	}
+	if com.opts.metrics {
+		_, err := str.out.Write(raw)
+		return err
+	}
+	return printIndented(str, raw)
+}
+
+func printIndented(str streams, raw []byte) error {
 	var pretty bytes.Buffer
 	if err := json.Indent(&pretty, raw, "", "  "); err != nil {
 		return errors.Wrap(err, "indent dump")
 	}
 	pretty.WriteByte('\n')
-	_, err = pretty.WriteTo(str.out)
+	_, err := pretty.WriteTo(str.out)
 	return err
 }
--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -61,9 +63,7 @@
 		fmt.Fprintf(str.out, "%s: settings are fit for use\n", file)
 		return nil
 	}
-	out := diode.NewWriter(str.out, logLines, 0, func(missed int) {
-		fmt.Fprintf(str.err, "{\"level\":\"warn\",\"Lines\":%d,\"message\":\"log lines dropped\"}\n", missed)
-	})
+	out := newLogWriter(str.out)
 	defer out.Close()
 	log, err := newLogger(out, set.LogLevel)
 	if err != nil {
@@ -72,7 +72,20 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
-	return runEntry(ctx, entry.Config{Settings: set, Log: log, SettingsFile: file, Hangups: hangups})
+	return runEntry(ctx, entry.Config{Settings: set, Log: log, SettingsFile: file, Hangups: hangups, LinesDropped: out.dropped.Load})
+}
+
+// logWriter never has whoever logs wait for the log's reader: when it lags, the
+// oldest lines are dropped and counted.
+type logWriter struct {
+	diode.Writer
+	dropped atomic.Int64
+}
+
+func newLogWriter(out io.Writer) *logWriter {
+	low := &logWriter{}
+	low.Writer = diode.NewWriter(out, logLines, 0, func(missed int) { low.dropped.Add(int64(missed)) })
+	return low
 }
 
 // runEntry runs the host until the context ends, then makes a planned stop.
--- /dev/null
+++ b/cmd/loadcmd.go
@@ -0,0 +1,210 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/integrii/flaggy"
+
+	"lynxwell.dev/lynxwell/route"
+	"lynxwell.dev/lynxwell/visitor"
+)
+
+// loadCmd sends requests as callers on the users' platform do.
+type loadCmd struct {
+	sub  *flaggy.Subcommand
+	opts loadOptions
+}
+
+// loadOptions are the options of load.
+type loadOptions struct {
+	directories []string
+	hostName    string
+	path        string
+	key         string
+	kind        string
+	domain      string
+	visitors    int
+	rate        float64
+	length      time.Duration
+	deadline    time.Duration
+	aim         time.Duration
+	retries     int
+	prompt      int
+	answer      int
+	seed        uint64
+}
+
+// The defaults of load: a small load that any system carries.
+const (
+	defaultVisitors = 8
+	defaultRate     = 20.0
+	defaultDeadline = 5 * time.Second
+	defaultAim      = time.Second
+)
+
+func newLoadCmd() *loadCmd {
+	com := &loadCmd{sub: newSubcommand("load", "send requests as callers on the users' platform do",
+		"    lynxwell load --directory 10.1.0.25:8220 --host-name menus.example --path /rebuild/x --kind streaming --key KEY --prompt 2000 --answer 200 --rate 50 --for 30s")}
+	opt := &com.opts
+	opt.kind, opt.visitors, opt.rate = "unsafe", defaultVisitors, defaultRate
+	opt.length, opt.deadline, opt.aim, opt.retries = benchLength, defaultDeadline, defaultAim, 1
+	com.sub.StringSlice(&opt.directories, "d", "directory", "address to ask where to go, IP:PORT; may be given again, the near ones first")
+	com.sub.String(&opt.hostName, "", "host-name", "host name of the route")
+	com.sub.String(&opt.path, "p", "path", "path and query of the requests")
+	com.sub.String(&opt.key, "k", "key", "key of a client account")
+	com.sub.String(&opt.kind, "", "kind", "unsafe, safe, streaming or resumable (default unsafe)")
+	com.sub.String(&opt.domain, "", "domain", "failure domain of the callers")
+	com.sub.Int(&opt.visitors, "", "visitors", "number of callers (default 8)")
+	com.sub.Float64(&opt.rate, "r", "rate", "requests a second in all (default 20)")
+	com.sub.Duration(&opt.length, "", "for", "how long (default 5s)")
+	com.sub.Duration(&opt.deadline, "", "deadline", "how long a caller waits (default 5s)")
+	com.sub.Duration(&opt.aim, "", "aim", "within what time an answer's first part is in time (default 1s)")
+	com.sub.Int(&opt.retries, "", "retries", "how often a caller tries again (default 1)")
+	com.sub.Int(&opt.prompt, "", "prompt", "tokens of the prompt")
+	com.sub.Int(&opt.answer, "", "answer", "most tokens of the answer")
+	com.sub.UInt64(&opt.seed, "", "seed", "decides which address a caller takes, and when it sends")
+	return com
+}
+
+func (com *loadCmd) subcommand() *flaggy.Subcommand { return com.sub }
+
+// request returns what each caller sends.
+func (opt loadOptions) request() (visitor.Request, error) {
+	req := visitor.Request{
+		Path: opt.path, Key: opt.key, Deadline: opt.deadline, Retries: opt.retries, PromptTokens: opt.prompt, MaxTokens: opt.answer,
+	}
+	switch opt.kind {
+	case "unsafe":
+	case "safe":
+		req.Kind = route.KindSafe
+	case "streaming":
+		req.Kind = route.KindStreaming
+	case "resumable":
+		req.Kind, req.Resumable = route.KindStreaming, true
+	default:
+		return req, &usageError{flag: "--kind", reason: "want unsafe, safe, streaming or resumable"}
+	}
+	if opt.path == "" || opt.hostName == "" || len(opt.directories) == 0 {
+		return req, &usageError{flag: "load", reason: "want --directory, --host-name and --path"}
+	}
+	return req, nil
+}
+
+func (com *loadCmd) run(ctx context.Context, str streams) error {
+	req, err := com.opts.request()
+	if err != nil {
+		return err
+	}
+	var directories []netip.AddrPort
+	for _, text := range com.opts.directories {
+		adr, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return &usageError{flag: "--directory", reason: err.Error()}
+		}
+		directories = append(directories, adr)
+	}
+	results := com.send(ctx, directories, req)
+	return report(str, results, com.opts.aim)
+}
+
+// send has all callers send at their times and returns what came of it.
+func (com *loadCmd) send(ctx context.Context, directories []netip.AddrPort, req visitor.Request) []visitor.Result {
+	opt := com.opts
+	ends := make(chan []visitor.Result)
+	stop := time.Now().Add(opt.length)
+	for num := range opt.visitors {
+		random := rand.New(rand.NewPCG(opt.seed, uint64(num)))
+		vis := visitor.New(visitor.Config{
+			Directories: directories, HostName: opt.hostName, Domain: opt.domain, Random: random, KeepsConnections: num%2 == 0,
+			Prefix: fmt.Sprintf("load-%d-%d-%d", time.Now().UnixNano(), opt.seed, num),
+		})
+		go func() {
+			defer vis.Close()
+			ends <- sendUntil(ctx, vis, req, stop, func() time.Duration {
+				return time.Duration(random.ExpFloat64() * float64(opt.visitors) / opt.rate * float64(time.Second))
+			})
+		}()
+	}
+	var results []visitor.Result
+	for range opt.visitors {
+		results = append(results, <-ends...)
+	}
+	return results
+}
+
+func sendUntil(ctx context.Context, vis *visitor.Visitor, req visitor.Request, stop time.Time, gap func() time.Duration) []visitor.Result {
+	var results []visitor.Result
+	next := time.Now().Add(gap())
+	for ctx.Err() == nil && next.Before(stop) {
+		select {
+		case <-time.After(time.Until(next)):
+		case <-ctx.Done():
+			return results
+		}
+		results = append(results, vis.Send(ctx, req))
+		next = next.Add(gap())
+	}
+	return results
+}
+
+// maxMicros and digits shape the histograms of times: up to ten minutes, to one
+// part in a thousand.
+const (
+	maxMicros = int64(10 * time.Minute / time.Microsecond)
+	digits    = 3
+)
+
+// report prints how the requests ended.
+func report(str streams, results []visitor.Result, aim time.Duration) error {
+	first := hdrhistogram.New(1, maxMicros, digits)
+	whole := hdrhistogram.New(1, maxMicros, digits)
+	ends := make(map[string]int)
+	inAim := 0
+	for _, res := range results {
+		att := res.Last()
+		if !att.Served() {
+			ends[endOf(att)]++
+			continue
+		}
+		ends["Served"]++
+		toFirst := res.Took - att.Took + att.First
+		if toFirst <= aim {
+			inAim++
+		}
+		// What is over the largest value counts as nothing else would.
+		_ = first.RecordValue(min(maxMicros, toFirst.Microseconds()))
+		_ = whole.RecordValue(min(maxMicros, res.Took.Microseconds()))
+	}
+	tab := tabwriter.NewWriter(str.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(tab, "Asked\t%d\nInAim\t%d\n", len(results), inAim)
+	for _, name := range []string{"Served", "Refused", "Failed", "BrokenOff", "NotReached"} {
+		fmt.Fprintf(tab, "%s\t%d\n", name, ends[name])
+	}
+	for _, quantile := range []float64{50, 95, 99} {
+		fmt.Fprintf(tab, "First P%g\t%s\nWhole P%g\t%s\n", quantile, micros(first.ValueAtQuantile(quantile)), quantile, micros(whole.ValueAtQuantile(quantile)))
+	}
+	return tab.Flush()
+}
+
+func endOf(att visitor.Attempt) string {
+	switch {
+	case att.Unsent:
+		return "NotReached"
+	case att.Promised():
+		return "Refused"
+	case att.Err != nil:
+		return "BrokenOff"
+	default:
+		return "Failed"
+	}
+}
+
+func micros(value int64) time.Duration {
+	return time.Duration(value) * time.Microsecond
+}
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -135,7 +135,7 @@
 		return &problem{status: http.StatusBadRequest, cause: causeBadRequest, detail: err.Error()}
 	}
 	rou, found := bel.table.Match(req.Host, req.Path)
-	if !hos.trusted(exc.started) && !(found && rou.Public) {
+	if !hos.trusted(exc.started) && (!found || !rou.Public) {
 		return &problem{status: http.StatusServiceUnavailable, cause: causeNotReady, retryAfter: exc.staleRetry(), detail: "the configuration isn't known to be current"}
 	}
 	if !found {
--- /dev/null
+++ b/entry/dump.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/scheduler"
+)
+
+// PathDump is where the metrics address answers with the host's state.
+const PathDump = "/dump"
+
+// Dump is the state of a host.
+type Dump struct {
+	Host  string
+	Epoch string
+	// Ready says why the host takes no requests; empty where it does.
+	NotReady string
+	// Version is the configuration in force, Age how long ago it was last known
+	// to be current.
+	Version uint64
+	Age     string
+	Members []fleet.Member
+	Engines []fleet.Engine
+	// Coordinator is the epoch of the host that decides; Own says that it is this one.
+	Coordinator string
+	Own         bool
+	// Sessions are the coordinators that are reached, Gateways the hosts that this
+	// one's scheduler serves.
+	Sessions []string
+	Gateways []string
+	// Waiting and Held count the host's own requests.
+	Waiting   int
+	Held      int
+	Tasks     []string
+	Scheduler scheduler.Dump
+}
+
+// Dump returns the host's state.
+func (hos *Host) Dump() Dump {
+	now := time.Now()
+	bel := hos.belief.Load()
+	_, why := hos.ready(now)
+	dum := Dump{
+		Host: hos.set.Name, Epoch: hos.epoch.String(), NotReady: why, Age: hos.age(now).String(),
+		Members: bel.members, Tasks: hos.tasks.Names(),
+	}
+	if bel.table != nil {
+		dum.Version = bel.table.Version()
+	}
+	for _, eng := range bel.engines {
+		dum.Engines = append(dum.Engines, eng)
+	}
+	hos.desk.dump(now, &dum)
+	return dum
+}
+
+func (des *desk) dump(now time.Time, dum *Dump) {
+	des.mutex.Lock()
+	defer des.mutex.Unlock()
+	dum.Coordinator, dum.Own = des.active.String(), des.active == des.host.epoch
+	for _, lin := range des.links {
+		dum.Sessions = append(dum.Sessions, lin.member.Name)
+	}
+	for _, inb := range des.inbound {
+		dum.Gateways = append(dum.Gateways, inb.name)
+	}
+	dum.Waiting, dum.Held = len(des.tickets), len(des.holds)
+	dum.Scheduler = des.core.Dump(now)
+}
+
+func (hos *Host) serveDump(wri http.ResponseWriter, _ *http.Request) {
+	data, err := json.Marshal(hos.Dump())
+	if err != nil {
+		http.Error(wri, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	wri.Header().Set("Content-Type", "application/json")
+	// A reader that has left can't be told anything more.
+	_, _ = wri.Write(data)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,6 +45,9 @@
 	Settings settings.Entry
 	Log      zerolog.Logger
 	Store    store.Store
+	// LinesDropped tells how many lines of the log were dropped since their reader
+	// was too slow; nil for none.
+	LinesDropped func() int64
 	// SettingsFile is read again at each hangup and when it changes; empty for
 	// settings that never change.
 	SettingsFile string
@@ -94,6 +97,9 @@
 
 // New returns a host; Start has it work.
 func New(cfg Config) (*Host, error) {
+	if cfg.LinesDropped == nil {
+		cfg.LinesDropped = func() int64 { return 0 }
+	}
 	epoch, err := newEpoch()
 	if err != nil {
 		return nil, err
@@ -101,7 +107,7 @@
 	hos := &Host{
 		cfg: cfg, set: cfg.Settings, epoch: epoch, store: cfg.Store, started: time.Now(),
 		log:     cfg.Log.With().Str("Host", cfg.Settings.Name).Logger(),
-		figures: newFigures(),
+		figures: newFigures(cfg.LinesDropped),
 		mirror:  newMirror(),
 		leaving: make(chan struct{}),
 		done:    make(chan struct{}),
--- a/entry/figures.go
+++ b/entry/figures.go
@@ -15,7 +15,6 @@
 	registry      metrics.Registry
 	dialed        metrics.Counter
 	storeFailures metrics.Counter
-	logDropped    metrics.Counter
 	// version, engines and members tell what the host believes.
 	version metrics.Gauge
 	engines metrics.Gauge
@@ -28,14 +27,14 @@
 	sampleAlpha = 0.015
 )
 
-func newFigures() *figures {
+func newFigures(linesDropped func() int64) *figures {
 	reg := metrics.NewRegistry()
 	fig := &figures{
-		registry: reg, dialed: metrics.NewCounter(), storeFailures: metrics.NewCounter(), logDropped: metrics.NewCounter(),
+		registry: reg, dialed: metrics.NewCounter(), storeFailures: metrics.NewCounter(),
 		version: metrics.NewGauge(), engines: metrics.NewGauge(), members: metrics.NewGauge(),
 	}
 	for name, figure := range map[string]any{
-		"EngineConnections": fig.dialed, "StoreFailures": fig.storeFailures, "LogLinesDropped": fig.logDropped,
+		"EngineConnections": fig.dialed, "StoreFailures": fig.storeFailures, "LogLinesDropped": metrics.NewFunctionalGauge(linesDropped),
 		"ConfigurationVersion": fig.version, "EnginesReady": fig.engines, "Members": fig.members,
 	} {
 		// A fresh registry holds no such name yet.
@@ -90,7 +89,11 @@
 }
 
 func (hos *Host) metricsHandler() http.Handler {
-	return http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) {
+	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		if req.URL.Path == PathDump {
+			hos.serveDump(wri, req)
+			return
+		}
 		wri.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		// A reader that has left can't be told anything more.
 		_, _ = wri.Write(hos.figures.text())
--- /dev/null
+++ b/scheduler/dump.go
@@ -0,0 +1,94 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lynxwell.dev/lynxwell/fleet"
+)
+
+// Dump is the state of a core.
+type Dump struct {
+	// Hosts is among how many hosts the limits are divided; 1 where this host's
+	// core decides for all.
+	Hosts    int
+	Services []ServiceDump
+	Accounts []AccountDump
+}
+
+// ServiceDump is one service.
+type ServiceDump struct {
+	Name    string
+	Waiting int
+	// Requests and Repeated are those of the last window.
+	Requests float64
+	Repeated float64
+	Engines  []EngineDump
+}
+
+// EngineDump is what the core takes an engine to be like.
+type EngineDump struct {
+	ID       fleet.EngineID
+	Running  int
+	Slots    int
+	Draining bool
+	// Unread is how long it still reads the prompts it was given.
+	Unread string
+	// Pace is the time to read a token, Step that between two events, Work that
+	// of a request without a prompt.
+	Pace string
+	Step string
+	Work string
+	// AsideFor is for how long it gets nothing because it failed; empty for not.
+	AsideFor string
+	// CachedTokens are taken to be in its cache.
+	CachedTokens int
+}
+
+// AccountDump is one client account's limit.
+type AccountDump struct {
+	Name  string
+	Level float64
+	Rate  float64
+	Burst float64
+}
+
+// Dump returns the core's state.
+func (cor *Core) Dump(now time.Time) Dump {
+	dum := Dump{Hosts: cor.hosts}
+	for _, svc := range cor.services {
+		dum.Services = append(dum.Services, svc.dump(now))
+	}
+	for name, buc := range cor.buckets {
+		buc.fill(now)
+		dum.Accounts = append(dum.Accounts, AccountDump{Name: name, Level: buc.level, Rate: buc.rate, Burst: buc.burst})
+	}
+	slices.SortFunc(dum.Services, func(one, two ServiceDump) int { return cmp.Compare(one.Name, two.Name) })
+	slices.SortFunc(dum.Accounts, func(one, two AccountDump) int { return cmp.Compare(one.Name, two.Name) })
+	return dum
+}
+
+func (svc *service) dump(now time.Time) ServiceDump {
+	svc.repeats.advance(now)
+	dum := ServiceDump{Name: svc.name, Waiting: len(svc.waiting)}
+	for idx := range windowSlots {
+		dum.Requests += svc.repeats.requests[idx]
+		dum.Repeated += svc.repeats.repeated[idx]
+	}
+	for _, ene := range svc.engines {
+		dum.Engines = append(dum.Engines, ene.dump(now))
+	}
+	return dum
+}
+
+func (ene *engine) dump(now time.Time) EngineDump {
+	dum := EngineDump{
+		ID: ene.ID, Running: len(ene.running), Slots: ene.Slots, Draining: ene.Draining, Unread: ene.unreadTime(now).String(),
+		Pace: ene.pace.String(), Step: ene.step.String(), Work: ene.work.String(), CachedTokens: ene.partTokens,
+	}
+	if ene.health.aside > 0 {
+		dum.AsideFor = max(0, ene.health.until.Sub(now)).String()
+	}
+	return dum
+}
