feat: a host that alone lost the store lives on what its peers know

Change: while the store is lost, up to three other hosts are asked; callers are told to wait long only where others have lost it too. Tests: a host cut from the store alone serves a key that came meanwhile. A test port taken twice is mended.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -157,9 +157,12 @@
 	return nil
 }
 
-// staleRetry tells callers to come back the later the longer the store has been
-// away: most likely it is away for all hosts.
+// staleRetry tells callers to come back soon, to another host, unless the store
+// is away for all: then the later the longer it has been.
 func (exc *exchange) staleRetry() time.Duration {
+	if !exc.host.storeAway.Load() {
+		return notReadyRetry
+	}
 	wait := min(maxStaleRetry, max(notReadyRetry, exc.age-exc.host.trust()))
 	return wait + time.Duration(float64(wait)*float64(pointOf(exc.request.ID)%1000)/1000)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -76,6 +76,8 @@
 	// nanoseconds of this process's steady clock.
 	confirmed atomic.Int64
 	started   time.Time
+	// storeAway is set while the store is lost to other hosts too.
+	storeAway atomic.Bool
 	// bounds are those of the newest settings.
 	bounds   atomic.Pointer[settings.Bounds]
 	draining atomic.Bool
--- a/entry/mirror_test.go
+++ b/entry/mirror_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -94,3 +95,21 @@
 		assert.Equal(t, sys.Send(t.Context(), hos, entrytest.Request{ID: "n", Path: "/nowhere/"}).Status, http.StatusServiceUnavailable)
 	}
 }
+
+// A host that alone can't reach the store lives on what the others know.
+func TestHostThatAloneLostTheStoreLivesOnItsPeers(t *testing.T) {
+	sys := start(t, 2, twoOfEach())
+	sys.Hosts[0].CutStore(true)
+	sys.Until("the store is lost", func() bool { return strings.Contains(sys.Log(), "store lost") })
+	sys.Configure(entrytest.Configuration{Version: 2, Keys: []string{"new"}})
+	sys.UntilVersion(2)
+	lost := time.Now()
+	sys.Until("it has lasted longer than old knowledge may be acted on", func() bool {
+		ans := sys.Send(t.Context(), sys.Hosts[0], entrytest.Request{ID: "r", Path: "/safe/", Key: "new"})
+		assert.Equal(t, ans.Status, http.StatusOK, ans.Body)
+		return time.Since(lost) > longCut
+	})
+}
+
+// longCut is longer than a configuration is acted on unconfirmed.
+const longCut = 4 * time.Second
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -32,6 +32,8 @@
 	revision  store.Revision
 	// whole is set while everything must be read anew.
 	whole bool
+	// nextPeer goes round the hosts that are asked while the store is lost.
+	nextPeer int
 	// direct is until when the store is read itself.
 	direct time.Time
 	// lostAt is when the store was first not reached; zero while it is.
@@ -90,6 +92,7 @@
 	}
 	obs.host.figures.storeFailures.Inc(1)
 	obs.directory.Hold(now.Add(lapseHold))
+	obs.askPeers(ctx)
 	sleep(ctx, obs.pause)
 	obs.pause = min(maxRetry, 2*obs.pause)
 }
@@ -102,6 +105,7 @@
 	now := time.Now()
 	obs.host.log.Info().Dur("After", now.Sub(obs.lostAt)).Uint64("Revision", uint64(obs.revision)).Msg("store regained")
 	obs.lostAt = time.Time{}
+	obs.host.storeAway.Store(false)
 	obs.directory.Hold(now.Add(lapseHold))
 }
 
--- a/entry/source.go
+++ b/entry/source.go
@@ -26,6 +26,8 @@
 	// is back: a slow one answers within some hundred milliseconds.
 	probeWait    = time.Millisecond
 	probeTimeout = 600 * time.Millisecond
+	// peersAsked is how many other hosts are asked each time the store fails.
+	peersAsked = 3
 	// followers is how many hosts a failure domain has at least before one of them
 	// reads the store for all: below, it saves too little.
 	followers = 3
@@ -53,7 +55,7 @@
 // the store for all, or from the store.
 func (obs *observer) read(ctx context.Context) (update, error) {
 	if mem, found := obs.followed(); found {
-		upd, err := obs.follow(ctx, mem)
+		upd, err := obs.follow(ctx, mem, followWait)
 		if err == nil || ctx.Err() != nil {
 			return upd, err
 		}
@@ -100,16 +102,39 @@
 	return "what " + sme.Member + " knows of the store is " + sme.Age.String() + " old"
 }
 
+// askPeers reads through any other host while the store is lost to this one. It
+// notes whether the store is away for others too.
+func (obs *observer) askPeers(ctx context.Context) {
+	members := obs.directory.Members()
+	away := false
+	for range min(peersAsked, len(members)) {
+		obs.nextPeer++
+		mem := members[obs.nextPeer%len(members)]
+		if mem.Epoch == obs.host.epoch {
+			continue
+		}
+		upd, err := obs.follow(ctx, mem, probeWait)
+		if err == nil {
+			obs.apply(upd)
+			away = false
+			break
+		}
+		var stale *StaleMirrorError
+		away = away || errors.As(err, &stale)
+	}
+	obs.host.storeAway.Store(away)
+}
+
 // follow reads through another host.
-func (obs *observer) follow(ctx context.Context, mem fleet.Member) (update, error) {
-	ctx, cancel := context.WithTimeout(ctx, followWait+followSlack)
+func (obs *observer) follow(ctx context.Context, mem fleet.Member, wait time.Duration) (update, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+followSlack)
 	defer cancel()
 	after := obs.revision
 	if obs.whole {
 		after = 0
 	}
 	asked := time.Now()
-	fol, err := obs.host.peers.Follow(ctx, mem.PeerAddress, after, followWait)
+	fol, err := obs.host.peers.Follow(ctx, mem.PeerAddress, after, wait)
 	if err != nil {
 		return update{}, err
 	}
--- a/entrytest/entrytest.go
+++ b/entrytest/entrytest.go
@@ -14,18 +14,19 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"lynxwell.dev/lynxwell/embedded"
 	"lynxwell.dev/lynxwell/entry"
 	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/platformtest"
@@ -63,8 +64,6 @@
 type System struct {
 	Store *platformtest.Memory
 	Hosts []*Host
-	// front is what stands between the hosts and the store, for troubles.
-	front *httptest.Server
 	log   *Log
 	t     *testing.T
 }
@@ -73,6 +72,26 @@
 type Host struct {
 	*entry.Host
 	Settings settings.Entry
+	// cut has this host's calls to the store end without an answer.
+	cut atomic.Bool
+}
+
+// CutStore cuts the host's own way to the store, or mends it.
+func (hos *Host) CutStore(cut bool) {
+	hos.cut.Store(cut)
+}
+
+// storeAddress returns where the host reaches the store.
+func (sys *System) storeAddress(hos *Host) netip.AddrPort {
+	handler := platformtest.NewServer(sys.Store).Handler()
+	front := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		if hos.cut.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		handler.ServeHTTP(wri, req)
+	}))
+	sys.t.Cleanup(front.Close)
+	return netip.MustParseAddrPort(front.Listener.Addr().String())
 }
 
 // Log keeps what the hosts log.
@@ -99,8 +118,6 @@
 func Start(t *testing.T, cfg Config) *System {
 	t.Helper()
 	sys := &System{Store: platformtest.NewMemory(platformtest.MemoryConfig{}), log: &Log{}, t: t}
-	sys.front = httptest.NewServer(platformtest.NewServer(sys.Store).Handler())
-	t.Cleanup(sys.front.Close)
 	for _, eng := range cfg.Engines {
 		srv := httptest.NewServer(eng.Handler())
 		t.Cleanup(srv.CloseClientConnections)
@@ -143,15 +160,16 @@
 
 func (sys *System) start(idx int, cfg Config) {
 	sys.t.Helper()
+	one := &Host{}
 	domain := fmt.Sprintf("d%d", idx)
 	if cfg.OneDomain {
 		domain = "d0"
 	}
 	data, err := json.Marshal(settings.Entry{
 		Name: fmt.Sprintf("host-%d", idx), Domain: domain,
-		CallerAddress: freeAddress(sys.t), ReadyAddress: freeAddress(sys.t), DirectoryAddress: freeAddress(sys.t),
-		PeerAddress: freeAddress(sys.t), MetricsAddress: freeAddress(sys.t),
-		StoreAddress: netip.MustParseAddrPort(sys.front.Listener.Addr().String()),
+		CallerAddress: embedded.NextAddress(), ReadyAddress: embedded.NextAddress(), DirectoryAddress: embedded.NextAddress(),
+		PeerAddress: embedded.NextAddress(), MetricsAddress: embedded.NextAddress(),
+		StoreAddress: sys.storeAddress(one),
 		PeerKey:      "key between the hosts under test", Bounds: cfg.Bounds,
 	})
 	assert.NilError(sys.t, err)
@@ -163,20 +181,11 @@
 	})
 	assert.NilError(sys.t, err)
 	assert.NilError(sys.t, hos.Start(sys.t.Context()))
-	one := &Host{Host: hos, Settings: set}
+	one.Host, one.Settings = hos, set
 	sys.Hosts = append(sys.Hosts, one)
 	sys.t.Cleanup(hos.Stop)
 }
 
-func freeAddress(t *testing.T) netip.AddrPort {
-	t.Helper()
-	var cfg net.ListenConfig
-	lis, err := cfg.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer lis.Close()
-	return netip.MustParseAddrPort(lis.Addr().String())
-}
-
 // Configuration is what a test puts in force; zero stands for the defaults.
 type Configuration struct {
 	Version uint64
