--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -139,6 +139,10 @@
 	return sub
 }
 
+// timeFormat is that of the log's times: what happens to a request within a
+// second must stay in order.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 func newLogger(out io.Writer, level string) (zerolog.Logger, error) {
 	if level == "" {
 		level = zerolog.InfoLevel.String()
@@ -147,5 +151,6 @@
 	if err != nil {
 		return zerolog.Nop(), &usageError{flag: "LogLevel", reason: err.Error()}
 	}
+	zerolog.TimeFieldFormat = timeFormat
 	return zerolog.New(out).Level(lev).With().Timestamp().Logger(), nil
 }
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -276,7 +276,10 @@
 	evt := hos.log.Info().Str("Request", exc.request.ID).Str("Route", exc.route.Name).Str("Service", exc.service).
 		Str("Account", exc.account.Name).Uint64("Version", exc.version).Dur("Age", exc.age).
 		Str("Cause", string(cau)).Int("Status", status).Int("Attempts", exc.attempts).Str("Engine", exc.engine).
-		Str("DecidedBy", exc.decidedBy).Dur("Waited", exc.waited).Dur("First", exc.firstAfter).Dur("Took", took).Dur("Left", exc.remaining())
+		Str("DecidedBy", exc.decidedBy).Dur("Waited", exc.waited).Dur("First", exc.firstAfter).Dur("Took", took)
+	if !exc.deadline.IsZero() {
+		evt = evt.Dur("Left", exc.remaining())
+	}
 	if exc.request.PromptTokens > 0 {
 		evt = evt.Int("PromptTokens", exc.request.PromptTokens).Int("MaxTokens", exc.request.MaxTokens).Int("HintTokens", exc.request.HintTokens)
 	}
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -118,6 +118,7 @@
 
 // deliver passes a message of the own scheduler on.
 func (des *desk) deliver(snd scheduler.Send) {
+	des.logDecision(snd)
 	if snd.To == des.host.epoch {
 		des.decided(des.host.epoch, snd.Message)
 		return
@@ -133,6 +134,20 @@
 	}
 }
 
+// logDecision writes what this host decided for a gateway, and by what.
+func (des *desk) logDecision(snd scheduler.Send) {
+	evt := des.host.log.Info()
+	switch msg := snd.Message.(type) {
+	case reservation.Grant:
+		evt = evt.Str("Request", msg.ID.Unique).Str("Engine", msg.Engine)
+	case reservation.Refuse:
+		evt = evt.Str("Request", msg.ID.Unique).Stringer("Reason", msg.Reason).Dur("RetryAfter", msg.RetryAfter)
+	}
+	inp := snd.Inputs
+	evt.Stringer("Gateway", snd.To).Dur("Waited", inp.Waited).Int("Waiting", inp.Waiting).Int("Engines", inp.Engines).
+		Int("Running", inp.Running).Dur("Unread", inp.Unread).Dur("Expected", inp.Expected).Msg("decision")
+}
+
 // decided takes a coordinator's decision; the mutex is held.
 func (des *desk) decided(by request.Epoch, msg reservation.Message) {
 	switch msg := msg.(type) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -174,8 +174,10 @@
 }
 
 // trustShare is the part of the revocation bound for which an unconfirmed
-// configuration is acted on: past it, the users count nothing that is served.
-const trustShare = 0.6
+// configuration is acted on. A key that was taken away since it was confirmed
+// must not be served past the whole bound; the rest is for a request on its way
+// and for a host that is slow.
+const trustShare = 0.8
 
 // trust is how old the belief may be to act on it.
 func (hos *Host) trust() time.Duration {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -39,6 +39,7 @@
 	reserve reservation.Reserve
 	gateway request.Epoch
 	number  uint64
+	since   time.Time
 	// until is when it is refused.
 	until time.Time
 }
@@ -80,8 +81,8 @@
 	return cor.sends
 }
 
-func (cor *Core) send(to request.Epoch, msg reservation.Message) {
-	cor.sends = append(cor.sends, Send{To: to, Message: msg})
+func (cor *Core) send(to request.Epoch, msg reservation.Message, inp Inputs) {
+	cor.sends = append(cor.sends, Send{To: to, Message: msg, Inputs: inp})
 }
 
 func (cor *Core) service(name string) *service {
@@ -173,15 +174,15 @@
 	if res.Attempt == 0 {
 		svc.repeats.count(now)
 		if wait, over := cor.overLimit(now, res); over {
-			cor.refuse(from, res, reservation.ReasonLimit, wait)
+			cor.refuse(from, res, reservation.ReasonLimit, wait, svc.inputs(now, now))
 			return
 		}
 	} else if !svc.repeats.take(now, cor.hosts) {
-		cor.refuse(from, res, reservation.ReasonBudget, minRetryAfter)
+		cor.refuse(from, res, reservation.ReasonBudget, minRetryAfter, svc.inputs(now, now))
 		return
 	}
 	svc.arrivals++
-	wai := &waiter{reserve: res, gateway: from, number: svc.arrivals}
+	wai := &waiter{reserve: res, gateway: from, number: svc.arrivals, since: now}
 	wai.until = now.Add(min(max(0, time.Duration(waitShare*float64(res.Aim))-waitMargin), res.Remaining))
 	place, _ := slices.BinarySearchFunc(svc.waiting, wai, compareWaiters)
 	svc.waiting = slices.Insert(svc.waiting, place, wai)
@@ -219,8 +220,13 @@
 	}
 }
 
-func (cor *Core) refuse(to request.Epoch, res reservation.Reserve, reason reservation.Reason, wait time.Duration) {
-	cor.send(to, reservation.Refuse{ID: res.ID, Ballot: res.Ballot, Reason: reason, RetryAfter: spread(res.ID, wait)})
+func (cor *Core) refuse(to request.Epoch, res reservation.Reserve, reason reservation.Reason, wait time.Duration, inp Inputs) {
+	cor.send(to, reservation.Refuse{ID: res.ID, Ballot: res.Ballot, Reason: reason, RetryAfter: spread(res.ID, wait)}, inp)
+}
+
+// inputs returns what a decision on the service rests on.
+func (svc *service) inputs(now, since time.Time) Inputs {
+	return Inputs{Waited: now.Sub(since), Waiting: len(svc.waiting), Engines: len(svc.engines)}
 }
 
 // spread has callers come back over a time of their own, within the bounds.
@@ -245,7 +251,7 @@
 		case !full && cor.grant(now, svc, wai):
 		case !now.Before(wai.until):
 			cor.giveBack(wai.reserve.Account, cor.costOf(wai.reserve))
-			cor.refuse(wai.gateway, wai.reserve, reservation.ReasonOverload, svc.backlog(now))
+			cor.refuse(wai.gateway, wai.reserve, reservation.ReasonOverload, svc.backlog(now), svc.inputs(now, wai.since))
 		default:
 			full = full || len(wai.reserve.Exclude) == 0
 			kept = append(kept, wai)
@@ -293,6 +299,8 @@
 		engine: best, gateway: wai.gateway, account: res.Account, cost: cor.costOf(res), tokens: tokens, unread: true,
 		granted: now, expected: best.firstToken(now, tokens),
 	}
+	inp := svc.inputs(now, wai.since)
+	inp.Running, inp.Unread, inp.Expected = len(best.running), best.unreadTime(now), rnn.expected
 	if tokens > 0 {
 		best.readUntil = now.Add(best.unreadTime(now) + time.Duration(tokens)*best.pace)
 		best.remember(res.Parts)
@@ -300,7 +308,7 @@
 	best.health.given()
 	best.running[res.ID] = rnn
 	cor.runs[res.ID] = rnn
-	cor.send(wai.gateway, reservation.Grant{ID: res.ID, Ballot: res.Ballot, Engine: string(best.ID)})
+	cor.send(wai.gateway, reservation.Grant{ID: res.ID, Ballot: res.Ballot, Engine: string(best.ID)}, inp)
 	return true
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -87,6 +87,22 @@
 type Send struct {
 	To      request.Epoch
 	Message reservation.Message
+	// Inputs are what the decision rests on.
+	Inputs Inputs
+}
+
+// Inputs are what a grant or a refusal rests on, for the log.
+type Inputs struct {
+	// Waited is how long the request has waited here, Waiting how many do.
+	Waited  time.Duration
+	Waiting int
+	// Running, Unread and Expected tell of the engine that was granted: its
+	// requests, the time that it still reads, and the predicted first token.
+	Running  int
+	Unread   time.Duration
+	Expected time.Duration
+	// Engines is how many the service has.
+	Engines int
 }
 
 // The figures of the policy. Those from trials are named in
