fix: many hosts that start at once stay within the store's rate

Change: a start reads as of some seconds ago, which counts against no rate and confirms nothing, and a short watch brings and confirms the rest; calls over the rate come back later and not in step. The test fails without it (eight hosts, 15 calls a second).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -162,6 +162,9 @@
 // confirm notes that the belief was current at the given time. Where that comes
 // from another host it may be older than what is known.
 func (hos *Host) confirm(at time.Time) {
+	if at.IsZero() {
+		return
+	}
 	since := int64(at.Sub(hos.started))
 	if since > hos.confirmed.Load() {
 		hos.confirmed.Store(since)
--- a/entry/lease.go
+++ b/entry/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,7 +42,7 @@
 			lease, wait = 0, 0
 		case err != nil:
 			hos.log.Debug().Err(err).Msg("lease not renewed")
-			wait = leaseRetry
+			wait = leaseRetry/2 + rand.N(leaseRetry)
 		}
 		select {
 		case <-time.After(wait):
--- a/entry/mirror_test.go
+++ b/entry/mirror_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"lynxwell.dev/lynxwell/entrytest"
 	"lynxwell.dev/lynxwell/platformtest"
+	"lynxwell.dev/lynxwell/upstreamtest"
 )
 
 // In a failure domain of some hosts, one reads the store for all.
@@ -113,3 +115,18 @@
 
 // longCut is longer than a configuration is acted on unconfirmed.
 const longCut = 5 * time.Second
+
+// Many hosts that start at once must not keep one another from the store: whoever
+// needs several pages within its rate would never get them all.
+func TestManyHostsStartWithinTheStoresRate(t *testing.T) {
+	sys := entrytest.Prepare(t, twoOfEach())
+	for idx := range 1600 {
+		sys.Enter(upstreamtest.NewEngine(upstreamtest.Config{ID: fmt.Sprint("idle-", idx), Service: "idle"}), "127.0.0.1:1", false)
+	}
+	sys.Configure(entrytest.Configuration{Version: 1})
+	sys.Store.SetFaults(platformtest.Faults{CallsPerSecond: 15})
+	sys.StartHosts(entrytest.Config{Hosts: 8, OneDomain: true})
+	for _, hos := range sys.Hosts {
+		sys.Until("host ready", func() bool { return sys.IsReady(hos) })
+	}
+}
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/route"
@@ -19,6 +22,8 @@
 	// call counts against its rate, and a configuration must be in force soon.
 	minRetry = 50 * time.Millisecond
 	maxRetry = 200 * time.Millisecond
+	// maxRateRetry bounds it where the store's rate is used up.
+	maxRateRetry = 2 * time.Second
 	// lapseHold is for how long after an outage of the store entries that lapsed
 	// meanwhile are kept: their owners are back within about two seconds.
 	lapseHold = 2200 * time.Millisecond
@@ -93,8 +98,15 @@
 	obs.host.figures.storeFailures.Inc(1)
 	obs.directory.Hold(now.Add(lapseHold))
 	obs.askPeers(ctx)
-	sleep(ctx, obs.pause)
-	obs.pause = min(maxRetry, 2*obs.pause)
+	limit := maxRetry
+	var rate *store.RateError
+	if errors.As(err, &rate) {
+		// Those who share the rate must come back later, and not all at once.
+		obs.pause = max(obs.pause, rate.RetryAfter)
+		limit = maxRateRetry
+	}
+	sleep(ctx, obs.pause/2+rand.N(obs.pause))
+	obs.pause = min(limit, 2*obs.pause)
 }
 
 // regained notes that the store was reached.
--- a/entry/source.go
+++ b/entry/source.go
@@ -70,7 +70,7 @@
 
 // followed returns the host to read through, if it isn't this one.
 func (obs *observer) followed() (fleet.Member, bool) {
-	if obs.table == nil || time.Now().Before(obs.direct) {
+	if obs.table == nil || obs.host.confirmed.Load() == neverConfirmed || time.Now().Before(obs.direct) {
 		return fleet.Member{}, false
 	}
 	mates := obs.mates()
@@ -154,22 +154,29 @@
 	return upd, nil
 }
 
-// list reads everything from the store.
+// list reads everything from the store: at the start as of some seconds ago, which
+// counts against no rate however many hosts start at once, and confirms nothing.
+// The watch that follows brings what has changed since.
 func (obs *observer) list(ctx context.Context) (update, error) {
-	asked := time.Now()
-	values, rev, err := obs.host.store.List(ctx, platform.Prefix)
+	read := obs.host.store.List
+	confirmed := time.Now()
+	if obs.revision == 0 {
+		read = obs.host.store.ListStale
+		confirmed = time.Time{}
+	}
+	values, rev, err := read(ctx, platform.Prefix)
 	if err != nil {
 		return update{}, err
 	}
-	return update{whole: true, values: values, changes: store.Changes{Revision: rev}, confirmed: asked}, nil
+	return update{whole: true, values: values, changes: store.Changes{Revision: rev}, confirmed: confirmed}, nil
 }
 
 // watch waits for changes at the store. Where it has forgotten its history,
 // everything is read.
 func (obs *observer) watch(ctx context.Context) (update, error) {
 	wait := watchWait
-	if !obs.lostAt.IsZero() {
-		// A watch that waits would tell only at its end that the store is back.
+	if !obs.lostAt.IsZero() || obs.host.confirmed.Load() == neverConfirmed {
+		// A watch that waits would tell only at its end that the store is there.
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
--- a/entrytest/entrytest.go
+++ b/entrytest/entrytest.go
@@ -116,16 +116,21 @@
 
 // Start starts everything; no configuration is in force yet.
 func Start(t *testing.T, cfg Config) *System {
+	t.Helper()
+	sys := Prepare(t, cfg.Engines)
+	sys.StartHosts(cfg)
+	return sys
+}
+
+// Prepare starts the store and the engines, without any host.
+func Prepare(t *testing.T, engines []*upstreamtest.Engine) *System {
 	t.Helper()
 	sys := &System{Store: platformtest.NewMemory(platformtest.MemoryConfig{}), log: &Log{}, t: t}
-	for _, eng := range cfg.Engines {
+	for _, eng := range engines {
 		srv := httptest.NewServer(eng.Handler())
 		t.Cleanup(srv.CloseClientConnections)
 		sys.Enter(eng, srv.Listener.Addr().String(), false)
 	}
-	for idx := range cfg.Hosts {
-		sys.start(idx, cfg)
-	}
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Log(sys.log.String())
@@ -134,6 +139,14 @@
 	return sys
 }
 
+// StartHosts starts the hosts of the configuration.
+func (sys *System) StartHosts(cfg Config) {
+	sys.t.Helper()
+	for idx := range cfg.Hosts {
+		sys.start(idx, cfg)
+	}
+}
+
 // Enter writes an engine's entry.
 func (sys *System) Enter(eng *upstreamtest.Engine, address string, draining bool) {
 	sys.t.Helper()
@@ -274,12 +287,16 @@
 	sys.t.Helper()
 	for _, hos := range sys.Hosts {
 		sys.Until("host ready", func() bool {
-			ans := sys.get("http://" + hos.Settings.ReadyAddress.String() + "/ready")
-			return ans.Status == http.StatusOK && len(sys.Addresses(hos)) == len(sys.Hosts)
+			return sys.IsReady(hos) && len(sys.Addresses(hos)) == len(sys.Hosts)
 		})
 	}
 }
 
+// IsReady asks a host whether it takes requests.
+func (sys *System) IsReady(hos *Host) bool {
+	return sys.get("http://"+hos.Settings.ReadyAddress.String()+"/ready").Status == http.StatusOK
+}
+
 // pollInterval is how often a condition is looked at.
 const pollInterval = 5 * time.Millisecond
 
--- a/platformtest/memory.go
+++ b/platformtest/memory.go
@@ -127,10 +127,17 @@
 
 // enter counts a call and applies the faults that precede its effect.
 func (mem *Memory) enter(ctx context.Context, kind string) error {
+	return mem.enterAt(ctx, kind, true)
+}
+
+func (mem *Memory) enterAt(ctx context.Context, kind string, counts bool) error {
 	mem.mutex.Lock()
 	mem.counts[kind]++
 	fau := mem.faults
-	wait := mem.overRate()
+	wait := time.Duration(0)
+	if counts {
+		wait = mem.overRate()
+	}
 	mem.mutex.Unlock()
 	if fau.Down {
 		return &store.UnavailableError{Call: kind, Cause: errDown}
@@ -246,6 +253,11 @@
 	if err := mem.enter(ctx, "List"); err != nil {
 		return nil, 0, err
 	}
+	values, rev := mem.list(prefix)
+	return values, rev, nil
+}
+
+func (mem *Memory) list(prefix string) ([]store.Value, store.Revision) {
 	mem.mutex.Lock()
 	defer mem.mutex.Unlock()
 	mem.lapse()
@@ -256,7 +268,16 @@
 		}
 	}
 	slices.SortFunc(values, func(one, two store.Value) int { return cmp.Compare(one.Key, two.Key) })
-	return values, mem.revision, nil
+	return values, mem.revision
+}
+
+// ListStale implements store.Store: the rate doesn't count.
+func (mem *Memory) ListStale(ctx context.Context, prefix string) ([]store.Value, store.Revision, error) {
+	if err := mem.enterAt(ctx, "ListStale", false); err != nil {
+		return nil, 0, err
+	}
+	values, rev := mem.list(prefix)
+	return values, rev, nil
 }
 
 // Put implements store.Store.
--- a/platformtest/server.go
+++ b/platformtest/server.go
@@ -154,7 +154,11 @@
 func (srv *Server) serveRange(wri http.ResponseWriter, req *http.Request) {
 	prefix := req.URL.Query().Get("path_prefix")
 	after := req.URL.Query().Get("after_rev")
-	values, rev, err := srv.memory.List(req.Context(), prefix)
+	list := srv.memory.List
+	if req.URL.Query().Get("stale_ok") == "1" {
+		list = srv.memory.ListStale
+	}
+	values, rev, err := list(req.Context(), prefix)
 	if err != nil {
 		fail(wri, err)
 		return
--- a/store/store.go
+++ b/store/store.go
@@ -71,6 +71,9 @@
 	Get(ctx context.Context, key string) (Value, error)
 	// List returns the values under a prefix, sorted, and the store's revision.
 	List(ctx context.Context, prefix string) ([]Value, Revision, error)
+	// ListStale is List as of some seconds ago, which costs the store little and
+	// counts against no rate; a watch from its revision on brings the rest.
+	ListStale(ctx context.Context, prefix string) ([]Value, Revision, error)
 	// Put swaps one key. It returns a *ConflictError when the key has another
 	// revision, and an *UncertainError when no reply came.
 	Put(ctx context.Context, wri Write) (Revision, error)
--- a/store/wrap.go
+++ b/store/wrap.go
@@ -44,6 +44,12 @@
 	return rec.store.List(ctx, prefix)
 }
 
+// ListStale implements Store.
+func (rec *Recorder) ListStale(ctx context.Context, prefix string) ([]Value, Revision, error) {
+	rec.count("ListStale")
+	return rec.store.ListStale(ctx, prefix)
+}
+
 // Put implements Store.
 func (rec *Recorder) Put(ctx context.Context, wri Write) (Revision, error) {
 	rec.count("Put")
