--- a/entrytest/entrytest.go
+++ b/entrytest/entrytest.go
@@ -147,21 +147,31 @@
 	}
 }
 
-// Enter writes an engine's entry.
-func (sys *System) Enter(eng *upstreamtest.Engine, address string, draining bool) {
-	sys.t.Helper()
+// EngineEntry returns an engine's entry in the store as the engine writes it.
+func EngineEntry(service, address string, slots int, draining bool) []byte {
 	state := "ready"
 	if draining {
 		state = "draining"
 	}
-	sys.put("servers/"+eng.ID(), fmt.Sprintf(`{"service":%q,"address":%q,"zone":"d0","slots":%d,"state":%q,"cold_left_ms":0,"seq":1}`,
-		eng.Service(), address, eng.Slots(), state))
+	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"d0","slots":%d,"state":%q,"cold_left_ms":0,"seq":1}`, service, address, slots, state)
+}
+
+// EngineKey returns the key of an engine's entry.
+func EngineKey(id string) string { return "servers/" + id }
+
+// ConfigurationKey is the key of the operators' configuration.
+const ConfigurationKey = "op/config"
+
+// Enter writes an engine's entry.
+func (sys *System) Enter(eng *upstreamtest.Engine, address string, draining bool) {
+	sys.t.Helper()
+	sys.put(EngineKey(eng.ID()), string(EngineEntry(eng.Service(), address, eng.Slots(), draining)))
 }
 
 // Remove takes an engine's entry away.
 func (sys *System) Remove(id string) {
 	sys.t.Helper()
-	_, err := sys.Store.Put(sys.t.Context(), store.Write{Key: "servers/" + id, Delete: true, Blind: true})
+	_, err := sys.Store.Put(sys.t.Context(), store.Write{Key: EngineKey(id), Delete: true, Blind: true})
 	assert.NilError(sys.t, err)
 }
 
@@ -220,13 +230,13 @@
 // Configure puts a configuration into the store.
 func (sys *System) Configure(con Configuration) {
 	sys.t.Helper()
-	sys.put("op/config", con.JSON())
+	sys.put(ConfigurationKey, con.JSON())
 }
 
 // ConfigureText puts any text into the configuration's place.
 func (sys *System) ConfigureText(text string) {
 	sys.t.Helper()
-	sys.put("op/config", text)
+	sys.put(ConfigurationKey, text)
 }
 
 // UntilVersion waits until each host has a configuration in force.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -99,9 +99,9 @@
 		return
 	}
 	if sys.random.IntN(2) == 0 {
-		sys.enter(eng, "draining")
+		sys.enter(eng, true)
 	} else {
-		sys.put(store.Write{Key: "servers/" + eng.id, Delete: true, Blind: true})
+		sys.put(store.Write{Key: entrytest.EngineKey(eng.id), Delete: true, Blind: true})
 	}
 	eng.leftAt = time.Now()
 	sys.addEngine(fmt.Sprintf("%s-%d", eng.id, len(sys.engines)), eng.service)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -51,6 +51,8 @@
 	settleTime = 3 * time.Second
 	// startLimit bounds the start, and any condition waited for.
 	startLimit = 20 * time.Second
+	// slots is how many requests an engine says that it works on at a time.
+	slots = 4
 	// events is the length of a stream.
 	events = 5
 )
@@ -159,12 +161,12 @@
 	_, adr := processtest.Standin(sys.t, sys.dir, "engine-"+id, args...)
 	eng := &engine{id: id, service: service, address: adr}
 	sys.engines = append(sys.engines, eng)
-	sys.enter(eng, "ready")
+	sys.enter(eng, false)
 }
 
-func (sys *system) enter(eng *engine, state string) {
-	sys.put(store.Write{Key: "servers/" + eng.id, Blind: true, Data: fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":"d0","slots":4,"state":%q,"cold_left_ms":0,"seq":1}`, eng.service, eng.address, state)})
+func (sys *system) enter(eng *engine, draining bool) {
+	entry := entrytest.EngineEntry(eng.service, eng.address.String(), slots, draining)
+	sys.put(store.Write{Key: entrytest.EngineKey(eng.id), Blind: true, Data: entry})
 }
 
 func (sys *system) put(wri store.Write) {
@@ -177,7 +179,7 @@
 	sys.t.Helper()
 	sys.version += 1 + sys.random.Uint64N(3)
 	con := entrytest.Configuration{Version: sys.version, Keys: sys.keys}
-	sys.put(store.Write{Key: "op/config", Blind: true, Data: []byte(con.JSON())})
+	sys.put(store.Write{Key: entrytest.ConfigurationKey, Blind: true, Data: []byte(con.JSON())})
 }
 
 func (sys *system) post(adr netip.AddrPort, path string, body any) {
--- a/visitor/visitor.go
+++ b/visitor/visitor.go
@@ -11,13 +11,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"net/url"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,6 +23,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/route"
 )
 
@@ -234,14 +233,9 @@
 	// Without GetBody the transport never sends a body a second time.
 	htr.GetBody = nil
 	htr.Host = vis.cfg.HostName
-	htr.Header.Set("Request-Id", att.ID)
-	htr.Header.Set("Deadline-Ms", strconv.FormatInt(left.Milliseconds(), 10))
-	if req.Key != "" {
-		htr.Header.Set("Authorization", "Bearer "+req.Key)
-	}
-	if req.PromptTokens > 0 {
-		htr.Header.Set("Token-Counts", fmt.Sprintf("%d,%d", req.PromptTokens, req.MaxTokens))
-	}
+	platform.EncodeRequest(htr.Header, platform.CallerRequest{
+		ID: att.ID, Key: req.Key, Deadline: left, PromptTokens: req.PromptTokens, MaxTokens: req.MaxTokens,
+	})
 	rep, err := vis.transport.RoundTrip(htr)
 	if err != nil {
 		att.Err = err
@@ -325,8 +319,8 @@
 func (vis *Visitor) ask(ctx context.Context, adr netip.AddrPort) ([]netip.AddrPort, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	query := url.Values{"name": {vis.cfg.HostName}, "region": {vis.cfg.Region}, "zone": {vis.cfg.Domain}}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+adr.String()+"/resolve?"+query.Encode(), http.NoBody)
+	target := platform.AddressesTarget(platform.AddressesQuery{Host: vis.cfg.HostName, Region: vis.cfg.Region, Domain: vis.cfg.Domain})
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+adr.String()+target, http.NoBody)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -338,10 +332,9 @@
 	if rep.StatusCode != http.StatusOK {
 		return nil, 0, errors.Newf("status %d", rep.StatusCode)
 	}
-	var body struct {
-		Addresses []netip.AddrPort `json:"addresses"`
-		Keep      float64          `json:"ttl_s"`
+	data, err := io.ReadAll(io.LimitReader(rep.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, 0, err
 	}
-	err = json.NewDecoder(io.LimitReader(rep.Body, maxAnswerBytes)).Decode(&body)
-	return body.Addresses, time.Duration(body.Keep * float64(time.Second)), err
+	return platform.DecodeAddresses(data)
 }
