--- a/entry/desk.go
+++ b/entry/desk.go
@@ -23,7 +23,8 @@
 	core  *scheduler.Core
 	// ticking is set while a tick is due.
 	ticking bool
-	// members are the hosts, the longest running first; changed wakes the sessions.
+	// members are the hosts in the order in which they coordinate; changed wakes
+	// the sessions.
 	members []fleet.Member
 	changed chan struct{}
 	// links are the sessions that stand, by their coordinator's epoch.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -241,18 +241,26 @@
 	server  *http.Server
 }
 
+// metricsListener names the one address that a host can do without.
+const metricsListener = "MetricsAddress"
+
 func (hos *Host) serve(ctx context.Context) error {
 	peers := peer.NewServer(peer.ServerConfig{Sessions: hos.desk, Mirror: hos.mirror, Security: hos.security(), Timing: peerTiming})
 	all := []listener{
 		{"CallerAddress", hos.set.CallerAddress, hos.callerServer()},
 		{"ReadyAddress", hos.set.ReadyAddress, plainServer(hos.readyHandler())},
 		{"DirectoryAddress", hos.set.DirectoryAddress, plainServer(hos.directoryHandler())},
-		{"MetricsAddress", hos.set.MetricsAddress, plainServer(hos.metricsHandler())},
 		{"PeerAddress", hos.set.PeerAddress, peers.HTTPServer()},
+		{metricsListener, hos.set.MetricsAddress, plainServer(hos.metricsHandler())},
 	}
 	var cfg net.ListenConfig
 	for _, one := range all {
 		lis, err := cfg.Listen(ctx, "tcp", one.address.String())
+		if err != nil && one.name == metricsListener {
+			// Callers need no figures: a host without them is better than none.
+			hos.log.Warn().Err(err).Msg("no figures are told, their address can't be used")
+			continue
+		}
 		if err != nil {
 			return errors.Wrap(err, one.name)
 		}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -348,6 +348,13 @@
 	}
 }
 
+func TestHostServesWithoutItsFigures(t *testing.T) {
+	sys := entrytest.Start(t, entrytest.Config{Hosts: 1, Engines: twoOfEach(), MetricsTaken: true})
+	sys.Configure(entrytest.Configuration{Version: 1})
+	sys.UntilReady()
+	assert.Assert(t, strings.Contains(sys.Log(), "no figures are told"))
+}
+
 func TestFiguresCountRequestsByCause(t *testing.T) {
 	sys := start(t, 1, twoOfEach())
 	assert.Equal(t, sys.Send(t.Context(), sys.Hosts[0], entrytest.Request{ID: "r1", Path: "/safe/"}).Status, http.StatusOK)
--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -22,7 +22,7 @@
 	maxRedial = 500 * time.Millisecond
 )
 
-// changeMembers takes a new list of hosts, the longest running first.
+// changeMembers takes a new list of hosts, in the order in which they coordinate.
 func (des *desk) changeMembers(members []fleet.Member) {
 	des.mutex.Lock()
 	des.members = members
--- a/entrytest/entrytest.go
+++ b/entrytest/entrytest.go
@@ -14,6 +14,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -58,6 +59,8 @@
 	Bounds settings.Bounds
 	// OneDomain puts all hosts into one failure domain.
 	OneDomain bool
+	// MetricsTaken has the address of the figures be taken already.
+	MetricsTaken bool
 }
 
 // System is a running system.
@@ -188,10 +191,17 @@
 	if cfg.OneDomain {
 		domain = "d0"
 	}
+	metrics := embedded.NextAddress()
+	if cfg.MetricsTaken {
+		var lic net.ListenConfig
+		lis, err := lic.Listen(sys.t.Context(), "tcp", metrics.String())
+		assert.NilError(sys.t, err)
+		sys.t.Cleanup(func() { _ = lis.Close() })
+	}
 	data, err := json.Marshal(settings.Entry{
 		Name: fmt.Sprintf("host-%d", idx), Domain: domain,
 		CallerAddress: embedded.NextAddress(), ReadyAddress: embedded.NextAddress(), DirectoryAddress: embedded.NextAddress(),
-		PeerAddress: embedded.NextAddress(), MetricsAddress: embedded.NextAddress(),
+		PeerAddress: embedded.NextAddress(), MetricsAddress: metrics,
 		StoreAddress: sys.storeAddress(one),
 		PeerKey:      "key between the hosts under test", Bounds: cfg.Bounds,
 	})
