fix: groups of hosts that lost each other share the limits

Change: a scheduler has the part of the limits of the hosts that asked it within 5 s. Ruled out: the start of a takeover, there was one only.

--- a/entry/desk.go
+++ b/entry/desk.go
@@ -52,6 +52,8 @@
 	name    string
 	queue   *peer.Queue
 	cancel  context.CancelFunc
+	// asked is when it last had this scheduler decide.
+	asked time.Time
 }
 
 // ticket is a reservation that waits for a decision.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -301,7 +301,8 @@
 	stopMargin = 500 * time.Millisecond
 )
 
-// keepHouse closes connections to engines that are gone or idle for long.
+// keepHouse closes connections to engines that are gone or idle for long, and
+// notices gateways that have stopped asking.
 func (hos *Host) keepHouse(ctx context.Context) error {
 	tick := time.NewTicker(houseInterval)
 	defer tick.Stop()
@@ -309,6 +310,7 @@
 		select {
 		case <-tick.C:
 			hos.upstream.Retire(hos.engineAddresses())
+			hos.desk.refreshShare()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -71,14 +71,36 @@
 	}
 }
 
-// share tells the own scheduler whether it decides for all hosts or for one.
+// decidesFor is how long a gateway counts as one that this scheduler decides for
+// after it asked: all keep a session with the next coordinator too, and a busy
+// host asks several times a second.
+const decidesFor = 5 * time.Second
+
+// share tells the own scheduler which part of the limits is its own: that of the
+// hosts it decides for. Two groups of hosts that have lost each other then don't
+// serve more together than one.
 func (des *desk) share(chosen request.Epoch) {
-	hosts := 1
-	first := len(des.members) > 0 && des.members[0].Epoch == des.host.epoch
-	if !first && (chosen != des.host.epoch || len(des.inbound) == 0) {
-		hosts = max(1, len(des.members))
+	served := 1
+	now := time.Now()
+	for _, inb := range des.inbound {
+		if chosen == des.host.epoch && now.Sub(inb.asked) < decidesFor {
+			served++
+		}
 	}
-	des.step(scheduler.ShareChanged{Hosts: hosts})
+	des.step(scheduler.ShareChanged{Parts: limitParts(len(des.members), served)})
+}
+
+// refreshShare notices gateways that have this scheduler decide no longer.
+func (des *desk) refreshShare() {
+	des.mutex.Lock()
+	defer des.mutex.Unlock()
+	des.share(des.active)
+}
+
+// limitParts returns into how many parts the limits are divided where each part
+// decides for so many of the hosts.
+func limitParts(hosts, served int) float64 {
+	return max(1, float64(hosts)/float64(max(1, served)))
 }
 
 // keepSessions keeps a session with each candidate until the context ends.
@@ -231,10 +253,24 @@
 	des.mutex.Lock()
 	defer des.mutex.Unlock()
 	if inb := des.inbound[session]; inb != nil {
+		des.noteAsked(inb, rec.Message)
 		des.step(scheduler.Received{From: inb.gateway, Message: rec.Message})
 	}
 }
 
+// noteAsked notes that a gateway has this scheduler decide.
+func (des *desk) noteAsked(inb *inbound, msg reservation.Message) {
+	if _, asks := msg.(reservation.Reserve); !asks {
+		return
+	}
+	now := time.Now()
+	again := now.Sub(inb.asked) < decidesFor
+	inb.asked = now
+	if !again {
+		des.share(des.active)
+	}
+}
+
 // SessionLost implements peer.Sessions.
 func (des *desk) SessionLost(session uint64) {
 	des.mutex.Lock()
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -20,8 +20,9 @@
 	buckets  map[string]*bucket
 	runs     map[request.ID]*run
 	table    *route.Table
-	hosts    int
-	sends    []Send
+	// parts is into how many parts like this one's the limits are divided.
+	parts float64
+	sends []Send
 }
 
 // service is a service's line and its budget.
@@ -52,7 +53,7 @@
 		services: make(map[string]*service),
 		buckets:  make(map[string]*bucket),
 		runs:     make(map[request.ID]*run),
-		hosts:    1,
+		parts:    1,
 	}
 }
 
@@ -72,7 +73,7 @@
 		cor.adopt(now, cor.cfg.Self, evt.Adopt)
 		cor.charge(now, evt.Adopt)
 	case ShareChanged:
-		cor.changeShare(now, evt.Hosts)
+		cor.changeShare(now, evt.Parts)
 	case Tick:
 		for _, svc := range cor.services {
 			cor.serve(now, svc)
@@ -144,11 +145,11 @@
 	}
 }
 
-func (cor *Core) changeShare(now time.Time, hosts int) {
-	if hosts == cor.hosts || hosts < 1 {
+func (cor *Core) changeShare(now time.Time, parts float64) {
+	if parts == cor.parts || parts < 1 {
 		return
 	}
-	cor.hosts = hosts
+	cor.parts = parts
 	if cor.table != nil {
 		cor.buckets = cor.newBuckets(now)
 	}
@@ -177,7 +178,7 @@
 			cor.refuse(from, res, reservation.ReasonLimit, wait, svc.inputs(now, now))
 			return
 		}
-	} else if !svc.repeats.take(now, cor.hosts) {
+	} else if !svc.repeats.take(now, cor.parts) {
 		cor.refuse(from, res, reservation.ReasonBudget, minRetryAfter, svc.inputs(now, now))
 		return
 	}
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -264,6 +264,24 @@
 	assert.Equal(t, engineOf(des.reserve(res), "given back"), "e")
 }
 
+func TestPartOfTheLimit(t *testing.T) {
+	des := newDesk(plainEngine("e", 1000))
+	des.handle(scheduler.ShareChanged{Parts: 3})
+	des.configure(route.Account{Name: "kitchen", Rate: 90, Burst: 900, ByTokens: true})
+	des.after(time.Minute)
+	served := 0
+	for idx := range 40 {
+		name := fmt.Sprint("r", idx)
+		res := plain(name)
+		res.Account, res.Cost = "kitchen", 10
+		if engineOf(des.reserve(res), name) != "" {
+			served++
+		}
+	}
+	// A third of the burst, widened by a quarter of the slack of 1000.
+	assert.Assert(t, served >= 38 && served <= 39, "%d", served)
+}
+
 func TestLargestRequestOfALimitedAccountGetsIn(t *testing.T) {
 	des := newDesk(plainEngine("e", 1000))
 	des.configure(route.Account{Name: "kitchen", Rate: 100, Burst: 1000, ByTokens: true})
--- a/scheduler/dump.go
+++ b/scheduler/dump.go
@@ -10,9 +10,9 @@
 
 // Dump is the state of a core.
 type Dump struct {
-	// Hosts is among how many hosts the limits are divided; 1 where this host's
-	// core decides for all.
-	Hosts    int
+	// Parts is into how many parts like this one's the limits are divided; 1
+	// where this host's core decides for all.
+	Parts    float64
 	Services []ServiceDump
 	Accounts []AccountDump
 }
@@ -56,7 +56,7 @@
 
 // Dump returns the core's state.
 func (cor *Core) Dump(now time.Time) Dump {
-	dum := Dump{Hosts: cor.hosts}
+	dum := Dump{Parts: cor.parts}
 	for _, svc := range cor.services {
 		dum.Services = append(dum.Services, svc.dump(now))
 	}
--- a/scheduler/limit.go
+++ b/scheduler/limit.go
@@ -16,7 +16,7 @@
 
 const (
 	// slackInBurst is the part of the slack that an account's burst is widened by:
-	// hosts see requests in another order than their callers sent them.
+	// cor.parts see requests in another order than their callers sent them.
 	slackInBurst = 0.25
 	// slackAtStart is the part of the slack that a scheduler which knows nothing of
 	// the spending so far begins with. Together with the burst that a former one
@@ -31,18 +31,17 @@
 	admitShare = 0.04
 )
 
-// newBuckets returns the buckets of the configuration's accounts, divided among
-// the hosts. An account that was known keeps its level, as far as it still fits.
+// newBuckets returns the buckets of the configuration's accounts, this scheduler's
+// part of them. An account that was known keeps its level, as far as it still fits.
 func (cor *Core) newBuckets(now time.Time) map[string]*bucket {
 	buckets := make(map[string]*bucket)
-	hosts := float64(cor.hosts)
 	for _, acc := range cor.table.Configuration().Accounts {
 		if acc.Rate <= 0 {
 			continue
 		}
 		slack := cor.limitSlack(acc)
-		buc := &bucket{rate: acc.Rate / hosts, burst: (acc.Burst + slackInBurst*slack) / hosts, filled: now}
-		buc.level = min(buc.burst, slackAtStart*slack/hosts)
+		buc := &bucket{rate: acc.Rate / cor.parts, burst: (acc.Burst + slackInBurst*slack) / cor.parts, filled: now}
+		buc.level = min(buc.burst, slackAtStart*slack/cor.parts)
 		if old := cor.buckets[acc.Name]; old != nil {
 			old.fill(now)
 			buc.level = min(buc.burst, old.level)
@@ -126,14 +125,14 @@
 const budgetMargin = 0.7
 
 // take counts a repeat if the budget allows it.
-func (rep *repeats) take(now time.Time, hosts int) bool {
+func (rep *repeats) take(now time.Time, parts float64) bool {
 	rep.advance(now)
 	var requests, repeated float64
 	for idx := range windowSlots {
 		requests += rep.requests[idx]
 		repeated += rep.repeated[idx]
 	}
-	if repeated+1 > budgetMargin*(rep.cfg.Ratio*requests+rep.cfg.Slack/float64(hosts)) {
+	if repeated+1 > budgetMargin*(rep.cfg.Ratio*requests+rep.cfg.Slack/parts) {
 		return false
 	}
 	rep.repeated[rep.current%windowSlots]++
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -68,9 +68,9 @@
 // that this one knows of it in case it has to decide alone.
 type GrantedElsewhere struct{ Adopt reservation.Adopt }
 
-// ShareChanged says among how many hosts the limits are divided while each
-// decides alone; 1 where this host decides for all.
-type ShareChanged struct{ Hosts int }
+// ShareChanged says into how many parts like this scheduler's the limits are
+// divided: 1 where it decides for all hosts, 3 where it decides for two of six.
+type ShareChanged struct{ Parts float64 }
 
 // Tick lets time pass.
 type Tick struct{}
