fix: a host whose entry is gone has the others decide

Change: a host whose own entry is gone reserves at those that still have theirs, and has next to nothing of the limits while it reaches none.

--- a/entry/desk.go
+++ b/entry/desk.go
@@ -23,9 +23,8 @@
 	core  *scheduler.Core
 	// ticking is set while a tick is due.
 	ticking bool
-	// members are the hosts in the order in which they coordinate; changed wakes
-	// the sessions.
-	members []fleet.Member
+	// roster is who shares the work; changed wakes the sessions.
+	roster  roster
 	changed chan struct{}
 	// links are the sessions that stand, by their coordinator's epoch.
 	links map[request.Epoch]*link
--- a/entry/mirror_test.go
+++ b/entry/mirror_test.go
@@ -130,3 +130,21 @@
 		sys.Until("host ready", func() bool { return sys.IsReady(hos) })
 	}
 }
+
+// A host whose entry lapsed counts for nobody: it must not go on deciding beside
+// the one that the others have decide, and spend the limits twice.
+func TestHostWithoutAnEntryHasTheOthersDecide(t *testing.T) {
+	sys := start(t, 3, twoOfEach())
+	decidedBy := func(hos *entrytest.Host) string { return hos.Dump().Coordinator }
+	sys.Until("one host decides for all", func() bool {
+		return decidedBy(sys.Hosts[0]) == decidedBy(sys.Hosts[1]) && decidedBy(sys.Hosts[0]) == decidedBy(sys.Hosts[2])
+	})
+	first := decidedBy(sys.Hosts[0])
+	for _, hos := range sys.Hosts {
+		hos.CutStore(hos.Dump().Own)
+	}
+	sys.Until("another host decides for all", func() bool {
+		now := decidedBy(sys.Hosts[0])
+		return now != first && now == decidedBy(sys.Hosts[1]) && now == decidedBy(sys.Hosts[2])
+	})
+}
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -228,7 +228,11 @@
 		obs.host.desk.handle(scheduler.ConfigurationChanged{Table: bel.table})
 	}
 	obs.host.desk.handle(scheduler.EnginesChanged{Engines: engines})
-	obs.host.desk.changeMembers(bel.members)
+	ros := roster{members: bel.members, candidates: bel.members, outside: obs.directory.Missing(obs.host.set.Name)}
+	if ros.outside {
+		ros.candidates = obs.directory.Current()
+	}
+	obs.host.desk.changeMembers(ros)
 }
 
 // gauge tells what the host believes.
--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -22,10 +22,20 @@
 	maxRedial = 500 * time.Millisecond
 )
 
-// changeMembers takes a new list of hosts, in the order in which they coordinate.
-func (des *desk) changeMembers(members []fleet.Member) {
+// roster is who shares the work.
+type roster struct {
+	// members are all hosts, candidates those that may coordinate, in their order.
+	members    []fleet.Member
+	candidates []fleet.Member
+	// outside says that this host's own entry is gone while others have theirs:
+	// they count without it, so it has no part of the limits of its own.
+	outside bool
+}
+
+// changeMembers takes a new roster.
+func (des *desk) changeMembers(ros roster) {
 	des.mutex.Lock()
-	des.members = members
+	des.roster = ros
 	des.elect()
 	des.mutex.Unlock()
 	select {
@@ -36,7 +46,7 @@
 
 // candidates returns the hosts that may coordinate, in order.
 func (des *desk) candidates() []fleet.Member {
-	return des.members[:min(coordinators, len(des.members))]
+	return des.roster.candidates[:min(coordinators, len(des.roster.candidates))]
 }
 
 // elect makes the first candidate that is reached the coordinator; the mutex is
@@ -54,7 +64,7 @@
 		return
 	}
 	des.host.log.Info().Stringer("Coordinator", chosen).Stringer("Former", des.active).
-		Bool("Own", chosen == des.host.epoch).Int("Hosts", len(des.members)).Int("Waiting", len(des.tickets)).Msg("coordinator changed")
+		Bool("Own", chosen == des.host.epoch).Int("Hosts", len(des.roster.members)).Int("Waiting", len(des.tickets)).Msg("coordinator changed")
 	former := des.active
 	des.active = chosen
 	if chosen != des.host.epoch {
@@ -76,6 +86,9 @@
 // host asks several times a second.
 const decidesFor = 5 * time.Second
 
+// outsideParts leaves a host without an entry next to nothing of the limits.
+const outsideParts = 1000
+
 // share tells the own scheduler which part of the limits is its own: that of the
 // hosts it decides for. Two groups of hosts that have lost each other then don't
 // serve more together than one.
@@ -87,7 +100,11 @@
 			served++
 		}
 	}
-	des.step(scheduler.ShareChanged{Parts: limitParts(len(des.members), served)})
+	parts := limitParts(len(des.roster.members), served)
+	if des.roster.outside && len(des.roster.candidates) > 0 {
+		parts = outsideParts
+	}
+	des.step(scheduler.ShareChanged{Parts: parts})
 }
 
 // refreshShare notices gateways that have this scheduler decide no longer.
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -116,6 +116,16 @@
 	})
 }
 
+// Current returns the hosts in the same order, without those that are missing.
+func (dir *Directory) Current() []Member {
+	return slices.DeleteFunc(dir.Members(), func(mem Member) bool { return dir.missingMembers[mem.Name] })
+}
+
+// Missing reports whether the host's entry is gone and only held.
+func (dir *Directory) Missing(name string) bool {
+	return dir.missingMembers[name]
+}
+
 // Member returns the host with the epoch.
 func (dir *Directory) Member(epo request.Epoch) (Member, bool) {
 	for _, mem := range dir.members {
--- a/fleet/directory_test.go
+++ b/fleet/directory_test.go
@@ -19,6 +19,8 @@
 	dir.Replace(now, nil, nil)
 	assert.Equal(t, len(dir.Engines()), 2)
 	assert.Equal(t, len(dir.Members()), 1)
+	assert.Equal(t, len(dir.Current()), 0)
+	assert.Assert(t, dir.Missing("h") && !dir.Missing("other"))
 	dir.SetEngine(fleet.Engine{ID: "a", Slots: 3})
 	assert.Assert(t, !dir.Settle(now.Add(time.Second)))
 	assert.Assert(t, dir.Settle(now.Add(2*time.Second)))
