refactor: one sleep, one epoch, one end of a server; dead state gone

Read again as a whole: five copies of the same wait, two of NewEpoch and of Served are one each; a body reader that the standard library has, a condition that set what was set, a field and a cause that nothing read, and a wrapper around one field are gone. Behaviour is the same; the tests weren't touched.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -63,7 +63,7 @@
 func (exc *exchange) run(ctx context.Context) {
 	unsent := 0
 	for {
-		eng, pro := exc.reserve(ctx, unsent)
+		eng, pro := exc.reserve(ctx)
 		if pro != nil {
 			exc.refuse(*pro)
 			return
@@ -115,7 +115,7 @@
 }
 
 // reserve gets an engine for the next attempt, or says why there is none.
-func (exc *exchange) reserve(ctx context.Context, unsent int) (fleet.Engine, *problem) {
+func (exc *exchange) reserve(ctx context.Context) (fleet.Engine, *problem) {
 	hos := exc.host
 	asked := time.Now()
 	res := reservation.Reserve{
@@ -128,10 +128,6 @@
 	if exc.route.Kind != route.KindStreaming {
 		res.PromptTokens = 0
 	}
-	if unsent > 0 && exc.attempts == 0 {
-		// The account's cost was given back, but the request was counted.
-		res.Attempt = 0
-	}
 	dec, err := hos.desk.reserve(ctx, res)
 	exc.waited += time.Since(asked)
 	if err != nil {
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -33,9 +33,10 @@
 	sessions uint64
 	// active is the coordinator; the host's own epoch stands for its own scheduler.
 	active request.Epoch
-	// tickets are the reservations that wait for a decision, holds those granted.
+	// tickets are the reservations that wait for a decision; holds are the engines
+	// that requests have, as another coordinator is told of them.
 	tickets map[request.ID]*ticket
-	holds   map[request.ID]*hold
+	holds   map[request.ID]*reservation.Adopt
 }
 
 // link is this host's session with a coordinator.
@@ -72,11 +73,6 @@
 	by request.Epoch
 }
 
-// hold is an engine that a request has.
-type hold struct {
-	adopt reservation.Adopt
-}
-
 func newDesk(hos *Host) *desk {
 	bou := hos.set.Bounds
 	return &desk{
@@ -89,7 +85,7 @@
 		inbound: make(map[uint64]*inbound),
 		active:  hos.epoch,
 		tickets: make(map[request.ID]*ticket),
-		holds:   make(map[request.ID]*hold),
+		holds:   make(map[request.ID]*reservation.Adopt),
 	}
 }
 
@@ -176,7 +172,7 @@
 		ID: gra.ID, Ballot: gra.Ballot, Engine: gra.Engine, Service: tic.reserve.Service,
 		Account: tic.reserve.Account, Cost: tic.reserve.Cost, Unread: true, PromptTokens: tic.reserve.PromptTokens,
 	}
-	des.holds[gra.ID] = &hold{adopt: ado}
+	des.holds[gra.ID] = &ado
 	if by != des.host.epoch {
 		des.step(scheduler.GrantedElsewhere{Adopt: ado})
 	}
@@ -274,7 +270,7 @@
 	des.mutex.Lock()
 	defer des.mutex.Unlock()
 	if hol := des.holds[pro.ID]; hol != nil {
-		hol.adopt.Unread = false
+		hol.Unread = false
 	}
 	des.tellBoth(pro)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,8 +17,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"net"
 	"net/http"
 	"net/netip"
@@ -102,7 +100,7 @@
 	if cfg.LinesDropped == nil {
 		cfg.LinesDropped = func() int64 { return 0 }
 	}
-	epoch, err := newEpoch()
+	epoch, err := request.NewEpoch()
 	if err != nil {
 		return nil, err
 	}
@@ -134,19 +132,6 @@
 // are busy, and a heartbeat missed three times is no chance.
 var peerTiming = peer.Timing{Heartbeat: 200 * time.Millisecond, Timeout: 700 * time.Millisecond}
 
-// epochRandomBits are the low bits of an epoch, which tell starts within the
-// same millisecond apart; the time is above them.
-const epochRandomBits = 22
-
-func newEpoch() (request.Epoch, error) {
-	var raw [4]byte
-	if _, err := rand.Read(raw[:]); err != nil {
-		return 0, errors.Wrap(err, "make epoch")
-	}
-	low := uint64(binary.BigEndian.Uint32(raw[:])) & (1<<epochRandomBits - 1)
-	return request.Epoch(uint64(time.Now().UnixMilli())<<epochRandomBits | low), nil
-}
-
 func (hos *Host) security() peer.Security {
 	return peer.Security{Key: hos.set.PeerKey}
 }
@@ -265,19 +250,11 @@
 			return errors.Wrap(err, one.name)
 		}
 		hos.servers = append(hos.servers, one.server)
-		hos.tasks.Run(one.name, func() error { return served(one.server.Serve(lis)) })
+		hos.tasks.Run(one.name, func() error { return task.Served(one.server.Serve(lis)) })
 	}
 	return nil
 }
 
-// served returns the error of a server that ended otherwise than by its closing.
-func served(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
 // Stop ends the host at once: requests in flight are cut.
 func (hos *Host) Stop() {
 	hos.cancel()
--- a/entry/figures.go
+++ b/entry/figures.go
@@ -50,9 +50,8 @@
 
 // observe adds a time to a histogram of microseconds.
 func (fig *figures) observe(name string, took time.Duration) {
-	sample := metrics.NewExpDecaySample
 	his, known := fig.registry.GetOrRegister(name, func() metrics.Histogram {
-		return metrics.NewHistogram(sample(sampleSize, sampleAlpha))
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	}).(metrics.Histogram)
 	if known {
 		his.Update(took.Microseconds())
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -12,6 +12,7 @@
 	"lynxwell.dev/lynxwell/route"
 	"lynxwell.dev/lynxwell/scheduler"
 	"lynxwell.dev/lynxwell/store"
+	"lynxwell.dev/lynxwell/task"
 )
 
 const (
@@ -58,7 +59,7 @@
 		obs.regained()
 		obs.apply(upd)
 		if len(upd.changes.Changes) > 0 && !upd.whole {
-			sleep(ctx, gatherPause)
+			task.Sleep(ctx, gatherPause)
 		}
 	}
 	return ctx.Err()
@@ -105,7 +106,7 @@
 		obs.pause = max(obs.pause, rate.RetryAfter)
 		limit = maxRateRetry
 	}
-	sleep(ctx, obs.pause/2+rand.N(obs.pause))
+	task.Sleep(ctx, obs.pause/2+rand.N(obs.pause))
 	obs.pause = min(limit, 2*obs.pause)
 }
 
@@ -249,13 +250,3 @@
 		obs.host.figures.version.Update(int64(bel.table.Version()))
 	}
 }
-
-// sleep waits, but not beyond the context.
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -10,6 +10,7 @@
 	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/reservation"
 	"lynxwell.dev/lynxwell/scheduler"
+	"lynxwell.dev/lynxwell/task"
 	"lynxwell.dev/lynxwell/view"
 )
 
@@ -69,7 +70,7 @@
 	des.active = chosen
 	if chosen != des.host.epoch {
 		for _, hol := range des.holds {
-			des.tell(chosen, hol.adopt)
+			des.tell(chosen, *hol)
 		}
 	}
 	for id, tic := range des.tickets {
@@ -179,7 +180,7 @@
 			wait = minRedial
 		}
 		des.host.log.Info().Err(err).Str("Member", mem.Name).Stringer("MemberEpoch", mem.Epoch).Msg("session lost")
-		sleep(ctx, wait/2+rand.N(wait))
+		task.Sleep(ctx, wait/2+rand.N(wait))
 		wait = min(maxRedial, 2*wait)
 	}
 }
--- a/host/callerbackend.go
+++ b/host/callerbackend.go
@@ -9,6 +9,7 @@
 	"lynxwell.dev/lynxwell/caller"
 	"lynxwell.dev/lynxwell/gateway"
 	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/task"
 	"lynxwell.dev/lynxwell/view"
 )
 
@@ -129,7 +130,7 @@
 		if err != nil {
 			return err
 		}
-		if !pause(ctx, timeout/2) {
+		if !task.Sleep(ctx, timeout/2) {
 			return ctx.Err()
 		}
 	}
--- a/host/catchup.go
+++ b/host/catchup.go
@@ -10,6 +10,7 @@
 
 	"lynxwell.dev/lynxwell/peer"
 	"lynxwell.dev/lynxwell/resource"
+	"lynxwell.dev/lynxwell/task"
 	"lynxwell.dev/lynxwell/view"
 )
 
@@ -34,7 +35,7 @@
 		case adr := <-hos.ahead:
 			if err := hos.fetchFrom(ctx, adr); err != nil {
 				hos.log.Debug().Err(err).Stringer("Peer", adr).Msg("couldn't catch up")
-				if !pause(ctx, minBackoff) {
+				if !task.Sleep(ctx, minBackoff) {
 					return ctx.Err()
 				}
 			}
--- a/host/configuration.go
+++ b/host/configuration.go
@@ -11,6 +11,7 @@
 	"lynxwell.dev/lynxwell/operator"
 	"lynxwell.dev/lynxwell/resource"
 	"lynxwell.dev/lynxwell/store"
+	"lynxwell.dev/lynxwell/task"
 )
 
 // The keys of the configuration on the platform. Parts stand apart, so that
@@ -130,7 +131,7 @@
 			return res, err
 		}
 		last = err
-		if !pause(ctx, changePause) {
+		if !task.Sleep(ctx, changePause) {
 			break
 		}
 	}
--- a/host/dispatch.go
+++ b/host/dispatch.go
@@ -13,6 +13,7 @@
 	"lynxwell.dev/lynxwell/engine"
 	"lynxwell.dev/lynxwell/gateway"
 	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/task"
 )
 
 // resumeTries bounds how often a stream that broke off is resumed, and
@@ -74,7 +75,7 @@
 func (hos *Host) resumeBroken(ctx context.Context, id request.ID, adr netip.AddrPort, broken engine.Result, jb *job) engine.Result {
 	res := broken
 	for range resumeTries {
-		if !pause(ctx, resumePause) {
+		if !task.Sleep(ctx, resumePause) {
 			return res
 		}
 		next := hos.engines.Resume(ctx, adr, id, res.Events, modelSink(jb.exchange))
@@ -151,15 +152,3 @@
 		FirstToken: res.FirstByte, Total: res.Total,
 	}
 }
-
-// pause waits; it returns false when the context ends first.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/host/drain.go
+++ b/host/drain.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"lynxwell.dev/lynxwell/reservation"
+	"lynxwell.dev/lynxwell/task"
 	"lynxwell.dev/lynxwell/view"
 )
 
@@ -69,7 +70,7 @@
 		if left == 0 {
 			return nil
 		}
-		if !pause(ctx, drainStep) {
+		if !task.Sleep(ctx, drainStep) {
 			return &DrainError{InFlight: left, Cause: ctx.Err()}
 		}
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -16,9 +16,7 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"crypto/tls"
-	"encoding/binary"
 	"net"
 	"net/http"
 	"net/netip"
@@ -92,7 +90,7 @@
 
 // New returns a host; Start has it work.
 func New(cfg Config) (*Host, error) {
-	epoch, err := newEpoch()
+	epoch, err := request.NewEpoch()
 	if err != nil {
 		return nil, err
 	}
@@ -124,20 +122,6 @@
 	return hos, nil
 }
 
-// epochRandomBits are the low bits of an epoch, which tell starts within the
-// same millisecond apart; the time is above them.
-const epochRandomBits = 22
-
-// newEpoch returns a number for this process start that is never used again.
-func newEpoch() (request.Epoch, error) {
-	var raw [4]byte
-	if _, err := rand.Read(raw[:]); err != nil {
-		return 0, errors.Wrap(err, "make epoch")
-	}
-	low := uint64(binary.BigEndian.Uint32(raw[:])) & (1<<epochRandomBits - 1)
-	return request.Epoch(uint64(time.Now().UnixMilli())<<epochRandomBits | low), nil
-}
-
 // Epoch returns the number of this process start.
 func (hos *Host) Epoch() request.Epoch {
 	return hos.epoch
@@ -208,17 +192,9 @@
 	peerServer := peer.NewServer(peer.ServerConfig{Backend: hos, Security: hos.security(), Timing: hos.timing()})
 	operatorServer := operator.NewServer(operator.ServerConfig{Backend: hos, Key: hos.set.OperatorKey, Log: hos.log})
 	hos.servers = []*http.Server{hos.callers.HTTPServer(), peerServer.HTTPServer(), operatorServer.HTTPServer()}
-	tks.Run("callers' server", func() error { return served(hos.servers[0].Serve(lis.caller)) })
-	tks.Run("peers' server", func() error { return served(peerServer.Serve(lis.peer, hos.servers[1])) })
-	tks.Run("operators' server", func() error { return served(hos.servers[2].Serve(lis.operator)) })
-}
-
-// served returns the error of a server that ended otherwise than by its closing.
-func served(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
+	tks.Run("callers' server", func() error { return task.Served(hos.servers[0].Serve(lis.caller)) })
+	tks.Run("peers' server", func() error { return task.Served(peerServer.Serve(lis.peer, hos.servers[1])) })
+	tks.Run("operators' server", func() error { return task.Served(hos.servers[2].Serve(lis.operator)) })
 }
 
 // Stop ends the host at once: requests in flight are cut.
--- a/host/membership.go
+++ b/host/membership.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"lynxwell.dev/lynxwell/store"
+	"lynxwell.dev/lynxwell/task"
 	"lynxwell.dev/lynxwell/view"
 )
 
@@ -147,7 +148,7 @@
 		}
 		hos.log.Debug().Err(err).Msg("platform not followed")
 		hos.askSeeds(ctx)
-		if !pause(ctx, wait) {
+		if !task.Sleep(ctx, wait) {
 			break
 		}
 		wait = min(maxBackoff, 2*wait)
@@ -249,7 +250,7 @@
 	}
 	rank := view.ProposerRank(see.views.Current, hos.set.Name)
 	if rank > 0 {
-		if !pause(ctx, time.Duration(rank)*proposeStep) {
+		if !task.Sleep(ctx, time.Duration(rank)*proposeStep) {
 			return ctx.Err()
 		}
 		val, err := hos.store.Get(ctx, keyViewHead)
--- a/host/sessions.go
+++ b/host/sessions.go
@@ -9,6 +9,7 @@
 	"lynxwell.dev/lynxwell/gateway"
 	"lynxwell.dev/lynxwell/peer"
 	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/task"
 	"lynxwell.dev/lynxwell/view"
 )
 
@@ -71,7 +72,7 @@
 			wait = minRedial
 		}
 		hos.log.Debug().Err(err).Str("Peer", mem.Name).Stringer("PeerEpoch", mem.Epoch).Msg("session ended")
-		if !pause(ctx, wait/2+rand.N(wait)) {
+		if !task.Sleep(ctx, wait/2+rand.N(wait)) {
 			return
 		}
 		wait = min(maxRedial, 2*wait)
--- a/load/client.go
+++ b/load/client.go
@@ -28,6 +28,7 @@
 
 	"lynxwell.dev/lynxwell/caller"
 	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/task"
 	"lynxwell.dev/lynxwell/transport"
 )
 
@@ -223,7 +224,7 @@
 	adr, err := sen.choose(ctx)
 	if err != nil {
 		sen.answer.Err = err
-		sleep(ctx, addressesRetry)
+		task.Sleep(ctx, addressesRetry)
 		return false
 	}
 	rep, err := sen.post(ctx, adr)
@@ -330,7 +331,7 @@
 func (sen *sending) broken(ctx context.Context, err error) bool {
 	sen.answer.Err = err
 	sen.answer.Repeats++
-	sleep(ctx, repeatPause)
+	task.Sleep(ctx, repeatPause)
 	return false
 }
 
@@ -381,11 +382,11 @@
 		// The host or the prefix is going away: a new id at another address.
 		sen.named, sen.sent = false, false
 		_, _ = sen.client.Refresh(ctx)
-		sleep(ctx, repeatPause)
+		task.Sleep(ctx, repeatPause)
 		return false
 	case ans.Outcome == request.Unknown:
 		ans.Repeats++
-		sleep(ctx, max(after, repeatPause))
+		task.Sleep(ctx, max(after, repeatPause))
 		return false
 	default:
 		return true
@@ -414,12 +415,3 @@
 	}
 	return count, err
 }
-
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/load/run.go
+++ b/load/run.go
@@ -10,6 +10,7 @@
 
 	"lynxwell.dev/lynxwell/engine"
 	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/task"
 )
 
 // Config holds what a run is made from.
@@ -54,7 +55,7 @@
 	start := time.Now()
 	go func() {
 		for idx, arr := range arrivals {
-			sleep(ctx, time.Until(start.Add(arr.at)))
+			task.Sleep(ctx, time.Until(start.Add(arr.at)))
 			arr.shot.request.Intended = start.Add(arr.at)
 			go func() {
 				cli := cfg.Clients[arr.shot.kind.Account]
--- a/operator/client.go
+++ b/operator/client.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"lynxwell.dev/lynxwell/resource"
+	"lynxwell.dev/lynxwell/task"
 )
 
 // maxAnswerBytes bounds an answer.
@@ -113,7 +114,7 @@
 		if err == nil || isDecided(err) {
 			return res, err
 		}
-		if !sleep(ctx, changePause) {
+		if !task.Sleep(ctx, changePause) {
 			break
 		}
 	}
@@ -125,17 +126,6 @@
 	return errors.As(err, &aer) && aer.Body.Code != CodeNotDecided
 }
 
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Status returns what the hosts report.
 func (cli *Client) Status(ctx context.Context) (Status, error) {
 	var sta Status
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -298,7 +298,7 @@
 	res := wai.reserve
 	rnn := &run{
 		engine: best, gateway: wai.gateway, account: res.Account, cost: cor.costOf(res), tokens: tokens, unread: true,
-		granted: now, expected: best.firstToken(now, tokens),
+		expected: best.firstToken(now, tokens),
 	}
 	inp := svc.inputs(now, wai.since)
 	inp.Running, inp.Unread, inp.Expected = len(best.running), best.unreadTime(now), rnn.expected
@@ -427,7 +427,7 @@
 	if ene == nil || cor.runs[ado.ID] != nil {
 		return
 	}
-	rnn := &run{engine: ene, gateway: from, account: ado.Account, cost: ado.Cost, tokens: ado.PromptTokens, unread: ado.Unread, granted: now}
+	rnn := &run{engine: ene, gateway: from, account: ado.Account, cost: ado.Cost, tokens: ado.PromptTokens, unread: ado.Unread}
 	if ado.Unread {
 		ene.readUntil = now.Add(ene.unreadTime(now) + time.Duration(ado.PromptTokens)*ene.pace)
 	}
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -41,8 +41,7 @@
 	// tokens are those to be read; 0 for a request without a prompt.
 	tokens int
 	unread bool
-	// granted is when, expected how long the first token was predicted to take.
-	granted  time.Time
+	// expected is how long the first token was predicted to take.
 	expected time.Duration
 }
 
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -197,7 +198,7 @@
 		req.Header["User-Agent"] = []string{""}
 	}
 	if len(cal.Body) > 0 {
-		req.Body = io.NopCloser(&bodyReader{data: cal.Body})
+		req.Body = io.NopCloser(bytes.NewReader(cal.Body))
 		req.ContentLength = int64(len(cal.Body))
 	}
 	if len(cal.Body) > smallBodyBytes {
@@ -212,20 +213,6 @@
 	return exc.read(cal, req)
 }
 
-// bodyReader reads a body from memory.
-type bodyReader struct {
-	data []byte
-}
-
-func (bre *bodyReader) Read(buf []byte) (int, error) {
-	if len(bre.data) == 0 {
-		return 0, io.EOF
-	}
-	num := copy(buf, bre.data)
-	bre.data = bre.data[num:]
-	return num, nil
-}
-
 // read reads answers until one belongs to the call.
 func (exc *exchange) read(cal Call, req *http.Request) (*Answer, error) {
 	var stray string
--- a/visitor/visitor.go
+++ b/visitor/visitor.go
@@ -25,6 +25,7 @@
 
 	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/route"
+	"lynxwell.dev/lynxwell/task"
 )
 
 const (
@@ -165,7 +166,7 @@
 		if len(res.Attempts) > req.Retries || !mayRepeat(req, att) || ctx.Err() != nil {
 			return res
 		}
-		pause(ctx, min(retryAfter(att.Header), time.Duration(waitShare*float64(req.Deadline-res.Took))))
+		task.Sleep(ctx, min(retryAfter(att.Header), time.Duration(waitShare*float64(req.Deadline-res.Took))))
 	}
 }
 
@@ -188,15 +189,6 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (vis *Visitor) attempt(ctx context.Context, req Request, left time.Duration) Attempt {
 	att := Attempt{ID: vis.nextID(), Sent: time.Now()}
 	adr, err := vis.address(ctx)
