fix: an answer over the limit isn't passed on as a whole one

Cause, found by reading: an answer was read through a limit of 16 MB without looking whether more came, so its beginning would have gone to the caller as the whole, and a connection with the rest on it back to the pool. Change: one ReadWhole in upstream, which reads one byte more. Ruled out: streams, whose events have a bound of their own.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -236,7 +236,8 @@
 	if ans.Head.NotRun {
 		att.outcome, att.cause = outcomeTurnedAway, causeEngineFull
 		att.release.Rejected = true
-		drain(ans)
+		// Read for its connection alone, which is closed where that fails.
+		_, _ = ans.ReadWhole(maxAnswerBytes)
 		return att
 	}
 	if exc.route.Kind == route.KindStreaming && succeeded(ans.Status) {
@@ -249,13 +250,6 @@
 	return status >= 200 && status < 300
 }
 
-// drain reads the rest of an answer, so that its connection may be used again.
-func drain(ans *upstream.Answer) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(ans.Body, maxAnswerBytes)); err == nil {
-		ans.Whole()
-	}
-}
-
 // unanswered judges a call without an answer.
 func (exc *exchange) unanswered(ctx context.Context, att attempt, err error) attempt {
 	att.err = err
@@ -273,13 +267,12 @@
 
 // whole reads an answer to its end and passes it on.
 func (exc *exchange) whole(ctx context.Context, att attempt, ans *upstream.Answer) attempt {
-	body, err := io.ReadAll(io.LimitReader(ans.Body, maxAnswerBytes))
+	body, err := ans.ReadWhole(maxAnswerBytes)
 	if err != nil || (succeeded(ans.Status) && !ans.Head.Signed) {
 		att.outcome, att.cause, att.err = outcomeLost, causeBadAnswer, err
 		att.release.Failed = ctx.Err() == nil
 		return att
 	}
-	ans.Whole()
 	att.release.Total = time.Since(att.started)
 	answer := &wholeAnswer{status: ans.Status, header: platform.CallerHeader(ans.Header), body: body}
 	if !succeeded(ans.Status) {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -251,6 +251,20 @@
 	strays   bool
 }
 
+// ReadWhole reads the body to its end. It returns an *AnswerTooLargeError for one
+// over the limit in bytes, of which nothing may be passed on as a whole.
+func (ans *Answer) ReadWhole(limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(ans.Body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > limit {
+		return nil, &AnswerTooLargeError{Limit: limit}
+	}
+	ans.Whole()
+	return body, nil
+}
+
 // Whole says that the body was read to its end, so that the connection may be
 // used again.
 func (ans *Answer) Whole() {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -16,6 +16,7 @@
 import (
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"lynxwell.dev/lynxwell/call"
@@ -101,3 +102,14 @@
 func (ser *StrayError) Error() string {
 	return "answer of another request: " + ser.ID
 }
+
+// AnswerTooLargeError reports an answer beyond what is taken.
+type AnswerTooLargeError struct {
+	// Limit is in bytes.
+	Limit int64
+}
+
+// Error names the limit.
+func (atl *AnswerTooLargeError) Error() string {
+	return "answer is over " + strconv.FormatInt(atl.Limit, 10) + " bytes"
+}
