fix: a stream that broke off goes on at engines that are busy

So it was refused at once unless a place was free, and never given to an engine that had anything running. Ruled out: the budget of repeats (5 of them). Change: a repeat is reserved for as long as its caller waits for the next event, and goes before first attempts of its own rank and urgency. Tests for both fail before.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -122,7 +122,7 @@
 		ID:      request.ID{Prefix: request.Prefix{Epoch: hos.epoch}, Unique: exc.request.ID},
 		Service: exc.service, Rank: exc.rank, Urgency: max(0, exc.route.Rank), Account: exc.account.Name,
 		PromptTokens: exc.request.PromptTokens, MaxTokens: exc.request.MaxTokens, AnswerTokens: exc.request.HintTokens,
-		Remaining: exc.remaining(), Domain: hos.set.Domain, Aim: exc.route.Aim - time.Since(exc.started),
+		Remaining: exc.remaining(), Domain: hos.set.Domain, Aim: exc.aim(time.Now()),
 		Cost: exc.account.Cost(exc.request.Tokens()), Attempt: exc.attempts, Exclude: exc.exclude, Parts: exc.request.Parts,
 	}
 	if exc.route.Kind != route.KindStreaming {
@@ -140,6 +140,34 @@
 	return exc.granted(dec.grant.Engine, res.ID)
 }
 
+const (
+	// minPatience, aimPatience and pausePatience are how long callers of a stream
+	// wait for its next event before they leave: the longest of a time, of so many
+	// aims and of so many pauses in time. The platform's callers behave so.
+	minPatience   = 2 * time.Second
+	aimPatience   = 4
+	pausePatience = 8
+)
+
+// aim returns within what time the next attempt's answer is still of use. For the
+// first one that is the route's aim. A repeat is too late for it as a rule, but
+// its caller waits on: a stream that has begun is lost unless it goes on.
+func (exc *exchange) aim(now time.Time) time.Duration {
+	if exc.attempts == 0 {
+		return exc.route.Aim - now.Sub(exc.started)
+	}
+	left := exc.deadline.Sub(now)
+	if exc.route.Kind != route.KindStreaming {
+		return left
+	}
+	heard := exc.started
+	if exc.lastHeard.After(heard) {
+		heard = exc.lastHeard
+	}
+	patience := max(minPatience, aimPatience*exc.route.Aim, pausePatience*exc.route.PauseAim)
+	return min(left, patience-now.Sub(heard))
+}
+
 // granted checks once more what may have changed while the request waited.
 func (exc *exchange) granted(name string, id request.ID) (fleet.Engine, *problem) {
 	hos := exc.host
@@ -344,6 +372,7 @@
 func (exc *exchange) noteEvent(att *attempt, evt upstream.Event) {
 	att.release.DecodeTokens++
 	exc.events++
+	exc.lastHeard = time.Now()
 	if evt.ID > 0 {
 		exc.lastEvent = evt.ID
 	}
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -92,6 +92,8 @@
 	headSent   bool
 	lastEvent  int64
 	events     int
+	// lastHeard is when the caller was last sent an event.
+	lastHeard  time.Time
 	engine     string
 	decidedBy  string
 	waited     time.Duration
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -163,6 +163,37 @@
 	sound(t, sys, kind)
 }
 
+// A stream that breaks off has long passed its aim: it goes on at an engine that
+// is at work on others all the same.
+func TestBrokenStreamGoesOnAtABusyEngine(t *testing.T) {
+	const events = 8
+	var engines []*upstreamtest.Engine
+	for _, name := range []string{"m1", "m2"} {
+		engines = append(engines, upstreamtest.NewEngine(upstreamtest.Config{
+			ID: name, Service: entrytest.Model, Slots: 4, Events: events, Step: 100 * time.Millisecond,
+		}))
+	}
+	sys := entrytest.Start(t, entrytest.Config{Hosts: 1, Engines: engines})
+	sys.Configure(entrytest.Configuration{Version: 1, Aim: 50 * time.Millisecond})
+	sys.UntilReady()
+	others := make(chan entrytest.Answer)
+	for idx := range 4 {
+		go func() {
+			others <- sys.Send(t.Context(), sys.Hosts[0], entrytest.Request{ID: fmt.Sprint("other-", idx), Path: "/stream/", Header: map[string]string{"Token-Counts": "10,20"}})
+		}()
+	}
+	sys.Until("both engines at work", func() bool { return len(engines[0].Runs()) > 0 && len(engines[1].Runs()) > 0 })
+	for _, eng := range engines {
+		eng.Trouble(upstreamtest.Cut, 1)
+	}
+	ans := sendOnce(t, sys, "resume", engines[0], engines[1])
+	assert.NilError(t, ans.Err)
+	assert.Equal(t, ans.Body, upstreamtest.StreamBody("r1", events))
+	for range 4 {
+		assert.NilError(t, (<-others).Err)
+	}
+}
+
 // sendOnce sends a request of which only the first engine that takes it has a trouble.
 func sendOnce(t *testing.T, sys *entrytest.System, kind string, one, two *upstreamtest.Engine) entrytest.Answer {
 	t.Helper()
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -58,8 +58,8 @@
 	Urgency int
 	// Domain is the gateway's failure domain.
 	Domain string
-	// Aim is within what time the first of the answer is in time, counted from
-	// the request's arrival.
+	// Aim is within what time, from now on, the first of the answer is in time; for
+	// a repeat, for how long its caller waits on.
 	Aim time.Duration
 	// Cost is what the request takes from the client account's limit.
 	Cost float64
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -194,6 +194,8 @@
 	return cmp.Or(
 		cmp.Compare(one.reserve.Rank, two.reserve.Rank),
 		cmp.Compare(one.reserve.Urgency, two.reserve.Urgency),
+		// A repeat has waited before, and engines have worked for it.
+		cmp.Compare(min(1, two.reserve.Attempt), min(1, one.reserve.Attempt)),
 		cmp.Compare(one.number, two.number),
 	)
 }
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -143,6 +143,23 @@
 	assert.Assert(t, !des.core.Waiting())
 }
 
+func TestRepeatGoesBeforeFirstAttemptsOfItsOwnUrgencyOnly(t *testing.T) {
+	des := newDesk(plainEngine("e", 1))
+	fill(des, placesOfOne)
+	for _, tst := range []struct {
+		name             string
+		urgency, attempt int
+	}{{"first", 0, 0}, {"second", 1, 0}, {"repeat", 1, 1}} {
+		res := plain(tst.name)
+		res.Urgency, res.Attempt = tst.urgency, tst.attempt
+		des.reserve(res)
+	}
+	for idx, want := range []string{"first", "repeat", "second"} {
+		sends := des.release(reservation.Release{ID: id(fmt.Sprint("fill-", idx)), Dispatched: true, Total: time.Millisecond})
+		assert.Equal(t, engineOf(sends, want), "e", want)
+	}
+}
+
 func TestDrainingExcludedAndUnknownEnginesGetNothing(t *testing.T) {
 	drains := plainEngine("a", 4)
 	drains.Draining = true
