feat: streams are weighed by their chance to end in time; refused callers return within their time

Cause: in overload slots bind (11 of 12 places taken, unread prompt a fifth of its bound), and 5 in 100 of all slot seconds went to streams that reached their deadline; refused callers were told 1 to 8 s, more than those with 3 s left can wait, so these came back in step. Ruled out: unread prompt, cached parts (each prompt's own part is new). Refused callers come back after 0.16 to 0.32 of what they have left. Requests leave more of a used-up limit to more urgent ones. Tests beside.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -43,6 +43,9 @@
 	since   time.Time
 	// until is when it is refused.
 	until time.Time
+	// unlikely says that it isn't begun for its small chance to end in time, not
+	// for lack of room: it holds up nobody behind it.
+	unlikely bool
 }
 
 // New returns a core that knows no engine yet.
@@ -174,12 +177,12 @@
 	svc := cor.service(res.Service)
 	if res.Attempt == 0 {
 		svc.repeats.count(now)
-		if wait, over := cor.overLimit(now, res); over {
-			cor.refuse(from, res, reservation.ReasonLimit, wait, svc.inputs(now, now))
+		if cor.overLimit(now, res) {
+			cor.refuse(from, res, reservation.ReasonLimit, svc.inputs(now, now))
 			return
 		}
 	} else if !svc.repeats.take(now, cor.parts) {
-		cor.refuse(from, res, reservation.ReasonBudget, minRetryAfter, svc.inputs(now, now))
+		cor.refuse(from, res, reservation.ReasonBudget, svc.inputs(now, now))
 		return
 	}
 	svc.arrivals++
@@ -201,13 +204,9 @@
 }
 
 // overLimit takes the request's cost from its account's limit.
-func (cor *Core) overLimit(now time.Time, res reservation.Reserve) (time.Duration, bool) {
+func (cor *Core) overLimit(now time.Time, res reservation.Reserve) bool {
 	buc := cor.buckets[res.Account]
-	if buc == nil {
-		return 0, false
-	}
-	taken, wait := buc.take(now, res.Cost, res.Urgency)
-	return wait, !taken
+	return buc != nil && !buc.take(now, res.Cost, res.Urgency)
 }
 
 // charge takes the cost of a run that another scheduler admitted.
@@ -223,8 +222,8 @@
 	}
 }
 
-func (cor *Core) refuse(to request.Epoch, res reservation.Reserve, reason reservation.Reason, wait time.Duration, inp Inputs) {
-	cor.send(to, reservation.Refuse{ID: res.ID, Ballot: res.Ballot, Reason: reason, RetryAfter: spread(res.ID, wait)}, inp)
+func (cor *Core) refuse(to request.Epoch, res reservation.Reserve, reason reservation.Reason, inp Inputs) {
+	cor.send(to, reservation.Refuse{ID: res.ID, Ballot: res.Ballot, Reason: reason, RetryAfter: retryAfter(res)}, inp)
 }
 
 // inputs returns what a decision on the service rests on.
@@ -232,13 +231,15 @@
 	return Inputs{Waited: now.Sub(since), Waiting: len(svc.waiting), Engines: len(svc.engines)}
 }
 
-// spread has callers come back over a time of their own, within the bounds.
-func spread(id request.ID, wait time.Duration) time.Duration {
+// retryAfter returns when the caller of a refused request comes back: within what
+// it has left, and callers not in step.
+func retryAfter(res reservation.Reserve) time.Duration {
 	hash := fnv.New32a()
 	// A hash takes any bytes without an error.
-	_, _ = hash.Write([]byte(id.Unique))
-	wait = min(maxRetryAfter, max(minRetryAfter, wait))
-	return wait + time.Duration(float64(wait)*float64(hash.Sum32()%1000)/1000)
+	_, _ = hash.Write([]byte(res.ID.Unique))
+	point := float64(hash.Sum32()%1000) / 1000
+	share := minRetryShare + (maxRetryShare-minRetryShare)*point
+	return time.Duration(share * float64(min(res.Remaining, maxRetrySpan)))
 }
 
 // serve gives engines to those who wait, in their order, and refuses those
@@ -254,9 +255,9 @@
 		case !full && cor.grant(now, svc, wai):
 		case !now.Before(wai.until):
 			cor.giveBack(wai.reserve.Account, cor.costOf(wai.reserve))
-			cor.refuse(wai.gateway, wai.reserve, reservation.ReasonOverload, svc.backlog(now), svc.inputs(now, wai.since))
+			cor.refuse(wai.gateway, wai.reserve, reservation.ReasonOverload, svc.inputs(now, wai.since))
 		default:
-			full = full || len(wai.reserve.Exclude) == 0
+			full = full || (len(wai.reserve.Exclude) == 0 && !wai.unlikely)
 			kept = append(kept, wai)
 		}
 	}
@@ -272,28 +273,11 @@
 	return res.Cost
 }
 
-// backlog estimates when the service has room for what comes back.
-func (svc *service) backlog(now time.Time) time.Duration {
-	if len(svc.engines) == 0 {
-		return maxRetryAfter
-	}
-	var unread time.Duration
-	tokens := 0
-	var pace time.Duration
-	for _, ene := range svc.engines {
-		unread += ene.unreadTime(now)
-		pace += ene.pace
-	}
-	for _, wai := range svc.waiting {
-		tokens += wai.reserve.PromptTokens
-	}
-	num := time.Duration(len(svc.engines))
-	return unread/num + time.Duration(tokens)*(pace/num)/num + minRetryAfter
-}
-
 // grant gives the request the best engine with room, if there is one.
 func (cor *Core) grant(now time.Time, svc *service, wai *waiter) bool {
-	best, tokens := cor.choose(now, svc, wai.reserve)
+	cho := cor.choose(now, svc, wai.reserve)
+	best, tokens := cho.engine, cho.tokens
+	wai.unlikely = cho.unlikely
 	if best == nil {
 		return false
 	}
@@ -315,12 +299,20 @@
 	return true
 }
 
-// choose returns the engine with room where the request is served soonest, and
-// how many tokens it must read there.
-func (cor *Core) choose(now time.Time, svc *service, res reservation.Reserve) (*engine, int) {
-	var best *engine
-	var bestCost time.Duration
-	bestTokens := 0
+// choice is the engine for a request; nil for none.
+type choice struct {
+	engine *engine
+	// tokens are those that the engine reads of the prompt.
+	tokens int
+	cost   time.Duration
+	// unlikely says that an engine was passed over since the stream would hardly
+	// end there in time.
+	unlikely bool
+}
+
+// choose returns the engine with room that serves the request best.
+func (cor *Core) choose(now time.Time, svc *service, res reservation.Reserve) choice {
+	var cho choice
 	aside := svc.asideAllowed(now)
 	for _, ene := range svc.engines {
 		if ene.Draining || slices.Contains(res.Exclude, string(ene.ID)) || (aside && !ene.health.usable(now)) {
@@ -335,18 +327,31 @@
 		}
 		first := ene.firstToken(now, tokens)
 		if first > res.Aim && len(ene.running) > 0 {
+			// Late: only an idle engine does what may be of no use.
 			continue
 		}
-		cost := first + loadCost*time.Duration(len(ene.running))/time.Duration(max(1, ene.Slots))
-		cost += time.Duration(overrunCost * float64(ene.overrun(first, res.AnswerTokens, res.Remaining)))
-		if ene.Domain != res.Domain {
-			cost += crossCost
+		chance := ene.finishChance(first, res.AnswerTokens, res.Remaining)
+		if chance < minChance && len(ene.running) >= ene.Slots/2 {
+			cho.unlikely = true
+			continue
 		}
-		if best == nil || cost < bestCost {
-			best, bestCost, bestTokens = ene, cost, tokens
+		cost := ene.costOf(res, first, chance)
+		if cho.engine == nil || cost < cho.cost {
+			cho.engine, cho.tokens, cho.cost = ene, tokens, cost
 		}
 	}
-	return best, bestTokens
+	return cho
+}
+
+// costOf returns what the engine counts in the choice for a request: its time to
+// the first token, and what its load, its place and a stream cut short add to it.
+func (ene *engine) costOf(res reservation.Reserve, first time.Duration, chance float64) time.Duration {
+	cost := first + loadCost*time.Duration(len(ene.running))/time.Duration(max(1, ene.Slots))
+	cost += time.Duration((1 - chance) * float64(finishCost))
+	if ene.Domain != res.Domain {
+		cost += crossCost
+	}
+	return cost
 }
 
 // asideAllowed reports whether engines may be left out for their health: not
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -224,6 +224,60 @@
 	assert.Equal(t, engineOf(des.reserve(long), "long"), "new")
 }
 
+// busyEngine returns a desk whose one engine has half of its slots taken.
+func busyEngine() *desk {
+	des := newDesk(modelEngine("e"))
+	for idx := range 5 {
+		des.reserve(prompt(fmt.Sprint("busy-", idx), 10))
+	}
+	return des
+}
+
+func TestStreamThatHardlyEndsInTimeIsNotBegunAtABusyEngine(t *testing.T) {
+	// The deadline leaves room for 400 events at the step taken for an engine that
+	// nothing is known of.
+	for _, tst := range []struct {
+		answer int
+		begun  bool
+	}{{0, true}, {200, true}, {400, true}, {2000, false}} {
+		res := prompt("r", 10)
+		res.AnswerTokens = tst.answer
+		assert.Equal(t, engineOf(busyEngine().reserve(res), "r") != "", tst.begun, "%d", tst.answer)
+		assert.Equal(t, engineOf(newDesk(modelEngine("idle")).reserve(res), "r"), "idle", "an idle engine tries")
+	}
+}
+
+func TestWhoIsNotBegunForItsChanceHoldsNobodyUp(t *testing.T) {
+	des := busyEngine()
+	long, other := prompt("long", 10), prompt("other", 10)
+	long.AnswerTokens, other.Urgency = 2000, 1
+	assert.Equal(t, engineOf(des.reserve(long), "long"), "")
+	assert.Equal(t, engineOf(des.reserve(other), "other"), "e")
+	assert.Equal(t, reasonOf(des.after(300*time.Millisecond), "long"), reservation.ReasonOverload)
+}
+
+// Callers wait a third of the time they have left at most, and must not return
+// in step.
+func TestRefusedCallersComeBackWithinTheirTimeAndNotInStep(t *testing.T) {
+	for _, remaining := range []time.Duration{time.Second, 15 * time.Second, time.Hour} {
+		des := newDesk(plainEngine("e", 1))
+		fill(des, placesOfOne)
+		for idx := range 20 {
+			res := plain(fmt.Sprint("r", idx))
+			res.Remaining = remaining
+			des.reserve(res)
+		}
+		waits := make(map[time.Duration]bool)
+		for _, snd := range des.after(time.Second) {
+			ref, isRefusal := snd.Message.(reservation.Refuse)
+			assert.Assert(t, isRefusal)
+			assert.Assert(t, ref.RetryAfter > 0 && ref.RetryAfter < remaining/3 && ref.RetryAfter < 5*time.Second, "%s", ref.RetryAfter)
+			waits[ref.RetryAfter] = true
+		}
+		assert.Assert(t, len(waits) > 10, "%d", len(waits))
+	}
+}
+
 func TestFailingEngineIsSetAsideAndTriedAgain(t *testing.T) {
 	des := newDesk(plainEngine("a", 8), plainEngine("b", 8), plainEngine("c", 8))
 	failures := 0
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -130,12 +131,20 @@
 	ene.step += time.Duration(paceGain * float64(step-ene.step))
 }
 
-// overrun predicts how much longer than it may an answer would take, were it as
-// much longer than its guess as one in ten is.
-func (ene *engine) overrun(first time.Duration, answerTokens int, remaining time.Duration) time.Duration {
-	events := float64(answerTokens) / float64(ene.eventTokens)
-	whole := first + time.Duration(longAnswer*events*float64(ene.step))
-	return max(0, whole-remaining)
+// finishChance returns how likely a stream ends before its deadline here: its
+// caller's guess of its length is right in the middle, and its logarithm is off
+// like a normal variable.
+func (ene *engine) finishChance(first time.Duration, answerTokens int, remaining time.Duration) float64 {
+	if answerTokens <= 0 {
+		return 1
+	}
+	room := remaining - first
+	if room <= 0 {
+		return 0
+	}
+	need := float64(answerTokens) / float64(ene.eventTokens) * float64(ene.step)
+	off := math.Log2(float64(room)/need) / hintSpread
+	return 0.5 * (1 + math.Erf(off/math.Sqrt2))
 }
 
 // read says that the engine has read a run's prompt.
--- a/scheduler/limit.go
+++ b/scheduler/limit.go
@@ -25,7 +25,7 @@
 	// headroomFactor is how many times its own cost a request leaves to more urgent
 	// ones, for each step of urgency: small requests always fit into a bucket that
 	// is nearly empty, and would keep the large urgent ones out.
-	headroomFactor = 3.0
+	headroomFactor = 6.0
 	// admitShare is the part of the burst that lets a request of any size in; what
 	// it costs beyond that is a debt. Else the largest would never find enough.
 	admitShare = 0.04
@@ -66,15 +66,15 @@
 	}
 }
 
-// take takes the cost, or returns after what time it could be taken.
-func (buc *bucket) take(now time.Time, cost float64, urgency int) (bool, time.Duration) {
+// take takes the cost, unless too little is left.
+func (buc *bucket) take(now time.Time, cost float64, urgency int) bool {
 	buc.fill(now)
 	need := min(min(cost, admitShare*buc.burst)*(1+headroomFactor*float64(urgency)), buc.burst)
-	if buc.level >= need {
-		buc.level -= cost
-		return true, 0
+	if buc.level < need {
+		return false
 	}
-	return false, time.Duration((need - buc.level) / buc.rate * float64(time.Second))
+	buc.level -= cost
+	return true
 }
 
 // charge takes a cost that another scheduler admitted, down to an empty burst
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -140,12 +140,15 @@
 	assumedStep = 25 * time.Millisecond
 	// minLearnEvents is the shortest answer whose events tell their pace.
 	minLearnEvents = 8
-	// longAnswer is how much longer than the caller's guess an answer must be
-	// taken to become: one in ten is twice as long or more, measured on calm days.
-	longAnswer = 2.5
-	// overrunCost is what a time beyond the deadline counts in the choice, beside
-	// the time to the first token.
-	overrunCost = 0.25
+	// hintSpread is by how many doublings callers' guesses of an answer's length
+	// are off, as a standard deviation; measured on twelve days.
+	hintSpread = 0.72
+	// minChance is the chance to end in time under which a stream isn't begun at an
+	// engine that is half busy or more: nearly all of its work would be for nothing.
+	minChance = 0.3
+	// finishCost is what a stream that certainly misses its deadline counts in the
+	// choice, beside the time to the first token.
+	finishCost = 1000 * time.Millisecond
 	// minPace and maxPace bound the learned pace against outliers: a fifth of the
 	// assumed one and fifty times it.
 	minPace = assumedPace / 5
@@ -156,10 +159,14 @@
 	// crossCost is what an engine in another failure domain counts, for the way
 	// and the bytes.
 	crossCost = 40 * time.Millisecond
-	// minRetryAfter and maxRetryAfter bound when a refused caller comes back: a
-	// burst lasts some seconds, and callers wait a third of their time at most.
-	minRetryAfter = time.Second
-	maxRetryAfter = 4 * time.Second
+	// minRetryShare and maxRetryShare are the parts of its time left after which a
+	// refused caller comes back: overload and used-up limits last some seconds,
+	// callers wait a third of their time at most, and they must not return in step.
+	minRetryShare = 0.16
+	maxRetryShare = 0.32
+	// maxRetrySpan bounds the time that this is a share of: a burst is over within
+	// five seconds.
+	maxRetrySpan = 15 * time.Second
 	// cacheShare is the part of an engine's memory that is taken to hold cached
 	// parts; running requests need the rest.
 	cacheShare = 0.6
