--- a/entry/entry.go
+++ b/entry/entry.go
@@ -76,6 +76,8 @@
 	started   time.Time
 	// storeAway is set while the store is lost to other hosts too.
 	storeAway atomic.Bool
+	// storeBack wakes the keeper of the lease when the store was regained.
+	storeBack chan struct{}
 	// bounds are those of the newest settings.
 	bounds   atomic.Pointer[settings.Bounds]
 	draining atomic.Bool
@@ -106,11 +108,12 @@
 	}
 	hos := &Host{
 		cfg: cfg, set: cfg.Settings, epoch: epoch, store: cfg.Store, started: time.Now(),
-		log:     cfg.Log.With().Str("Host", cfg.Settings.Name).Logger(),
-		figures: newFigures(cfg.LinesDropped),
-		mirror:  newMirror(),
-		leaving: make(chan struct{}),
-		done:    make(chan struct{}),
+		log:       cfg.Log.With().Str("Host", cfg.Settings.Name).Logger(),
+		figures:   newFigures(cfg.LinesDropped),
+		mirror:    newMirror(),
+		leaving:   make(chan struct{}),
+		storeBack: make(chan struct{}, 1),
+		done:      make(chan struct{}),
 	}
 	hos.belief.Store(&belief{})
 	hos.bounds.Store(&cfg.Settings.Bounds)
--- a/entry/mirror_test.go
+++ b/entry/mirror_test.go
@@ -113,6 +113,38 @@
 	})
 }
 
+// A whole fleet that calls on would keep a store down, and each call has its price:
+// while it is lost one host of a failure domain asks often, the others seldom.
+func TestLostStoreIsAskedSeldomByAFleet(t *testing.T) {
+	const hosts, callsPerSecond = 8, 25
+	sys := entrytest.Start(t, entrytest.Config{Hosts: hosts, Engines: twoOfEach(), OneDomain: true})
+	sys.Configure(entrytest.Configuration{Version: 1})
+	sys.UntilReady()
+	sys.Store.SetFaults(platformtest.Faults{Down: true})
+	began, before := time.Now(), calls(sys.Store)
+	for _, hos := range sys.Hosts {
+		sys.Until("the host is not ready", func() bool { return !sys.IsReady(hos) })
+	}
+	rate := float64(calls(sys.Store)-before) / time.Since(began).Seconds()
+	assert.Assert(t, rate < callsPerSecond, "%.0f calls a second", rate)
+	sys.Store.SetFaults(platformtest.Faults{})
+	back := time.Now()
+	sys.UntilReady()
+	assert.Assert(t, time.Since(back) < fleetBackWithin, "%s", time.Since(back))
+}
+
+// fleetBackWithin is within what time all hosts serve again after an outage: a
+// probe of the host that reads for all, and a question to it.
+const fleetBackWithin = 3 * time.Second
+
+func calls(mem *platformtest.Memory) uint64 {
+	var sum uint64
+	for _, count := range mem.Counts() {
+		sum += count
+	}
+	return sum
+}
+
 // longCut is longer than a configuration is acted on unconfirmed.
 const longCut = 5 * time.Second
 
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -42,6 +42,8 @@
 	nextPeer int
 	// direct is until when the store is read itself.
 	direct time.Time
+	// nextProbe is when a lost store is asked again by a host that follows another.
+	nextProbe time.Time
 	// lostAt is when the store was first not reached; zero while it is.
 	lostAt time.Time
 	pause  time.Duration
@@ -118,7 +120,9 @@
 	now := time.Now()
 	obs.host.log.Info().Dur("After", now.Sub(obs.lostAt)).Uint64("Revision", uint64(obs.revision)).Msg("store regained")
 	obs.lostAt = time.Time{}
+	obs.nextProbe = time.Time{}
 	obs.host.storeAway.Store(false)
+	obs.host.tellStoreBack()
 	obs.directory.Hold(now.Add(lapseHold))
 }
 
--- a/entry/source.go
+++ b/entry/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -37,6 +38,9 @@
 	// directFor is how long a host reads the store itself after the one that it
 	// followed failed it.
 	directFor = 2 * time.Second
+	// followerProbe is how often, on average, a host that follows another asks a lost
+	// store itself, in case only the other has lost it.
+	followerProbe = time.Second
 )
 
 // update is what a reading of the store, or of another host, brought.
@@ -54,23 +58,50 @@
 // read gets the next update: from the host of the own failure domain that reads
 // the store for all, or from the store.
 func (obs *observer) read(ctx context.Context) (update, error) {
-	if mem, found := obs.followed(); found {
-		upd, err := obs.follow(ctx, mem, followWait)
-		if err == nil || ctx.Err() != nil {
-			return upd, err
-		}
-		obs.direct = time.Now().Add(directFor)
+	mem, found := obs.followed()
+	if !found {
+		return obs.readStore(ctx)
+	}
+	upd, err := obs.follow(ctx, mem, followWait)
+	if err == nil || ctx.Err() != nil {
+		return upd, err
+	}
+	if !obs.storeDue(time.Now()) {
+		return update{}, err
+	}
+	obs.direct = time.Now().Add(directFor)
+	if obs.lostAt.IsZero() {
 		obs.host.log.Info().Err(err).Str("Member", mem.Name).Msg("reading the store itself, the host followed failed")
 	}
+	return obs.readStore(ctx)
+}
+
+// readStore gets the next update from the store.
+func (obs *observer) readStore(ctx context.Context) (update, error) {
 	if obs.whole {
 		return obs.list(ctx)
 	}
 	return obs.watch(ctx)
 }
 
+// storeDue reports whether a host that follows another asks the store now. While
+// the store is lost it does so seldom: the host followed asks often, for all.
+func (obs *observer) storeDue(now time.Time) bool {
+	if now.Before(obs.nextProbe) {
+		return false
+	}
+	if !obs.lostAt.IsZero() {
+		obs.nextProbe = now.Add(followerProbe/2 + rand.N(followerProbe))
+	}
+	return true
+}
+
 // followed returns the host to read through, if it isn't this one.
 func (obs *observer) followed() (fleet.Member, bool) {
-	if obs.table == nil || obs.host.confirmed.Load() == neverConfirmed || time.Now().Before(obs.direct) {
+	if obs.table == nil || obs.host.confirmed.Load() == neverConfirmed {
+		return fleet.Member{}, false
+	}
+	if obs.lostAt.IsZero() && time.Now().Before(obs.direct) {
 		return fleet.Member{}, false
 	}
 	mates := obs.mates()
