--- a/upstream/client.go
+++ b/upstream/client.go
@@ -213,7 +213,8 @@
 	return exc.read(cal, req)
 }
 
-// read reads answers until one belongs to the call.
+// read reads answers until one belongs to the call. A success must name it; a
+// failure without a name is taken for the engine's own that couldn't read it.
 func (exc *exchange) read(cal Call, req *http.Request) (*Answer, error) {
 	var stray string
 	for range maxStray {
@@ -226,6 +227,9 @@
 			continue
 		}
 		head := exc.client.cfg.Decode(rep.StatusCode, rep.Header)
+		if head.ID == "" && rep.StatusCode < http.StatusBadRequest {
+			return nil, &StrayError{}
+		}
 		if head.ID == "" || head.ID == cal.ID {
 			return &Answer{Status: rep.StatusCode, Header: rep.Header, Head: head, Body: rep.Body, reply: rep, exchange: exc, strays: stray != ""}, nil
 		}
