fix: requests wait for a started host's first configuration; an engine granted but gone is passed over

Ruled out: the store's rate (no call failed). Change: in the first 800 ms of a host a request, and a question for addresses, waits until the configuration is known and current; past that it is refused at once, as before. Tests fail before.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -114,8 +114,32 @@
 	}
 }
 
-// reserve gets an engine for the next attempt, or says why there is none.
+// reserve gets an engine for the next attempt, or says why there is none. One that
+// the coordinator doesn't know to be gone yet is passed over.
 func (exc *exchange) reserve(ctx context.Context) (fleet.Engine, *problem) {
+	for range maxUnsent {
+		eng, pro := exc.reserveOnce(ctx)
+		if pro == nil || pro.cause != causeEngineGone {
+			return eng, pro
+		}
+		exc.host.log.Info().Str("Request", exc.request.ID).Str("Engine", exc.engine).Str("DecidedBy", exc.decidedBy).
+			Msg("granted engine is gone, asking again")
+		exc.exclude = append(exc.exclude, exc.engine)
+	}
+	return fleet.Engine{}, exc.notRun(causeNoEngine, "the engines granted are gone")
+}
+
+// notRun returns the final answer of a request that this attempt didn't run: a
+// promise only if no attempt before may have.
+func (exc *exchange) notRun(cau cause, detail string) *problem {
+	pro := &problem{status: http.StatusServiceUnavailable, cause: cau, retryAfter: notReadyRetry, detail: detail}
+	if exc.mayHaveRun {
+		pro.status, pro.retryAfter = http.StatusBadGateway, 0
+	}
+	return pro
+}
+
+func (exc *exchange) reserveOnce(ctx context.Context) (fleet.Engine, *problem) {
 	hos := exc.host
 	asked := time.Now()
 	res := reservation.Reserve{
@@ -177,9 +201,9 @@
 	eng, known := bel.engines[fleet.EngineID(name)]
 	switch {
 	case !exc.route.Public && !hos.trusted(time.Now()):
-		pro = &problem{status: http.StatusServiceUnavailable, cause: causeNotReady, retryAfter: notReadyRetry, detail: "configuration became too old"}
+		pro = exc.notRun(causeNotReady, "configuration became too old")
 	case !known:
-		pro = &problem{status: http.StatusServiceUnavailable, cause: causeNoEngine, retryAfter: notReadyRetry, detail: "engine is gone"}
+		pro = exc.notRun(causeEngineGone, "engine is gone")
 	case exc.account.Name != "":
 		if _, holds := bel.table.Account(exc.request.Key); !holds {
 			pro = &problem{status: http.StatusUnauthorized, cause: causeUnknownKey, detail: "the key was taken away"}
@@ -189,9 +213,6 @@
 		return eng, nil
 	}
 	hos.desk.release(reservation.Release{ID: id, Engine: name})
-	if exc.mayHaveRun && pro.status == http.StatusServiceUnavailable {
-		pro.status = http.StatusBadGateway
-	}
 	return fleet.Engine{}, pro
 }
 
--- /dev/null
+++ b/entry/attempt_test.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/route"
+	"lynxwell.dev/lynxwell/scheduler"
+)
+
+// An engine that the coordinator still grants although this host knows it to be
+// gone costs a question more, not the request.
+func TestGrantedEngineThatIsGoneIsPassedOver(t *testing.T) {
+	gone := fleet.Engine{ID: "gone", Service: "plain", Slots: 4, Domain: "here"}
+	left := fleet.Engine{ID: "left", Service: "plain", Slots: 4, Domain: "there"}
+	for _, tst := range []struct {
+		name   string
+		known  []fleet.Engine
+		engine fleet.EngineID
+	}{{"one is left", []fleet.Engine{left}, "left"}, {"none is left", nil, ""}} {
+		t.Run(tst.name, func(t *testing.T) {
+			hos, err := New(Config{Log: zerolog.Nop()})
+			assert.NilError(t, err)
+			hos.set.Domain = "here"
+			hos.desk.handle(scheduler.EnginesChanged{Engines: []fleet.Engine{gone, left}})
+			bel := &belief{engines: make(map[fleet.EngineID]fleet.Engine)}
+			for _, eng := range tst.known {
+				bel.engines[eng.ID] = eng
+			}
+			hos.belief.Store(bel)
+			now := time.Now()
+			exc := &exchange{
+				host: hos, started: now, deadline: now.Add(time.Second), service: "plain",
+				route: route.Route{Kind: route.KindSafe, Aim: time.Second, Public: true},
+			}
+			eng, pro := exc.reserve(t.Context())
+			assert.Equal(t, eng.ID, tst.engine)
+			if tst.engine == "" {
+				assert.Equal(t, pro.status, http.StatusServiceUnavailable)
+				assert.Assert(t, pro.retryAfter > 0)
+			}
+		})
+	}
+}
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -51,6 +51,7 @@
 	causeLimit      cause = "AccountLimit"
 	causeBudget     cause = "RepeatBudget"
 	causeNoEngine   cause = "NoEngine"
+	causeEngineGone cause = "EngineGone"
 	causeEngineFull cause = "EngineTurnedAway"
 	causeEngineLost cause = "EngineLost"
 	causeNotReached cause = "EngineNotReached"
@@ -112,6 +113,7 @@
 	if hos.draining.Load() {
 		wri.Header().Set("Connection", "close")
 	}
+	hos.awaitBegun(htr.Context())
 	if pro := exc.admit(htr); pro != nil {
 		exc.refuse(*pro)
 		return
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -39,6 +39,7 @@
 			wri.WriteHeader(http.StatusNotFound)
 			return
 		}
+		hos.awaitBegun(req.Context())
 		addresses := hos.addresses(time.Now())
 		if len(addresses) == 0 {
 			http.Error(wri, "no host takes requests", http.StatusServiceUnavailable)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -78,6 +79,9 @@
 	storeAway atomic.Bool
 	// storeBack wakes the keeper of the lease when the store was regained.
 	storeBack chan struct{}
+	// begun is closed once the host knows a configuration that is current.
+	begun     chan struct{}
+	beginning sync.Once
 	// bounds are those of the newest settings.
 	bounds   atomic.Pointer[settings.Bounds]
 	draining atomic.Bool
@@ -112,6 +116,7 @@
 		figures:   newFigures(cfg.LinesDropped),
 		mirror:    newMirror(),
 		leaving:   make(chan struct{}),
+		begun:     make(chan struct{}),
 		storeBack: make(chan struct{}, 1),
 		done:      make(chan struct{}),
 	}
@@ -194,6 +199,39 @@
 	}
 }
 
+// startGrace is for how long after its start a host lets requests wait for the
+// first configuration: a small host among many that start at once has it after
+// half a second, and callers go elsewhere after a second without a sign.
+const startGrace = 800 * time.Millisecond
+
+// noteBegun lets those go on who wait for the first configuration.
+func (hos *Host) noteBegun() {
+	if ready, _ := hos.ready(time.Now()); ready {
+		hos.beginning.Do(func() { close(hos.begun) })
+	}
+}
+
+// awaitBegun waits until the host can serve, in the first moments after its start.
+func (hos *Host) awaitBegun(ctx context.Context) {
+	left := startGrace - time.Since(hos.started)
+	select {
+	case <-hos.begun:
+		return
+	default:
+	}
+	if left <= 0 {
+		return
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-hos.begun:
+	case <-timer.C:
+	case <-hos.leaving:
+	case <-ctx.Done():
+	}
+}
+
 // Done is closed when the host has stopped.
 func (hos *Host) Done() <-chan struct{} {
 	return hos.done
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -386,6 +386,30 @@
 	assert.Assert(t, strings.Contains(sys.Log(), "no figures are told"))
 }
 
+// Callers that reach a host in its first moments are served once it knows the
+// configuration, and one that learns none refuses them soon.
+func TestRequestsWaitForTheFirstConfiguration(t *testing.T) {
+	for name, tst := range map[string]struct {
+		faults platformtest.Faults
+		status int
+	}{
+		"slow store": {platformtest.Faults{Delay: 100 * time.Millisecond}, http.StatusOK},
+		"lost store": {platformtest.Faults{Down: true}, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sys := entrytest.Prepare(t, twoOfEach())
+			sys.Configure(entrytest.Configuration{Version: 1})
+			sys.Store.SetFaults(tst.faults)
+			sys.StartHosts(entrytest.Config{Hosts: 1})
+			began := time.Now()
+			ans := sys.Send(t.Context(), sys.Hosts[0], entrytest.Request{ID: "r1", Path: "/safe/"})
+			assert.NilError(t, ans.Err)
+			assert.Equal(t, ans.Status, tst.status, ans.Body)
+			assert.Assert(t, time.Since(began) < time.Second, "%s", time.Since(began))
+		})
+	}
+}
+
 func TestFiguresCountRequestsByCause(t *testing.T) {
 	sys := start(t, 1, twoOfEach())
 	assert.Equal(t, sys.Send(t.Context(), sys.Hosts[0], entrytest.Request{ID: "r1", Path: "/safe/"}).Status, http.StatusOK)
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -85,6 +85,7 @@
 	if upd.whole || len(upd.changes.Changes) > 0 || settled {
 		obs.publish()
 	}
+	obs.host.noteBegun()
 }
 
 // lost notes that the store wasn't reached, and waits before the next call.
