fix: a session ends with its context, so a stop that cuts a request isn't killed at the end of its grace

Ruled out: the log's writer, the store, the observer (all other goroutines had ended). Change: the end of a session closes its request.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -418,3 +418,29 @@
 		assert.Assert(t, strings.Contains(sys.Figures(sys.Hosts[0]), name), sys.Figures(sys.Hosts[0]))
 	}
 }
+
+// A stop that must cut its last request ends at once all the same: whoever is
+// killed at the end of the grace can't say why.
+func TestStopThatCutsARequestEndsAtOnce(t *testing.T) {
+	eng := upstreamtest.NewEngine(upstreamtest.Config{ID: "m1", Service: entrytest.Model, Slots: 4, Events: 100, Step: 100 * time.Millisecond})
+	sys := entrytest.Start(t, entrytest.Config{Hosts: 3, Engines: []*upstreamtest.Engine{eng}, Bounds: settings.Bounds{GraceSeconds: 1}})
+	sys.Configure(entrytest.Configuration{Version: 1, Timeout: 20 * time.Second})
+	sys.UntilReady()
+	// One of them is the coordinator, one is next, one is neither.
+	for idx, one := range sys.Hosts {
+		answers := make(chan entrytest.Answer)
+		go func() {
+			answers <- sys.Send(t.Context(), one, entrytest.Request{ID: fmt.Sprint("r", idx), Path: "/stream/", Header: map[string]string{"Token-Counts": "10,20"}})
+		}()
+		sys.Until("the stream has begun", func() bool { return len(eng.Runs()) > idx })
+		assert.Assert(t, one.Drain(t.Context()) != nil)
+		began := time.Now()
+		one.Stop()
+		assert.Assert(t, time.Since(began) < stopWithin, "%s", time.Since(began))
+		assert.Assert(t, (<-answers).Err != nil)
+	}
+}
+
+// stopWithin is what the end of a host may take: what a planned stop leaves of the
+// grace for it.
+const stopWithin = 400 * time.Millisecond
--- a/peer/client.go
+++ b/peer/client.go
@@ -101,7 +101,9 @@
 	cli.cfg.Security.sign(stream.RequestHeader())
 	var wrong *EpochError
 	first := true
-	pum := &pump{stream: clientStream{stream}, queue: que.out, timing: cli.cfg.Timing, self: cli.cfg.Self, unblock: func() {}}
+	pum := &pump{stream: clientStream{stream}, queue: que.out, timing: cli.cfg.Timing, self: cli.cfg.Self}
+	// The transport doesn't look at the context while it waits for more to send.
+	pum.unblock = func() { _ = stream.CloseRequest() }
 	pum.deliver = func(frame *peerpb.Frame) {
 		hea := headerFromWire(frame.GetHeader())
 		if hea.Epoch != mem.Epoch {
