--- a/entry/attempt_test.go
+++ b/entry/attempt_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -47,3 +48,26 @@
 		})
 	}
 }
+
+// What a request's line costs, beside a log that is off.
+func BenchmarkRequestLine(b *testing.B) {
+	for _, tst := range []struct {
+		name string
+		log  zerolog.Logger
+	}{{"Written", zerolog.New(io.Discard).With().Timestamp().Logger()}, {"Off", zerolog.Nop()}} {
+		b.Run(tst.name, func(b *testing.B) {
+			hos, err := New(Config{Log: tst.log})
+			assert.NilError(b, err)
+			now := time.Now()
+			exc := &exchange{
+				host: hos, started: now, deadline: now.Add(time.Second), service: "menus", engine: "e1", decidedBy: "c1",
+				route: route.Route{Name: "r1", Kind: route.KindStreaming}, account: route.Account{Name: "kitchen"}, events: 76,
+			}
+			exc.request.PromptTokens = 6000
+			b.ReportAllocs()
+			for b.Loop() {
+				exc.logEnd(http.StatusOK, causeAnswered, "")
+			}
+		})
+	}
+}
