feat: calls to the store are told by kind

Each call has its price, and only their failures were counted. The figures' address and the line of a host's end tell them by kind.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -60,7 +60,7 @@
 	set      settings.Entry
 	log      zerolog.Logger
 	epoch    request.Epoch
-	store    store.Store
+	store    *store.Recorder
 	figures  *figures
 	desk     *desk
 	mirror   *mirror
@@ -111,7 +111,7 @@
 		return nil, err
 	}
 	hos := &Host{
-		cfg: cfg, set: cfg.Settings, epoch: epoch, store: cfg.Store, started: time.Now(),
+		cfg: cfg, set: cfg.Settings, epoch: epoch, store: store.NewRecorder(cfg.Store), started: time.Now(),
 		log:       cfg.Log.With().Str("Host", cfg.Settings.Name).Logger(),
 		figures:   newFigures(cfg.LinesDropped),
 		mirror:    newMirror(),
@@ -306,7 +306,7 @@
 	<-hos.done
 	hos.peers.Close()
 	hos.upstream.Close()
-	hos.log.Info().Msg("host stopped")
+	hos.log.Info().Interface("StoreCalls", hos.store.Counts()).Msg("host stopped")
 }
 
 const (
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -414,7 +414,7 @@
 	sys := start(t, 1, twoOfEach())
 	assert.Equal(t, sys.Send(t.Context(), sys.Hosts[0], entrytest.Request{ID: "r1", Path: "/safe/"}).Status, http.StatusOK)
 	sys.Until("counted", func() bool { return strings.Contains(sys.Figures(sys.Hosts[0]), "Requests.Safe.Answered 1") })
-	for _, name := range []string{"Request.Time.Safe.P99", "EngineConnections 1", "StoreFailures 0"} {
+	for _, name := range []string{"Request.Time.Safe.P99", "EngineConnections 1", "StoreFailures 0", "StoreCalls.GrantLease 1"} {
 		assert.Assert(t, strings.Contains(sys.Figures(sys.Hosts[0]), name), sys.Figures(sys.Hosts[0]))
 	}
 }
--- a/entry/figures.go
+++ b/entry/figures.go
@@ -61,9 +61,12 @@
 // quantiles are those shown of a histogram.
 var quantiles = []float64{0.5, 0.95, 0.99}
 
-// text returns all figures, one a line, sorted.
-func (fig *figures) text() []byte {
+// text returns all figures and the calls to the store by kind, one a line, sorted.
+func (fig *figures) text(calls map[string]uint64) []byte {
 	var lines []string
+	for kind, count := range calls {
+		lines = append(lines, fmt.Sprintf("StoreCalls.%s %d", kind, count))
+	}
 	fig.registry.Each(func(name string, value any) {
 		switch val := value.(type) {
 		case metrics.Counter:
@@ -95,6 +98,6 @@
 		}
 		wri.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		// A reader that has left can't be told anything more.
-		_, _ = wri.Write(hos.figures.text())
+		_, _ = wri.Write(hos.figures.text(hos.store.Counts()))
 	})
 }
