fix: hosts that wait for the first configuration read through another too

Change: it follows as soon as it has read the store once; changes gather for 400 ms in a host's first 1.5 s.

--- a/entry/observe.go
+++ b/entry/observe.go
@@ -19,6 +19,11 @@
 	// gatherPause is how long changes are let come together after some have come:
 	// each answer is a call, and a bound of seconds leaves room for it.
 	gatherPause = 100 * time.Millisecond
+	// startGather is the same in a host's first moments, which startSettles bounds:
+	// others start with it, and each of their entries is a change. Until the entries
+	// of its failure domain are there, a host can't read through another.
+	startGather  = 400 * time.Millisecond
+	startSettles = 1500 * time.Millisecond
 	// minRetry and maxRetry bound the pause before the store is asked again: each
 	// call counts against its rate, and a configuration must be in force soon.
 	minRetry = 50 * time.Millisecond
@@ -61,12 +66,20 @@
 		obs.regained()
 		obs.apply(upd)
 		if len(upd.changes.Changes) > 0 && !upd.whole {
-			task.Sleep(ctx, gatherPause)
+			task.Sleep(ctx, obs.gather(time.Now()))
 		}
 	}
 	return ctx.Err()
 }
 
+// gather returns how long changes are let come together.
+func (obs *observer) gather(now time.Time) time.Duration {
+	if now.Sub(obs.host.started) < startSettles {
+		return startGather
+	}
+	return gatherPause
+}
+
 // apply takes an update.
 func (obs *observer) apply(upd update) {
 	obs.whole = false
--- a/entry/source.go
+++ b/entry/source.go
@@ -98,7 +98,7 @@
 
 // followed returns the host to read through, if it isn't this one.
 func (obs *observer) followed() (fleet.Member, bool) {
-	if obs.table == nil || obs.host.confirmed.Load() == neverConfirmed {
+	if obs.host.confirmed.Load() == neverConfirmed {
 		return fleet.Member{}, false
 	}
 	if obs.lostAt.IsZero() && time.Now().Before(obs.direct) {
