--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -145,7 +145,7 @@
 	res := reservation.Reserve{
 		ID:      request.ID{Prefix: request.Prefix{Epoch: hos.epoch}, Unique: exc.request.ID},
 		Service: exc.service, Rank: exc.rank, Urgency: max(0, exc.route.Rank), Account: exc.account.Name,
-		PromptTokens: exc.request.PromptTokens, MaxTokens: exc.request.MaxTokens, AnswerTokens: exc.request.HintTokens,
+		PromptTokens: exc.request.PromptTokens, MaxTokens: exc.request.MaxTokens, AnswerTokens: exc.answerTokens(),
 		Remaining: exc.remaining(), Domain: hos.set.Domain, Aim: exc.aim(time.Now()),
 		Cost: exc.account.Cost(exc.request.Tokens()), Attempt: exc.attempts, Exclude: exc.exclude, Parts: exc.request.Parts,
 	}
@@ -164,6 +164,15 @@
 	return exc.granted(dec.grant.Engine, res.ID)
 }
 
+// answerTokens returns the caller's guess of the answer's length, which decides
+// where a stream is begun; one that has begun goes on wherever there is room.
+func (exc *exchange) answerTokens() int {
+	if max(exc.request.LastEvent, exc.lastEvent) > 0 {
+		return 0
+	}
+	return exc.request.HintTokens
+}
+
 const (
 	// minPatience, aimPatience and pausePatience are how long callers of a stream
 	// wait for its next event before they leave: the longest of a time, of so many
--- a/entry/attempt_test.go
+++ b/entry/attempt_test.go
@@ -49,6 +49,29 @@
 	}
 }
 
+// A stream that is too long for its deadline isn't begun at a busy engine, but one
+// that has begun goes on there.
+func TestStreamThatHasBegunGoesOnHoweverLong(t *testing.T) {
+	eng := fleet.Engine{ID: "busy", Service: "model", Slots: 2, Domain: "here"}
+	hos, err := New(Config{Log: zerolog.Nop()})
+	assert.NilError(t, err)
+	hos.desk.handle(scheduler.EnginesChanged{Engines: []fleet.Engine{eng}})
+	hos.belief.Store(&belief{engines: map[fleet.EngineID]fleet.Engine{eng.ID: eng}})
+	send := func(id string, hint int, last int64) *problem {
+		now := time.Now()
+		exc := &exchange{
+			host: hos, started: now, deadline: now.Add(time.Second), service: "model", lastEvent: last,
+			route: route.Route{Kind: route.KindStreaming, Aim: 200 * time.Millisecond, Public: true},
+		}
+		exc.request.ID, exc.request.PromptTokens, exc.request.HintTokens = id, 10, hint
+		_, pro := exc.reserve(t.Context())
+		return pro
+	}
+	assert.Assert(t, send("other", 1, 0) == nil)
+	assert.Equal(t, send("begins", 100_000, 0).cause, causeOverload)
+	assert.Assert(t, send("goes-on", 100_000, 7) == nil)
+}
+
 // What a request's line costs, beside a log that is off.
 func BenchmarkRequestLine(b *testing.B) {
 	for _, tst := range []struct {
