refactor: one rule for when a refusal is a promise, one wait

Read again as a whole: the rule that a refusal promises nothing once an attempt may have run stood twice in the entry's answers; it is one now, and so is the wait in the capacity bench. The wait for a host's first configuration asked twice for what its last look tells. Behaviour is the same; no test was touched.

--- a/bench/capacity.go
+++ b/bench/capacity.go
@@ -16,6 +16,7 @@
 	"lynxwell.dev/lynxwell/load"
 	"lynxwell.dev/lynxwell/resource"
 	"lynxwell.dev/lynxwell/settings"
+	"lynxwell.dev/lynxwell/task"
 )
 
 // CapacityConfig holds what a measurement of the capacity is made from.
@@ -114,14 +115,10 @@
 
 // rest lets the time pass.
 func rest(ctx context.Context, length time.Duration) error {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !task.Sleep(ctx, length) {
 		return ctx.Err()
 	}
+	return nil
 }
 
 // reading is what the counters show at one time.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -129,10 +129,14 @@
 	return fleet.Engine{}, exc.notRun(causeNoEngine, "the engines granted are gone")
 }
 
-// notRun returns the final answer of a request that this attempt didn't run: a
-// promise only if no attempt before may have.
+// notRun returns the final answer of a request that this attempt didn't run.
 func (exc *exchange) notRun(cau cause, detail string) *problem {
-	pro := &problem{status: http.StatusServiceUnavailable, cause: cau, retryAfter: notReadyRetry, detail: detail}
+	return exc.unlessRun(&problem{status: http.StatusServiceUnavailable, cause: cau, retryAfter: notReadyRetry, detail: detail})
+}
+
+// unlessRun takes the promise out of a refusal where an attempt may have run: only
+// what certainly hasn't run may be refused as such.
+func (exc *exchange) unlessRun(pro *problem) *problem {
 	if exc.mayHaveRun {
 		pro.status, pro.retryAfter = http.StatusBadGateway, 0
 	}
@@ -236,11 +240,7 @@
 	case reservation.ReasonNoEngine:
 		pro.cause, pro.detail = causeNoEngine, "no engine is left to try"
 	}
-	if exc.mayHaveRun {
-		// Only what certainly hasn't run may be refused as such.
-		pro.status, pro.retryAfter = http.StatusBadGateway, 0
-	}
-	return pro
+	return exc.unlessRun(pro)
 }
 
 // ended returns the final answer when the time or the caller is gone.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -214,11 +214,6 @@
 // awaitBegun waits until the host can serve, in the first moments after its start.
 func (hos *Host) awaitBegun(ctx context.Context) {
 	left := startGrace - time.Since(hos.started)
-	select {
-	case <-hos.begun:
-		return
-	default:
-	}
 	if left <= 0 {
 		return
 	}
