feat: hosts without the store serve on where revocation isn't strict

Cause: hosts refused every request with a key once the store had been away for four seconds, although this customer's revocation isn't strict; the settings template didn't tell it, nor the window and overshoot of the limits. Ruled out: a number for strictness (a template can't tell a missing value from false), so the setting is a text with three states; left out, it is strict. Change: RevocationIsStrict, LimitWindowSeconds and LimitOvershoot are read and checked by field; where revocation isn't strict, a configuration that once was current is acted on for as long as the store is away. Bounds stand in the line at the start.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -180,9 +180,17 @@
 	return time.Duration(trustShare * float64(hos.bounds.Load().Revoke()))
 }
 
-// trusted reports whether the belief is young enough to act on.
+// trusted reports whether requests with keys may be decided by what the host
+// believes. Where revocation is strict, that ends with the belief's age. Else it
+// is enough that it once was current: the newest configuration that a host knows
+// serves callers better than none while the store is away, engines that have
+// left turn its requests away by their ids, and limits are kept by the hosts
+// among one another.
 func (hos *Host) trusted(now time.Time) bool {
-	return hos.age(now) < hos.trust()
+	if hos.confirmed.Load() == neverConfirmed {
+		return false
+	}
+	return !hos.bounds.Load().RevocationIsStrict.Or(true) || hos.age(now) < hos.trust()
 }
 
 // ready reports whether the host takes requests, and if not, why.
@@ -251,7 +259,7 @@
 		close(hos.done)
 	}()
 	hos.log.Info().Stringer("Epoch", hos.epoch).Str("Domain", hos.set.Domain).
-		Stringer("Callers", hos.set.CallerAddress).Stringer("Store", hos.set.StoreAddress).Msg("host started")
+		Stringer("Callers", hos.set.CallerAddress).Stringer("Store", hos.set.StoreAddress).Interface("Bounds", hos.set.Bounds).Msg("host started")
 	return nil
 }
 
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -345,6 +345,22 @@
 	assert.Assert(t, strings.Contains(sys.Log(), "store lost") && strings.Contains(sys.Log(), "store regained"))
 }
 
+func TestHostWithoutTheStoreServesOnWhereRevocationIsNotStrict(t *testing.T) {
+	sys := entrytest.Start(t, entrytest.Config{Hosts: 1, Engines: twoOfEach(), Bounds: settings.Bounds{
+		RevokeMilliseconds: 500, RevocationIsStrict: settings.ToggleOff,
+	}})
+	sys.Configure(entrytest.Configuration{Version: 1})
+	sys.UntilReady()
+	sys.Store.SetFaults(platformtest.Faults{Down: true})
+	sys.Until("store lost", func() bool { return strings.Contains(sys.Log(), "store lost") })
+	outlasted := time.Now().Add(2 * time.Second)
+	sys.Until("the outage outlasts the bound", func() bool { return time.Now().After(outlasted) })
+	assert.Equal(t, sys.Send(t.Context(), sys.Hosts[0], entrytest.Request{ID: "r1", Path: "/safe/"}).Status, http.StatusOK)
+	assert.Equal(t, sys.Send(t.Context(), sys.Hosts[0], entrytest.Request{ID: "r2", Path: "/safe/", Key: "unknown"}).Status, http.StatusUnauthorized)
+	assert.Equal(t, len(sys.Addresses(sys.Hosts[0])), 1, "callers are still sent to it")
+	assert.Assert(t, sys.IsReady(sys.Hosts[0]))
+}
+
 func TestForgottenHistoryIsReadAnew(t *testing.T) {
 	sys := start(t, 1, twoOfEach())
 	sys.Store.Compact()
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -47,6 +47,10 @@
 	// RevokeMilliseconds is after what time a key that was taken away must not
 	// be served any more, default 5000.
 	RevokeMilliseconds float64
+	// RevocationIsStrict has that bound hold for hosts that don't reach the store
+	// too: they stop serving keys before it is over. Default true, the safe choice;
+	// where it is false, such hosts go on with the newest configuration they know.
+	RevocationIsStrict Toggle
 	// GraceSeconds is how long a planned stop may take, default 8.
 	GraceSeconds float64
 	// MaxKeepSeconds is how long callers keep an answer with addresses at most,
@@ -60,6 +64,12 @@
 	// LimitSlack is how many tokens may be served beyond a client account's limit
 	// in a window, over all hosts; default 100000.
 	LimitSlack float64
+	// LimitWindowSeconds is the window in which a client account's use is counted,
+	// default 8.
+	LimitWindowSeconds float64
+	// LimitOvershoot is the part of the limit in a window by which it may be
+	// exceeded, beside the slack; from 0 to 1, default 0.
+	LimitOvershoot float64
 }
 
 // The defaults of Bounds: what both users' deployments had at first.
@@ -71,6 +81,7 @@
 	defaultRepeatWindowSeconds = 10
 	defaultRepeatSlack         = 50
 	defaultLimitSlack          = 100_000
+	defaultLimitWindowSeconds  = 8
 )
 
 // Revoke returns RevokeMilliseconds as a duration.
@@ -87,6 +98,9 @@
 // RepeatWindow returns RepeatWindowSeconds as a duration.
 func (bou Bounds) RepeatWindow() time.Duration { return seconds(bou.RepeatWindowSeconds) }
 
+// LimitWindow returns LimitWindowSeconds as a duration.
+func (bou Bounds) LimitWindow() time.Duration { return seconds(bou.LimitWindowSeconds) }
+
 func seconds(value float64) time.Duration {
 	return time.Duration(value * float64(time.Second))
 }
@@ -124,6 +138,7 @@
 	fillNumber(&bou.RepeatWindowSeconds, defaultRepeatWindowSeconds)
 	fillNumber(&bou.RepeatSlack, defaultRepeatSlack)
 	fillNumber(&bou.LimitSlack, defaultLimitSlack)
+	fillNumber(&bou.LimitWindowSeconds, defaultLimitWindowSeconds)
 	return bou
 }
 
@@ -134,9 +149,7 @@
 }
 
 func (ent Entry) check(file string) error {
-	bou := ent.Bounds
-	lowest := min(bou.RevokeMilliseconds, bou.GraceSeconds, bou.MaxKeepSeconds, bou.RepeatRatio, bou.RepeatWindowSeconds, bou.RepeatSlack, bou.LimitSlack)
-	return firstFailed(file, []fieldCheck{
+	return firstFailed(file, append([]fieldCheck{
 		{ent.Name != "", "Name", "want a host name"},
 		{ent.Domain != "", "Domain", "want a failure domain"},
 		{usable(ent.CallerAddress), "CallerAddress", wantAddress},
@@ -146,8 +159,24 @@
 		{usable(ent.MetricsAddress), "MetricsAddress", wantAddress},
 		{usable(ent.StoreAddress), "StoreAddress", wantAddress},
 		{len(ent.PeerKey) >= minKeyLen, "PeerKey", "want a key of 16 bytes or more"},
-		{ent.Cores >= 0, "Cores", "want 0 or more"},
-		{ent.CoreSpeed >= 0, "CoreSpeed", "want 0 or more"},
-		{lowest >= 0, "Bounds", "want figures of 0 or more"},
-	})
+		{ent.Cores >= 0, "Cores", wantPositive},
+		{ent.CoreSpeed >= 0, "CoreSpeed", wantPositive},
+	}, ent.Bounds.checks()...))
+}
+
+const wantPositive = "want 0 or more"
+
+func (bou Bounds) checks() []fieldCheck {
+	return []fieldCheck{
+		{bou.RevokeMilliseconds >= 0, "Bounds.RevokeMilliseconds", wantPositive},
+		{bou.RevocationIsStrict.valid(), "Bounds.RevocationIsStrict", wantToggle},
+		{bou.GraceSeconds >= 0, "Bounds.GraceSeconds", wantPositive},
+		{bou.MaxKeepSeconds >= 0, "Bounds.MaxKeepSeconds", wantPositive},
+		{bou.RepeatRatio >= 0, "Bounds.RepeatRatio", wantPositive},
+		{bou.RepeatWindowSeconds >= 0, "Bounds.RepeatWindowSeconds", wantPositive},
+		{bou.RepeatSlack >= 0, "Bounds.RepeatSlack", wantPositive},
+		{bou.LimitSlack >= 0, "Bounds.LimitSlack", wantPositive},
+		{bou.LimitWindowSeconds >= 0, "Bounds.LimitWindowSeconds", wantPositive},
+		{bou.LimitOvershoot >= 0 && bou.LimitOvershoot <= 1, "Bounds.LimitOvershoot", "want 0 to 1"},
+	}
 }
