fix: connections that went silent for good are found and replaced

Cause: a session between hosts that fell silent was opened again on the same connection, for ever; a request sent on a kept connection to an engine, or a stream that an engine no longer sent, waited for the caller's deadline. Ruled out: bounds on the first event alone (an engine that is slow isn't gone, and a kept connection that swallowed a request looks the same).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,7 +17,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -36,6 +35,7 @@
 	"lynxwell.dev/lynxwell/settings"
 	"lynxwell.dev/lynxwell/store"
 	"lynxwell.dev/lynxwell/task"
+	"lynxwell.dev/lynxwell/transport"
 	"lynxwell.dev/lynxwell/upstream"
 )
 
@@ -273,6 +273,10 @@
 // metricsListener names the one address that a host can do without.
 const metricsListener = "MetricsAddress"
 
+// liveness ends connections of callers and hosts that went silent for good: by
+// then a caller of a stream has left, and an engine would work for nobody.
+var liveness = transport.Liveness{Limit: 2500 * time.Millisecond}
+
 func (hos *Host) serve(ctx context.Context) error {
 	peers := peer.NewServer(peer.ServerConfig{Sessions: hos.desk, Mirror: hos.mirror, Security: hos.security(), Timing: peerTiming})
 	all := []listener{
@@ -282,9 +286,8 @@
 		{"PeerAddress", hos.set.PeerAddress, peers.HTTPServer()},
 		{metricsListener, hos.set.MetricsAddress, plainServer(hos.metricsHandler())},
 	}
-	var cfg net.ListenConfig
 	for _, one := range all {
-		lis, err := cfg.Listen(ctx, "tcp", one.address.String())
+		lis, err := liveness.Listen(ctx, one.address)
 		if err != nil && one.name == metricsListener {
 			// Callers need no figures: a host without them is better than none.
 			hos.log.Warn().Err(err).Msg("no figures are told, their address can't be used")
--- a/peer/client.go
+++ b/peer/client.go
@@ -56,6 +56,7 @@
 		Protocols:       &protocols,
 		TLSClientConfig: cfg.Security.TLS,
 		IdleConnTimeout: time.Minute,
+		HTTP2:           pings(cfg.Timing),
 	}
 	return &Client{
 		cfg:   cfg,
@@ -64,6 +65,13 @@
 	}
 }
 
+// pings has a connection that fell silent closed: a lost session alone leaves it
+// in use, and every later one would be opened on it. Sessions that beat need no
+// ping; one goes out after half the time that a session may be silent.
+func pings(tim Timing) *http.HTTP2Config {
+	return &http.HTTP2Config{SendPingTimeout: tim.Timeout / 2, PingTimeout: tim.Timeout}
+}
+
 // Close drops the connections that aren't in use.
 func (cli *Client) Close() {
 	cli.http.CloseIdleConnections()
--- a/peer/meter.go
+++ b/peer/meter.go
@@ -4,6 +4,9 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"time"
+
+	"lynxwell.dev/lynxwell/transport"
 )
 
 // Meter counts the bytes between this host and the others.
@@ -22,14 +25,21 @@
 	return met.sent.Load()
 }
 
+// liveness ends connections between hosts of which the other end is gone without
+// a word; the sessions on them notice silence by themselves, and sooner.
+var liveness = transport.Liveness{Limit: 1500 * time.Millisecond}
+
+// dialTimeout bounds a connection to another host: a lost opening packet is sent
+// again after a second, and a host that is cut off says nothing.
+const dialTimeout = 2 * time.Second
+
 // Listener returns a listener whose connections are counted.
 func (met *Meter) Listener(lis net.Listener) net.Listener {
 	return &meteredListener{Listener: lis, meter: met}
 }
 
 func (met *Meter) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	var dialer net.Dialer
-	con, err := dialer.DialContext(ctx, network, address)
+	con, err := liveness.Dialer(dialTimeout).DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/processtest/link.go
+++ b/processtest/link.go
@@ -22,6 +22,8 @@
 	silentBack bool
 	delay      time.Duration
 	open       map[net.Conn]bool
+	// mute are connections that swallow everything from now on.
+	mute map[net.Conn]bool
 }
 
 // NewLink returns a link to the target; it ends with the test.
@@ -31,7 +33,7 @@
 	lis, err := cfg.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	lnk := &Link{
-		Address: netip.MustParseAddrPort(lis.Addr().String()), target: target, lis: lis, open: make(map[net.Conn]bool),
+		Address: netip.MustParseAddrPort(lis.Addr().String()), target: target, lis: lis, open: make(map[net.Conn]bool), mute: make(map[net.Conn]bool),
 	}
 	end := make(chan struct{})
 	go func() {
@@ -78,6 +80,16 @@
 	lnk.silentOut, lnk.silentBack = out, back
 }
 
+// SilenceOpen has the connections that are open now swallow everything for good;
+// new ones work.
+func (lnk *Link) SilenceOpen() {
+	lnk.mutex.Lock()
+	defer lnk.mutex.Unlock()
+	for con := range lnk.open {
+		lnk.mute[con] = true
+	}
+}
+
 // Delay holds what passes up.
 func (lnk *Link) Delay(wait time.Duration) {
 	lnk.mutex.Lock()
@@ -142,6 +154,7 @@
 	if outward {
 		silent = lnk.silentOut
 	}
+	silent = silent || lnk.mute[to]
 	lnk.mutex.Unlock()
 	if silent {
 		return true
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -16,8 +16,14 @@
 	"github.com/cockroachdb/errors"
 
 	"lynxwell.dev/lynxwell/call"
+	"lynxwell.dev/lynxwell/transport"
 )
 
+// liveness ends calls on connections that went silent for good while there is
+// still time to go on elsewhere: callers of a stream leave after two seconds, and
+// three losses in a row on a bad link are over within one.
+var liveness = transport.Liveness{Limit: time.Second}
+
 // Client reaches engines and backend servers.
 type Client struct {
 	cfg   ClientConfig
@@ -133,8 +139,7 @@
 }
 
 func (cli *Client) dial(ctx context.Context, adr netip.AddrPort) (*connection, error) {
-	dialer := net.Dialer{Timeout: cli.cfg.DialTimeout}
-	con, err := dialer.DialContext(ctx, "tcp", adr.String())
+	con, err := liveness.Dialer(cli.cfg.DialTimeout).DialContext(ctx, "tcp", adr.String())
 	if err != nil {
 		return nil, err
 	}
