feat: engines are told apart by a factor each, learned from their first answers

Cause: a prompt that was late at an engine counted as read, so five more requests were sent behind a prompt of 43,000 tokens and all were lost; first events took 1.5 times what was predicted at fast engines, 2.5 at slow ones, since the time of a token took the fixed part in, and new engines had to learn everything alone. Change: package pace: what a service's engines have in common is fitted over all of them, each has a factor that its first answers tell; reading is a queue, whose head may be overdue.

--- /dev/null
+++ b/pace/pace_test.go
@@ -0,0 +1,102 @@
+package pace_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lynxwell.dev/lynxwell/pace"
+)
+
+// true engines: what a prompt and an event take there.
+type trueEngine struct{ slow float64 }
+
+func (tru trueEngine) first(tokens int) time.Duration {
+	length := float64(tokens)
+	return time.Duration(tru.slow * (40 + length/70 + length*length*0.24e-6) * float64(time.Millisecond))
+}
+
+func (tru trueEngine) events(count int) time.Duration {
+	return time.Duration(tru.slow * 16 * float64(count-1) * float64(time.Millisecond))
+}
+
+func within(t *testing.T, got, want time.Duration, part float64) {
+	t.Helper()
+	assert.Assert(t, math.Abs(float64(got-want)) <= part*float64(want), "got %s, want %s", got, want)
+}
+
+var prompts = []int{628, 1800, 6600, 300, 12000, 2500, 900, 25000, 1500, 4000}
+
+func TestUnlikeEnginesAreToldApartWithinAFewAnswers(t *testing.T) {
+	svc := pace.NewService(pace.Prior)
+	fast, slow := svc.NewEngine(pace.Profile{}), svc.NewEngine(pace.Profile{})
+	for idx := range 100 {
+		tokens := prompts[idx%len(prompts)]
+		fast.ObserveRead(tokens, trueEngine{0.7}.first(tokens))
+		fast.ObserveEvents(40, trueEngine{0.7}.events(40))
+		if idx%20 == 0 {
+			slow.ObserveRead(1800, trueEngine{3}.first(1800))
+		}
+	}
+	for _, tokens := range []int{300, 2000, 8000, 30000} {
+		within(t, fast.Overhead()+fast.ReadTime(tokens), trueEngine{0.7}.first(tokens), 0.15)
+		within(t, slow.Overhead()+slow.ReadTime(tokens), trueEngine{3}.first(tokens), 0.3)
+	}
+	within(t, fast.Event(), 11*time.Millisecond, 0.15)
+	// No long answer told of the slow one's events; its reading does.
+	within(t, slow.Event(), 48*time.Millisecond, 0.4)
+}
+
+func TestProfileIsWhatAnotherHostBeginsWith(t *testing.T) {
+	svc := pace.NewService(pace.Prior)
+	eng := svc.NewEngine(pace.Profile{})
+	assert.Assert(t, !eng.Known())
+	assert.Equal(t, eng.Profile(), pace.Profile{})
+	for range 10 {
+		eng.ObserveRead(1800, 4*(35*time.Millisecond+27*time.Millisecond))
+	}
+	other := pace.NewService(pace.Prior).NewEngine(eng.Profile())
+	assert.Assert(t, other.Known())
+	within(t, other.ReadTime(5000), eng.ReadTime(5000), 0.4)
+}
+
+func TestWhatTellsNothingIsPassedOver(t *testing.T) {
+	eng := pace.NewService(pace.Prior).NewEngine(pace.Profile{Read: math.NaN(), Event: math.Inf(1), Weight: 5})
+	eng.ObserveRead(0, time.Second)
+	eng.ObserveRead(100, 0)
+	eng.ObserveEvents(2, time.Second)
+	assert.Assert(t, eng.ReadTime(1000) > 0 && eng.Event() > 0)
+}
+
+func TestPredictionsStaySaneWhateverIsObserved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		svc := pace.NewService(pace.Prior)
+		eng := svc.NewEngine(pace.Profile{Read: rapid.Float64().Draw(t, "read"), Event: rapid.Float64().Draw(t, "event"), Weight: rapid.Float64().Draw(t, "weight")})
+		for range rapid.IntRange(0, 60).Draw(t, "answers") {
+			took := time.Duration(rapid.Int64Range(-1, int64(time.Hour)).Draw(t, "took"))
+			eng.ObserveRead(rapid.IntRange(-1, 1_000_000).Draw(t, "tokens"), took)
+			eng.ObserveEvents(rapid.IntRange(-1, 5000).Draw(t, "events"), took)
+		}
+		former := time.Duration(0)
+		for _, tokens := range []int{0, 1, 100, 10_000, 200_000} {
+			read := eng.ReadTime(tokens)
+			if read < former {
+				t.Fatalf("a longer prompt is read sooner: %d in %s, a shorter one in %s", tokens, read, former)
+			}
+			former = read
+		}
+		if eng.Event() <= 0 || eng.Overhead() <= 0 {
+			t.Fatalf("event %s, overhead %s", eng.Event(), eng.Overhead())
+		}
+	})
+}
+
+func BenchmarkPredict(b *testing.B) {
+	eng := pace.NewService(pace.Prior).NewEngine(pace.Profile{Read: 2, Event: 2, Weight: 5})
+	for b.Loop() {
+		_ = eng.Overhead() + eng.ReadTime(6600) + eng.Event()
+	}
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/pace"
 	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/reservation"
 	"lynxwell.dev/lynxwell/route"
@@ -31,6 +32,8 @@
 	engines []*engine
 	waiting []*waiter
 	repeats repeats
+	// pace is what the service's engines have in common.
+	pace *pace.Service
 	// arrivals numbers the waiters, for those of the same rank.
 	arrivals uint64
 }
@@ -92,7 +95,7 @@
 func (cor *Core) service(name string) *service {
 	svc := cor.services[name]
 	if svc == nil {
-		svc = &service{name: name, repeats: repeats{cfg: cor.cfg.Repeats}}
+		svc = &service{name: name, repeats: repeats{cfg: cor.cfg.Repeats}, pace: pace.NewService(pace.Prior)}
 		cor.services[name] = svc
 	}
 	return svc
@@ -107,7 +110,7 @@
 		known[eng.ID] = true
 		ene := cor.engines[eng.ID]
 		if ene == nil {
-			ene = newEngine(eng)
+			ene = newEngine(eng, cor.service(eng.Service).pace.NewEngine(pace.Profile{}))
 			cor.engines[eng.ID] = ene
 		}
 		ene.Engine = eng
@@ -284,12 +287,12 @@
 	res := wai.reserve
 	rnn := &run{
 		engine: best, gateway: wai.gateway, account: res.Account, cost: cor.costOf(res), tokens: tokens, unread: true,
-		expected: best.firstToken(now, tokens),
+		expected: best.firstToken(now, tokens), queued: len(best.running) >= best.Slots,
 	}
 	inp := svc.inputs(now, wai.since)
 	inp.Running, inp.Unread, inp.Expected = len(best.running), best.unreadTime(now), rnn.expected
+	best.begin(now, rnn)
 	if tokens > 0 {
-		best.readUntil = now.Add(best.unreadTime(now) + time.Duration(tokens)*best.pace)
 		best.remember(res.Parts)
 	}
 	best.health.given()
@@ -385,8 +388,8 @@
 	if rnn == nil || !rnn.unread {
 		return
 	}
-	rnn.engine.learn(rnn, pro.FirstToken)
-	rnn.engine.read(now, rnn)
+	rnn.engine.learnRead(rnn, pro.FirstToken)
+	rnn.engine.end(now, rnn)
 	rnn.engine.health.succeeded()
 	cor.serveEngine(now, rnn.engine)
 }
@@ -419,12 +422,9 @@
 	}
 	if rel.FirstToken > 0 {
 		ene.learnStay(rel.Total)
-		ene.learnStep(rel.DecodeTokens, rel.Total-rel.FirstToken)
-	}
-	if rnn.unread {
-		ene.readUntil = ene.readUntil.Add(-time.Duration(rnn.tokens) * ene.pace)
-		ene.read(now, rnn)
+		ene.model.ObserveEvents(rel.DecodeTokens, rel.Total-rel.FirstToken)
 	}
+	ene.end(now, rnn)
 	cor.serveEngine(now, ene)
 }
 
@@ -435,9 +435,7 @@
 		return
 	}
 	rnn := &run{engine: ene, gateway: from, account: ado.Account, cost: ado.Cost, tokens: ado.PromptTokens, unread: ado.Unread}
-	if ado.Unread {
-		ene.readUntil = now.Add(ene.unreadTime(now) + time.Duration(ado.PromptTokens)*ene.pace)
-	}
+	ene.begin(now, rnn)
 	ene.running[ado.ID] = rnn
 	cor.runs[ado.ID] = rnn
 }
@@ -451,7 +449,7 @@
 		if rnn.gateway == gateway {
 			delete(cor.runs, id)
 			delete(rnn.engine.running, id)
-			rnn.engine.read(now, rnn)
+			rnn.engine.end(now, rnn)
 		}
 	}
 	for _, svc := range cor.services {
--- a/scheduler/dump.go
+++ b/scheduler/dump.go
@@ -24,6 +24,10 @@
 	// Requests and Repeated are those of the last window.
 	Requests float64
 	Repeated float64
+	// Overhead, Token and Event are the speed that engines are compared with.
+	Overhead string
+	Token    string
+	Event    string
 	Engines  []EngineDump
 }
 
@@ -35,11 +39,13 @@
 	Draining bool
 	// Unread is how long it still reads the prompts it was given.
 	Unread string
-	// Pace is the time to read a token, Step that between two events, Work that
-	// of a request without a prompt.
-	Pace string
-	Step string
-	Work string
+	// Read and Event are how many times as long as the reference's its reading and
+	// its events take, Weight how many answers told so; Work is the time of a request
+	// without a prompt.
+	Read   float64
+	Event  float64
+	Weight float64
+	Work   string
 	// AsideFor is for how long it gets nothing because it failed; empty for not.
 	AsideFor string
 	// CachedTokens are taken to be in its cache.
@@ -71,7 +77,11 @@
 
 func (svc *service) dump(now time.Time) ServiceDump {
 	svc.repeats.advance(now)
-	dum := ServiceDump{Name: svc.name, Waiting: len(svc.waiting)}
+	ref := svc.pace.Reference()
+	dum := ServiceDump{
+		Name: svc.name, Waiting: len(svc.waiting),
+		Overhead: ref.Overhead.String(), Token: ref.Token.String(), Event: ref.Event.String(),
+	}
 	for idx := range windowSlots {
 		dum.Requests += svc.repeats.requests[idx]
 		dum.Repeated += svc.repeats.repeated[idx]
@@ -83,9 +93,11 @@
 }
 
 func (ene *engine) dump(now time.Time) EngineDump {
+	pro := ene.model.Profile()
 	dum := EngineDump{
 		ID: ene.ID, Running: len(ene.running), Slots: ene.Slots, Draining: ene.Draining, Unread: ene.unreadTime(now).String(),
-		Pace: ene.pace.String(), Step: ene.step.String(), Work: ene.work.String(), CachedTokens: ene.partTokens,
+		Read: pro.Read, Event: pro.Event, Weight: pro.Weight,
+		Work: ene.work.String(), CachedTokens: ene.partTokens,
 	}
 	if ene.health.aside > 0 {
 		dum.AsideFor = max(0, ene.health.until.Sub(now)).String()
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -2,12 +2,14 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"lynxwell.dev/lynxwell/call"
 	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/pace"
 	"lynxwell.dev/lynxwell/request"
 )
 
@@ -15,17 +17,18 @@
 type engine struct {
 	fleet.Engine
 	running map[request.ID]*run
-	// pace is the time to read one token of a prompt.
-	pace time.Duration
+	// model is how fast it reads prompts and writes answers.
+	model *pace.Engine
+	// reading are the runs whose prompts it hasn't read, in the order that it got
+	// them; headSince is when it began with the first.
+	reading   []*run
+	headSince time.Time
 	// work is the time of a request without a prompt.
 	work time.Duration
 	// stay is how long a request with a prompt keeps a slot.
 	stay time.Duration
-	// step is the time between two events of an answer, each of eventTokens.
-	step        time.Duration
+	// eventTokens is how many tokens an event of an answer holds.
 	eventTokens int
-	// readUntil is when everything given to the engine so far is read.
-	readUntil time.Time
 	// parts are the parts of prompts taken to be in the engine's cache.
 	parts       *simplelru.LRU[uint64, int]
 	partTokens  int
@@ -42,6 +45,13 @@
 	// tokens are those to be read; 0 for a request without a prompt.
 	tokens int
 	unread bool
+	// read is how long the engine was predicted to read them, given when it got
+	// the run.
+	read  time.Duration
+	given time.Time
+	// queued says that it had to wait for a slot or for other prompts, so that its
+	// first event tells nothing of the engine's speed.
+	queued bool
 	// expected is how long the first token was predicted to take.
 	expected time.Duration
 }
@@ -49,19 +59,64 @@
 // maxParts bounds the parts remembered of an engine.
 const maxParts = 4096
 
-func newEngine(eng fleet.Engine) *engine {
+func newEngine(eng fleet.Engine, model *pace.Engine) *engine {
 	ene := &engine{
-		Engine: eng, running: make(map[request.ID]*run), pace: assumedPace, work: assumedWork,
-		stay: assumedStay, step: assumedStep, eventTokens: 1, cacheTokens: assumedCacheTokens,
+		Engine: eng, running: make(map[request.ID]*run), model: model, work: assumedWork,
+		stay: assumedStay, eventTokens: 1, cacheTokens: assumedCacheTokens,
 	}
 	// The only error is a size below 1.
 	ene.parts, _ = simplelru.NewLRU(maxParts, func(_ uint64, tokens int) { ene.partTokens -= tokens })
 	return ene
 }
 
-// unreadTime returns how long the engine still reads what it was given.
+// unreadTime returns how long the engine still reads what it was given. A prompt
+// whose first event is overdue is taken to need as long again as it is late: what
+// comes behind it waits too.
 func (ene *engine) unreadTime(now time.Time) time.Duration {
-	return max(0, ene.readUntil.Sub(now))
+	if len(ene.reading) == 0 {
+		return 0
+	}
+	head := ene.reading[0]
+	spent := now.Sub(ene.headSince)
+	late := spent - head.read - ene.model.Overhead()
+	left := max(0, head.read-spent, late)
+	for _, rnn := range ene.reading[1:] {
+		left += rnn.read
+	}
+	return left
+}
+
+// begin notes that the engine got a run.
+func (ene *engine) begin(now time.Time, rnn *run) {
+	rnn.given = now
+	if !rnn.unread || rnn.tokens == 0 {
+		return
+	}
+	rnn.read = ene.model.ReadTime(rnn.tokens)
+	rnn.queued = rnn.queued || len(ene.reading) > 0
+	if len(ene.reading) == 0 {
+		ene.headSince = now
+	}
+	ene.reading = append(ene.reading, rnn)
+}
+
+// end notes that the engine has read a run's prompt, or has it no more.
+func (ene *engine) end(now time.Time, rnn *run) {
+	rnn.unread = false
+	place := slices.Index(ene.reading, rnn)
+	if place < 0 {
+		return
+	}
+	ene.reading = slices.Delete(ene.reading, place, place+1)
+	if place > 0 || len(ene.reading) == 0 {
+		return
+	}
+	// It began with the next one when it had read this one, some steps before the
+	// first event.
+	ene.headSince = now
+	if began := now.Add(-ene.model.Overhead()); began.After(ene.reading[0].given) {
+		ene.headSince = began
+	}
 }
 
 // toRead returns how many tokens of a prompt the engine's cache lacks: parts
@@ -96,25 +151,26 @@
 		queued := max(0, len(ene.running)-ene.Slots+1)
 		return ene.work + ene.work*time.Duration(queued)/time.Duration(max(1, ene.Slots))
 	}
+	return max(ene.unreadTime(now), ene.slotWait()) + ene.model.ReadTime(tokens) + ene.model.Overhead()
+}
+
+// slotWait predicts how long the next request waits for a slot.
+func (ene *engine) slotWait() time.Duration {
 	queued := max(0, len(ene.running)-ene.Slots+1)
-	slotWait := ene.stay * time.Duration(queued) / time.Duration(max(1, ene.Slots))
-	return max(ene.unreadTime(now), slotWait) + time.Duration(tokens)*ene.pace + firstOverhead
+	return ene.stay * time.Duration(queued) / time.Duration(max(1, ene.Slots))
 }
 
-// learn takes a measured first token into the pace.
-func (ene *engine) learn(rnn *run, took time.Duration) {
-	if rnn.tokens < minLearnTokens || rnn.expected <= firstOverhead {
-		return
+// learnRead takes in how long a prompt that waited for nothing took to its first
+// event.
+func (ene *engine) learnRead(rnn *run, took time.Duration) {
+	if !rnn.queued {
+		ene.model.ObserveRead(rnn.tokens, took)
 	}
-	ratio := float64(max(time.Millisecond, took-firstOverhead)) / float64(rnn.expected-firstOverhead)
-	ratio = min(3, max(1.0/3, ratio))
-	pace := float64(ene.pace) * (1 + paceGain*(ratio-1))
-	ene.pace = min(maxPace, max(minPace, time.Duration(pace)))
 }
 
 // learnWork takes the measured time of a request without a prompt.
 func (ene *engine) learnWork(took time.Duration) {
-	ene.work += time.Duration(paceGain * float64(took-ene.work))
+	ene.work += time.Duration(workGain * float64(took-ene.work))
 }
 
 // learnStay takes the measured time of a request with a prompt.
@@ -122,13 +178,9 @@
 	ene.stay += time.Duration(stayGain * float64(took-ene.stay))
 }
 
-// learnStep takes the measured time between the events of an answer.
-func (ene *engine) learnStep(events int, took time.Duration) {
-	if events < minLearnEvents {
-		return
-	}
-	step := took / time.Duration(events-1)
-	ene.step += time.Duration(paceGain * float64(step-ene.step))
+// stayTime predicts how long an answer takes from its first event on.
+func (ene *engine) stayTime(answerTokens int) time.Duration {
+	return time.Duration(float64(answerTokens) / float64(ene.eventTokens) * float64(ene.model.Event()))
 }
 
 // finishChance returns how likely a stream ends before its deadline here: its
@@ -142,25 +194,6 @@
 	if room <= 0 {
 		return 0
 	}
-	need := float64(answerTokens) / float64(ene.eventTokens) * float64(ene.step)
-	off := math.Log2(float64(room)/need) / hintSpread
+	off := math.Log2(float64(room)/float64(ene.stayTime(answerTokens))) / hintSpread
 	return 0.5 * (1 + math.Erf(off/math.Sqrt2))
 }
-
-// read says that the engine has read a run's prompt.
-func (ene *engine) read(now time.Time, rnn *run) {
-	rnn.unread = false
-	if ene.unreadCount() == 0 {
-		ene.readUntil = now
-	}
-}
-
-func (ene *engine) unreadCount() int {
-	count := 0
-	for _, rnn := range ene.running {
-		if rnn.unread && rnn.tokens > 0 {
-			count++
-		}
-	}
-	return count
-}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -119,27 +119,16 @@
 	// unreadLimit is how much prompt, in the engine's own time, may be unread at
 	// an engine before it gets more; from trials.
 	unreadLimit = 200 * time.Millisecond
-	// assumedPace is the time to read one token of a prompt at an engine that
-	// nothing is known of; measured paces replace it within a few requests.
-	assumedPace = 20 * time.Microsecond
 	// assumedWork is the time of a request to a plain service nothing is known of.
 	assumedWork = 30 * time.Millisecond
-	// firstOverhead is the time to a first token beside reading the prompt: the
-	// way there and back, and the steps around it; measured on calm days.
-	firstOverhead = 20 * time.Millisecond
-	// paceGain is the weight of a new measurement in the learned pace.
-	paceGain = 0.2
-	// minLearnTokens is the shortest prompt whose reading tells the pace.
-	minLearnTokens = 400
 	// assumedStay is how long a request keeps a slot of an engine nothing is known of.
 	assumedStay = time.Second
+	// workGain is the weight of a new measurement in the learned time of a request
+	// without a prompt.
+	workGain = 0.2
 	// stayGain is the weight of a new measurement in the learned stay: lengths
 	// differ a hundredfold, so it is slow.
 	stayGain = 0.05
-	// assumedStep is the time between two events at an engine nothing is known of.
-	assumedStep = 25 * time.Millisecond
-	// minLearnEvents is the shortest answer whose events tell their pace.
-	minLearnEvents = 8
 	// hintSpread is by how many doublings callers' guesses of an answer's length
 	// are off, as a standard deviation; measured on twelve days.
 	hintSpread = 0.72
@@ -149,10 +138,6 @@
 	// finishCost is what a stream that certainly misses its deadline counts in the
 	// choice, beside the time to the first token.
 	finishCost = 1000 * time.Millisecond
-	// minPace and maxPace bound the learned pace against outliers: a fifth of the
-	// assumed one and fifty times it.
-	minPace = assumedPace / 5
-	maxPace = assumedPace * 50
 	// loadCost is what an engine full to its slots counts in the choice, beside
 	// the time to the first token: all its streams slow down with each more.
 	loadCost = 40 * time.Millisecond
