feat: late prompts go where they are soonest; returners yield; what was learned of engines is kept

Slots are taken by callers that come back late while those that could be in time are refused. Hosts that start know no engine's speed. Change: what is late everywhere goes where its first event comes soonest, if its caller waits that long; refused requests are known again by their prompt's last part and go behind those that can be in time; slot waits follow the predicted ends of runs; the coordinator records engines' speed in the store, for hosts that start.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -402,7 +402,11 @@
 func (exc *exchange) noteEvent(att *attempt, evt upstream.Event) {
 	att.release.DecodeTokens++
 	exc.events++
-	exc.lastHeard = time.Now()
+	now := time.Now()
+	if exc.events > 1 {
+		exc.longestPause = max(exc.longestPause, now.Sub(exc.lastHeard))
+	}
+	exc.lastHeard = now
 	if evt.ID > 0 {
 		exc.lastEvent = evt.ID
 	}
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -94,11 +94,13 @@
 	lastEvent  int64
 	events     int
 	// lastHeard is when the caller was last sent an event.
-	lastHeard  time.Time
-	engine     string
-	decidedBy  string
-	waited     time.Duration
-	firstAfter time.Duration
+	lastHeard time.Time
+	// longestPause is the longest time between two events that the caller was sent.
+	longestPause time.Duration
+	engine       string
+	decidedBy    string
+	waited       time.Duration
+	firstAfter   time.Duration
 }
 
 func (hos *Host) callerServer() *http.Server {
@@ -287,7 +289,7 @@
 		evt = evt.Int("PromptTokens", exc.request.PromptTokens).Int("MaxTokens", exc.request.MaxTokens).Int("HintTokens", exc.request.HintTokens)
 	}
 	if exc.events > 0 {
-		evt = evt.Int("Events", exc.events).Int64("LastEvent", exc.lastEvent)
+		evt = evt.Int("Events", exc.events).Int64("LastEvent", exc.lastEvent).Dur("Pause", exc.longestPause)
 	}
 	if detail != "" {
 		evt = evt.Str("Detail", detail)
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/pace"
 	"lynxwell.dev/lynxwell/peer"
 	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/reservation"
@@ -37,6 +38,8 @@
 	// that requests have, as another coordinator is told of them.
 	tickets map[request.ID]*ticket
 	holds   map[request.ID]*reservation.Adopt
+	// survey is what the hosts have recorded of the engines' speed.
+	survey pace.Survey
 }
 
 // link is this host's session with a coordinator.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -253,6 +253,7 @@
 	hos.tasks.Run("lease", func() error { return hos.keepLease(ctx) })
 	hos.tasks.Run("sessions", func() error { return hos.desk.keepSessions(ctx) })
 	hos.tasks.Run("settings", func() error { return hos.followSettings(ctx) })
+	hos.tasks.Run("survey", func() error { return hos.keepSurvey(ctx) })
 	hos.tasks.Run("housekeeping", func() error { return hos.keepHouse(ctx) })
 	go func() {
 		hos.tasks.Wait()
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -426,6 +426,30 @@
 	}
 }
 
+func TestWhatWasLearnedOfEnginesOutlastsAllHosts(t *testing.T) {
+	sys := start(t, 2, twoOfEach())
+	for idx := range 20 {
+		sys.Send(t.Context(), sys.Hosts[idx%2], entrytest.Request{ID: fmt.Sprint("r", idx), Path: "/stream/", Header: map[string]string{"Token-Counts": "500,20"}})
+	}
+	sys.Until("survey recorded", func() bool { return strings.Contains(sys.Log(), "survey recorded") })
+	for _, hos := range sys.Hosts {
+		hos.Stop()
+	}
+	sys.Hosts = nil
+	sys.StartHosts(entrytest.Config{Hosts: 1})
+	sys.UntilReady()
+	assert.Assert(t, len(sys.Hosts[0].Dump().Scheduler.Services) > 0)
+	known := 0
+	for _, svc := range sys.Hosts[0].Dump().Scheduler.Services {
+		for _, eng := range svc.Engines {
+			if eng.Weight > 0 {
+				known++
+			}
+		}
+	}
+	assert.Assert(t, known > 0, "%+v", sys.Hosts[0].Dump().Scheduler)
+}
+
 func TestFiguresCountRequestsByCause(t *testing.T) {
 	sys := start(t, 1, twoOfEach())
 	assert.Equal(t, sys.Send(t.Context(), sys.Hosts[0], entrytest.Request{ID: "r1", Path: "/safe/"}).Status, http.StatusOK)
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -152,6 +152,8 @@
 			engines = obs.appendEngine(engines, val)
 		case platform.KeyMember:
 			members = obs.appendMember(members, val)
+		case platform.KeySurvey:
+			obs.takeSurvey(val)
 		case platform.KeyOther:
 		}
 	}
@@ -182,6 +184,8 @@
 	switch {
 	case kind == platform.KeyConfiguration && !cha.Deleted:
 		obs.takeConfiguration(cha.Value)
+	case kind == platform.KeySurvey && !cha.Deleted:
+		obs.takeSurvey(cha.Value)
 	case kind == platform.KeyEngine && cha.Deleted:
 		obs.host.log.Info().Str("Engine", name).Uint64("Revision", uint64(cha.Revision)).Msg("engine gone")
 		obs.directory.RemoveEngine(time.Now(), fleet.EngineID(name))
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -46,8 +46,8 @@
 const (
 	// quadraticTokens is the length of a prompt whose attention costs as much time
 	// as all the rest of reading it; models of some ten billion parameters lie
-	// between 50,000 and 100,000.
-	quadraticTokens = 60_000
+	// between 50,000 and 150,000.
+	quadraticTokens = 120_000
 	// factorGain is the least weight of a new measurement in an engine's factors.
 	factorGain = 0.15
 	// referenceGain is the weight of one in the reference's time between events.
@@ -69,8 +69,8 @@
 type Service struct {
 	read  line
 	event float64
-	// typical is the factor of an engine that nothing is known of, as a logarithm.
-	typical float64
+	// answers is how many have told of the service.
+	answers int
 }
 
 // NewService returns a service that begins with a reference.
@@ -124,7 +124,7 @@
 func (eng *Engine) Known() bool { return eng.read.weight+eng.event.weight > 0 }
 
 // readFactor returns how many times as long as the reference's the engine's reading
-// takes. Where no answer told, its events do, and else it is typical.
+// takes. Where no answer told, its events do, and else it is taken to be like the reference.
 func (eng *Engine) readFactor() float64 { return math.Exp(eng.blend(eng.read, eng.event)) }
 
 func (eng *Engine) eventFactor() float64 { return math.Exp(eng.blend(eng.event, eng.read)) }
@@ -135,7 +135,7 @@
 	const otherShare = 0.3
 	weight := own.weight + otherShare*other.weight
 	if weight == 0 {
-		return eng.service.typical
+		return 0
 	}
 	return (own.weight*own.log + otherShare*other.weight*other.log) / weight
 }
@@ -169,6 +169,7 @@
 	if took <= 0 || tokens <= 0 {
 		return
 	}
+	eng.service.answers++
 	overhead, token := eng.service.read.solve()
 	predicted := float64(overhead) + effective(tokens)*float64(token)
 	eng.read.observe(math.Log(float64(took) / predicted))
--- /dev/null
+++ b/pace/survey_test.go
@@ -0,0 +1,69 @@
+package pace_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lynxwell.dev/lynxwell/pace"
+)
+
+var (
+	addressA = netip.MustParseAddrPort("127.0.0.1:1")
+	addressB = netip.MustParseAddrPort("127.0.0.1:2")
+)
+
+func surveyOf(records ...pace.Record) pace.Survey {
+	return pace.NewSurvey(map[string]pace.ServiceSurvey{"model": {Reference: pace.Prior, Engines: records}})
+}
+
+func TestSurveyIsRecordedAnewWhenItTellsMore(t *testing.T) {
+	recorded := surveyOf(pace.Record{Address: addressA, Profile: pace.Profile{Read: 1, Event: 1, Weight: 5}})
+	for name, tst := range map[string]struct {
+		newer pace.Survey
+		want  bool
+	}{
+		"the same":       {recorded, false},
+		"a little":       {surveyOf(pace.Record{Address: addressA, Profile: pace.Profile{Read: 1.1, Event: 0.9, Weight: 8}}), false},
+		"much slower":    {surveyOf(pace.Record{Address: addressA, Profile: pace.Profile{Read: 3, Event: 1, Weight: 8}}), true},
+		"another engine": {surveyOf(pace.Record{Address: addressB, Profile: pace.Profile{Read: 1, Event: 1, Weight: 1}}), true},
+		"an engine gone": {surveyOf(), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, recorded.Differs(tst.newer), tst.want)
+		})
+	}
+	assert.Equal(t, pace.Survey{}.Differs(recorded), true)
+}
+
+func TestWhatIsRecordedYieldsToWhatIsMeasured(t *testing.T) {
+	svc := pace.NewService(pace.Prior)
+	eng := svc.NewEngine(pace.Profile{Read: 4, Event: 4, Weight: 2})
+	before := eng.ReadTime(5000)
+	eng.Adopt(pace.Profile{Read: 1, Event: 1, Weight: 1})
+	assert.Equal(t, eng.ReadTime(5000), before, "less is known there")
+	eng.Adopt(pace.Profile{Read: 1, Event: 1, Weight: 6})
+	assert.Assert(t, eng.ReadTime(5000) < before)
+	for range 20 {
+		eng.ObserveRead(1800, 300*time.Millisecond)
+	}
+	assert.Assert(t, eng.ReadTime(5000) > 2*before/3, "%s", eng.ReadTime(5000))
+}
+
+func TestReferenceOfAnotherHostIsTakenAtTheStartOnly(t *testing.T) {
+	other := pace.Reference{Overhead: 80 * time.Millisecond, Token: 30 * time.Microsecond, Event: 50 * time.Millisecond}
+	svc := pace.NewService(pace.Prior)
+	svc.Adopt(pace.Reference{})
+	assert.Equal(t, svc.Reference(), pace.Prior)
+	svc.Adopt(other)
+	assert.Equal(t, svc.Reference(), other)
+	eng := svc.NewEngine(pace.Profile{})
+	for range 10 {
+		eng.ObserveRead(1800, 100*time.Millisecond)
+	}
+	former := svc.Reference()
+	svc.Adopt(pace.Prior)
+	assert.Equal(t, svc.Reference(), former)
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -21,6 +21,10 @@
 	buckets  map[string]*bucket
 	runs     map[request.ID]*run
 	table    *route.Table
+	// returners are the requests that were refused, which may come back.
+	returners returners
+	// survey is what the hosts have recorded of the engines' speed.
+	survey pace.Survey
 	// parts is into how many parts like this one's the limits are divided.
 	parts float64
 	sends []Send
@@ -46,6 +50,8 @@
 	since   time.Time
 	// until is when it is refused.
 	until time.Time
+	// late says that it was refused before and can't be in time any more.
+	late bool
 	// unlikely says that it isn't begun for its small chance to end in time, not
 	// for lack of room: it holds up nobody behind it.
 	unlikely bool
@@ -54,12 +60,13 @@
 // New returns a core that knows no engine yet.
 func New(cfg Config) *Core {
 	return &Core{
-		cfg:      cfg,
-		engines:  make(map[fleet.EngineID]*engine),
-		services: make(map[string]*service),
-		buckets:  make(map[string]*bucket),
-		runs:     make(map[request.ID]*run),
-		parts:    1,
+		cfg:       cfg,
+		engines:   make(map[fleet.EngineID]*engine),
+		services:  make(map[string]*service),
+		buckets:   make(map[string]*bucket),
+		runs:      make(map[request.ID]*run),
+		returners: newReturners(),
+		parts:     1,
 	}
 }
 
@@ -78,6 +85,8 @@
 	case GrantedElsewhere:
 		cor.adopt(now, cor.cfg.Self, evt.Adopt)
 		cor.charge(now, evt.Adopt)
+	case SurveyRead:
+		cor.adoptSurvey(evt.Survey)
 	case ShareChanged:
 		cor.changeShare(now, evt.Parts)
 	case Tick:
@@ -110,7 +119,7 @@
 		known[eng.ID] = true
 		ene := cor.engines[eng.ID]
 		if ene == nil {
-			ene = newEngine(eng, cor.service(eng.Service).pace.NewEngine(pace.Profile{}))
+			ene = newEngine(eng, cor.service(eng.Service).pace.NewEngine(cor.recorded(eng)))
 			cor.engines[eng.ID] = ene
 		}
 		ene.Engine = eng
@@ -181,15 +190,16 @@
 	if res.Attempt == 0 {
 		svc.repeats.count(now)
 		if cor.overLimit(now, res) {
-			cor.refuse(from, res, reservation.ReasonLimit, svc.inputs(now, now))
+			cor.refuse(now, from, res, reservation.ReasonLimit, svc.inputs(now, now))
 			return
 		}
 	} else if !svc.repeats.take(now, cor.parts) {
-		cor.refuse(from, res, reservation.ReasonBudget, svc.inputs(now, now))
+		cor.refuse(now, from, res, reservation.ReasonBudget, svc.inputs(now, now))
 		return
 	}
 	svc.arrivals++
 	wai := &waiter{reserve: res, gateway: from, number: svc.arrivals, since: now}
+	wai.late = res.Attempt == 0 && now.Sub(cor.returners.since(now, res)) > res.Aim
 	wai.until = now.Add(min(max(0, time.Duration(waitShare*float64(res.Aim))-waitMargin), res.Remaining))
 	place, _ := slices.BinarySearchFunc(svc.waiting, wai, compareWaiters)
 	svc.waiting = slices.Insert(svc.waiting, place, wai)
@@ -200,12 +210,22 @@
 	return cmp.Or(
 		cmp.Compare(one.reserve.Rank, two.reserve.Rank),
 		cmp.Compare(one.reserve.Urgency, two.reserve.Urgency),
+		// Who can be in time goes before who can't any more: the other way round both
+		// would be late.
+		cmp.Compare(ordinal(one.late), ordinal(two.late)),
 		// A repeat has waited before, and engines have worked for it.
 		cmp.Compare(min(1, two.reserve.Attempt), min(1, one.reserve.Attempt)),
 		cmp.Compare(one.number, two.number),
 	)
 }
 
+func ordinal(holds bool) int {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
 // overLimit takes the request's cost from its account's limit.
 func (cor *Core) overLimit(now time.Time, res reservation.Reserve) bool {
 	buc := cor.buckets[res.Account]
@@ -225,7 +245,8 @@
 	}
 }
 
-func (cor *Core) refuse(to request.Epoch, res reservation.Reserve, reason reservation.Reason, inp Inputs) {
+func (cor *Core) refuse(now time.Time, to request.Epoch, res reservation.Reserve, reason reservation.Reason, inp Inputs) {
+	cor.returners.refused(now.Add(-inp.Waited), res)
 	cor.send(to, reservation.Refuse{ID: res.ID, Ballot: res.Ballot, Reason: reason, RetryAfter: retryAfter(res)}, inp)
 }
 
@@ -258,7 +279,7 @@
 		case !full && cor.grant(now, svc, wai):
 		case !now.Before(wai.until):
 			cor.giveBack(wai.reserve.Account, cor.costOf(wai.reserve))
-			cor.refuse(wai.gateway, wai.reserve, reservation.ReasonOverload, svc.inputs(now, wai.since))
+			cor.refuse(now, wai.gateway, wai.reserve, reservation.ReasonOverload, svc.inputs(now, wai.since))
 		default:
 			full = full || (len(wai.reserve.Exclude) == 0 && !wai.unlikely)
 			kept = append(kept, wai)
@@ -278,7 +299,7 @@
 
 // grant gives the request the best engine with room, if there is one.
 func (cor *Core) grant(now time.Time, svc *service, wai *waiter) bool {
-	cho := cor.choose(now, svc, wai.reserve)
+	cho := cor.choose(now, svc, wai)
 	best, tokens := cho.engine, cho.tokens
 	wai.unlikely = cho.unlikely
 	if best == nil {
@@ -291,7 +312,7 @@
 	}
 	inp := svc.inputs(now, wai.since)
 	inp.Running, inp.Unread, inp.Expected = len(best.running), best.unreadTime(now), rnn.expected
-	best.begin(now, rnn)
+	best.begin(now, rnn, res.AnswerTokens)
 	if tokens > 0 {
 		best.remember(res.Parts)
 	}
@@ -302,61 +323,6 @@
 	return true
 }
 
-// choice is the engine for a request; nil for none.
-type choice struct {
-	engine *engine
-	// tokens are those that the engine reads of the prompt.
-	tokens int
-	cost   time.Duration
-	// unlikely says that an engine was passed over since the stream would hardly
-	// end there in time.
-	unlikely bool
-}
-
-// choose returns the engine with room that serves the request best.
-func (cor *Core) choose(now time.Time, svc *service, res reservation.Reserve) choice {
-	var cho choice
-	aside := svc.asideAllowed(now)
-	for _, ene := range svc.engines {
-		if ene.Draining || slices.Contains(res.Exclude, string(ene.ID)) || (aside && !ene.health.usable(now)) {
-			continue
-		}
-		if len(ene.running) >= ene.Slots+beyondSlots || ene.unreadTime(now) > unreadLimit {
-			continue
-		}
-		tokens := 0
-		if res.PromptTokens > 0 {
-			tokens = ene.toRead(res.PromptTokens, res.Parts)
-		}
-		first := ene.firstToken(now, tokens)
-		if first > res.Aim && len(ene.running) > 0 {
-			// Late: only an idle engine does what may be of no use.
-			continue
-		}
-		chance := ene.finishChance(first, res.AnswerTokens, res.Remaining)
-		if chance < minChance && len(ene.running) >= ene.Slots/2 {
-			cho.unlikely = true
-			continue
-		}
-		cost := ene.costOf(res, first, chance)
-		if cho.engine == nil || cost < cho.cost {
-			cho.engine, cho.tokens, cho.cost = ene, tokens, cost
-		}
-	}
-	return cho
-}
-
-// costOf returns what the engine counts in the choice for a request: its time to
-// the first token, and what its load, its place and a stream cut short add to it.
-func (ene *engine) costOf(res reservation.Reserve, first time.Duration, chance float64) time.Duration {
-	cost := first + loadCost*time.Duration(len(ene.running))/time.Duration(max(1, ene.Slots))
-	cost += time.Duration((1 - chance) * float64(finishCost))
-	if ene.Domain != res.Domain {
-		cost += crossCost
-	}
-	return cost
-}
-
 // asideAllowed reports whether engines may be left out for their health: not
 // while over half of a service's would be.
 func (svc *service) asideAllowed(now time.Time) bool {
@@ -435,7 +401,7 @@
 		return
 	}
 	rnn := &run{engine: ene, gateway: from, account: ado.Account, cost: ado.Cost, tokens: ado.PromptTokens, unread: ado.Unread}
-	ene.begin(now, rnn)
+	ene.begin(now, rnn, 0)
 	ene.running[ado.ID] = rnn
 	cor.runs[ado.ID] = rnn
 }
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -11,6 +11,7 @@
 
 	"lynxwell.dev/lynxwell/call"
 	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/pace"
 	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/reservation"
 	"lynxwell.dev/lynxwell/route"
@@ -234,6 +235,65 @@
 	assert.Equal(t, engineOf(des.reserve(long), "long"), "quick")
 }
 
+// What another host recorded decides before the first answer comes.
+func TestRecordedSpeedDecidesFromTheStart(t *testing.T) {
+	slow, quick := modelEngine("a-slow"), modelEngine("b-quick")
+	slow.Address, quick.Address = netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")
+	teacher := newDesk(slow, quick)
+	for idx := range 40 {
+		name := fmt.Sprint("r", idx)
+		took := 60 * time.Millisecond
+		if engineOf(teacher.reserve(prompt(name, 2000)), name) == "a-slow" {
+			took = 300 * time.Millisecond
+		}
+		teacher.after(took)
+		teacher.answer(name, took, took, 1)
+	}
+	recorded := teacher.core.Survey()
+	for name, learner := range map[string]*desk{"before its engines": newDesk(), "after them": newDesk(slow, quick)} {
+		t.Run(name, func(t *testing.T) {
+			learner.handle(scheduler.SurveyRead{Survey: recorded})
+			learner.handle(scheduler.EnginesChanged{Engines: []fleet.Engine{slow, quick}})
+			assert.Equal(t, engineOf(learner.reserve(prompt("next", 6000)), "next"), "b-quick")
+		})
+	}
+	assert.Equal(t, engineOf(newDesk(slow, quick).reserve(prompt("next", 6000)), "next"), "a-slow", "without it the first is as good")
+}
+
+// taught returns a desk whose engines' speed is recorded: slow takes four times as
+// long as quick.
+func taught() *desk {
+	slow, quick := modelEngine("a-slow"), modelEngine("b-quick")
+	slow.Address, quick.Address = netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")
+	des := newDesk(slow, quick)
+	des.handle(scheduler.SurveyRead{Survey: pace.NewSurvey(map[string]pace.ServiceSurvey{"model": {Reference: pace.Prior, Engines: []pace.Record{
+		{Address: slow.Address, Profile: pace.Profile{Read: 4, Event: 4, Weight: 10}},
+		{Address: quick.Address, Profile: pace.Profile{Read: 1, Event: 1, Weight: 10}},
+	}}})})
+	return des
+}
+
+func TestPromptThatIsLateEverywhereGoesWhereItIsSoonest(t *testing.T) {
+	des := taught()
+	assert.Equal(t, engineOf(des.reserve(prompt("other", 10)), "other"), "b-quick")
+	// 1.2 s at the quick engine, 4.6 s at the slow one, which is idle.
+	assert.Equal(t, engineOf(des.reserve(prompt("long", 54_000)), "long"), "b-quick")
+	// Behind that it would take 2.3 s, which its caller may wait for, but the quick
+	// engine has enough to read; the slow one answers when nobody waits any more.
+	assert.Equal(t, engineOf(des.reserve(prompt("next", 54_000)), "next"), "")
+	assert.Equal(t, reasonOf(des.after(300*time.Millisecond), "next"), reservation.ReasonOverload)
+}
+
+func TestPromptThatIsLateEverywhereIsServedByASlowServiceToo(t *testing.T) {
+	slow := modelEngine("a-slow")
+	slow.Address = netip.MustParseAddrPort("127.0.0.1:1")
+	des := newDesk(slow)
+	des.handle(scheduler.SurveyRead{Survey: pace.NewSurvey(map[string]pace.ServiceSurvey{"model": {Reference: pace.Prior, Engines: []pace.Record{
+		{Address: slow.Address, Profile: pace.Profile{Read: 8, Event: 8, Weight: 10}},
+	}}})})
+	assert.Equal(t, engineOf(des.reserve(prompt("long", 54_000)), "long"), "a-slow")
+}
+
 // busyEngine returns a desk whose one engine has half of its slots taken.
 func busyEngine() *desk {
 	des := newDesk(modelEngine("e"))
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -49,6 +49,8 @@
 	// the run.
 	read  time.Duration
 	given time.Time
+	// ends is when it was predicted to end.
+	ends time.Time
 	// queued says that it had to wait for a slot or for other prompts, so that its
 	// first event tells nothing of the engine's speed.
 	queued bool
@@ -59,6 +61,10 @@
 // maxParts bounds the parts remembered of an engine.
 const maxParts = 4096
 
+// maxOver bounds the runs beyond an engine's slots that are told apart; more than
+// beyondSlots come only from hosts that decided alone.
+const maxOver = 8
+
 func newEngine(eng fleet.Engine, model *pace.Engine) *engine {
 	ene := &engine{
 		Engine: eng, running: make(map[request.ID]*run), model: model, work: assumedWork,
@@ -87,8 +93,9 @@
 }
 
 // begin notes that the engine got a run.
-func (ene *engine) begin(now time.Time, rnn *run) {
+func (ene *engine) begin(now time.Time, rnn *run, answerTokens int) {
 	rnn.given = now
+	rnn.ends = now.Add(ene.lasting(rnn, answerTokens))
 	if !rnn.unread || rnn.tokens == 0 {
 		return
 	}
@@ -100,6 +107,15 @@
 	ene.reading = append(ene.reading, rnn)
 }
 
+// lasting predicts how long a run takes; one whose answer's length isn't known as
+// long as others do.
+func (ene *engine) lasting(rnn *run, answerTokens int) time.Duration {
+	if answerTokens <= 0 {
+		return ene.stay
+	}
+	return rnn.expected + ene.stayTime(answerTokens)
+}
+
 // end notes that the engine has read a run's prompt, or has it no more.
 func (ene *engine) end(now time.Time, rnn *run) {
 	rnn.unread = false
@@ -151,13 +167,51 @@
 		queued := max(0, len(ene.running)-ene.Slots+1)
 		return ene.work + ene.work*time.Duration(queued)/time.Duration(max(1, ene.Slots))
 	}
-	return max(ene.unreadTime(now), ene.slotWait()) + ene.model.ReadTime(tokens) + ene.model.Overhead()
+	return max(ene.unreadTime(now), ene.slotWait(now)) + ene.alone(tokens)
 }
 
-// slotWait predicts how long the next request waits for a slot.
-func (ene *engine) slotWait() time.Duration {
-	queued := max(0, len(ene.running)-ene.Slots+1)
-	return ene.stay * time.Duration(queued) / time.Duration(max(1, ene.Slots))
+// alone predicts the same where the engine has nothing else to do.
+func (ene *engine) alone(tokens int) time.Duration {
+	if tokens == 0 {
+		return ene.work
+	}
+	return ene.model.ReadTime(tokens) + ene.model.Overhead()
+}
+
+// slotWait predicts how long the next request waits for a slot: until as many
+// runs have ended as are too many.
+func (ene *engine) slotWait(now time.Time) time.Duration {
+	over := len(ene.running) - ene.Slots + 1
+	if over <= 0 {
+		return 0
+	}
+	var soonest [maxOver]time.Duration
+	over = min(over, maxOver)
+	count := 0
+	for _, rnn := range ene.running {
+		left := rnn.left(now)
+		place := count
+		for place > 0 && soonest[place-1] > left {
+			place--
+		}
+		if place >= over {
+			continue
+		}
+		count = min(count+1, over)
+		copy(soonest[place+1:count], soonest[place:count-1])
+		soonest[place] = left
+	}
+	return soonest[max(0, count-1)]
+}
+
+// left predicts how much longer a run goes on. One that should have ended is taken
+// to need half as long again as it is late: long answers are the least foreseen.
+func (rnn *run) left(now time.Time) time.Duration {
+	left := rnn.ends.Sub(now)
+	if left < 0 {
+		left = -left / 2
+	}
+	return left
 }
 
 // learnRead takes in how long a prompt that waited for nothing took to its first
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/pace"
 	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/reservation"
 	"lynxwell.dev/lynxwell/route"
@@ -72,6 +73,9 @@
 // divided: 1 where it decides for all hosts, 3 where it decides for two of six.
 type ShareChanged struct{ Parts float64 }
 
+// SurveyRead brings what the hosts have recorded of the engines' speed.
+type SurveyRead struct{ Survey pace.Survey }
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -81,6 +85,7 @@
 func (GatewayLost) isEvent()          {}
 func (GrantedElsewhere) isEvent()     {}
 func (ShareChanged) isEvent()         {}
+func (SurveyRead) isEvent()           {}
 func (Tick) isEvent()                 {}
 
 // Send is a message to a gateway.
@@ -138,6 +143,9 @@
 	// finishCost is what a stream that certainly misses its deadline counts in the
 	// choice, beside the time to the first token.
 	finishCost = 1000 * time.Millisecond
+	// lateShare is how many times its aim a late first event may take: callers leave
+	// after four times, and predictions are off by a fifth.
+	lateShare = 3.0
 	// loadCost is what an engine full to its slots counts in the choice, beside
 	// the time to the first token: all its streams slow down with each more.
 	loadCost = 40 * time.Millisecond
