feat: hosts that start together find one another sooner, and share engines unseen

Cause: after the loss of all hosts each decided alone for 0.4 s, since changes were gathered for 400 ms at a start, and each took all engines to be its own. Change: changes gather for 50 ms at a start; a host that decides alone takes the others to use the engines as much as it does.

--- a/entry/observe.go
+++ b/entry/observe.go
@@ -22,7 +22,7 @@
 	// startGather is the same in a host's first moments, which startSettles bounds:
 	// others start with it, and each of their entries is a change. Until the entries
 	// of its failure domain are there, a host can't read through another.
-	startGather  = 400 * time.Millisecond
+	startGather  = 50 * time.Millisecond
 	startSettles = 1500 * time.Millisecond
 	// minRetry and maxRetry bound the pause before the store is asked again: each
 	// call counts against its rate, and a configuration must be in force soon.
--- a/scheduler/choose.go
+++ b/scheduler/choose.go
@@ -45,7 +45,7 @@
 		if quickest == 0 || can.alone < quickest {
 			quickest = can.alone
 		}
-		if !ene.hasRoom(now) {
+		if !ene.hasRoom(now, cor.strangers()) {
 			continue
 		}
 		if can.first > aim {
@@ -88,9 +88,26 @@
 	return can
 }
 
-// hasRoom reports whether the engine is given more at all.
-func (ene *engine) hasRoom(now time.Time) bool {
-	return len(ene.running) < ene.Slots+beyondSlots && ene.unreadTime(now) <= unreadLimit
+// maxStrangers bounds how many others are taken to use the engines unseen: more
+// than a few dozen hosts that each give an engine one request fill it as well.
+const maxStrangers = 16
+
+// strangers returns how many times its own use of the engines this core takes all
+// of it to be. Where it decides for most hosts, the rest hardly counts: hosts that
+// were just lost are still among them.
+func (cor *Core) strangers() float64 {
+	if cor.parts < 2 {
+		return 1
+	}
+	return min(maxStrangers, cor.parts)
+}
+
+// hasRoom reports whether the engine is given more at all, where its whole use is
+// so many times what this core sees of it.
+func (ene *engine) hasRoom(now time.Time, times float64) bool {
+	running := times * float64(len(ene.running))
+	unread := time.Duration(times * float64(ene.unreadTime(now)))
+	return running < float64(ene.Slots+beyondSlots) && unread <= unreadLimit
 }
 
 // costOf returns what the engine counts in the choice for a request: its time to
