fix: a former coordinator forgets what it granted

Cause: when the role moved on, gateways told the new coordinator of their runs and its end, never the former one, whose sessions stand on as the next candidate. Ruled out: predictions (an engine believed to run 11 ran 2, by the log), lost sessions (those are cleaned up). Change: who moves on releases its runs at the former coordinator.

--- /dev/null
+++ b/entry/coordinator_test.go
@@ -0,0 +1,74 @@
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lynxwell.dev/lynxwell/entrytest"
+	"lynxwell.dev/lynxwell/store"
+	"lynxwell.dev/lynxwell/upstreamtest"
+)
+
+// running returns how many requests a host's scheduler takes the engines to run.
+func running(hos *entrytest.Host) int {
+	count := 0
+	for _, svc := range hos.Dump().Scheduler.Services {
+		for _, eng := range svc.Engines {
+			count += eng.Running
+		}
+	}
+	return count
+}
+
+// A coordinator whose turn is over for a while must not go on counting what it
+// granted meanwhile: the next time it would take all engines to be full.
+func TestFormerCoordinatorForgetsWhatItGranted(t *testing.T) {
+	slow := upstreamtest.NewEngine(upstreamtest.Config{ID: "m1", Service: entrytest.Model, Slots: 4, Events: 40, Step: 50 * time.Millisecond})
+	sys := start(t, 3, []*upstreamtest.Engine{slow, plainEngine("p1")})
+	sys.Until("one host coordinates", func() bool { return coordinator(sys) != nil })
+	first := coordinator(sys)
+	key := "lynxwell/hosts/" + first.Settings.Name
+	entry, err := sys.Store.Get(t.Context(), key)
+	assert.NilError(t, err)
+	_, err = sys.Store.Put(t.Context(), store.Write{Key: key, Delete: true, Blind: true})
+	assert.NilError(t, err)
+	sys.Until("another host coordinates", func() bool { return coordinator(sys) != nil && coordinator(sys) != first })
+	second := coordinator(sys)
+	var gateway *entrytest.Host
+	for _, hos := range sys.Hosts {
+		if hos != first && hos != second {
+			gateway = hos
+		}
+	}
+	answer := make(chan entrytest.Answer, 1)
+	go func() {
+		answer <- sys.Send(t.Context(), gateway, entrytest.Request{ID: "r1", Path: "/stream/", Header: map[string]string{"Token-Counts": "10,40"}})
+	}()
+	sys.Until("the second host granted", func() bool { return running(second) == 1 })
+	_, err = sys.Store.Put(t.Context(), store.Write{Key: key, Data: entry.Data, Lease: entry.Lease, Blind: true})
+	assert.NilError(t, err)
+	sys.Until("the first host coordinates again", func() bool { return coordinator(sys) == first })
+	ans := <-answer
+	assert.NilError(t, ans.Err)
+	sys.Until("the second host counts nothing any more", func() bool { return running(second) == 0 })
+	sys.Until("nor does the first", func() bool { return running(first) == 0 })
+}
+
+// coordinator returns the host that all hosts take for the coordinator; nil while
+// they differ.
+func coordinator(sys *entrytest.System) *entrytest.Host {
+	epoch := sys.Hosts[0].Dump().Coordinator
+	var found *entrytest.Host
+	for _, hos := range sys.Hosts {
+		dum := hos.Dump()
+		if dum.Coordinator != epoch {
+			return nil
+		}
+		if dum.Epoch == epoch {
+			found = hos
+		}
+	}
+	return found
+}
--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -68,11 +68,7 @@
 		Bool("Own", chosen == des.host.epoch).Int("Hosts", len(des.roster.members)).Int("Waiting", len(des.tickets)).Msg("coordinator changed")
 	former := des.active
 	des.active = chosen
-	if chosen != des.host.epoch {
-		for _, hol := range des.holds {
-			des.tell(chosen, *hol)
-		}
-	}
+	des.moveHolds(former, chosen)
 	for id, tic := range des.tickets {
 		if tic.asked == chosen {
 			continue
@@ -82,6 +78,20 @@
 	}
 }
 
+// moveHolds tells the new coordinator of the engines that requests have, and the
+// former one that it counts them no more: it may decide again later, and would take
+// the engines to be full. The own scheduler knows the own requests at all times.
+func (des *desk) moveHolds(former, chosen request.Epoch) {
+	for _, hol := range des.holds {
+		if chosen != des.host.epoch {
+			des.tell(chosen, *hol)
+		}
+		if former != des.host.epoch {
+			des.tell(former, reservation.Release{ID: hol.ID, Ballot: hol.Ballot, Engine: hol.Engine, Dispatched: true})
+		}
+	}
+}
+
 // decidesFor is how long a gateway counts as one that this scheduler decides for
 // after it asked: all keep a session with the next coordinator too, and a busy
 // host asks several times a second.
