feat: a coordinator that takes over goes on with the limits where the former one ended

Ruled out: windows of what was spent instead of debts (the property test broke the limit with them: a window forgets a burst at once), credits for gateways that the core decided for already (the same test). Change: gateways keep what their requests owe to each limit and tell it to a coordinator that begins to decide for them; a host that starts tells a debt that leaves the system what a lone scheduler begins with, which includes a part of the overshoot that the platform tells.

--- a/entry/desk.go
+++ b/entry/desk.go
@@ -38,6 +38,8 @@
 	// that requests have, as another coordinator is told of them.
 	tickets map[request.ID]*ticket
 	holds   map[request.ID]*reservation.Adopt
+	// spent is what this host's requests took from each account's limit.
+	spent map[string]*spending
 	// survey is what the hosts have recorded of the engines' speed.
 	survey pace.Survey
 }
@@ -77,18 +79,25 @@
 }
 
 func newDesk(hos *Host) *desk {
-	bou := hos.set.Bounds
 	return &desk{
-		host: hos,
-		core: scheduler.New(scheduler.Config{Self: hos.epoch, Repeats: scheduler.Repeats{
-			Ratio: bou.RepeatRatio, Window: bou.RepeatWindow(), Slack: bou.RepeatSlack,
-		}, LimitSlack: bou.LimitSlack}),
+		host:    hos,
+		core:    scheduler.New(schedulerConfig(hos)),
 		changed: make(chan struct{}, 1),
 		links:   make(map[request.Epoch]*link),
 		inbound: make(map[uint64]*inbound),
 		active:  hos.epoch,
 		tickets: make(map[request.ID]*ticket),
 		holds:   make(map[request.ID]*reservation.Adopt),
+		spent:   make(map[string]*spending),
+	}
+}
+
+func schedulerConfig(hos *Host) scheduler.Config {
+	bou := hos.set.Bounds
+	return scheduler.Config{
+		Self:       hos.epoch,
+		Repeats:    scheduler.Repeats{Ratio: bou.RepeatRatio, Window: bou.RepeatWindow(), Slack: bou.RepeatSlack},
+		LimitSlack: bou.LimitSlack, LimitWindow: bou.LimitWindow(), LimitOvershoot: bou.LimitOvershoot,
 	}
 }
 
@@ -160,6 +169,7 @@
 			return
 		}
 		des.hold(tic, msg, by)
+		des.noteSpent(tic.reserve)
 		des.settle(tic, decision{grant: &msg, by: by})
 	case reservation.Refuse:
 		if tic := des.tickets[msg.ID]; tic != nil && tic.asked == by {
--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -37,6 +37,7 @@
 func (des *desk) changeMembers(ros roster) {
 	des.mutex.Lock()
 	des.roster = ros
+	des.changeSpending(time.Now())
 	des.elect()
 	des.mutex.Unlock()
 	select {
@@ -68,6 +69,7 @@
 		Bool("Own", chosen == des.host.epoch).Int("Hosts", len(des.roster.members)).Int("Waiting", len(des.tickets)).Msg("coordinator changed")
 	former := des.active
 	des.active = chosen
+	des.tellSpent(chosen)
 	des.moveHolds(former, chosen)
 	for id, tic := range des.tickets {
 		if tic.asked == chosen {
@@ -115,7 +117,7 @@
 	if des.roster.outside && len(des.roster.candidates) > 0 {
 		parts = outsideParts
 	}
-	des.step(scheduler.ShareChanged{Parts: parts})
+	des.step(scheduler.ShareChanged{Parts: parts, Hosts: len(des.roster.members)})
 }
 
 // refreshShare notices gateways that have this scheduler decide no longer.
@@ -288,7 +290,9 @@
 
 // noteAsked notes that a gateway has this scheduler decide.
 func (des *desk) noteAsked(inb *inbound, msg reservation.Message) {
-	if _, asks := msg.(reservation.Reserve); !asks {
+	switch msg.(type) {
+	case reservation.Reserve, reservation.Spent:
+	default:
 		return
 	}
 	now := time.Now()
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -79,6 +79,8 @@
 			Id: idToWire(msg.ID), Ballot: ballotToWire(msg.Ballot), Engine: msg.Engine,
 			Service: msg.Service, Account: msg.Account, Cost: msg.Cost, Unread: msg.Unread, PromptTokens: uint32(msg.PromptTokens),
 		}}
+	case reservation.Spent:
+		env.Message = &peerpb.Envelope_Spent{Spent: &peerpb.Spent{Account: msg.Account, Debt: msg.Debt}}
 	case reservation.Progress:
 		env.Message = &peerpb.Envelope_Progress{Progress: &peerpb.Progress{
 			Id: idToWire(msg.ID), FirstTokenUs: msg.FirstToken.Microseconds(),
@@ -177,6 +179,8 @@
 		return releaseFromWire(wms.Release)
 	case *peerpb.Envelope_Adopt:
 		return adoptFromWire(wms.Adopt)
+	case *peerpb.Envelope_Spent:
+		return reservation.Spent{Account: wms.Spent.GetAccount(), Debt: wms.Spent.GetDebt()}
 	case *peerpb.Envelope_Progress:
 		return reservation.Progress{ID: idFromWire(wms.Progress.GetId()), FirstToken: fromMicros(wms.Progress.GetFirstTokenUs())}
 	case *peerpb.Envelope_Hold:
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -178,6 +178,14 @@
 	FirstToken time.Duration
 }
 
+// Spent tells a coordinator that begins to decide for a gateway what the gateway's
+// requests still owe a client account's limit, whoever decided: what they cost, less
+// the gateway's equal part of the rate since.
+type Spent struct {
+	Account string
+	Debt    float64
+}
+
 // Hold lists everything that the gateway holds from the coordinator; it opens
 // a session. Grants that it doesn't list were never dispatched and never will be.
 type Hold struct {
@@ -223,3 +231,4 @@
 func (Evict) isMessage()    {}
 func (Evicted) isMessage()  {}
 func (Progress) isMessage() {}
+func (Spent) isMessage()    {}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -27,6 +27,12 @@
 	survey pace.Survey
 	// parts is into how many parts like this one's the limits are divided.
 	parts float64
+	// hosts is how many hosts share the limits.
+	hosts int
+	// asked is when each gateway last had this core decide.
+	asked map[request.Epoch]time.Time
+	// told is when each gateway last told what it had spent, by account.
+	told  map[tellerKey]time.Time
 	sends []Send
 }
 
@@ -66,6 +72,8 @@
 		buckets:   make(map[string]*bucket),
 		runs:      make(map[request.ID]*run),
 		returners: newReturners(),
+		asked:     make(map[request.Epoch]time.Time),
+		told:      make(map[tellerKey]time.Time),
 		parts:     1,
 	}
 }
@@ -88,7 +96,7 @@
 	case SurveyRead:
 		cor.adoptSurvey(evt.Survey)
 	case ShareChanged:
-		cor.changeShare(now, evt.Parts)
+		cor.changeShare(now, evt)
 	case Tick:
 		for _, svc := range cor.services {
 			cor.serve(now, svc)
@@ -160,11 +168,13 @@
 	}
 }
 
-func (cor *Core) changeShare(now time.Time, parts float64) {
-	if parts == cor.parts || parts < 1 {
+func (cor *Core) changeShare(now time.Time, cha ShareChanged) {
+	cor.hosts = cha.Hosts
+	cor.forgetAsked(now)
+	if cha.Parts == cor.parts || cha.Parts < 1 {
 		return
 	}
-	cor.parts = parts
+	cor.parts = cha.Parts
 	if cor.table != nil {
 		cor.buckets = cor.newBuckets(now)
 	}
@@ -182,11 +192,14 @@
 		cor.release(now, msg)
 	case reservation.Adopt:
 		cor.adopt(now, from, msg)
+	case reservation.Spent:
+		cor.creditSpent(now, from, msg)
 	}
 }
 
 func (cor *Core) reserve(now time.Time, from request.Epoch, res reservation.Reserve) {
 	svc := cor.service(res.Service)
+	cor.asked[from] = now
 	if res.Attempt == 0 {
 		svc.repeats.count(now)
 		if cor.overLimit(now, res) {
--- a/scheduler/limit.go
+++ b/scheduler/limit.go
@@ -12,6 +12,9 @@
 	burst  float64
 	level  float64
 	filled time.Time
+	// alone says that it holds this host's own part only, since others decided for
+	// all.
+	alone bool
 }
 
 const (
@@ -22,6 +25,10 @@
 	// the spending so far begins with. Together with the burst that a former one
 	// may have given out, and this twice, it stays within the slack.
 	slackAtStart = 0.3
+	// overshootAtStart is the part of what may be served beyond the limit in a window
+	// that such a scheduler begins with too: hosts that are back after all were lost
+	// meet all callers at once. Twice this in a window stays within it.
+	overshootAtStart = 0.4
 	// headroomFactor is how many times its own cost a request leaves to more urgent
 	// ones, for each step of urgency: small requests always fit into a bucket that
 	// is nearly empty, and would keep the large urgent ones out.
@@ -39,26 +46,38 @@
 		if acc.Rate <= 0 {
 			continue
 		}
-		slack := cor.limitSlack(acc)
-		buc := &bucket{rate: acc.Rate / cor.parts, burst: (acc.Burst + slackInBurst*slack) / cor.parts, filled: now}
-		buc.level = min(buc.burst, slackAtStart*slack/cor.parts)
+		buc := &bucket{rate: acc.Rate / cor.parts, burst: cor.cfg.widenedBurst(acc) / cor.parts, filled: now}
+		buc.level = min(buc.burst, cor.cfg.startLevel(acc)/cor.parts)
 		if old := cor.buckets[acc.Name]; old != nil {
 			old.fill(now)
 			buc.level = min(buc.burst, old.level)
+			buc.alone = old.alone
 		}
+		buc.alone = buc.alone || (cor.hosts > 1 && cor.parts >= float64(cor.hosts))
 		buckets[acc.Name] = buc
 	}
 	return buckets
 }
 
 // limitSlack returns the slack of an account; it is told in tokens.
-func (cor *Core) limitSlack(acc route.Account) float64 {
+func (cfg Config) limitSlack(acc route.Account) float64 {
 	if acc.ByTokens {
-		return cor.cfg.LimitSlack
+		return cfg.LimitSlack
 	}
 	return acc.Burst / 2
 }
 
+// widenedBurst returns an account's burst with its part of the slack.
+func (cfg Config) widenedBurst(acc route.Account) float64 {
+	return acc.Burst + slackInBurst*cfg.limitSlack(acc)
+}
+
+// startLevel returns what a scheduler that knows of no spending begins with.
+func (cfg Config) startLevel(acc route.Account) float64 {
+	overshoot := cfg.LimitOvershoot * (acc.Rate*cfg.LimitWindow.Seconds() + acc.Burst)
+	return slackAtStart*cfg.limitSlack(acc) + overshootAtStart*overshoot
+}
+
 func (buc *bucket) fill(now time.Time) {
 	if now.After(buc.filled) {
 		buc.level = min(buc.burst, buc.level+now.Sub(buc.filled).Seconds()*buc.rate)
@@ -78,10 +97,10 @@
 }
 
 // charge takes a cost that another scheduler admitted, down to an empty burst
-// below nothing.
+// below nothing; a cost below nothing is a credit.
 func (buc *bucket) charge(now time.Time, cost float64) {
 	buc.fill(now)
-	buc.level = max(-buc.burst, buc.level-cost)
+	buc.level = min(buc.burst, max(-buc.burst, buc.level-cost))
 }
 
 // giveBack returns the cost of a request that never ran.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -43,6 +43,10 @@
 	// LimitSlack is how many units over all hosts may be served beyond a client
 	// account's limit before the users count it as broken.
 	LimitSlack float64
+	// LimitWindow is the window in which an account's use is counted, and
+	// LimitOvershoot the part of its limit there by which it may be exceeded.
+	LimitWindow    time.Duration
+	LimitOvershoot float64
 }
 
 // Event is something that happened to the scheduler.
@@ -71,7 +75,11 @@
 
 // ShareChanged says into how many parts like this scheduler's the limits are
 // divided: 1 where it decides for all hosts, 3 where it decides for two of six.
-type ShareChanged struct{ Parts float64 }
+type ShareChanged struct {
+	Parts float64
+	// Hosts is how many hosts there are.
+	Hosts int
+}
 
 // SurveyRead brings what the hosts have recorded of the engines' speed.
 type SurveyRead struct{ Survey pace.Survey }
