fix: an engine that leaves gets nothing although the coordinator doesn't know

The host that took the request knew that the engine leaves and sent it all the same. Ruled out: the watch (the engine's word reached all hosts with the store in 3 ms). Change: a grant of an engine that this host knows to leave is passed over; hosts that lost the store ask others every 0.4 s, however long its pause.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -215,8 +215,9 @@
 	switch {
 	case !exc.route.Public && !hos.trusted(time.Now()):
 		pro = exc.notRun(causeNotReady, "configuration became too old")
-	case !known:
-		pro = exc.notRun(causeEngineGone, "engine is gone")
+	case !known || eng.Draining:
+		// The coordinator may have lost the store, and not know yet.
+		pro = exc.notRun(causeEngineGone, "engine is gone or leaves")
 	case exc.account.Name != "":
 		if _, holds := bel.table.Account(exc.request.Key); !holds {
 			pro = &problem{status: http.StatusUnauthorized, cause: causeUnknownKey, detail: "the key was taken away"}
--- a/entry/mirror_test.go
+++ b/entry/mirror_test.go
@@ -11,6 +11,7 @@
 
 	"lynxwell.dev/lynxwell/entrytest"
 	"lynxwell.dev/lynxwell/platformtest"
+	"lynxwell.dev/lynxwell/store"
 	"lynxwell.dev/lynxwell/upstreamtest"
 )
 
@@ -180,3 +181,27 @@
 		return now != first && now == decidedBy(sys.Hosts[1]) && now == decidedBy(sys.Hosts[2])
 	})
 }
+
+// A host that the store refuses by its rate still hears of engines that leave, well
+// within the two seconds that they serve on.
+func TestHostThatTheStoreRefusesHearsOfEnginesFromOthers(t *testing.T) {
+	engines := twoOfEach()
+	sys := start(t, 2, engines)
+	sys.Hosts[0].RefuseStore(true)
+	sys.Until("the pause before the store is asked again has grown", func() bool {
+		var failures int
+		for line := range strings.Lines(sys.Figures(sys.Hosts[0])) {
+			// A line of another figure doesn't match, and leaves what was read.
+			_, _ = fmt.Sscanf(line, "StoreFailures %d", &failures)
+		}
+		return failures >= 6
+	})
+	entry, err := sys.Store.Get(t.Context(), entrytest.EngineKey("m1"))
+	assert.NilError(t, err)
+	leaving := strings.Replace(string(entry.Data), "ready", "draining", 1)
+	_, err = sys.Store.Put(t.Context(), store.Write{Key: entry.Key, Data: []byte(leaving), Blind: true})
+	assert.NilError(t, err)
+	said := time.Now()
+	sys.UntilEngines(3)
+	assert.Assert(t, time.Since(said) < 1200*time.Millisecond, "%s", time.Since(said))
+}
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -28,6 +28,9 @@
 	// call counts against its rate, and a configuration must be in force soon.
 	minRetry = 50 * time.Millisecond
 	maxRetry = 200 * time.Millisecond
+	// peerInterval is how often other hosts are asked meanwhile: engines that leave
+	// must get nothing new after two seconds.
+	peerInterval = 400 * time.Millisecond
 	// maxRateRetry bounds it where the store's rate is used up.
 	maxRateRetry = 2 * time.Second
 	// lapseHold is for how long after an outage of the store entries that lapsed
@@ -114,7 +117,6 @@
 	}
 	obs.host.figures.storeFailures.Inc(1)
 	obs.directory.Hold(now.Add(lapseHold))
-	obs.askPeers(ctx)
 	limit := maxRetry
 	var rate *store.RateError
 	if errors.As(err, &rate) {
@@ -122,10 +124,23 @@
 		obs.pause = max(obs.pause, rate.RetryAfter)
 		limit = maxRateRetry
 	}
-	task.Sleep(ctx, obs.pause/2+rand.N(obs.pause))
+	obs.liveOnPeers(ctx, now.Add(obs.pause/2+rand.N(obs.pause)))
 	obs.pause = min(limit, 2*obs.pause)
 }
 
+// liveOnPeers asks other hosts until the store is asked again. That may take long
+// where its rate is used up, and engines that leave must be known before.
+func (obs *observer) liveOnPeers(ctx context.Context, until time.Time) {
+	for ctx.Err() == nil {
+		obs.askPeers(ctx)
+		left := time.Until(until)
+		task.Sleep(ctx, min(left, peerInterval))
+		if left <= peerInterval {
+			return
+		}
+	}
+}
+
 // regained notes that the store was reached.
 func (obs *observer) regained() {
 	if obs.lostAt.IsZero() {
--- a/entrytest/entrytest.go
+++ b/entrytest/entrytest.go
@@ -77,6 +77,13 @@
 	Settings settings.Entry
 	// cut has this host's calls to the store end without an answer.
 	cut atomic.Bool
+	// refused has the store refuse them by its rate.
+	refused atomic.Bool
+}
+
+// RefuseStore has the store refuse the host's calls by its rate, or serve them again.
+func (hos *Host) RefuseStore(refused bool) {
+	hos.refused.Store(refused)
 }
 
 // CutStore cuts the host's own way to the store, or mends it.
@@ -91,6 +98,10 @@
 		if hos.cut.Load() {
 			panic(http.ErrAbortHandler)
 		}
+		if hos.refused.Load() {
+			wri.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
 		handler.ServeHTTP(wri, req)
 	}))
 	sys.t.Cleanup(front.Close)
