--- a/entry/survey.go
+++ b/entry/survey.go
@@ -55,7 +55,7 @@
 	for {
 		select {
 		case <-tick.C:
-			if sur, new := hos.desk.news(); new {
+			if sur, differs := hos.desk.news(); differs {
 				hos.record(ctx, sur)
 			}
 		case <-ctx.Done():
