feat: lynxwell losses tells where answers are lost, from the hosts' logs

A request's line says whether its answer was in time, and the longest pause; the command counts outcomes by time and by route, the largest tenth by itself.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -57,6 +57,7 @@
 		newEntryCmd(),
 		newCheckCmd(),
 		newStoryCmd(),
+		newLossesCmd(),
 		newLoadCmd(),
 		newStandinCmd(),
 		newBenchCmd(),
--- a/cmd/storycmd.go
+++ b/cmd/storycmd.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 
 	"github.com/cockroachdb/errors"
@@ -34,24 +35,30 @@
 
 func (com *storyCmd) run(_ context.Context, str streams) error {
 	tel := story.NewTeller(com.opts.id)
-	if len(com.opts.logs) == 0 {
-		if err := tel.Read(str.in); err != nil {
-			return err
-		}
+	if err := readLogs(tel, com.opts.logs, str.in); err != nil {
+		return err
 	}
-	for _, name := range com.opts.logs {
-		if err := readLog(tel, name); err != nil {
+	return tel.Write(str.out)
+}
+
+// readLogs reads the files, or the standard input where none is named.
+func readLogs(to logReader, names []string, in io.Reader) error {
+	if len(names) == 0 {
+		return to.Read(in)
+	}
+	for _, name := range names {
+		if err := readLog(to, name); err != nil {
 			return err
 		}
 	}
-	return tel.Write(str.out)
+	return nil
 }
 
-func readLog(tel *story.Teller, name string) error {
+func readLog(to logReader, name string) error {
 	file, err := os.Open(name)
 	if err != nil {
 		return errors.Wrap(err, "--log")
 	}
 	defer file.Close()
-	return tel.Read(file)
+	return to.Read(file)
 }
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -291,8 +291,34 @@
 	if exc.events > 0 {
 		evt = evt.Int("Events", exc.events).Int64("LastEvent", exc.lastEvent).Dur("Pause", exc.longestPause)
 	}
+	if cau == causeAnswered {
+		evt = evt.Str("Timely", string(exc.timeliness()))
+	}
 	if detail != "" {
 		evt = evt.Str("Detail", detail)
 	}
 	evt.Msg("request")
 }
+
+// timeliness says whether an answer was in time, as far as this host sees.
+type timeliness string
+
+const (
+	timelyInTime     timeliness = "InTime"
+	timelyLateFirst  timeliness = "LateFirst"
+	timelyLatePause  timeliness = "LatePause"
+	timelyNoAimKnown timeliness = "NoAim"
+)
+
+func (exc *exchange) timeliness() timeliness {
+	switch {
+	case exc.route.Aim <= 0:
+		return timelyNoAimKnown
+	case exc.firstAfter > exc.route.Aim:
+		return timelyLateFirst
+	case exc.route.PauseAim > 0 && exc.longestPause > exc.route.PauseAim:
+		return timelyLatePause
+	default:
+		return timelyInTime
+	}
+}
--- a/story/story.go
+++ b/story/story.go
@@ -92,21 +92,11 @@
 }
 
 func (tel *Teller) take(raw []byte) {
-	begin := bytes.IndexByte(raw, '{')
-	if begin < 0 {
-		return
-	}
-	var lin line
-	if json.Unmarshal(raw[begin:], &lin.fields) != nil {
-		// Something else than a host's line.
+	lin, known := parseLine(raw)
+	if !known {
 		return
 	}
 	tel.read++
-	at, err := time.Parse(time.RFC3339Nano, lin.text(fieldTime))
-	if err != nil {
-		return
-	}
-	lin.at = at
 	switch lin.text(fieldRequest) {
 	case tel.id:
 		tel.own = append(tel.own, lin)
@@ -115,6 +105,30 @@
 	}
 }
 
+// parseLine reads one line of a log; what isn't a host's line isn't known.
+func parseLine(raw []byte) (line, bool) {
+	var lin line
+	begin := bytes.IndexByte(raw, '{')
+	if begin < 0 || json.Unmarshal(raw[begin:], &lin.fields) != nil {
+		return line{}, false
+	}
+	at, err := time.Parse(time.RFC3339Nano, lin.text(fieldTime))
+	if err != nil {
+		return line{}, false
+	}
+	lin.at = at
+	return lin, true
+}
+
+// number returns a field's number; 0 where it has none.
+func (lin line) number(field string) float64 {
+	number, isNumber := lin.fields[field].(float64)
+	if !isNumber {
+		return 0
+	}
+	return number
+}
+
 // Write writes the story, in the order of time.
 func (tel *Teller) Write(out io.Writer) error {
 	if len(tel.own) == 0 {
