--- a/pace/pace.go
+++ b/pace/pace.go
@@ -89,6 +89,9 @@
 	service *Service
 	read    factor
 	event   factor
+	// readTimes and eventTimes are both factors as they are used, blended.
+	readTimes  float64
+	eventTimes float64
 }
 
 // factor is how many times as long as the reference's something takes.
@@ -117,22 +120,26 @@
 
 // NewEngine returns an engine that begins with a profile; the zero one is not known.
 func (svc *Service) NewEngine(pro Profile) *Engine {
-	return &Engine{service: svc, read: factorOf(pro.Read, pro.Weight), event: factorOf(pro.Event, pro.Weight)}
+	eng := &Engine{service: svc, read: factorOf(pro.Read, pro.Weight), event: factorOf(pro.Event, pro.Weight)}
+	eng.blendBoth()
+	return eng
 }
 
 // Known reports whether any answer told of the engine.
 func (eng *Engine) Known() bool { return eng.read.weight+eng.event.weight > 0 }
 
-// readFactor returns how many times as long as the reference's the engine's reading
-// takes. Where no answer told, its events do, and else it is taken to be like the reference.
-func (eng *Engine) readFactor() float64 { return math.Exp(eng.blend(eng.read, eng.event)) }
+// blendBoth works both factors out anew: where no answer told of one, the other
+// does, since both come from the same processor, and else the engine is taken to be
+// like the reference.
+func (eng *Engine) blendBoth() {
+	eng.readTimes = math.Exp(blend(eng.read, eng.event))
+	eng.eventTimes = math.Exp(blend(eng.event, eng.read))
+}
 
-func (eng *Engine) eventFactor() float64 { return math.Exp(eng.blend(eng.event, eng.read)) }
+// otherShare is the weight of an answer that told of the other factor.
+const otherShare = 0.3
 
-// blend weighs what was measured of one thing against what was of the other: both
-// come from the same processor.
-func (eng *Engine) blend(own, other factor) float64 {
-	const otherShare = 0.3
+func blend(own, other factor) float64 {
 	weight := own.weight + otherShare*other.weight
 	if weight == 0 {
 		return 0
@@ -149,18 +156,18 @@
 // ReadTime predicts how long the engine reads so many tokens by itself.
 func (eng *Engine) ReadTime(tokens int) time.Duration {
 	_, token := eng.service.read.solve()
-	return time.Duration(effective(tokens) * float64(token) * eng.readFactor())
+	return time.Duration(effective(tokens) * float64(token) * eng.readTimes)
 }
 
 // Overhead predicts the time to a first event beside reading.
 func (eng *Engine) Overhead() time.Duration {
 	overhead, _ := eng.service.read.solve()
-	return time.Duration(float64(overhead) * eng.readFactor())
+	return time.Duration(float64(overhead) * eng.readTimes)
 }
 
 // Event predicts the time between two events.
 func (eng *Engine) Event() time.Duration {
-	return time.Duration(eng.service.event * eng.eventFactor())
+	return time.Duration(eng.service.event * eng.eventTimes)
 }
 
 // ObserveRead takes in how long a prompt of so many tokens took to the first event,
@@ -173,6 +180,7 @@
 	overhead, token := eng.service.read.solve()
 	predicted := float64(overhead) + effective(tokens)*float64(token)
 	eng.read.observe(math.Log(float64(took) / predicted))
+	eng.blendBoth()
 	if eng.read.weight >= sureAnswers {
 		eng.service.read.observe(effective(tokens), time.Duration(float64(took)/math.Exp(eng.read.log)))
 	}
@@ -185,6 +193,7 @@
 	}
 	each := float64(took) / float64(events-1)
 	eng.event.observe(math.Log(each / eng.service.event))
+	eng.blendBoth()
 	if eng.read.weight >= sureAnswers {
 		// Measured by the engine's reading, so that an engine of which only that is
 		// known has its events predicted too.
@@ -197,5 +206,5 @@
 	if !eng.Known() {
 		return Profile{}
 	}
-	return Profile{Read: eng.readFactor(), Event: eng.eventFactor(), Weight: max(eng.read.weight, eng.event.weight)}
+	return Profile{Read: eng.readTimes, Event: eng.eventTimes, Weight: max(eng.read.weight, eng.event.weight)}
 }
--- a/pace/survey.go
+++ b/pace/survey.go
@@ -82,6 +82,7 @@
 		return
 	}
 	eng.read, eng.event = factorOf(pro.Read, pro.Weight), factorOf(pro.Event, pro.Weight)
+	eng.blendBoth()
 }
 
 // Adopt takes what another host learned of the service, where this one has learned
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -538,7 +538,14 @@
 }
 
 func BenchmarkDecision(b *testing.B) {
-	engines := make([]fleet.Engine, 90)
+	for _, count := range []int{90, 650} {
+		b.Run(fmt.Sprint(count, "engines"), func(b *testing.B) { benchmarkDecision(b, count) })
+	}
+}
+
+func benchmarkDecision(b *testing.B, count int) {
+	b.Helper()
+	engines := make([]fleet.Engine, count)
 	for idx := range engines {
 		engines[idx] = modelEngine(fmt.Sprint("e", idx))
 	}
