refactor: a stream's chance to end in time no longer weighs in the choice

It was worth something before engines' speeds were known at once; now it is worth nothing. Its three tests go with it: they held what no longer is decided.

--- a/scheduler/choose.go
+++ b/scheduler/choose.go
@@ -13,9 +13,6 @@
 	// tokens are those that the engine reads of the prompt.
 	tokens int
 	cost   time.Duration
-	// unlikely says that an engine was passed over since the stream would hardly
-	// end there in time.
-	unlikely bool
 }
 
 // candidate is an engine that may serve a request, and what is predicted there.
@@ -62,12 +59,7 @@
 
 // weigh takes the candidate if it is better than the one chosen so far.
 func (cho *choice) weigh(can candidate, res reservation.Reserve) {
-	chance := can.engine.finishChance(can.first, res.AnswerTokens, res.Remaining)
-	if chance < minChance && len(can.engine.running) >= can.engine.Slots/2 {
-		cho.unlikely = true
-		return
-	}
-	cost := can.engine.costOf(res, can, chance)
+	cost := can.engine.costOf(res, can)
 	if cho.engine == nil || cost < cho.cost {
 		cho.engine, cho.tokens, cho.cost = can.engine, can.tokens, cost
 	}
@@ -103,10 +95,9 @@
 }
 
 // costOf returns what the engine counts in the choice for a request: its time to
-// the first token, and what its load, its place and a stream cut short add to it.
-func (ene *engine) costOf(res reservation.Reserve, can candidate, chance float64) time.Duration {
+// the first token, and what its load and its place add to it.
+func (ene *engine) costOf(res reservation.Reserve, can candidate) time.Duration {
 	cost := can.first + loadCost*time.Duration(len(ene.running))/time.Duration(max(1, ene.Slots))
-	cost += time.Duration((1 - chance) * float64(finishCost))
 	if ene.Domain != res.Domain {
 		cost += crossCost
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -58,9 +58,6 @@
 	until time.Time
 	// late says that it was refused before and can't be in time any more.
 	late bool
-	// unlikely says that it isn't begun for its small chance to end in time, not
-	// for lack of room: it holds up nobody behind it.
-	unlikely bool
 }
 
 // New returns a core that knows no engine yet.
@@ -294,7 +291,7 @@
 			cor.giveBack(wai.reserve.Account, cor.costOf(wai.reserve))
 			cor.refuse(now, wai.gateway, wai.reserve, reservation.ReasonOverload, svc.inputs(now, wai.since))
 		default:
-			full = full || (len(wai.reserve.Exclude) == 0 && !wai.unlikely)
+			full = full || len(wai.reserve.Exclude) == 0
 			kept = append(kept, wai)
 		}
 	}
@@ -314,7 +311,6 @@
 func (cor *Core) grant(now time.Time, svc *service, wai *waiter) bool {
 	cho := cor.choose(now, svc, wai)
 	best, tokens := cho.engine, cho.tokens
-	wai.unlikely = cho.unlikely
 	if best == nil {
 		return false
 	}
