--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -168,8 +168,8 @@
 	return exc.granted(dec.grant.Engine, res.ID)
 }
 
-// answerTokens returns the caller's guess of the answer's length, which decides
-// where a stream is begun; one that has begun goes on wherever there is room.
+// answerTokens returns the caller's guess of the answer's length, by which it is
+// predicted when its slot falls free; of one that has begun the rest isn't known.
 func (exc *exchange) answerTokens() int {
 	if max(exc.request.LastEvent, exc.lastEvent) > 0 {
 		return 0
