fix: a new coordinator is told of no more accounts than a session bears

Cause: found on reading: each host told a new coordinator of every limited account in a message of its own; with more than 512 the session's queue overflowed and the session was ended, again and again.

--- a/entry/spending.go
+++ b/entry/spending.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"lynxwell.dev/lynxwell/request"
@@ -64,15 +66,34 @@
 	spe.debt += res.Cost
 }
 
-// tellSpent tells the new coordinator what this host owes; the mutex is held.
+// maxTold bounds the accounts that a new coordinator is told of: a quarter of what
+// waits for one session at most. Of the others it takes this host to have used its
+// part, which the rate gives back soon.
+const maxTold = 128
+
+// tellSpent tells the new coordinator what this host owes, of the accounts that it
+// owes most; the mutex is held.
 func (des *desk) tellSpent(chosen request.Epoch) {
 	now := time.Now()
+	var told []reservation.Spent
 	for _, acc := range des.limitedAccounts() {
 		spe := des.spent[acc.Name]
 		if spe == nil {
 			continue
 		}
 		spe.settle(now)
-		des.tell(chosen, reservation.Spent{Account: acc.Name, Debt: spe.debt})
+		told = append(told, reservation.Spent{Account: acc.Name, Debt: spe.debt})
+	}
+	for _, spt := range mostOwed(told) {
+		des.tell(chosen, spt)
+	}
+}
+
+// mostOwed returns the largest debts, as many as a coordinator is told of.
+func mostOwed(debts []reservation.Spent) []reservation.Spent {
+	if len(debts) <= maxTold {
+		return debts
 	}
+	slices.SortStableFunc(debts, func(one, two reservation.Spent) int { return cmp.Compare(two.Debt, one.Debt) })
+	return debts[:maxTold]
 }
--- /dev/null
+++ b/entry/spending_test.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/peer"
+	"lynxwell.dev/lynxwell/reservation"
+	"lynxwell.dev/lynxwell/route"
+)
+
+func TestDebtShrinksByTheHostsPartOfTheRate(t *testing.T) {
+	start := time.Unix(100, 0)
+	spe := &spending{debt: 100, rate: 20, at: start}
+	spe.settle(start.Add(2 * time.Second))
+	assert.Equal(t, spe.debt, 60.0)
+	spe.settle(start)
+	assert.Equal(t, spe.debt, 60.0, "time doesn't go back")
+	spe.settle(start.Add(time.Minute))
+	assert.Equal(t, spe.debt, 0.0)
+}
+
+// A coordinator is told of so many accounts at most that the session bears it.
+func TestNewCoordinatorIsToldOfNoMoreAccountsThanASessionBears(t *testing.T) {
+	hos, err := New(Config{Log: zerolog.Nop()})
+	assert.NilError(t, err)
+	var con route.Configuration
+	for idx := range 2000 {
+		con.Accounts = append(con.Accounts, route.Account{Name: fmt.Sprint("account-", idx), Rate: 1})
+	}
+	tab, err := route.NewTable(con)
+	assert.NilError(t, err)
+	hos.belief.Store(&belief{table: tab})
+	lost := false
+	lin := &link{member: fleet.Member{Epoch: 7}, queue: peer.NewQueue(), cancel: func() { lost = true }}
+	hos.desk.links[7] = lin
+	hos.desk.changeSpending(time.Now())
+	hos.desk.tellSpent(7)
+	assert.Assert(t, !lost)
+	assert.Equal(t, lin.queue.Len(), maxTold)
+}
+
+func TestLargestDebtsAreToldFirst(t *testing.T) {
+	var debts []reservation.Spent
+	for idx := range 3 * maxTold {
+		debts = append(debts, reservation.Spent{Account: fmt.Sprint("account-", idx), Debt: float64(idx)})
+	}
+	told := mostOwed(debts)
+	assert.Equal(t, len(told), maxTold)
+	assert.Equal(t, told[0].Account, fmt.Sprint("account-", 3*maxTold-1))
+	assert.Equal(t, len(mostOwed(debts[:2])), 2)
+}
