--- a/entry/desk.go
+++ b/entry/desk.go
@@ -10,6 +10,7 @@
 	"lynxwell.dev/lynxwell/peer"
 	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/reservation"
+	"lynxwell.dev/lynxwell/route"
 	"lynxwell.dev/lynxwell/scheduler"
 )
 
@@ -38,8 +39,11 @@
 	// that requests have, as another coordinator is told of them.
 	tickets map[request.ID]*ticket
 	holds   map[request.ID]*reservation.Adopt
-	// spent is what this host's requests took from each account's limit.
-	spent map[string]*spending
+	// spent is what this host's requests took from each account's limit, with the
+	// accounts of spentTable and the rates' parts by spentHosts.
+	spent      map[string]*spending
+	spentTable *route.Table
+	spentHosts int
 	// survey is what the hosts have recorded of the engines' speed.
 	survey pace.Survey
 }
--- a/entry/spending.go
+++ b/entry/spending.go
@@ -42,9 +42,15 @@
 	return limited
 }
 
-// changeSpending takes the accounts and the hosts as they are now; the mutex is held.
+// changeSpending takes the accounts and the hosts as they are now; the mutex is
+// held. It is called at each change of the store, most of which are of engines.
 func (des *desk) changeSpending(now time.Time) {
 	hosts := max(1, len(des.roster.members))
+	tab := des.host.belief.Load().table
+	if tab == des.spentTable && hosts == des.spentHosts {
+		return
+	}
+	des.spentTable, des.spentHosts = tab, hosts
 	for _, acc := range des.limitedAccounts() {
 		spe := des.spent[acc.Name]
 		if spe == nil {
--- a/pace/line.go
+++ b/pace/line.go
@@ -73,8 +73,3 @@
 	lin.token = max(minToken, time.Duration(slope*float64(time.Millisecond)))
 	lin.overhead = max(minOverhead, time.Duration(base*float64(time.Millisecond)))
 }
-
-// solve returns the fixed part and the time of a token.
-func (lin *line) solve() (overhead, token time.Duration) {
-	return lin.overhead, lin.token
-}
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -80,8 +80,7 @@
 
 // Reference returns what the engines are compared with now.
 func (svc *Service) Reference() Reference {
-	overhead, token := svc.read.solve()
-	return Reference{Overhead: overhead, Token: token, Event: time.Duration(svc.event)}
+	return Reference{Overhead: svc.read.overhead, Token: svc.read.token, Event: time.Duration(svc.event)}
 }
 
 // Engine is what is known of one engine.
@@ -155,14 +154,12 @@
 
 // ReadTime predicts how long the engine reads so many tokens by itself.
 func (eng *Engine) ReadTime(tokens int) time.Duration {
-	_, token := eng.service.read.solve()
-	return time.Duration(effective(tokens) * float64(token) * eng.readTimes)
+	return time.Duration(effective(tokens) * float64(eng.service.read.token) * eng.readTimes)
 }
 
 // Overhead predicts the time to a first event beside reading.
 func (eng *Engine) Overhead() time.Duration {
-	overhead, _ := eng.service.read.solve()
-	return time.Duration(float64(overhead) * eng.readTimes)
+	return time.Duration(float64(eng.service.read.overhead) * eng.readTimes)
 }
 
 // Event predicts the time between two events.
@@ -177,12 +174,12 @@
 		return
 	}
 	eng.service.answers++
-	overhead, token := eng.service.read.solve()
-	predicted := float64(overhead) + effective(tokens)*float64(token)
+	lin := &eng.service.read
+	predicted := float64(lin.overhead) + effective(tokens)*float64(lin.token)
 	eng.read.observe(math.Log(float64(took) / predicted))
 	eng.blendBoth()
 	if eng.read.weight >= sureAnswers {
-		eng.service.read.observe(effective(tokens), time.Duration(float64(took)/math.Exp(eng.read.log)))
+		lin.observe(effective(tokens), time.Duration(float64(took)/math.Exp(eng.read.log)))
 	}
 }
 
--- a/pace/survey.go
+++ b/pace/survey.go
@@ -36,10 +36,7 @@
 // Differs reports whether the newer survey tells anything new: an engine that
 // isn't in this one, or whose profile has changed. Engines that are gone don't count.
 func (sur Survey) Differs(newer Survey) bool {
-	known := make(map[string]map[netip.AddrPort]Profile, len(sur.Services))
-	for _, svc := range sur.Services {
-		known[svc.Name] = svc.profiles()
-	}
+	known := sur.Profiles()
 	for _, svc := range newer.Services {
 		for _, rec := range svc.Engines {
 			former, found := known[svc.Name][rec.Address]
@@ -51,12 +48,17 @@
 	return false
 }
 
-func (sse ServiceSurvey) profiles() map[netip.AddrPort]Profile {
-	profiles := make(map[netip.AddrPort]Profile, len(sse.Engines))
-	for _, rec := range sse.Engines {
-		profiles[rec.Address] = rec.Profile
+// Profiles returns the engines' profiles by service and address.
+func (sur Survey) Profiles() map[string]map[netip.AddrPort]Profile {
+	services := make(map[string]map[netip.AddrPort]Profile, len(sur.Services))
+	for _, svc := range sur.Services {
+		profiles := make(map[netip.AddrPort]Profile, len(svc.Engines))
+		for _, rec := range svc.Engines {
+			profiles[rec.Address] = rec.Profile
+		}
+		services[svc.Name] = profiles
 	}
-	return profiles
+	return services
 }
 
 func far(one, two float64) bool {
--- a/scheduler/choose.go
+++ b/scheduler/choose.go
@@ -7,28 +7,26 @@
 	"lynxwell.dev/lynxwell/reservation"
 )
 
-// choice is the engine for a request; nil for none.
-type choice struct {
-	engine *engine
-	// tokens are those that the engine reads of the prompt.
-	tokens int
-	cost   time.Duration
-}
-
 // candidate is an engine that may serve a request, and what is predicted there.
 type candidate struct {
 	engine *engine
 	// tokens are those that it would read of the prompt.
 	tokens int
-	// first is how long the first event would take, alone what it would take if the
-	// engine had nothing else to do.
-	first time.Duration
+	// alone is how long the first event would take if the engine had nothing else to
+	// do, first what it takes as things are; that is predicted where there is room.
 	alone time.Duration
+	first time.Duration
+}
+
+// choice is the candidate for a request; without an engine for none.
+type choice struct {
+	candidate
+	cost time.Duration
 }
 
 // choose returns the engine with room that serves the request best. Where all of
 // them would be late, it is the one with the soonest first event.
-func (cor *Core) choose(now time.Time, svc *service, wai *waiter) choice {
+func (cor *Core) choose(now time.Time, svc *service, wai *waiter) candidate {
 	var cho choice
 	var late candidate
 	var quickest time.Duration
@@ -39,12 +37,15 @@
 		if ene.Draining || slices.Contains(res.Exclude, string(ene.ID)) || (aside && !ene.health.usable(now)) {
 			continue
 		}
-		can := ene.candidate(now, res)
+		can := ene.candidate(res)
 		if quickest == 0 || can.alone < quickest {
 			quickest = can.alone
 		}
+		if !ene.hasRoom(now) {
+			continue
+		}
+		can.first = ene.wait(now, can.tokens) + can.alone
 		switch {
-		case !ene.hasRoom(now):
 		case can.first <= aim:
 			cho.weigh(can, res)
 		case ene.halfFree() && (late.engine == nil || can.first < late.first):
@@ -52,9 +53,9 @@
 		}
 	}
 	if cho.engine == nil && late.engine != nil && late.bearable(res.Aim, quickest) {
-		cho.engine, cho.tokens = late.engine, late.tokens
+		return late
 	}
-	return cho
+	return cho.candidate
 }
 
 // weigh takes the candidate if it is better than the one chosen so far.
@@ -62,7 +63,7 @@
 	chance := can.engine.finishChance(can.first, res.AnswerTokens, res.Remaining)
 	cost := can.engine.costOf(res, can, chance)
 	if cho.engine == nil || cost < cho.cost {
-		cho.engine, cho.tokens, cho.cost = can.engine, can.tokens, cost
+		*cho = choice{candidate: can, cost: cost}
 	}
 }
 
@@ -73,13 +74,12 @@
 	return can.first < time.Duration(lateShare*float64(max(aim, quickest)))
 }
 
-// candidate returns what is predicted for a request at the engine.
-func (ene *engine) candidate(now time.Time, res reservation.Reserve) candidate {
+// candidate returns what is predicted for a request at the engine by itself.
+func (ene *engine) candidate(res reservation.Reserve) candidate {
 	can := candidate{engine: ene}
 	if res.PromptTokens > 0 {
 		can.tokens = ene.toRead(res.PromptTokens, res.Parts)
 	}
-	can.first = ene.firstToken(now, can.tokens)
 	can.alone = ene.alone(can.tokens)
 	return can
 }
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -23,8 +24,9 @@
 	table    *route.Table
 	// returners are the requests that were refused, which may come back.
 	returners returners
-	// survey is what the hosts have recorded of the engines' speed.
-	survey pace.Survey
+	// recorded is what the hosts have recorded of the engines' speed, by service and
+	// address.
+	recorded map[string]map[netip.AddrPort]pace.Profile
 	// parts is into how many parts like this one's the limits are divided.
 	parts float64
 	// hosts is how many hosts share the limits.
@@ -124,7 +126,7 @@
 		known[eng.ID] = true
 		ene := cor.engines[eng.ID]
 		if ene == nil {
-			ene = newEngine(eng, cor.service(eng.Service).pace.NewEngine(cor.recorded(eng)))
+			ene = newEngine(eng, cor.service(eng.Service).pace.NewEngine(cor.recorded[eng.Service][eng.Address]))
 			cor.engines[eng.ID] = ene
 		}
 		ene.Engine = eng
@@ -309,15 +311,15 @@
 
 // grant gives the request the best engine with room, if there is one.
 func (cor *Core) grant(now time.Time, svc *service, wai *waiter) bool {
-	cho := cor.choose(now, svc, wai)
-	best, tokens := cho.engine, cho.tokens
+	can := cor.choose(now, svc, wai)
+	best, tokens := can.engine, can.tokens
 	if best == nil {
 		return false
 	}
 	res := wai.reserve
 	rnn := &run{
 		engine: best, gateway: wai.gateway, account: res.Account, cost: cor.costOf(res), tokens: tokens, unread: true,
-		expected: best.firstToken(now, tokens), queued: len(best.running) >= best.Slots,
+		expected: can.first, queued: len(best.running) >= best.Slots,
 	}
 	inp := svc.inputs(now, wai.since)
 	inp.Running, inp.Unread, inp.Expected = len(best.running), best.unreadTime(now), rnn.expected
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -161,16 +161,17 @@
 	}
 }
 
-// firstToken predicts how long a request would wait for its first token.
-func (ene *engine) firstToken(now time.Time, tokens int) time.Duration {
+// wait predicts how long a request waits until the engine begins with it.
+func (ene *engine) wait(now time.Time, tokens int) time.Duration {
 	if tokens == 0 {
 		queued := max(0, len(ene.running)-ene.Slots+1)
-		return ene.work + ene.work*time.Duration(queued)/time.Duration(max(1, ene.Slots))
+		return ene.work * time.Duration(queued) / time.Duration(max(1, ene.Slots))
 	}
-	return max(ene.unreadTime(now), ene.slotWait(now)) + ene.alone(tokens)
+	return max(ene.unreadTime(now), ene.slotWait(now))
 }
 
-// alone predicts the same where the engine has nothing else to do.
+// alone predicts how long a first event takes where the engine has nothing else to
+// do.
 func (ene *engine) alone(tokens int) time.Duration {
 	if tokens == 0 {
 		return ene.work
--- a/scheduler/survey.go
+++ b/scheduler/survey.go
@@ -1,9 +1,6 @@
 package scheduler
 
-import (
-	"lynxwell.dev/lynxwell/fleet"
-	"lynxwell.dev/lynxwell/pace"
-)
+import "lynxwell.dev/lynxwell/pace"
 
 // Survey returns what the core knows of the engines' speed, to be recorded.
 func (cor *Core) Survey() pace.Survey {
@@ -24,26 +21,11 @@
 
 // adoptSurvey takes what was recorded of engines that this core knows less of.
 func (cor *Core) adoptSurvey(sur pace.Survey) {
-	cor.survey = sur
+	cor.recorded = sur.Profiles()
 	for _, svc := range sur.Services {
 		cor.service(svc.Name).pace.Adopt(svc.Reference)
 	}
 	for _, ene := range cor.engines {
-		ene.model.Adopt(cor.recorded(ene.Engine))
+		ene.model.Adopt(cor.recorded[ene.Service][ene.Address])
 	}
 }
-
-// recorded returns what was recorded of an engine; the zero profile for nothing.
-func (cor *Core) recorded(eng fleet.Engine) pace.Profile {
-	for _, svc := range cor.survey.Services {
-		if svc.Name != eng.Service {
-			continue
-		}
-		for _, rec := range svc.Engines {
-			if rec.Address == eng.Address {
-				return rec.Profile
-			}
-		}
-	}
-	return pace.Profile{}
-}
--- a/story/losses.go
+++ b/story/losses.go
@@ -141,7 +141,8 @@
 	rows[row][end.outcome]++
 }
 
-// writeTable writes the rows, with a column for each outcome, the most usual first.
+// writeTable writes the rows, with a column for each outcome: what was in time first,
+// then the most usual.
 func (los *Losses) writeTable(out io.Writer, title string, rows map[string]tally) error {
 	total := make(tally)
 	for _, row := range rows {
@@ -150,7 +151,13 @@
 		}
 	}
 	outcomes := slices.SortedFunc(maps.Keys(total), func(one, two string) int {
-		return cmp.Or(cmp.Compare(ordinal(two == outcomeInAim), ordinal(one == outcomeInAim)), cmp.Compare(total[two], total[one]), cmp.Compare(one, two))
+		switch outcomeInAim {
+		case one:
+			return -1
+		case two:
+			return 1
+		}
+		return cmp.Or(cmp.Compare(total[two], total[one]), cmp.Compare(one, two))
 	})
 	tab := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprint(tab, title, "\tREQUESTS")
@@ -171,10 +178,3 @@
 	}
 	return tab.Flush()
 }
-
-func ordinal(holds bool) int {
-	if holds {
-		return 1
-	}
-	return 0
-}
