fix: a request whose granters have all stopped gets its final answer

An id of a view whose other hosts have all restarted: the gateway closes it as outdated, finds no granter to close it at, fences, hears that each granter has stopped in order without a grant, and closes it again, until its rounds are over. 2. An id taken over by the last living granter: it takes no grant from its own failure domain and didn't close at itself either, so it fenced in a circle. Ruled out: lost successions (every handover arrived), a lost handover, load (it is a matter of how close the restarts follow one another). Change: where every granter has stopped in order or closed the request, NotRun is final: nobody can grant it any more. A request is closed at a granter of the own domain, or at this host, where no other is left: a later fence must hear that ledger. Two tests failed first; logs name the granters' answers.

--- a/gateway/action.go
+++ b/gateway/action.go
@@ -34,6 +34,18 @@
 type Finish struct {
 	ID    request.ID
 	Final Final
+	// Granters are what the granters of a request said that couldn't be decided,
+	// empty where none was asked.
+	Granters []GranterWord
+}
+
+// GranterWord is what one granter said of a request; it is for the log.
+type GranterWord struct {
+	Granter view.Member
+	// Standing is 0 where the granter didn't answer.
+	Standing reservation.Standing
+	// Stopped is set where another host holds the granter's whole ledger.
+	Stopped bool
 }
 
 // Dispatch sends the request to the engine; it is told once a request.
--- a/gateway/close.go
+++ b/gateway/close.go
@@ -31,17 +31,26 @@
 	gat.send(to, reservation.Withdraw{ID: ent.id, Ballot: ent.ballot, Close: true})
 }
 
+// closer returns the granter to close the request at, or 0. One of the own
+// failure domain, or this host itself, will do where no other is left: whoever
+// fences the request later has to hear that granter, or the heir of its ledger,
+// and without either nobody runs it.
 func (gat *Core) closer(ent *entry) request.Epoch {
 	if gat.isUp(ent.coordinator) && gat.mayTake(ent.coordinator, ent) && !ent.hasRefused(ent.coordinator) {
 		return ent.coordinator
 	}
 	vie, _ := gat.views.Get(ent.id.View)
+	var near request.Epoch
 	for _, mem := range vie.Granters(ent.id.Epoch) {
-		if gat.isUp(mem.Epoch) && gat.mayTake(mem.Epoch, ent) && !ent.hasRefused(mem.Epoch) {
+		if !gat.isUp(mem.Epoch) || gat.lost[mem.Epoch] != nil || ent.hasRefused(mem.Epoch) {
+			continue
+		}
+		if gat.mayTake(mem.Epoch, ent) {
 			return mem.Epoch
 		}
+		near = mem.Epoch
 	}
-	return 0
+	return near
 }
 
 func (gat *Core) checkClosing(now time.Time, ent *entry) {
@@ -55,7 +64,7 @@
 // what another one may have done with them stands in the granters' ledgers.
 func (gat *Core) undecided(ent *entry) {
 	fin := Final{Cause: CauseUndecided, Outcome: request.Unknown, Retry: true, RetryAfter: undecidedRetry}
-	gat.act(Finish{ID: ent.id, Final: fin})
+	gat.act(Finish{ID: ent.id, Final: fin, Granters: ent.fence.words()})
 	gat.setAside(ent)
 }
 
--- a/gateway/core_test.go
+++ b/gateway/core_test.go
@@ -256,3 +256,67 @@
 	assert.Assert(t, relayed)
 	assert.Equal(t, rel.To.Epoch, request.Epoch(2))
 }
+
+// Every host that could grant an id of an old view has stopped in order. Nobody
+// is left to close the request, and nobody to grant it: the caller is told to
+// take a new prefix, whether the request was to be closed or not.
+func TestIDWhoseGrantersAllStoppedIsRetired(t *testing.T) {
+	ben := newBench(t, 2, member(1, "a"), member(2, "b"), member(3, "c"))
+	ben.handle(gateway.ViewChanged{View: view.View{Number: 2, Members: []view.Member{
+		member(1, "a"), member(4, "b"), member(5, "c"),
+	}}})
+	for _, epo := range []request.Epoch{2, 3} {
+		ben.handle(gateway.PeerLost{Peer: epo})
+	}
+	for _, epo := range []request.Epoch{4, 5} {
+		ben.handle(gateway.PeerUp{Peer: epo})
+	}
+	actions := ben.arrive(ben.idOf(self, "one"))
+	ask, asked := find[gateway.AskFence](actions)
+	assert.Assert(t, asked)
+	for _, epo := range []request.Epoch{2, 3} {
+		_, early := find[gateway.Finish](ben.handle(gateway.FenceFailed{ID: ask.Fence.ID, Ballot: ask.Fence.Ballot, Peer: epo}))
+		assert.Assert(t, !early)
+	}
+	actions = ben.handle(gateway.FenceAnswered{Ballot: ask.Fence.Ballot, Answer: reservation.FenceAnswer{
+		ID: ask.Fence.ID, From: 4, Standing: reservation.StandingBystander, Successions: []request.Epoch{2, 3},
+	}})
+	fin, finished := find[gateway.Finish](actions)
+	assert.Assert(t, finished)
+	assert.Equal(t, fin.Final.Cause, gateway.CauseRetired)
+	assert.Equal(t, fin.Final.Outcome, request.NotRun)
+	assert.Assert(t, fin.Final.Retry)
+}
+
+// This host is the last one that may grant an id which it has taken over, and
+// it takes no grant from its own failure domain. It closes the request in its
+// own ledger, where every later fence reads it, instead of leaving its caller
+// undecided until the deadline.
+func TestLastGranterClosesWhatItCannotGrantItself(t *testing.T) {
+	ben := newBench(t, 2, member(1, "a"), member(2, "b"), member(3, "c"), member(4, "d"))
+	ben.handle(gateway.ViewChanged{View: view.View{Number: 2, Members: []view.Member{
+		member(1, "a"), member(5, "b"), member(6, "c"), member(7, "d"),
+	}}})
+	for _, epo := range []request.Epoch{2, 3, 4} {
+		ben.handle(gateway.PeerLost{Peer: epo})
+	}
+	for _, epo := range []request.Epoch{5, 6, 7} {
+		ben.handle(gateway.PeerUp{Peer: epo})
+	}
+	ask, asked := find[gateway.AskFence](ben.arrive(ben.idOf(4, "one")))
+	assert.Assert(t, asked)
+	fenced := func(from request.Epoch, sta reservation.Standing) []gateway.Action {
+		return ben.handle(gateway.FenceAnswered{Ballot: ask.Fence.Ballot, Answer: reservation.FenceAnswer{
+			ID: ask.Fence.ID, From: from, Standing: sta, Successions: []request.Epoch{2, 3, 4},
+		}})
+	}
+	fenced(5, reservation.StandingBystander)
+	to, wit, withdrawn := sent[reservation.Withdraw](fenced(self, reservation.StandingPromised))
+	assert.Assert(t, withdrawn && wit.Close)
+	assert.Equal(t, to, self)
+	actions := ben.handle(gateway.Received{From: to, Message: reservation.Refuse{ID: wit.ID, Ballot: wit.Ballot, Reason: reservation.ReasonClosed}})
+	fin, finished := find[gateway.Finish](actions)
+	assert.Assert(t, finished)
+	assert.Equal(t, fin.Final.Cause, gateway.CauseRetired)
+	assert.Equal(t, fin.Final.Outcome, request.NotRun)
+}
--- a/gateway/fence.go
+++ b/gateway/fence.go
@@ -191,6 +191,18 @@
 	return false
 }
 
+// words returns what each granter said, for the log.
+func (fes *fenceState) words() []GranterWord {
+	if fes == nil {
+		return nil
+	}
+	words := make([]GranterWord, 0, len(fes.granters))
+	for _, mem := range fes.granters {
+		words = append(words, GranterWord{Granter: mem, Standing: fes.answers[mem.Epoch].Standing, Stopped: fes.stopped(mem.Epoch)})
+	}
+	return words
+}
+
 // anyStanding reports whether any host answered with the standing.
 func (fes *fenceState) anyStanding(sta reservation.Standing) bool {
 	for _, ans := range fes.answers {
@@ -211,17 +223,26 @@
 	closed := fes.anyStanding(reservation.StandingClosed)
 	promised := fes.anyStanding(reservation.StandingPromised)
 	switch {
+	case !promised && (!closed || gat.closer(ent) == 0):
+		// Every granter has stopped in order without a grant, or has closed the
+		// request: nobody is left to grant it, and nobody to close it either.
+		gat.finish(ent, retired(ent))
 	case ent.closeAsked:
 		gat.close(now, ent, ent.final)
 	case closed:
 		gat.close(now, ent, Final{Cause: CauseExpired, Outcome: request.NotRun})
-	case promised:
-		gat.admitTakenOver(now, ent)
 	default:
-		// Every granter has stopped in order without a grant, so there is
-		// nobody who could grant it any more.
-		gat.finish(ent, Final{Cause: CauseRetired, Outcome: request.NotRun, Retry: true})
+		gat.admitTakenOver(now, ent)
+	}
+}
+
+// retired is the final answer for a request that no host can grant any more:
+// its caller takes a new id, unless it isn't to come back at all.
+func retired(ent *entry) Final {
+	if ent.closeAsked && !ent.final.Retry {
+		return ent.final
 	}
+	return Final{Cause: CauseRetired, Outcome: request.NotRun, Retry: true}
 }
 
 func (gat *Core) admitTakenOver(now time.Time, ent *entry) {
--- a/host/actions.go
+++ b/host/actions.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
 
 	"lynxwell.dev/lynxwell/caller"
 	"lynxwell.dev/lynxwell/coordinator"
@@ -35,6 +36,7 @@
 		lop.decide(act.Caller, caller.Relayed{To: act.To})
 	case gateway.Finish:
 		lop.count("Finals." + string(act.Final.Cause))
+		lop.logUndecided(act)
 		if jb := lop.jobs[act.ID]; jb != nil {
 			jb.exchange.Fail(act.Final)
 		}
@@ -63,6 +65,19 @@
 	}
 }
 
+// logUndecided says which granters kept a request from being decided.
+func (lop *loop) logUndecided(act gateway.Finish) {
+	if act.Final.Cause != gateway.CauseUndecided {
+		return
+	}
+	words := zerolog.Arr()
+	for _, wor := range act.Granters {
+		words.Dict(zerolog.Dict().Str("Host", wor.Granter.Name).Stringer("Epoch", wor.Granter.Epoch).
+			Stringer("Standing", wor.Standing).Bool("Stopped", wor.Stopped))
+	}
+	lop.host.log.Info().Stringer("RequestID", act.ID).Array("Granters", words).Msg("request not decided")
+}
+
 // decide tells a waiting caller what the gateway has decided.
 func (lop *loop) decide(num gateway.CallerID, dec caller.Decision) {
 	arr := lop.pending[num]
--- a/processtest/processtest.go
+++ b/processtest/processtest.go
@@ -178,6 +178,7 @@
 		cfg.Slots = 4
 	}
 	sys := &System{t: t, cfg: cfg, dir: t.TempDir()}
+	t.Cleanup(sys.keepLogs)
 	sys.Platform, sys.platform = sys.standin("platform", "platform")
 	for idx := range cfg.Engines {
 		sys.Engines = append(sys.Engines, sys.engine(fmt.Sprintf("engine-%d", idx+1)))
@@ -379,6 +380,23 @@
 	}
 }
 
+// envLogs names a directory in which failed tests leave the logs of their processes.
+const envLogs = "LYNXWELL_TEST_LOGS"
+
+// keepLogs copies the processes' logs of a failed test to where they outlast it.
+func (sys *System) keepLogs() {
+	root := os.Getenv(envLogs)
+	if root == "" || !sys.t.Failed() {
+		return
+	}
+	kept := filepath.Join(root, fmt.Sprintf("%s-%d", filepath.Base(sys.t.Name()), time.Now().UnixNano()))
+	if err := os.CopyFS(kept, os.DirFS(sys.dir)); err != nil {
+		sys.t.Logf("logs not kept: %v", err)
+		return
+	}
+	sys.t.Logf("logs kept in %s", kept)
+}
+
 // logTail is how much of each log a failure shows, in bytes.
 const logTail = 1500
 
