fix: hosts that start wait for no lost host, and for none that follows another

Ruled out: the store (read in 10 ms), the sessions (each has its own goroutine). Change: a host is asked a short question, 0.2 s at most, before it is waited for; a host that waits for another's changes lets nobody wait for its own. Two tests fail first.

--- /dev/null
+++ b/entry/follow_test.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"lynxwell.dev/lynxwell/store"
+)
+
+// longWait is longer than any test here may last.
+const longWait = time.Minute
+
+// Two hosts that start together may each take the other for the one that reads the
+// store. Neither waits for the other's changes then.
+func TestNobodyWaitsForAHostThatFollowsAnother(t *testing.T) {
+	mir := newMirror()
+	mir.replace(nil, 7, time.Now())
+	ends := make(chan error, 1)
+	go func() {
+		_, err := mir.Follow(t.Context(), 7, longWait)
+		ends <- err
+	}()
+	mir.setRelayed(true)
+	var relayed *RelayedMirrorError
+	assert.Assert(t, errors.As(<-ends, &relayed))
+	_, err := mir.Follow(t.Context(), 7, longWait)
+	assert.Assert(t, errors.As(err, &relayed))
+	// What it knows is still told to those who have lost the store and don't wait.
+	fol, err := mir.Follow(t.Context(), 0, probeWait)
+	assert.NilError(t, err)
+	assert.Equal(t, fol.Changes.Revision, store.Revision(7))
+	mir.setRelayed(false)
+	mir.apply(store.Changes{Revision: 8, Changes: []store.Change{{Value: store.Value{Key: "k", Revision: 8}}}}, time.Now())
+	fol, err = mir.Follow(t.Context(), 7, longWait)
+	assert.NilError(t, err)
+	assert.Equal(t, len(fol.Changes.Changes), 1)
+}
--- a/entry/mirror.go
+++ b/entry/mirror.go
@@ -23,6 +23,8 @@
 	revision  store.Revision
 	confirmed time.Time
 	changed   chan struct{}
+	// relayed says that this host itself reads through another one.
+	relayed bool
 }
 
 func newMirror() *mirror {
@@ -72,6 +74,24 @@
 	}
 }
 
+// setRelayed notes whether this host reads through another one. Those who wait for
+// its changes are sent to the store then.
+func (mir *mirror) setRelayed(relayed bool) {
+	mir.mutex.Lock()
+	defer mir.mutex.Unlock()
+	if relayed && !mir.relayed {
+		close(mir.changed)
+		mir.changed = make(chan struct{})
+	}
+	mir.relayed = relayed
+}
+
+func (mir *mirror) isRelayed() bool {
+	mir.mutex.Lock()
+	defer mir.mutex.Unlock()
+	return mir.relayed
+}
+
 // look returns what is known after a revision, and a channel that is closed at
 // the next change.
 func (mir *mirror) look(after store.Revision) (peer.Following, time.Time, <-chan struct{}) {
@@ -101,12 +121,26 @@
 	return "this host has read nothing of the store yet"
 }
 
-// Follow implements peer.Mirror.
+// RelayedMirrorError reports a host that reads through another one itself.
+type RelayedMirrorError struct{}
+
+// Error says so.
+func (*RelayedMirrorError) Error() string {
+	return "this host reads the store through another one"
+}
+
+// Follow implements peer.Mirror. Nobody waits for the changes of a host that waits
+// for another's: hosts that start together may each take the other for the one
+// that reads, and would learn nothing for a second.
 func (mir *mirror) Follow(ctx context.Context, after store.Revision, wait time.Duration) (peer.Following, error) {
 	asked := time.Now()
+	mayWait := wait > probeWait
 	limit := time.NewTimer(wait)
 	defer limit.Stop()
 	for waiting := true; ; {
+		if mayWait && mir.isRelayed() {
+			return peer.Following{}, &RelayedMirrorError{}
+		}
 		fol, confirmed, changed := mir.look(after)
 		if confirmed.IsZero() {
 			return peer.Following{}, &EmptyMirrorError{}
--- a/entry/mirror_test.go
+++ b/entry/mirror_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -10,7 +11,9 @@
 	"gotest.tools/v3/assert"
 
 	"lynxwell.dev/lynxwell/entrytest"
+	"lynxwell.dev/lynxwell/peer"
 	"lynxwell.dev/lynxwell/platformtest"
+	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/store"
 	"lynxwell.dev/lynxwell/upstreamtest"
 )
@@ -38,6 +41,37 @@
 	sys.UntilVersion(3)
 }
 
+// silentMirror never answers, like a host without power. It notes for how long it
+// was asked to wait.
+type silentMirror struct {
+	waits chan time.Duration
+}
+
+func (sil *silentMirror) Follow(ctx context.Context, _ store.Revision, wait time.Duration) (peer.Following, error) {
+	sil.waits <- wait
+	<-ctx.Done()
+	return peer.Following{}, ctx.Err()
+}
+
+// Entries outlive lost hosts by some seconds. A host that starts finds them first in
+// its failure domain and doesn't wait for them.
+func TestHostThatStartsDoesNotWaitForLostOnes(t *testing.T) {
+	sys := entrytest.Prepare(t, twoOfEach())
+	sys.Configure(entrytest.Configuration{Version: 1})
+	sil := &silentMirror{waits: make(chan time.Duration, 64)}
+	for num := range 2 {
+		sys.EnterLost(fmt.Sprint("lost-", num), request.Epoch(num+1), sil)
+	}
+	sys.StartHosts(entrytest.Config{Hosts: 1, OneDomain: true})
+	assert.Assert(t, <-sil.waits <= time.Millisecond)
+	sys.Until("ready beside lost hosts", func() bool { return sys.IsReady(sys.Hosts[0]) })
+	sys.Configure(entrytest.Configuration{Version: 2})
+	sys.UntilVersion(2)
+	for len(sil.waits) > 0 {
+		assert.Assert(t, <-sil.waits <= time.Millisecond)
+	}
+}
+
 func TestForgottenHistoryReachesThoseWhoFollow(t *testing.T) {
 	sys := entrytest.Start(t, entrytest.Config{Hosts: 3, Engines: twoOfEach(), OneDomain: true})
 	sys.Configure(entrytest.Configuration{Version: 1})
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -9,6 +9,7 @@
 
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/platform"
+	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/route"
 	"lynxwell.dev/lynxwell/scheduler"
 	"lynxwell.dev/lynxwell/store"
@@ -48,6 +49,8 @@
 	whole bool
 	// nextPeer goes round the hosts that are asked while the store is lost.
 	nextPeer int
+	// met is the epoch of the host of the own failure domain that has answered.
+	met request.Epoch
 	// direct is until when the store is read itself.
 	direct time.Time
 	// nextProbe is when a lost store is asked again by a host that follows another.
--- a/entry/source.go
+++ b/entry/source.go
@@ -32,6 +32,11 @@
 	// followers is how many hosts a failure domain has at least before one of them
 	// reads the store for all: below, it saves too little.
 	followers = 3
+	// meetTimeout bounds the first question to a host that is to be followed: entries
+	// outlive lost hosts by some seconds, and one without power would hold up a host
+	// that starts for a second. An answer takes some milliseconds, and tens from a
+	// busy processor.
+	meetTimeout = 200 * time.Millisecond
 	// followAge is the age of another host's knowledge from which the store is
 	// asked directly: its own watch must be late by then.
 	followAge = 1900 * time.Millisecond
@@ -59,10 +64,11 @@
 // the store for all, or from the store.
 func (obs *observer) read(ctx context.Context) (update, error) {
 	mem, found := obs.followed()
+	obs.host.mirror.setRelayed(found)
 	if !found {
 		return obs.readStore(ctx)
 	}
-	upd, err := obs.follow(ctx, mem, followWait)
+	upd, err := obs.followMember(ctx, mem)
 	if err == nil || ctx.Err() != nil {
 		return upd, err
 	}
@@ -73,9 +79,25 @@
 	if obs.lostAt.IsZero() {
 		obs.host.log.Info().Err(err).Str("Member", mem.Name).Msg("reading the store itself, the host followed failed")
 	}
+	obs.host.mirror.setRelayed(false)
 	return obs.readStore(ctx)
 }
 
+// followMember reads through a host of the own failure domain, which must have
+// answered a short question before it is waited for.
+func (obs *observer) followMember(ctx context.Context, mem fleet.Member) (update, error) {
+	if obs.met == mem.Epoch {
+		return obs.follow(ctx, mem, followWait)
+	}
+	meeting, cancel := context.WithTimeout(ctx, meetTimeout)
+	defer cancel()
+	upd, err := obs.follow(meeting, mem, probeWait)
+	if err == nil {
+		obs.met = mem.Epoch
+	}
+	return upd, err
+}
+
 // readStore gets the next update from the store.
 func (obs *observer) readStore(ctx context.Context) (update, error) {
 	if obs.whole {
--- a/entrytest/entrytest.go
+++ b/entrytest/entrytest.go
@@ -29,8 +29,11 @@
 
 	"lynxwell.dev/lynxwell/embedded"
 	"lynxwell.dev/lynxwell/entry"
+	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/peer"
 	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/platformtest"
+	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/settings"
 	"lynxwell.dev/lynxwell/store"
 	"lynxwell.dev/lynxwell/upstreamtest"
@@ -46,6 +49,8 @@
 	// Key is held by the account named Account.
 	Key     = "key-of-kitchen"
 	Account = "kitchen"
+	// PeerKey is the hosts' own.
+	PeerKey = "key between the hosts under test"
 )
 
 // waitLimit is how long anything may take to come about.
@@ -182,6 +187,25 @@
 	sys.put(EngineKey(eng.ID()), string(EngineEntry(eng.Service(), address, eng.Slots(), draining)))
 }
 
+// EnterLost writes the entry of a host that is there no more, or hardly: all that
+// answers at its address is the mirror.
+func (sys *System) EnterLost(name string, epoch request.Epoch, mir peer.Mirror) {
+	sys.t.Helper()
+	srv := peer.NewServer(peer.ServerConfig{Mirror: mir, Security: peer.Security{Key: PeerKey}}).HTTPServer()
+	var lic net.ListenConfig
+	lis, err := lic.Listen(sys.t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(sys.t, err)
+	go func() {
+		// It ends with the test, by being closed.
+		_ = srv.Serve(lis)
+	}()
+	sys.t.Cleanup(func() { _ = srv.Close() })
+	adr := netip.MustParseAddrPort(lis.Addr().String())
+	data, err := platform.EncodeMember(fleet.Member{Name: name, Epoch: epoch, Domain: "d0", CallerAddress: adr, PeerAddress: adr, Capacity: 1})
+	assert.NilError(sys.t, err)
+	sys.put(platform.MemberKey(name), string(data))
+}
+
 // Remove takes an engine's entry away.
 func (sys *System) Remove(id string) {
 	sys.t.Helper()
@@ -214,7 +238,7 @@
 		CallerAddress: embedded.NextAddress(), ReadyAddress: embedded.NextAddress(), DirectoryAddress: embedded.NextAddress(),
 		PeerAddress: embedded.NextAddress(), MetricsAddress: metrics,
 		StoreAddress: sys.storeAddress(one),
-		PeerKey:      "key between the hosts under test", Bounds: cfg.Bounds,
+		PeerKey:      PeerKey, Bounds: cfg.Bounds,
 	})
 	assert.NilError(sys.t, err)
 	set, err := settings.ParseEntry("test", data)
