feat: how long a caller has waited is read from what is left of its patience

Ruled out: remembering in the store (callers choose another host, tries change ids). Change: Deadline-Ms is what is left of a caller's patience, and first tries tell the same one again and again; what a later try lacks of it is its age (package entry, ages; Reserve.Age). It counts against the aim in the choice of an engine, and replaces the coordinator's memory of refused requests. Logs tell CallerAge.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -85,6 +85,8 @@
 	// version is the configuration that the request was admitted by.
 	version uint64
 	age     time.Duration
+	// callerAge is how long the caller had waited before, since its first try.
+	callerAge time.Duration
 
 	// What the attempts have come to so far.
 	attempts   int
@@ -159,6 +161,7 @@
 		return pro
 	}
 	exc.setDeadline()
+	exc.callerAge = hos.ages.note(rou.Name, req.Deadline)
 	return nil
 }
 
@@ -279,7 +282,7 @@
 		hos.figures.observe("Request.FirstTime."+exc.route.Kind.String(), exc.firstAfter)
 	}
 	evt := hos.log.Info().Str("Request", exc.request.ID).Str("Route", exc.route.Name).Str("Service", exc.service).
-		Str("Account", exc.account.Name).Uint64("Version", exc.version).Dur("Age", exc.age).
+		Str("Account", exc.account.Name).Uint64("Version", exc.version).Dur("Age", exc.age).Dur("CallerAge", exc.callerAge).
 		Str("Cause", string(cau)).Int("Status", status).Int("Attempts", exc.attempts).Str("Engine", exc.engine).
 		Str("DecidedBy", exc.decidedBy).Dur("Waited", exc.waited).Dur("First", exc.firstAfter).Dur("Took", took)
 	if !exc.deadline.IsZero() {
@@ -314,7 +317,7 @@
 	switch {
 	case exc.route.Aim <= 0:
 		return timelyNoAimKnown
-	case exc.firstAfter > exc.route.Aim:
+	case exc.callerAge+exc.firstAfter > exc.route.Aim:
 		return timelyLateFirst
 	case exc.route.PauseAim > 0 && exc.longestPause > exc.route.PauseAim:
 		return timelyLatePause
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -62,6 +62,7 @@
 	epoch    request.Epoch
 	store    *store.Recorder
 	figures  *figures
+	ages     *ages
 	desk     *desk
 	mirror   *mirror
 	upstream *upstream.Client
@@ -114,6 +115,7 @@
 		cfg: cfg, set: cfg.Settings, epoch: epoch, store: store.NewRecorder(cfg.Store), started: time.Now(),
 		log:       cfg.Log.With().Str("Host", cfg.Settings.Name).Logger(),
 		figures:   newFigures(cfg.LinesDropped),
+		ages:      newAges(),
 		mirror:    newMirror(),
 		leaving:   make(chan struct{}),
 		begun:     make(chan struct{}),
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -113,7 +113,8 @@
 		PromptTokens: uint32(msg.PromptTokens), MaxTokens: uint32(msg.MaxTokens),
 		PrefixHash: msg.PrefixHash, PrefixTokens: uint32(msg.PrefixTokens),
 		RemainingUs: msg.Remaining.Microseconds(), Overflow: msg.Overflow,
-		Domain: msg.Domain, AimUs: msg.Aim.Microseconds(), Cost: msg.Cost, Attempt: uint32(msg.Attempt),
+		Domain: msg.Domain, AimUs: msg.Aim.Microseconds(), AgeUs: msg.Age.Microseconds(), PauseAimUs: msg.PauseAim.Microseconds(),
+		Cost: msg.Cost, Attempt: uint32(msg.Attempt),
 		Exclude: msg.Exclude, Parts: partsToWire(msg.Parts),
 		Urgency: uint32(msg.Urgency), AnswerTokens: uint32(msg.AnswerTokens),
 	}
@@ -209,7 +210,8 @@
 		PromptTokens: int(wre.GetPromptTokens()), MaxTokens: int(wre.GetMaxTokens()),
 		PrefixHash: wre.GetPrefixHash(), PrefixTokens: int(wre.GetPrefixTokens()),
 		Remaining: fromMicros(wre.GetRemainingUs()), Overflow: wre.GetOverflow(),
-		Domain: wre.GetDomain(), Aim: fromMicros(wre.GetAimUs()), Cost: wre.GetCost(), Attempt: int(wre.GetAttempt()),
+		Domain: wre.GetDomain(), Aim: fromMicros(wre.GetAimUs()), Age: fromMicros(wre.GetAgeUs()), PauseAim: fromMicros(wre.GetPauseAimUs()),
+		Cost: wre.GetCost(), Attempt: int(wre.GetAttempt()),
 		Exclude: wre.GetExclude(), Parts: partsFromWire(wre.GetParts()),
 		Urgency: int(wre.GetUrgency()), AnswerTokens: int(wre.GetAnswerTokens()),
 	}
--- a/scheduler/choose.go
+++ b/scheduler/choose.go
@@ -31,7 +31,7 @@
 	var late candidate
 	var quickest time.Duration
 	res := wai.reserve
-	aim := res.Aim - now.Sub(wai.since)
+	aim := wai.aimLeft(now)
 	aside := svc.asideAllowed(now)
 	for _, ene := range svc.engines {
 		if ene.Draining || slices.Contains(res.Exclude, string(ene.ID)) || (aside && !ene.health.usable(now)) {
@@ -58,6 +58,16 @@
 	return cho.candidate
 }
 
+// aimLeft returns within what time the first of the answer is in time. One that
+// can't be any more is served as soon as if it were new.
+func (wai *waiter) aimLeft(now time.Time) time.Duration {
+	left := wai.reserve.Aim - now.Sub(wai.since)
+	if !wai.late {
+		left -= wai.reserve.Age
+	}
+	return left
+}
+
 // weigh takes the candidate if it is better than the one chosen so far.
 func (cho *choice) weigh(can candidate, res reservation.Reserve) {
 	chance := can.engine.finishChance(can.first, res.AnswerTokens, res.Remaining)
--- a/scheduler/choose_test.go
+++ b/scheduler/choose_test.go
@@ -127,6 +127,28 @@
 	return des
 }
 
+// What its caller has waited before counts against a request's aim: the near engine
+// is preferred as long as it is in time.
+func TestAgeCountsAgainstTheAim(t *testing.T) {
+	near, far := modelEngine("near"), modelEngine("far")
+	far.Domain = "d1"
+	near.Address, far.Address = netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")
+	des := newDesk(near, far)
+	des.handle(scheduler.SurveyRead{Survey: pace.NewSurvey(map[string]pace.ServiceSurvey{"model": {Reference: pace.Prior, Engines: []pace.Record{
+		{Address: near.Address, Profile: pace.Profile{Read: 4, Event: 4, Weight: 10}},
+		{Address: far.Address, Profile: pace.Profile{Read: 3.6, Event: 3.6, Weight: 10}},
+	}}})})
+	for name, tst := range map[string]struct {
+		age  time.Duration
+		want string
+	}{"first-try": {0, "near"}, "second-try": {110 * time.Millisecond, "far"}} {
+		res := prompt(name, 1000)
+		res.Aim, res.Age = 300*time.Millisecond, tst.age
+		assert.Equal(t, engineOf(des.reserve(res), name), tst.want)
+		des.release(reservation.Release{ID: id(name)})
+	}
+}
+
 func TestPromptThatIsLateEverywhereGoesWhereItIsSoonest(t *testing.T) {
 	des := taught()
 	assert.Equal(t, engineOf(des.reserve(prompt("other", 10)), "other"), "b-quick")
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -22,8 +22,6 @@
 	buckets  map[string]*bucket
 	runs     map[request.ID]*run
 	table    *route.Table
-	// returners are the requests that were refused, which may come back.
-	returners returners
 	// recorded is what the hosts have recorded of the engines' speed, by service and
 	// address.
 	recorded map[string]map[netip.AddrPort]pace.Profile
@@ -58,22 +56,23 @@
 	since   time.Time
 	// until is when it is refused.
 	until time.Time
-	// late says that it was refused before and can't be in time any more.
+	// late says that its caller has tried before and can't be served in time any
+	// more. In the worst seconds of overload a third of what was granted came too late
+	// for its callers' aim, while others that could be in time were refused.
 	late bool
 }
 
 // New returns a core that knows no engine yet.
 func New(cfg Config) *Core {
 	return &Core{
-		cfg:       cfg,
-		engines:   make(map[fleet.EngineID]*engine),
-		services:  make(map[string]*service),
-		buckets:   make(map[string]*bucket),
-		runs:      make(map[request.ID]*run),
-		returners: newReturners(),
-		asked:     make(map[request.Epoch]time.Time),
-		told:      make(map[tellerKey]time.Time),
-		parts:     1,
+		cfg:      cfg,
+		engines:  make(map[fleet.EngineID]*engine),
+		services: make(map[string]*service),
+		buckets:  make(map[string]*bucket),
+		runs:     make(map[request.ID]*run),
+		asked:    make(map[request.Epoch]time.Time),
+		told:     make(map[tellerKey]time.Time),
+		parts:    1,
 	}
 }
 
@@ -211,7 +210,7 @@
 	}
 	svc.arrivals++
 	wai := &waiter{reserve: res, gateway: from, number: svc.arrivals, since: now}
-	wai.late = res.Attempt == 0 && now.Sub(cor.returners.since(now, res)) > res.Aim
+	wai.late = res.Attempt == 0 && res.Age > res.Aim
 	wai.until = now.Add(min(max(0, time.Duration(waitShare*float64(res.Aim))-waitMargin), res.Remaining))
 	place, _ := slices.BinarySearchFunc(svc.waiting, wai, compareWaiters)
 	svc.waiting = slices.Insert(svc.waiting, place, wai)
@@ -258,7 +257,6 @@
 }
 
 func (cor *Core) refuse(now time.Time, to request.Epoch, res reservation.Reserve, reason reservation.Reason, inp Inputs) {
-	cor.returners.refused(now.Add(-inp.Waited), res)
 	cor.send(to, reservation.Refuse{ID: res.ID, Ballot: res.Ballot, Reason: reason, RetryAfter: retryAfter(res)}, inp)
 }
 
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -266,3 +266,23 @@
 		})
 	})
 }
+
+// A caller that has waited longer than its aim can't be served in time any more: it
+// yields to those of its own urgency who can, not to less urgent ones.
+func TestWhoCanNotBeInTimeYieldsWithinItsUrgency(t *testing.T) {
+	des := newDesk(plainEngine("e", 1))
+	fill(des, placesOfOne)
+	for _, tst := range []struct {
+		name    string
+		urgency int
+		age     time.Duration
+	}{{"aged", 0, time.Second}, {"less-urgent", 1, 0}, {"fresh", 0, 0}} {
+		res := plain(tst.name)
+		res.Urgency, res.Age = tst.urgency, tst.age
+		des.reserve(res)
+	}
+	for idx, want := range []string{"fresh", "aged", "less-urgent"} {
+		sends := des.release(reservation.Release{ID: id(fmt.Sprint("fill-", idx)), Dispatched: true, Total: time.Millisecond})
+		assert.Equal(t, engineOf(sends, want), "e", want)
+	}
+}
