perf: hosts that start read the store directly for 0.3 s, not for 2 s

Ruled out: renewals (a tenth of the price each, 559 of 2333), lists, entries. Change: in its first moments a host tries again to follow after 0.3 s.

--- a/entry/source.go
+++ b/entry/source.go
@@ -43,6 +43,10 @@
 	// directFor is how long a host reads the store itself after the one that it
 	// followed failed it.
 	directFor = 2 * time.Second
+	// startDirect is the same in a host's first moments: the one to follow is seldom
+	// ready then and soon is, and each host of a fleet of 78 that restarts made 20 to 30
+	// calls within two seconds, half of the calls of a whole day.
+	startDirect = 300 * time.Millisecond
 	// followerProbe is how often, on average, a host that follows another asks a lost
 	// store itself, in case only the other has lost it.
 	followerProbe = time.Second
@@ -75,7 +79,7 @@
 	if !obs.storeDue(time.Now()) {
 		return update{}, err
 	}
-	obs.direct = time.Now().Add(directFor)
+	obs.direct = time.Now().Add(obs.directTime())
 	if obs.lostAt.IsZero() {
 		obs.host.log.Info().Err(err).Str("Member", mem.Name).Msg("reading the store itself, the host followed failed")
 	}
@@ -83,6 +87,15 @@
 	return obs.readStore(ctx)
 }
 
+// directTime returns how long the store is read directly after the host followed
+// failed this one.
+func (obs *observer) directTime() time.Duration {
+	if time.Since(obs.host.started) < startSettles {
+		return startDirect
+	}
+	return directFor
+}
+
 // followMember reads through a host of the own failure domain, which must have
 // answered a short question before it is waited for.
 func (obs *observer) followMember(ctx context.Context, mem fleet.Member) (update, error) {
