--- a/entry/observe.go
+++ b/entry/observe.go
@@ -153,6 +153,8 @@
 	obs.host.log.Info().Dur("After", now.Sub(obs.lostAt)).Uint64("Revision", uint64(obs.revision)).Msg("store regained")
 	obs.lostAt = time.Time{}
 	obs.nextProbe = time.Time{}
+	// A fleet that regains the store at once goes back to following soon.
+	obs.direct = now.Add(startDirect)
 	obs.host.storeAway.Store(false)
 	obs.host.tellStoreBack()
 	obs.directory.Hold(now.Add(lapseHold))
--- a/entry/source.go
+++ b/entry/source.go
@@ -43,9 +43,9 @@
 	// directFor is how long a host reads the store itself after the one that it
 	// followed failed it.
 	directFor = 2 * time.Second
-	// startDirect is the same in a host's first moments: the one to follow is seldom
-	// ready then and soon is, and each host of a fleet of 78 that restarts made 20 to 30
-	// calls within two seconds, half of the calls of a whole day.
+	// startDirect is the same in a host's first moments and once a lost store is back:
+	// the one to follow is seldom ready then and soon is, and each host of a fleet of 78
+	// made 20 to 30 calls within two seconds, half of the calls of a whole day.
 	startDirect = 300 * time.Millisecond
 	// followerProbe is how often, on average, a host that follows another asks a lost
 	// store itself, in case only the other has lost it.
@@ -79,6 +79,7 @@
 	if !obs.storeDue(time.Now()) {
 		return update{}, err
 	}
+	obs.met = 0
 	obs.direct = time.Now().Add(obs.directTime())
 	if obs.lostAt.IsZero() {
 		obs.host.log.Info().Err(err).Str("Member", mem.Name).Msg("reading the store itself, the host followed failed")
