feat: the late yield places beyond the slots in overload alone

Change: they yield while the service has refused, within four seconds, requests that could have been in time.

--- a/scheduler/choose.go
+++ b/scheduler/choose.go
@@ -33,6 +33,7 @@
 	res := wai.reserve
 	aim := wai.aimLeft(now)
 	aside := svc.asideAllowed(now)
+	yields := wai.late && svc.overloaded(now)
 	for _, ene := range svc.engines {
 		if ene.Draining || slices.Contains(res.Exclude, string(ene.ID)) || (aside && !ene.health.usable(now)) {
 			continue
@@ -41,7 +42,7 @@
 		if quickest == 0 || can.alone < quickest {
 			quickest = can.alone
 		}
-		if !ene.hasRoom(now) || (wai.late && !ene.hasSlot()) {
+		if !ene.hasRoom(now) || (yields && !ene.hasSlot()) {
 			continue
 		}
 		can.first = ene.wait(now, can.tokens) + can.alone
@@ -99,13 +100,20 @@
 	return len(ene.running) < ene.Slots+beyondSlots && ene.unreadTime(now) <= unreadLimit
 }
 
-// hasSlot reports whether the engine has a slot free. Who can't be in time any more
-// doesn't wait at an engine for one: in overload that place is worth more to who can,
-// 0.005 of the credit of days with trouble, 0.02 of the hardest.
+// hasSlot reports whether the engine has a slot free. In overload who can't be in time
+// any more doesn't wait at an engine for one: that place is worth more to who can,
+// 0.005 of the credit of days with trouble, 0.02 of the hardest. Where nobody else
+// needs it, refusing it would cost up to 0.015.
 func (ene *engine) hasSlot() bool {
 	return len(ene.running) < ene.Slots
 }
 
+// overloaded reports whether the service lately refused requests that could have been
+// in time.
+func (svc *service) overloaded(now time.Time) bool {
+	return now.Sub(svc.refusedAt) < overloadMemory
+}
+
 // halfFree reports whether at least half of the engine's slots are free, so that a
 // late request holds up little that could be in time.
 func (ene *engine) halfFree() bool {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -44,6 +44,9 @@
 	repeats repeats
 	// pace is what the service's engines have in common.
 	pace *pace.Service
+	// refusedAt is when a request that could have been in time was last refused for
+	// want of an engine.
+	refusedAt time.Time
 	// arrivals numbers the waiters, for those of the same rank.
 	arrivals uint64
 }
@@ -288,6 +291,9 @@
 		switch {
 		case !full && cor.grant(now, svc, wai):
 		case !now.Before(wai.until):
+			if !wai.late {
+				svc.refusedAt = now
+			}
 			cor.giveBack(wai.reserve.Account, cor.costOf(wai.reserve))
 			cor.refuse(now, wai.gateway, wai.reserve, reservation.ReasonOverload, svc.inputs(now, wai.since))
 		default:
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -126,6 +126,10 @@
 	waitShare = 0.25
 	// waitMargin is what an answer needs to reach the caller within that.
 	waitMargin = 15 * time.Millisecond
+	// overloadMemory is for how long a service counts as overloaded after it refused a
+	// request that could have been in time: callers that were refused come back within
+	// so long, and a burst lasts about as long.
+	overloadMemory = 4 * time.Second
 	// beyondSlots is how many requests an engine is given beyond its slots, so
 	// that a slot that falls free has work at once; from trials.
 	beyondSlots = 2
