fix: parts told again are no more than a session bears

Cause: found on reading: a start's part was told again for every limited account, more than a session's queue takes where there are thousands. Change: the largest debts alone, as when a coordinator is told first; the test tells again too.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -151,7 +151,7 @@
 		Service: exc.service, Rank: exc.rank, Urgency: max(0, exc.route.Rank), Account: exc.account.Name,
 		PromptTokens: exc.request.PromptTokens, MaxTokens: exc.request.MaxTokens, AnswerTokens: exc.answerTokens(),
 		Remaining: exc.remaining(), Domain: hos.set.Domain, Aim: exc.aim(time.Now()),
-		Age: exc.callerAge, PauseAim: exc.route.PauseAim,
+		Age:  exc.callerAge,
 		Cost: exc.account.Cost(exc.request.Tokens()), Attempt: exc.attempts, Exclude: exc.exclude, Parts: exc.request.Parts,
 	}
 	if exc.route.Kind != route.KindStreaming {
--- a/entry/spending.go
+++ b/entry/spending.go
@@ -71,6 +71,7 @@
 	}
 	des.spentTable, des.spentHosts = tab, hosts
 	cfg := schedulerConfig(des.host)
+	var again []reservation.Spent
 	for _, acc := range des.limitedAccounts() {
 		spe := des.spent[acc.Name]
 		if spe == nil {
@@ -80,12 +81,15 @@
 		}
 		spe.settle(now)
 		spe.rate = acc.Rate
-		again := spe.hosts != hosts && spe.unpaid > 0 && des.active != des.host.epoch
+		changed := spe.hosts != hosts
 		spe.hosts = hosts
-		if again {
-			des.tell(des.active, spe.told(acc.Name, cfg.Burst(acc)))
+		if changed && spe.unpaid > 0 && des.active != des.host.epoch {
+			again = append(again, spe.told(acc.Name, cfg.Burst(acc)))
 		}
 	}
+	for _, spt := range mostOwed(again) {
+		des.tell(des.active, spt)
+	}
 }
 
 // noteSpent remembers what a grant took from its account; the mutex is held.
--- a/entry/spending_test.go
+++ b/entry/spending_test.go
@@ -47,7 +47,7 @@
 	assert.NilError(t, err)
 	var con route.Configuration
 	for idx := range 2000 {
-		con.Accounts = append(con.Accounts, route.Account{Name: fmt.Sprint("account-", idx), Rate: 1})
+		con.Accounts = append(con.Accounts, route.Account{Name: fmt.Sprint("account-", idx), Rate: 1, Burst: 100})
 	}
 	tab, err := route.NewTable(con)
 	assert.NilError(t, err)
@@ -59,6 +59,12 @@
 	hos.desk.tellSpent(7)
 	assert.Assert(t, !lost)
 	assert.Equal(t, lin.queue.Len(), maxTold)
+	// Nor is one that is told again because there are more hosts.
+	hos.desk.active = 7
+	hos.desk.roster.members = make([]fleet.Member, 3)
+	hos.desk.changeSpending(time.Now())
+	assert.Assert(t, !lost)
+	assert.Equal(t, lin.queue.Len(), 2*maxTold)
 }
 
 func TestLargestDebtsAreToldFirst(t *testing.T) {
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -63,9 +63,6 @@
 	Aim time.Duration
 	// Age is how long the caller had waited before, since its first try; 0 for that.
 	Age time.Duration
-	// PauseAim is the longest pause between two events of an answer in time; 0 where
-	// there is none.
-	PauseAim time.Duration
 	// Cost is what the request takes from the client account's limit.
 	Cost float64
 	// Attempt counts the engines that the request was sent to before.
