--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -204,11 +204,11 @@
 	if res.Attempt == 0 {
 		svc.repeats.count(now)
 		if cor.overLimit(now, res) {
-			cor.refuse(now, from, res, reservation.ReasonLimit, svc.inputs(now, now))
+			cor.refuse(from, res, reservation.ReasonLimit, svc.inputs(now, now))
 			return
 		}
 	} else if !svc.repeats.take(now, cor.parts) {
-		cor.refuse(now, from, res, reservation.ReasonBudget, svc.inputs(now, now))
+		cor.refuse(from, res, reservation.ReasonBudget, svc.inputs(now, now))
 		return
 	}
 	svc.arrivals++
@@ -259,7 +259,7 @@
 	}
 }
 
-func (cor *Core) refuse(now time.Time, to request.Epoch, res reservation.Reserve, reason reservation.Reason, inp Inputs) {
+func (cor *Core) refuse(to request.Epoch, res reservation.Reserve, reason reservation.Reason, inp Inputs) {
 	cor.send(to, reservation.Refuse{ID: res.ID, Ballot: res.Ballot, Reason: reason, RetryAfter: retryAfter(res)}, inp)
 }
 
@@ -295,7 +295,7 @@
 				svc.refusedAt = now
 			}
 			cor.giveBack(wai.reserve.Account, cor.costOf(wai.reserve))
-			cor.refuse(now, wai.gateway, wai.reserve, reservation.ReasonOverload, svc.inputs(now, wai.since))
+			cor.refuse(wai.gateway, wai.reserve, reservation.ReasonOverload, svc.inputs(now, wai.since))
 		default:
 			full = full || len(wai.reserve.Exclude) == 0
 			kept = append(kept, wai)
