--- a/story/losses.go
+++ b/story/losses.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"net/http"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -38,10 +39,13 @@
 	fieldRoute   = "Route"
 	fieldCause   = "Cause"
 	fieldTimely  = "Timely"
+	fieldStatus  = "Status"
 	fieldPrompt  = "PromptTokens"
 	fieldHint    = "HintTokens"
 	messageEnd   = "request"
 	outcomeInAim = "InTime"
+	// outcomeFailed is an answer that the engine itself gave as a failure.
+	outcomeFailed = "EngineFailed"
 )
 
 // NewLosses returns an empty count by windows of the given length, of which 0
@@ -67,6 +71,9 @@
 	outcome := lin.text(fieldCause)
 	if timely := lin.text(fieldTimely); timely != "" {
 		outcome = timely
+		if lin.number(fieldStatus) >= http.StatusBadRequest {
+			outcome = outcomeFailed
+		}
 	}
 	los.requests = append(los.requests, ended{
 		begun:   lin.at.Add(-time.Duration(lin.number(fieldTook) * float64(time.Millisecond))),
