fix: gateways say whom they have decide; hosts without requests keep their part of the limits

Cause: the first second of traffic after a pause refused 3 in 4 tokens for limits that were not used (295 hosts; the whole fleet idle for 14 s). A coordinator took a gateway for one that it decides for while it had asked within 5 s. After a pause it took all of them for lost, divided the limits by 295, cut the buckets' levels to that, and filled them at a 295th of the rate until each gateway had asked again. Change: gateways tell both coordinators when they change whom they have decide; the time since a gateway asked goes.

--- a/entry/desk.go
+++ b/entry/desk.go
@@ -61,8 +61,8 @@
 	name    string
 	queue   *peer.Queue
 	cancel  context.CancelFunc
-	// asked is when it last had this scheduler decide.
-	asked time.Time
+	// appointed says that it has this scheduler decide.
+	appointed bool
 }
 
 // ticket is a reservation that waits for a decision.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -328,8 +328,7 @@
 	stopMargin = 500 * time.Millisecond
 )
 
-// keepHouse closes connections to engines that are gone or idle for long, and
-// notices gateways that have stopped asking.
+// keepHouse closes connections to engines that are gone or idle for long.
 func (hos *Host) keepHouse(ctx context.Context) error {
 	tick := time.NewTicker(houseInterval)
 	defer tick.Stop()
@@ -337,7 +336,6 @@
 		select {
 		case <-tick.C:
 			hos.upstream.Retire(hos.engineAddresses())
-			hos.desk.refreshShare()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -69,6 +69,7 @@
 		Bool("Own", chosen == des.host.epoch).Int("Hosts", len(des.roster.members)).Int("Waiting", len(des.tickets)).Msg("coordinator changed")
 	former := des.active
 	des.active = chosen
+	des.appoint(former, chosen)
 	des.tellSpent(chosen)
 	des.moveHolds(former, chosen)
 	for id, tic := range des.tickets {
@@ -80,6 +81,19 @@
 	}
 }
 
+// appoint tells both coordinators which of them decides for this host. Without it a
+// coordinator could go only by who asks: with 300 hosts, after seconds without
+// traffic, it took all of them for lost, kept to a 300th of the limits, and refused 3
+// in 4 tokens of the first second that followed.
+func (des *desk) appoint(former, chosen request.Epoch) {
+	if former != des.host.epoch {
+		des.tell(former, reservation.Appoint{})
+	}
+	if chosen != des.host.epoch {
+		des.tell(chosen, reservation.Appoint{Decides: true})
+	}
+}
+
 // moveHolds tells the new coordinator of the engines that requests have, and the
 // former one that it counts them no more: it may decide again later, and would take
 // the engines to be full. The own scheduler knows the own requests at all times.
@@ -94,11 +108,6 @@
 	}
 }
 
-// decidesFor is how long a gateway counts as one that this scheduler decides for
-// after it asked: all keep a session with the next coordinator too, and a busy
-// host asks several times a second.
-const decidesFor = 5 * time.Second
-
 // outsideParts leaves a host without an entry next to nothing of the limits.
 const outsideParts = 1000
 
@@ -107,9 +116,8 @@
 // serve more together than one.
 func (des *desk) share(chosen request.Epoch) {
 	served := 1
-	now := time.Now()
 	for _, inb := range des.inbound {
-		if chosen == des.host.epoch && now.Sub(inb.asked) < decidesFor {
+		if chosen == des.host.epoch && inb.appointed {
 			served++
 		}
 	}
@@ -120,13 +128,6 @@
 	des.step(scheduler.ShareChanged{Parts: parts, Hosts: len(des.roster.members)})
 }
 
-// refreshShare notices gateways that have this scheduler decide no longer.
-func (des *desk) refreshShare() {
-	des.mutex.Lock()
-	defer des.mutex.Unlock()
-	des.share(des.active)
-}
-
 // limitParts returns into how many parts the limits are divided where each part
 // decides for so many of the hosts.
 func limitParts(hosts, served int) float64 {
@@ -283,26 +284,15 @@
 	des.mutex.Lock()
 	defer des.mutex.Unlock()
 	if inb := des.inbound[session]; inb != nil {
-		des.noteAsked(inb, rec.Message)
+		if app, isAppoint := rec.Message.(reservation.Appoint); isAppoint {
+			inb.appointed = app.Decides
+			des.share(des.active)
+			return
+		}
 		des.step(scheduler.Received{From: inb.gateway, Message: rec.Message})
 	}
 }
 
-// noteAsked notes that a gateway has this scheduler decide.
-func (des *desk) noteAsked(inb *inbound, msg reservation.Message) {
-	switch msg.(type) {
-	case reservation.Reserve, reservation.Spent:
-	default:
-		return
-	}
-	now := time.Now()
-	again := now.Sub(inb.asked) < decidesFor
-	inb.asked = now
-	if !again {
-		des.share(des.active)
-	}
-}
-
 // SessionLost implements peer.Sessions.
 func (des *desk) SessionLost(session uint64) {
 	des.mutex.Lock()
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -81,6 +81,8 @@
 		}}
 	case reservation.Spent:
 		env.Message = &peerpb.Envelope_Spent{Spent: &peerpb.Spent{Account: msg.Account, Debt: msg.Debt, Share: msg.Share}}
+	case reservation.Appoint:
+		env.Message = &peerpb.Envelope_Appoint{Appoint: &peerpb.Appoint{Decides: msg.Decides}}
 	case reservation.Progress:
 		env.Message = &peerpb.Envelope_Progress{Progress: &peerpb.Progress{
 			Id: idToWire(msg.ID), FirstTokenUs: msg.FirstToken.Microseconds(),
@@ -182,6 +184,8 @@
 		return adoptFromWire(wms.Adopt)
 	case *peerpb.Envelope_Spent:
 		return reservation.Spent{Account: wms.Spent.GetAccount(), Debt: wms.Spent.GetDebt(), Share: wms.Spent.GetShare()}
+	case *peerpb.Envelope_Appoint:
+		return reservation.Appoint{Decides: wms.Appoint.GetDecides()}
 	case *peerpb.Envelope_Progress:
 		return reservation.Progress{ID: idFromWire(wms.Progress.GetId()), FirstToken: fromMicros(wms.Progress.GetFirstTokenUs())}
 	case *peerpb.Envelope_Hold:
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -192,6 +192,13 @@
 	Share float64
 }
 
+// Appoint tells a coordinator whether the gateway has it decide from now on. A
+// gateway keeps sessions with hosts that don't, and says nothing for long while it has
+// no requests, so neither a session nor its silence tells.
+type Appoint struct {
+	Decides bool
+}
+
 // Hold lists everything that the gateway holds from the coordinator; it opens
 // a session. Grants that it doesn't list were never dispatched and never will be.
 type Hold struct {
@@ -238,3 +245,4 @@
 func (Evicted) isMessage()  {}
 func (Progress) isMessage() {}
 func (Spent) isMessage()    {}
+func (Appoint) isMessage()  {}
