perf: the first coordinator after the loss of all hosts is the one that all know before

Cause: equal hosts stood in the order of their starts, so after the loss of all the coordinator was whoever started first of 18, which each host learned entry by entry: 491 and 563 changes of coordinator in the second after a loss of 295 hosts, sessions refused for their former epochs until the new entry was read. Ruled out: keeping the order by starts and learning epochs from refused sessions alone (each of the 18 would be tried in turn). Change: equal hosts stand by their names; who answers a session with a later epoch has started again, and is taken so at once; a candidate takes over from one that is there only after it has been there for 2 s, so that one which ends again and again doesn't.

--- a/entry/desk.go
+++ b/entry/desk.go
@@ -31,6 +31,8 @@
 	changed chan struct{}
 	// unreached are candidates to which no session could be opened lately.
 	unreached map[request.Epoch]bool
+	// restarted are the epochs of hosts that have started again, by their names.
+	restarted map[string]request.Epoch
 	// links are the sessions that stand, by their coordinator's epoch.
 	links map[request.Epoch]*link
 	// inbound are the gateways whose sessions this host's scheduler serves.
@@ -62,6 +64,8 @@
 	member fleet.Member
 	queue  *peer.Queue
 	cancel context.CancelFunc
+	// since is when it came up.
+	since time.Time
 }
 
 // inbound is a gateway's session with this host's scheduler.
@@ -101,6 +105,7 @@
 		active:    hos.epoch,
 		tickets:   make(map[request.ID]*ticket),
 		unreached: make(map[request.Epoch]bool),
+		restarted: make(map[string]request.Epoch),
 		holds:     make(map[request.ID]*reservation.Adopt),
 		spent:     make(map[string]*spending),
 		presence:  fleet.NewPresence(hos.epoch),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -333,7 +333,8 @@
 	stopMargin = 500 * time.Millisecond
 )
 
-// keepHouse closes connections to engines that are gone or idle for long.
+// keepHouse closes connections to engines that are gone or idle for long, and notices
+// coordinators that have become steady.
 func (hos *Host) keepHouse(ctx context.Context) error {
 	tick := time.NewTicker(houseInterval)
 	defer tick.Stop()
@@ -341,6 +342,7 @@
 		select {
 		case <-tick.C:
 			hos.upstream.Retire(hos.engineAddresses())
+			hos.desk.reelect()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/entry/mirror_test.go
+++ b/entry/mirror_test.go
@@ -60,7 +60,7 @@
 	sys.Configure(entrytest.Configuration{Version: 1})
 	sil := &silentMirror{waits: make(chan time.Duration, 64)}
 	for num := range 2 {
-		sys.EnterLost(fmt.Sprint("lost-", num), request.Epoch(num+1), sil)
+		sys.EnterLost(fmt.Sprint("first-", num), request.Epoch(num+1), sil)
 	}
 	sys.StartHosts(entrytest.Config{Hosts: 1, OneDomain: true})
 	assert.Assert(t, <-sil.waits <= time.Millisecond)
--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/peer"
 	"lynxwell.dev/lynxwell/request"
@@ -38,18 +40,43 @@
 	outside bool
 }
 
+// restarted returns the roster with the epochs of hosts that are known to have
+// started again.
+func (ros roster) restarted(epochs map[string]request.Epoch) roster {
+	ros.members = withEpochs(ros.members, epochs)
+	ros.candidates = withEpochs(ros.candidates, epochs)
+	return ros
+}
+
+func withEpochs(members []fleet.Member, epochs map[string]request.Epoch) []fleet.Member {
+	if len(epochs) == 0 {
+		return members
+	}
+	members = slices.Clone(members)
+	for idx, mem := range members {
+		members[idx].Epoch = max(mem.Epoch, epochs[mem.Name])
+	}
+	return members
+}
+
 // changeMembers takes a new roster.
 func (des *desk) changeMembers(ros roster) {
 	des.mutex.Lock()
-	des.roster = ros
-	des.presence.SetMembers(time.Now(), ros.members)
-	des.forgetUnreached()
-	des.changeSpending(time.Now())
-	des.elect()
+	des.setRoster(ros)
 	des.mutex.Unlock()
 	des.wake()
 }
 
+// setRoster takes a new roster; the mutex is held.
+func (des *desk) setRoster(ros roster) {
+	now := time.Now()
+	des.roster = ros.restarted(des.restarted)
+	des.presence.SetMembers(now, des.roster.members)
+	des.forgetUnreached()
+	des.changeSpending(now)
+	des.elect()
+}
+
 // candidates returns the hosts that may coordinate, in order: the first that aren't
 // known to be lost, and those before them, in case they are back. Entries outlast lost
 // hosts, and who waited for them to lapse would decide alone for as long.
@@ -71,13 +98,7 @@
 // elect makes the first candidate that is reached the coordinator; the mutex is
 // held. Reservations that wait go to the new one.
 func (des *desk) elect() {
-	chosen := des.host.epoch
-	for _, mem := range des.candidates() {
-		if mem.Epoch == des.host.epoch || des.links[mem.Epoch] != nil {
-			chosen = mem.Epoch
-			break
-		}
-	}
+	chosen := des.choose(time.Now())
 	des.share(chosen)
 	if chosen == des.active {
 		return
@@ -100,6 +121,50 @@
 	}
 }
 
+// steadyAfter is for how long a candidate must have been there to take over from one
+// that is: the first of all comes back with nothing learned, each change has hundreds of
+// hosts tell what they run, and one that ends again and again would cause two a time.
+const steadyAfter = 2 * time.Second
+
+// choose returns the first candidate that is steadily there, or if none is, as when all
+// were lost, the first that is there at all.
+func (des *desk) choose(now time.Time) request.Epoch {
+	chosen := des.host.epoch
+	found := false
+	for _, mem := range des.candidates() {
+		since, there := des.thereSince(mem.Epoch)
+		if !there {
+			continue
+		}
+		if now.Sub(since) >= steadyAfter {
+			return mem.Epoch
+		}
+		if !found {
+			chosen, found = mem.Epoch, true
+		}
+	}
+	return chosen
+}
+
+// thereSince returns since when a candidate is reached.
+func (des *desk) thereSince(epo request.Epoch) (time.Time, bool) {
+	if epo == des.host.epoch {
+		return des.host.started, true
+	}
+	lin := des.links[epo]
+	if lin == nil {
+		return time.Time{}, false
+	}
+	return lin.since, true
+}
+
+// reelect notices candidates that have become steady.
+func (des *desk) reelect() {
+	des.mutex.Lock()
+	defer des.mutex.Unlock()
+	des.elect()
+}
+
 // appoint tells both coordinators which of them decides for this host. Without it a
 // coordinator could go only by who asks: with 300 hosts, after seconds without
 // traffic, it took all of them for lost, kept to a 300th of the limits, and refused 3
@@ -212,12 +277,32 @@
 			wait = minRedial
 		}
 		des.host.log.Info().Err(err).Str("Member", mem.Name).Stringer("MemberEpoch", mem.Epoch).Msg("session lost")
+		if des.noteRestart(mem, err) {
+			return
+		}
 		des.noteUnreached(mem, time.Since(start))
 		task.Sleep(ctx, wait/2+rand.N(wait))
 		wait = min(maxRedial, 2*wait)
 	}
 }
 
+// noteRestart takes a later epoch from a host that answers with it: it has started
+// again, and its former entry is still there. After the loss of all hosts their first
+// coordinator is found so before its new entry is read. It reports whether that is so.
+func (des *desk) noteRestart(mem fleet.Member, err error) bool {
+	var other *peer.EpochError
+	if !errors.As(err, &other) || other.Got <= mem.Epoch {
+		return false
+	}
+	des.mutex.Lock()
+	des.restarted[mem.Name] = other.Got
+	des.setRoster(des.roster)
+	des.mutex.Unlock()
+	des.wake()
+	des.host.log.Info().Str("Member", mem.Name).Stringer("MemberEpoch", other.Got).Stringer("Former", mem.Epoch).Msg("host has started again")
+	return true
+}
+
 // noteUnreached goes on to the next candidates where a session couldn't be opened.
 func (des *desk) noteUnreached(mem fleet.Member, lasted time.Duration) {
 	if lasted > dialTimeout+maxRedial {
@@ -229,10 +314,13 @@
 	des.wake()
 }
 
-// forgetUnreached forgets hosts without an entry.
+// forgetUnreached forgets what was noted of hosts that have no entry any more.
 func (des *desk) forgetUnreached() {
 	maps.DeleteFunc(des.unreached, func(epo request.Epoch, _ bool) bool {
-		return !slices.ContainsFunc(des.roster.candidates, func(mem fleet.Member) bool { return mem.Epoch == epo })
+		return !slices.ContainsFunc(des.roster.members, func(mem fleet.Member) bool { return mem.Epoch == epo })
+	})
+	maps.DeleteFunc(des.restarted, func(name string, _ request.Epoch) bool {
+		return !slices.ContainsFunc(des.roster.members, func(mem fleet.Member) bool { return mem.Name == name })
 	})
 }
 
@@ -274,6 +362,7 @@
 	des.mutex.Lock()
 	defer des.mutex.Unlock()
 	des.host.log.Info().Str("Member", lin.member.Name).Stringer("MemberEpoch", lin.member.Epoch).Msg("session up")
+	lin.since = time.Now()
 	des.links[lin.member.Epoch] = lin
 	delete(des.unreached, lin.member.Epoch)
 	des.elect()
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -108,11 +108,12 @@
 	return slices.SortedFunc(maps.Values(dir.engines), func(one, two Engine) int { return cmp.Compare(one.ID, two.ID) })
 }
 
-// Members returns the hosts, the largest first, and of equal ones the longest
-// running: that order changes least when hosts come and go.
+// Members returns the hosts, the largest first, and equal ones by their names: after
+// all were lost at once those come first that did before, whom each host that starts
+// knows from the entries that outlasted them.
 func (dir *Directory) Members() []Member {
 	return slices.SortedFunc(maps.Values(dir.members), func(one, two Member) int {
-		return cmp.Or(cmp.Compare(two.Capacity, one.Capacity), cmp.Compare(one.Epoch, two.Epoch), cmp.Compare(one.Name, two.Name))
+		return cmp.Or(cmp.Compare(two.Capacity, one.Capacity), cmp.Compare(one.Name, two.Name))
 	})
 }
 
--- a/fleet/directory_test.go
+++ b/fleet/directory_test.go
@@ -38,17 +38,18 @@
 	assert.Equal(t, len(dir.Engines()), 0)
 }
 
-func TestMembersStandInTheOrderOfTheirStarts(t *testing.T) {
+func TestMembersStandInTheOrderOfTheirSizesAndNames(t *testing.T) {
 	dir := fleet.NewDirectory()
 	dir.SetMember(fleet.Member{Name: "young", Epoch: 9})
 	dir.SetMember(fleet.Member{Name: "old", Epoch: 3})
 	dir.SetMember(fleet.Member{Name: "old", Epoch: 12})
 	dir.SetMember(fleet.Member{Name: "middle", Epoch: 10})
+	dir.SetMember(fleet.Member{Name: "zero", Epoch: 11, Capacity: 2})
 	var names []string
 	for _, mem := range dir.Members() {
 		names = append(names, mem.Name)
 	}
-	assert.DeepEqual(t, names, []string{"young", "middle", "old"})
+	assert.DeepEqual(t, names, []string{"zero", "middle", "old", "young"})
 	_, known := dir.Member(3)
 	assert.Assert(t, !known)
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -116,6 +116,9 @@
 
 // Session implements the generated service.
 func (srv *Server) Session(ctx context.Context, str *connect.BidiStream[peerpb.Frame, peerpb.Frame]) error {
+	if srv.cfg.Sessions == nil {
+		return errNoSessions
+	}
 	first, err := str.Receive()
 	if err != nil {
 		return err
@@ -141,6 +144,9 @@
 // errSessionsOnly answers what a host without request ledgers can't.
 var errSessionsOnly = connect.NewError(connect.CodeUnimplemented, errors.New("this host serves sessions only"))
 
+// errNoSessions answers those who want this host to decide.
+var errNoSessions = connect.NewError(connect.CodeUnimplemented, errors.New("this host serves no sessions"))
+
 // errNoMirror answers those who want to read the store through this host.
 var errNoMirror = connect.NewError(connect.CodeUnimplemented, errors.New("this host passes nothing on"))
 
