--- a/entry/source.go
+++ b/entry/source.go
@@ -191,8 +191,13 @@
 	return true
 }
 
-// followed returns the host to read through, if there is one.
+// followed returns the host to read through, if there is one. A host that finds others
+// when it starts has callers too, and doesn't wait until one of those is ready: hosts
+// whose power came back a tenth of a second after its own held it up for 0.2 s.
 func (obs *observer) followed(now time.Time) (fleet.Member, bool) {
+	if obs.host.confirmed.Load() == neverConfirmed && !obs.paused {
+		return fleet.Member{}, false
+	}
 	if obs.lostAt.IsZero() && now.Before(obs.direct) {
 		return fleet.Member{}, false
 	}
