perf: whoever decides for most hosts goes on, also when the first of all is back

Change: a host leads while it decides for more than half of all, and those who may have another decide are told; whoever reaches it has it decide. It takes the place of the two seconds. Tests: TestCoordinatorThatIsBackHasTheLeaderDecide, TestHostLeadsWhileMostHaveItDecide, TestHostWithoutAnEntryDoesNotLead. TestFormerCoordinatorForgetsWhatItGranted took it that the first decides again as soon as it is back; it takes the leader away first.

--- a/entry/coordinator_test.go
+++ b/entry/coordinator_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -49,6 +50,12 @@
 	sys.Until("the second host granted", func() bool { return running(second) == 1 })
 	_, err = sys.Store.Put(t.Context(), store.Write{Key: key, Data: entry.Data, Lease: entry.Lease, Blind: true})
 	assert.NilError(t, err)
+	// The second leads until it goes in its turn.
+	sys.Until("the first can be asked again", func() bool {
+		return slices.Contains(gateway.Dump().Sessions, first.Settings.Name) && slices.Contains(second.Dump().Sessions, first.Settings.Name)
+	})
+	_, err = sys.Store.Put(t.Context(), store.Write{Key: "lynxwell/hosts/" + second.Settings.Name, Delete: true, Blind: true})
+	assert.NilError(t, err)
 	sys.Until("the first host coordinates again", func() bool { return coordinator(sys) == first })
 	ans := <-answer
 	assert.NilError(t, ans.Err)
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -51,7 +51,9 @@
 	spentHosts int
 	// presence is which hosts this one reaches, toldAbsent those that it last told the
 	// others not to be there.
-	presence   *fleet.Presence
+	presence *fleet.Presence
+	// toldLeader is the host that this one last told the others to lead.
+	toldLeader request.Epoch
 	toldAbsent []request.Epoch
 	// absent are the hosts that the active coordinator doesn't reach.
 	absent atomic.Pointer[map[request.Epoch]bool]
@@ -64,8 +66,8 @@
 	member fleet.Member
 	queue  *peer.Queue
 	cancel context.CancelFunc
-	// since is when it came up.
-	since time.Time
+	// leader is the host that the coordinator knows to lead; 0 for none.
+	leader request.Epoch
 }
 
 // inbound is a gateway's session with this host's scheduler.
@@ -195,6 +197,8 @@
 		if tic := des.tickets[msg.ID]; tic != nil && tic.asked == by {
 			des.settle(tic, decision{refusal: &msg, by: by})
 		}
+	case reservation.Leader:
+		des.takeLeader(by, msg.Host)
 	case reservation.Absent:
 		des.takeAbsent(by, msg.Hosts)
 	}
--- a/entry/elect_test.go
+++ b/entry/elect_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
@@ -10,6 +9,7 @@
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/peer"
 	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/reservation"
 )
 
 // electing returns the desk of a host that has just started, as the last of three.
@@ -22,17 +22,49 @@
 	return hos.desk
 }
 
-// The first of all comes back after it was lost. The others stay with the one that
-// decides until it is steadily there; after the loss of all they take it at once.
-func TestCoordinatorThatIsBackTakesOverWhenItIsSteady(t *testing.T) {
+// The first of all comes back after it was lost, while another leads. The others stay
+// with that one, and so does it itself; after the loss of all they choose the first.
+func TestCoordinatorThatIsBackHasTheLeaderDecide(t *testing.T) {
 	des := electing(t)
-	now := time.Now()
-	assert.Equal(t, des.choose(now), des.host.epoch, "nobody is reached")
-	des.links[1] = &link{since: now}
-	assert.Equal(t, des.choose(now), request.Epoch(1), "nobody is steady")
-	des.links[2] = &link{since: now.Add(-time.Minute)}
-	assert.Equal(t, des.choose(now), request.Epoch(2))
-	assert.Equal(t, des.choose(now.Add(steadyAfter)), request.Epoch(1))
+	assert.Equal(t, des.choose(), des.host.epoch, "nobody is reached")
+	first, second := &link{queue: peer.NewQueue()}, &link{queue: peer.NewQueue()}
+	des.links[1] = first
+	assert.Equal(t, des.choose(), request.Epoch(1), "nobody leads")
+	des.links[2] = second
+	des.decided(2, reservation.Leader{Host: 2})
+	assert.Equal(t, des.choose(), request.Epoch(2))
+	des.decided(1, reservation.Leader{Host: 2})
+	assert.Equal(t, des.choose(), request.Epoch(2))
+	// It is lost; the word of one that doesn't know yet leads nobody there.
+	delete(des.links, 2)
+	assert.Equal(t, des.choose(), request.Epoch(1))
+}
+
+// A host leads while more than half of all have it decide, and says so.
+func TestHostLeadsWhileMostHaveItDecide(t *testing.T) {
+	const hosts = 5
+	hos, sessions := fleetOf(t, hosts)
+	told := func() request.Epoch { return hos.desk.toldLeader }
+	appoint := func(idx int, decides bool) {
+		hos.desk.SessionMessage(sessions[idx], peer.Received{Message: reservation.Appoint{Decides: decides}})
+	}
+	appoint(0, true)
+	assert.Equal(t, told(), request.Epoch(0), "two of five")
+	appoint(1, true)
+	assert.Equal(t, told(), hos.epoch)
+	assert.Equal(t, hos.desk.choose(), hos.epoch)
+	appoint(0, false)
+	assert.Equal(t, told(), request.Epoch(0))
+}
+
+// Whoever has no entry any more leads nobody.
+func TestHostWithoutAnEntryDoesNotLead(t *testing.T) {
+	des := electing(t)
+	des.links[2] = &link{queue: peer.NewQueue(), leader: 2}
+	assert.Equal(t, des.choose(), request.Epoch(2))
+	members := []fleet.Member{{Name: "a", Epoch: 1}, {Name: "c", Epoch: des.host.epoch}}
+	des.changeMembers(roster{members: members, candidates: members})
+	assert.Equal(t, des.choose(), des.host.epoch)
 }
 
 // After the loss of all hosts the entries name their former starts. Who answers with a
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -83,6 +83,9 @@
 	// listed is closed at the first reading of the store.
 	listed  chan struct{}
 	listing sync.Once
+	// wanted is closed when a caller first waits for the host to be ready.
+	wanted  chan struct{}
+	wanting sync.Once
 	// begun is closed once the host knows a configuration that is current.
 	begun     chan struct{}
 	beginning sync.Once
@@ -123,6 +126,7 @@
 		leaving:    make(chan struct{}),
 		begun:      make(chan struct{}),
 		listed:     make(chan struct{}),
+		wanted:     make(chan struct{}),
 		leaseDoubt: make(chan struct{}, 1),
 		done:       make(chan struct{}),
 	}
@@ -227,6 +231,7 @@
 
 // awaitBegun waits until the host can serve, in the first moments after its start.
 func (hos *Host) awaitBegun(ctx context.Context) {
+	hos.wanting.Do(func() { close(hos.wanted) })
 	left := startGrace - time.Since(hos.started)
 	if left <= 0 {
 		return
@@ -241,6 +246,17 @@
 	}
 }
 
+// awaitWanted waits for others to enter, or for a first caller.
+func (hos *Host) awaitWanted(ctx context.Context) {
+	timer := time.NewTimer(firstPause)
+	defer timer.Stop()
+	select {
+	case <-hos.wanted:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // Done is closed when the host has stopped.
 func (hos *Host) Done() <-chan struct{} {
 	return hos.done
@@ -333,8 +349,7 @@
 	stopMargin = 500 * time.Millisecond
 )
 
-// keepHouse closes connections to engines that are gone or idle for long, and notices
-// coordinators that have become steady.
+// keepHouse closes connections to engines that are gone or idle for long.
 func (hos *Host) keepHouse(ctx context.Context) error {
 	tick := time.NewTicker(houseInterval)
 	defer tick.Stop()
@@ -342,7 +357,6 @@
 		select {
 		case <-tick.C:
 			hos.upstream.Retire(hos.engineAddresses())
-			hos.desk.reelect()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -75,17 +75,20 @@
 	des.forgetUnreached()
 	des.changeSpending(now)
 	des.elect()
+	des.tellLeader()
 }
 
 // candidates returns the hosts that may coordinate, in order: the first that aren't
-// known to be lost, and those before them, in case they are back. Entries outlast lost
-// hosts, and who waited for them to lapse would decide alone for as long.
+// known to be lost, those before them, in case they are back, and whoever leads. Entries
+// outlast lost hosts, and who waited for them to lapse would decide alone for as long.
 func (des *desk) candidates() []fleet.Member {
 	var found []fleet.Member
 	reachable := 0
+	leaders := des.leaders()
 	for _, mem := range des.roster.candidates {
-		if reachable == coordinators || len(found) == maxCandidates {
-			break
+		wanted := reachable < coordinators && len(found) < maxCandidates
+		if !wanted && !slices.Contains(leaders, mem.Epoch) {
+			continue
 		}
 		found = append(found, mem)
 		if !des.unreached[mem.Epoch] {
@@ -98,7 +101,7 @@
 // elect makes the first candidate that is reached the coordinator; the mutex is
 // held. Reservations that wait go to the new one.
 func (des *desk) elect() {
-	chosen := des.choose(time.Now())
+	chosen := des.choose()
 	des.share(chosen)
 	if chosen == des.active {
 		return
@@ -121,50 +124,6 @@
 	}
 }
 
-// steadyAfter is for how long a candidate must have been there to take over from one
-// that is: the first of all comes back with nothing learned, each change has hundreds of
-// hosts tell what they run, and one that ends again and again would cause two a time.
-const steadyAfter = 2 * time.Second
-
-// choose returns the first candidate that is steadily there, or if none is, as when all
-// were lost, the first that is there at all.
-func (des *desk) choose(now time.Time) request.Epoch {
-	chosen := des.host.epoch
-	found := false
-	for _, mem := range des.candidates() {
-		since, there := des.thereSince(mem.Epoch)
-		if !there {
-			continue
-		}
-		if now.Sub(since) >= steadyAfter {
-			return mem.Epoch
-		}
-		if !found {
-			chosen, found = mem.Epoch, true
-		}
-	}
-	return chosen
-}
-
-// thereSince returns since when a candidate is reached.
-func (des *desk) thereSince(epo request.Epoch) (time.Time, bool) {
-	if epo == des.host.epoch {
-		return des.host.started, true
-	}
-	lin := des.links[epo]
-	if lin == nil {
-		return time.Time{}, false
-	}
-	return lin.since, true
-}
-
-// reelect notices candidates that have become steady.
-func (des *desk) reelect() {
-	des.mutex.Lock()
-	defer des.mutex.Unlock()
-	des.elect()
-}
-
 // appoint tells both coordinators which of them decides for this host. Without it a
 // coordinator could go only by who asks: with 300 hosts, after seconds without
 // traffic, it took all of them for lost, kept to a 300th of the limits, and refused 3
@@ -200,10 +159,8 @@
 // serve more together than one.
 func (des *desk) share(chosen request.Epoch) {
 	served := 1
-	for _, inb := range des.inbound {
-		if chosen == des.host.epoch && inb.appointed {
-			served++
-		}
+	if chosen == des.host.epoch {
+		served = des.served()
 	}
 	parts := limitParts(len(des.roster.members), served)
 	if des.roster.outside && len(des.roster.candidates) > 0 {
@@ -362,10 +319,10 @@
 	des.mutex.Lock()
 	defer des.mutex.Unlock()
 	des.host.log.Info().Str("Member", lin.member.Name).Stringer("MemberEpoch", lin.member.Epoch).Msg("session up")
-	lin.since = time.Now()
 	des.links[lin.member.Epoch] = lin
 	delete(des.unreached, lin.member.Epoch)
 	des.elect()
+	des.tellLeader()
 }
 
 func (des *desk) linkMessage(lin *link, msg reservation.Message) {
@@ -384,6 +341,7 @@
 	}
 	delete(des.links, lin.member.Epoch)
 	des.elect()
+	des.tellLeader()
 }
 
 // Header implements peer.Sessions.
@@ -408,7 +366,11 @@
 	}
 	des.sessions++
 	des.presence.Reached(from.Epoch)
-	des.inbound[des.sessions] = &inbound{gateway: from.Epoch, name: from.Name, queue: que, cancel: cancel}
+	inb := &inbound{gateway: from.Epoch, name: from.Name, queue: que, cancel: cancel}
+	des.inbound[des.sessions] = inb
+	if des.toldLeader != 0 {
+		des.tellLeaderTo(inb)
+	}
 	des.share(des.active)
 	return des.sessions
 }
@@ -436,6 +398,7 @@
 		des.tellAbsentTo(inb)
 	}
 	des.share(des.active)
+	des.tellLeader()
 }
 
 // SessionLost implements peer.Sessions.
@@ -445,6 +408,7 @@
 	if des.inbound[session] != nil {
 		des.dropInbound(session)
 		des.share(des.active)
+		des.tellLeader()
 	}
 }
 
--- a/entry/source.go
+++ b/entry/source.go
@@ -52,8 +52,9 @@
 	// a few milliseconds of its mates.
 	followRetry    = 40 * time.Millisecond
 	followPatience = 400 * time.Millisecond
-	// firstPause is for how long a host that finds no other at all lets others enter: a
-	// fleet that starts for the first time has no callers yet.
+	// firstPause is for how long a host that finds no other at all lets others enter, as
+	// long as no caller asks: a fleet that starts for the first time has none yet, but one
+	// whose entries have lapsed in an outage has.
 	firstPause = 400 * time.Millisecond
 	// followerProbe is how often, on average, a host that follows another asks a lost
 	// store itself, in case only the other has lost it.
@@ -80,7 +81,7 @@
 	}
 	if obs.findsNobody() {
 		obs.paused = true
-		task.Sleep(ctx, firstPause)
+		obs.host.awaitWanted(ctx)
 		return obs.listStale(ctx)
 	}
 	patient := time.Now().Add(followPatience)
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -85,6 +85,8 @@
 		env.Message = &peerpb.Envelope_Appoint{Appoint: &peerpb.Appoint{Decides: msg.Decides}}
 	case reservation.Absent:
 		env.Message = &peerpb.Envelope_Absent{Absent: &peerpb.Absent{Hosts: epochsToWire(msg.Hosts)}}
+	case reservation.Leader:
+		env.Message = &peerpb.Envelope_Leader{Leader: &peerpb.Leader{Host: uint64(msg.Host)}}
 	case reservation.Progress:
 		env.Message = &peerpb.Envelope_Progress{Progress: &peerpb.Progress{
 			Id: idToWire(msg.ID), FirstTokenUs: msg.FirstToken.Microseconds(),
@@ -190,6 +192,8 @@
 		return reservation.Appoint{Decides: wms.Appoint.GetDecides()}
 	case *peerpb.Envelope_Absent:
 		return reservation.Absent{Hosts: epochsFromWire(wms.Absent.GetHosts())}
+	case *peerpb.Envelope_Leader:
+		return reservation.Leader{Host: request.Epoch(wms.Leader.GetHost())}
 	case *peerpb.Envelope_Progress:
 		return reservation.Progress{ID: idFromWire(wms.Progress.GetId()), FirstToken: fromMicros(wms.Progress.GetFirstTokenUs())}
 	case *peerpb.Envelope_Hold:
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -199,6 +199,12 @@
 	Decides bool
 }
 
+// Leader tells a gateway which host the sender knows to decide for more than half of
+// all hosts; 0 where it knows of none.
+type Leader struct {
+	Host request.Epoch
+}
+
 // Absent tells a gateway which hosts the coordinator doesn't reach, all of them each
 // time: callers aren't sent there, although their entries last for a while.
 type Absent struct {
@@ -253,3 +259,4 @@
 func (Spent) isMessage()    {}
 func (Appoint) isMessage()  {}
 func (Absent) isMessage()   {}
+func (Leader) isMessage()   {}
