fix: a reader that is behind is asked again, and an update of hosts is one line of the log

Cause: after the loss of 295 hosts 667 of 834 failures to follow were of readers whose revision was lower than the follower's, which had read the store itself a moment before; each was passed over for 2 s, until all readers were and the host read by itself. The same second wrote 60,000 lines of host entries. Change: such a reader is asked again within the patience for one that isn't ready; one line an update names the hosts that entered and went, a dozen of them.

--- /dev/null
+++ b/entry/changes_test.go
@@ -0,0 +1,27 @@
+package entry
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+)
+
+// However many hosts change at once, an update has one line of bounded length.
+func TestManyChangesOfHostsAreOneLine(t *testing.T) {
+	var buf bytes.Buffer
+	var chl changeList
+	chl.log(zerolog.New(&buf), 7)
+	assert.Equal(t, buf.Len(), 0)
+	for idx := range 300 {
+		chl.entered = append(chl.entered, fmt.Sprint("host-", idx))
+	}
+	chl.gone = []string{"other"}
+	chl.log(zerolog.New(&buf), 7)
+	assert.Equal(t, bytes.Count(buf.Bytes(), []byte("\n")), 1)
+	assert.Assert(t, bytes.Contains(buf.Bytes(), []byte(`"Entered":300`)))
+	assert.Assert(t, bytes.Contains(buf.Bytes(), []byte(`"GoneNames":["other"]`)))
+	assert.Assert(t, buf.Len() < 500)
+}
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -47,6 +47,8 @@
 	revision  store.Revision
 	// whole is set while everything must be read anew.
 	whole bool
+	// changed is what the update that is being taken changes of the hosts.
+	changed changeList
 	// paused says that a host that found no other has waited for some.
 	paused bool
 	// readers chooses the host of the failure domain that reads for all.
@@ -99,9 +101,11 @@
 		obs.replace(upd.values)
 		obs.host.mirror.replace(upd.values, max(obs.revision, upd.changes.Revision), upd.confirmed)
 	} else {
+		obs.changed = changeList{}
 		for _, cha := range upd.changes.Changes {
 			obs.take(cha)
 		}
+		obs.changed.log(obs.host.log, upd.changes.Revision)
 		obs.host.mirror.apply(upd.changes, upd.confirmed)
 	}
 	obs.revision = max(obs.revision, upd.changes.Revision)
@@ -225,14 +229,14 @@
 			obs.noteEngine(eng, cha.Revision)
 		}
 	case kind == platform.KeyMember && cha.Deleted:
-		obs.host.log.Info().Str("Member", name).Uint64("Revision", uint64(cha.Revision)).Msg("host gone")
+		obs.changed.gone = append(obs.changed.gone, name)
 		obs.directory.RemoveMember(time.Now(), name)
 		if name == obs.host.set.Name {
 			obs.host.doubtLease()
 		}
 	case kind == platform.KeyMember:
 		for _, mem := range obs.appendMember(nil, cha.Value) {
-			obs.host.log.Info().Str("Member", name).Stringer("MemberEpoch", mem.Epoch).Uint64("Revision", uint64(cha.Revision)).Msg("host entry")
+			obs.changed.entered = append(obs.changed.entered, name)
 			obs.directory.SetMember(mem)
 		}
 	}
--- a/entry/source.go
+++ b/entry/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -144,10 +145,12 @@
 	return !obs.storeDue(now)
 }
 
-// isNotReady reports whether a host answered that it has nothing to pass on yet.
+// isNotReady reports whether a host answered that has nothing to pass on yet, and soon
+// may.
 func isNotReady(err error) bool {
 	var unready *peer.UnreadyError
-	return errors.As(err, &unready)
+	var behind *BehindMirrorError
+	return errors.As(err, &unready) || errors.As(err, &behind)
 }
 
 // directTime returns how long the store is read directly after the host followed
@@ -227,6 +230,20 @@
 	return "what " + sme.Member + " knows of the store is " + sme.Age.String() + " old"
 }
 
+// BehindMirrorError reports a host that knows less of the store than the one that asks
+// it: one that reads for others was slower to start than they.
+type BehindMirrorError struct {
+	Member string
+	// Revision is how far the host is, Known how far the one is that asks.
+	Revision store.Revision
+	Known    store.Revision
+}
+
+// Error names the host and both revisions.
+func (bme *BehindMirrorError) Error() string {
+	return fmt.Sprintf("what %s knows of the store ends at revision %d, before %d", bme.Member, bme.Revision, bme.Known)
+}
+
 // askPeers reads through any other host while the store is lost to this one. It
 // notes whether the store is away for others too.
 func (obs *observer) askPeers(ctx context.Context) {
@@ -268,8 +285,8 @@
 		return update{}, &StaleMirrorError{Member: mem.Name, Age: age}
 	}
 	if upd.changes.Revision < obs.revision {
-		// It is behind: what it lacks must not be taken back.
-		return update{}, &StaleMirrorError{Member: mem.Name, Age: time.Since(upd.confirmed)}
+		// What it lacks must not be taken back.
+		return update{}, &BehindMirrorError{Member: mem.Name, Revision: upd.changes.Revision, Known: obs.revision}
 	}
 	if fol.Whole {
 		for _, cha := range fol.Changes.Changes {
