fix: a start whose store is empty reads it once; hosts that decide for nobody look at no sessions

Cause: found on reading the change: a store whose revision is 0 was listed again and again by a host that starts; each host woke up ten times a second to see whom it misses, which only those with sessions of others can know. Test: TestCallersAreNotSentToAbsentHosts, what callers are told by 300 hosts.

--- a/entry/directory.go
+++ b/entry/directory.go
@@ -57,9 +57,9 @@
 }
 
 // addresses returns where callers are sent: to all hosts that have an entry, but for
-// those that the coordinator doesn't reach. A
-// host that leaves, or whose knowledge is too old to act on, names only others:
-// they may know better, and an old answer serves callers better than none.
+// those that the coordinator doesn't reach. A host that leaves, or whose knowledge is
+// too old to act on, names only others: they may know better, and an old answer serves
+// callers better than none.
 func (hos *Host) addresses(now time.Time) []netip.AddrPort {
 	bel := hos.belief.Load()
 	if bel.table == nil {
--- a/entry/presence.go
+++ b/entry/presence.go
@@ -10,32 +10,40 @@
 	"lynxwell.dev/lynxwell/reservation"
 )
 
-// presenceInterval is how often a coordinator looks which hosts are absent: a part of
-// the 0.3 s after which a host that was lost is, and one message to each host at most.
-const presenceInterval = 100 * time.Millisecond
+const (
+	// presenceInterval is how often a coordinator looks which hosts are absent: a part of
+	// the 0.3 s after which a host that was lost is, and one message to each host at most.
+	presenceInterval = 100 * time.Millisecond
+	// idlePresence is the same for hosts that nobody may have decide, nearly all.
+	idlePresence = time.Second
+)
 
 // keepPresence has a coordinator tell all hosts that it decides for which ones are
 // absent, whenever that changes.
 func (des *desk) keepPresence(ctx context.Context) error {
-	tick := time.NewTicker(presenceInterval)
-	defer tick.Stop()
+	timer := time.NewTimer(idlePresence)
+	defer timer.Stop()
 	for {
 		select {
-		case <-tick.C:
-			des.tellAbsent(time.Now())
+		case <-timer.C:
+			timer.Reset(des.tellAbsent(time.Now()))
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
-// tellAbsent tells all hosts which ones are absent if that has changed.
-func (des *desk) tellAbsent(now time.Time) {
+// tellAbsent tells all hosts which ones are absent if that has changed, and returns
+// when to look again.
+func (des *desk) tellAbsent(now time.Time) time.Duration {
 	des.mutex.Lock()
 	defer des.mutex.Unlock()
+	if len(des.inbound)+len(des.toldAbsent) == 0 {
+		return idlePresence
+	}
 	absent := des.presence.Absent(now)
 	if slices.Equal(absent, des.toldAbsent) {
-		return
+		return presenceInterval
 	}
 	if des.active == des.host.epoch {
 		des.host.log.Info().Int("Absent", len(absent)).Int("Former", len(des.toldAbsent)).Int("Hosts", len(des.roster.members)).Msg("hosts absent")
@@ -47,6 +55,7 @@
 		}
 	}
 	des.takeAbsent(des.host.epoch, absent)
+	return presenceInterval
 }
 
 func (des *desk) tellAbsentTo(inb *inbound) {
--- /dev/null
+++ b/entry/presence_test.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lynxwell.dev/lynxwell/peer"
+	"lynxwell.dev/lynxwell/reservation"
+	"lynxwell.dev/lynxwell/route"
+)
+
+// Entries outlast lost hosts by half a minute in a fleet of hundreds. Callers are sent
+// there no longer as soon as the coordinator has missed their sessions.
+func TestCallersAreNotSentToAbsentHosts(t *testing.T) {
+	const hosts, lost = 300, 100
+	hos, sessions := fleetOf(t, hosts)
+	hos.draining.Store(true)
+	members := hos.desk.roster.members
+	for idx := range members {
+		members[idx].CallerAddress = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(idx / 256), byte(idx)}), 1)
+	}
+	tab, err := route.NewTable(route.Configuration{Version: 1})
+	assert.NilError(t, err)
+	hos.belief.Store(&belief{table: tab, members: members})
+	now := time.Now()
+	assert.Equal(t, len(hos.addresses(now)), hosts-1, "all others")
+	for _, ses := range sessions[:lost] {
+		hos.desk.SessionLost(ses)
+	}
+	hos.desk.tellAbsent(now)
+	assert.Equal(t, len(hos.addresses(now)), hosts-1, "a session may be opened again")
+	hos.desk.tellAbsent(now.Add(time.Second))
+	assert.Equal(t, len(hos.addresses(now)), hosts-1-lost)
+	// A host that has another decide goes by that one's word.
+	hos.desk.links[1] = &link{queue: peer.NewQueue()}
+	hos.desk.decided(1, reservation.Leader{Host: 1})
+	assert.Equal(t, len(hos.addresses(now)), hosts-1)
+	hos.desk.decided(1, reservation.Absent{Hosts: hos.desk.toldAbsent[:lost/2]})
+	assert.Equal(t, len(hos.addresses(now)), hosts-1-lost/2)
+}
--- a/entry/source.go
+++ b/entry/source.go
@@ -77,7 +77,7 @@
 // read gets the next update: from the host of the own failure domain that reads
 // the store for all, or from the store.
 func (obs *observer) read(ctx context.Context) (update, error) {
-	if obs.revision == 0 {
+	if obs.whole && obs.revision == 0 {
 		return obs.listStale(ctx)
 	}
 	if obs.findsNobody() {
