--- a/entry/source.go
+++ b/entry/source.go
@@ -26,10 +26,8 @@
 	followWait = 700 * time.Millisecond
 	// followSlack is how much longer than its wait the answer may take.
 	followSlack = 300 * time.Millisecond
-	// probeWait and probeTimeout bound the calls that find out whether a lost store
-	// is back: a slow one answers within some hundred milliseconds.
-	probeWait    = time.Millisecond
-	probeTimeout = 600 * time.Millisecond
+	// probeWait is that of the calls that find out whether a lost store is back.
+	probeWait = time.Millisecond
 	// peersAsked is how many other hosts are asked each time the store fails.
 	peersAsked = 3
 	// meetTimeout bounds the first question to a host that is to be followed: entries
@@ -323,9 +321,6 @@
 	wait := watchWait
 	if !obs.lostAt.IsZero() || obs.host.confirmed.Load() == neverConfirmed {
 		// A watch that waits would tell only at its end that the store is there.
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, probeTimeout)
-		defer cancel()
 		wait = probeWait
 	} else if obs.readers.reads(time.Now(), obs.mates()) {
 		wait = followedWait
