fix: an entry goes before what a host's former answer told, whichever epoch is higher

Cause: found on reading: a host that answered with another epoch than its entry's was kept at the higher of both. After its clock was set back and it started once more, it would have been asked for an epoch that is gone until it left, by those that had seen the former one, while the others had it decide. Change: what an answer told counts for the entry that it was told against, and no later one; a host that starts twice between two readings is followed too.

--- a/entry/desk.go
+++ b/entry/desk.go
@@ -26,13 +26,16 @@
 	core  *scheduler.Core
 	// ticking is set while a tick is due.
 	ticking bool
-	// roster is who shares the work; changed wakes the sessions.
+	// roster is who shares the work, listed the same by the entries alone; changed wakes
+	// the sessions.
 	roster  roster
+	listed  roster
 	changed chan struct{}
 	// unreached are candidates to which no session could be opened lately.
 	unreached map[request.Epoch]bool
-	// restarted are the epochs of hosts that have started again, by their names.
-	restarted map[string]request.Epoch
+	// restarted are the hosts that have started again since their entries were written,
+	// by their names.
+	restarted map[string]restart
 	// links are the sessions that stand, by their coordinator's epoch.
 	links map[request.Epoch]*link
 	// inbound are the gateways whose sessions this host's scheduler serves.
@@ -107,7 +110,7 @@
 		active:    hos.epoch,
 		tickets:   make(map[request.ID]*ticket),
 		unreached: make(map[request.Epoch]bool),
-		restarted: make(map[string]request.Epoch),
+		restarted: make(map[string]restart),
 		holds:     make(map[request.ID]*reservation.Adopt),
 		spent:     make(map[string]*spending),
 		presence:  fleet.NewPresence(hos.epoch),
--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -40,21 +40,31 @@
 	outside bool
 }
 
+// restart is what a host's own answer told beyond its entry.
+type restart struct {
+	// former is the epoch of the entry, now the one that the host answered with. A later
+	// entry goes before it, whichever is higher: clocks are set back too.
+	former request.Epoch
+	now    request.Epoch
+}
+
 // restarted returns the roster with the epochs of hosts that are known to have
-// started again.
-func (ros roster) restarted(epochs map[string]request.Epoch) roster {
-	ros.members = withEpochs(ros.members, epochs)
-	ros.candidates = withEpochs(ros.candidates, epochs)
+// started again since their entries were written.
+func (ros roster) restarted(restarts map[string]restart) roster {
+	ros.members = withRestarts(ros.members, restarts)
+	ros.candidates = withRestarts(ros.candidates, restarts)
 	return ros
 }
 
-func withEpochs(members []fleet.Member, epochs map[string]request.Epoch) []fleet.Member {
-	if len(epochs) == 0 {
+func withRestarts(members []fleet.Member, restarts map[string]restart) []fleet.Member {
+	if len(restarts) == 0 {
 		return members
 	}
 	members = slices.Clone(members)
 	for idx, mem := range members {
-		members[idx].Epoch = max(mem.Epoch, epochs[mem.Name])
+		if res, known := restarts[mem.Name]; known && res.former == mem.Epoch {
+			members[idx].Epoch = res.now
+		}
 	}
 	return members
 }
@@ -70,7 +80,7 @@
 // setRoster takes a new roster; the mutex is held.
 func (des *desk) setRoster(ros roster) {
 	now := time.Now()
-	des.roster = ros.restarted(des.restarted)
+	des.listed, des.roster = ros, ros.restarted(des.restarted)
 	des.presence.SetMembers(now, des.roster.members)
 	des.forgetUnreached()
 	des.changeSpending(now)
@@ -243,17 +253,21 @@
 	}
 }
 
-// noteRestart takes a later epoch from a host that answers with it: it has started
+// noteRestart takes another epoch from a host that answers with it: it has started
 // again, and its former entry is still there. After the loss of all hosts their first
 // coordinator is found so before its new entry is read. It reports whether that is so.
 func (des *desk) noteRestart(mem fleet.Member, err error) bool {
 	var other *peer.EpochError
-	if !errors.As(err, &other) || other.Got <= mem.Epoch {
+	if !errors.As(err, &other) {
 		return false
 	}
 	des.mutex.Lock()
-	des.restarted[mem.Name] = other.Got
-	des.setRoster(des.roster)
+	for _, read := range des.listed.members {
+		if read.Name == mem.Name {
+			des.restarted[mem.Name] = restart{former: read.Epoch, now: other.Got}
+		}
+	}
+	des.setRoster(des.listed)
 	des.mutex.Unlock()
 	des.wake()
 	des.host.log.Info().Str("Member", mem.Name).Stringer("MemberEpoch", other.Got).Stringer("Former", mem.Epoch).Msg("host has started again")
@@ -276,7 +290,7 @@
 	maps.DeleteFunc(des.unreached, func(epo request.Epoch, _ bool) bool {
 		return !slices.ContainsFunc(des.roster.members, func(mem fleet.Member) bool { return mem.Epoch == epo })
 	})
-	maps.DeleteFunc(des.restarted, func(name string, _ request.Epoch) bool {
+	maps.DeleteFunc(des.restarted, func(name string, _ restart) bool {
 		return !slices.ContainsFunc(des.roster.members, func(mem fleet.Member) bool { return mem.Name == name })
 	})
 }
