refactor: one walk for the reader of a failure domain, one way to send to a gateway

Found on reading the whole change: readers.choose and readers.reads walked the same hosts with the same conditions, and three places put a message into a gateway's queue or ended its session.

--- a/entry/desk.go
+++ b/entry/desk.go
@@ -83,6 +83,13 @@
 	appointed bool
 }
 
+// send passes a message on; a gateway that has fallen behind loses its session.
+func (inb *inbound) send(msg reservation.Message) {
+	if !inb.queue.Put(peer.Outgoing{Message: msg}) {
+		inb.cancel()
+	}
+}
+
 // ticket is a reservation that waits for a decision.
 type ticket struct {
 	reserve reservation.Reserve
@@ -162,9 +169,7 @@
 		if inb.gateway != snd.To {
 			continue
 		}
-		if !inb.queue.Put(peer.Outgoing{Message: snd.Message}) {
-			inb.cancel()
-		}
+		inb.send(snd.Message)
 		return
 	}
 }
--- a/entry/leader.go
+++ b/entry/leader.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"lynxwell.dev/lynxwell/peer"
 	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/reservation"
 )
@@ -100,9 +99,7 @@
 }
 
 func (des *desk) tellLeaderTo(inb *inbound) {
-	if !inb.queue.Put(peer.Outgoing{Message: reservation.Leader{Host: des.toldLeader}}) {
-		inb.cancel()
-	}
+	inb.send(reservation.Leader{Host: des.toldLeader})
 }
 
 // takeLeader takes a coordinator's word of who leads; the mutex is held.
--- a/entry/presence.go
+++ b/entry/presence.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"lynxwell.dev/lynxwell/peer"
 	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/reservation"
 )
@@ -59,9 +58,7 @@
 }
 
 func (des *desk) tellAbsentTo(inb *inbound) {
-	if !inb.queue.Put(peer.Outgoing{Message: reservation.Absent{Hosts: des.toldAbsent}}) {
-		inb.cancel()
-	}
+	inb.send(reservation.Absent{Hosts: des.toldAbsent})
 }
 
 // takeAbsent takes the word of the coordinator that decides for this host; the mutex
--- a/entry/readers.go
+++ b/entry/readers.go
@@ -21,9 +21,8 @@
 )
 
 // readers chooses through which host of its failure domain a host reads the store.
-// When the first was lost, or turned away by the store, each of its 48 followers read
-// the store by itself for two seconds and longer, the whole day's calls in some of
-// them; now the next one reads for all.
+// Without a next one, each of 48 followers reads the store by itself while the first is
+// lost, or turned away by the store.
 type readers struct {
 	own request.Epoch
 	// failed is until when those that failed are passed over.
@@ -34,37 +33,33 @@
 	return &readers{own: own, failed: make(map[request.Epoch]time.Time)}
 }
 
-// choose returns the host to read through; none is found where this one reads for
-// the others, where they are too few, and where all that may have failed.
-func (rea *readers) choose(now time.Time, mates []fleet.Member) (fleet.Member, bool) {
+// reader returns the host that reads for all, as far as this one knows; none is found
+// where they are too few, and where all that may have failed.
+func (rea *readers) reader(now time.Time, mates []fleet.Member) (fleet.Member, bool) {
 	if len(mates) < followers {
 		return fleet.Member{}, false
 	}
 	for _, mem := range mates[:min(maxReaders, len(mates))] {
-		if mem.Epoch == rea.own {
-			return fleet.Member{}, false
-		}
-		if !now.Before(rea.failed[mem.Epoch]) {
+		if mem.Epoch == rea.own || !now.Before(rea.failed[mem.Epoch]) {
 			return mem, true
 		}
 	}
 	return fleet.Member{}, false
 }
 
-// reads reports whether this host is one of those that read for all.
-func (rea *readers) reads(now time.Time, mates []fleet.Member) bool {
-	if len(mates) < followers {
-		return false
-	}
-	for _, mem := range mates[:min(maxReaders, len(mates))] {
-		if mem.Epoch == rea.own {
-			return true
-		}
-		if !now.Before(rea.failed[mem.Epoch]) {
-			return false
-		}
+// choose returns the host to read through, unless it is this one.
+func (rea *readers) choose(now time.Time, mates []fleet.Member) (fleet.Member, bool) {
+	mem, found := rea.reader(now, mates)
+	if !found || mem.Epoch == rea.own {
+		return fleet.Member{}, false
 	}
-	return false
+	return mem, true
+}
+
+// reads reports whether this host is the one that reads for all.
+func (rea *readers) reads(now time.Time, mates []fleet.Member) bool {
+	mem, found := rea.reader(now, mates)
+	return found && mem.Epoch == rea.own
 }
 
 // fail has a host passed over for a while.
--- a/entry/source.go
+++ b/entry/source.go
@@ -143,8 +143,8 @@
 	return !obs.storeDue(now)
 }
 
-// isNotReady reports whether a host answered that has nothing to pass on yet, and soon
-// may.
+// isNotReady reports whether a host answered that it has nothing to pass on yet, and
+// soon may.
 func isNotReady(err error) bool {
 	var unready *peer.UnreadyError
 	var behind *BehindMirrorError
