fix: what another writer left in the store names no engine and no host

Cause: the adapter took {} and {"service":"s1"} (no address, no slots), an unknown state and a hundred million slots as engines to use, and an entry that was good and is overwritten with bytes that can't be read kept its engine. A host's entry and the survey weren't checked at all, of the configuration only the kinds of its values, and one bad entry hid all backend servers from the product's own path.

Ruled out: following such an entry as far as it can be read; a field that is missing doesn't say what was meant.

An engine's key with a bad value loses its engine at once, a host writes its own entry again.

--- a/cmd/servecmd.go
+++ b/cmd/servecmd.go
@@ -86,8 +86,11 @@
 	return errors.Wrap(app.Stop(stopping), "stop")
 }
 
-func newStore(set settings.Settings) store.Store {
-	return platform.NewClient(platform.ClientConfig{Address: set.PlatformAddress})
+func newStore(set settings.Settings, log zerolog.Logger) store.Store {
+	return platform.NewClient(platform.ClientConfig{
+		Address:    set.PlatformAddress,
+		PassedOver: func(err error) { log.Warn().Err(err).Msg("backend server's entry passed over") },
+	})
 }
 
 func newHost(set settings.Settings, log zerolog.Logger, sto store.Store) (*host.Host, error) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -80,6 +80,9 @@
 	storeAway atomic.Bool
 	// leaseDoubt wakes the keeper of the lease.
 	leaseDoubt chan struct{}
+	// entryBroken is set when another writer's value lies where the host's own entry
+	// should, until it is written again.
+	entryBroken atomic.Bool
 	// listed is closed at the first reading of the store.
 	listed  chan struct{}
 	listing sync.Once
--- a/entry/figures.go
+++ b/entry/figures.go
@@ -15,6 +15,8 @@
 	registry      metrics.Registry
 	dialed        metrics.Counter
 	storeFailures metrics.Counter
+	// refused counts values of the store that can't be used.
+	refused metrics.Counter
 	// version, engines and members tell what the host believes.
 	version metrics.Gauge
 	engines metrics.Gauge
@@ -30,11 +32,11 @@
 func newFigures(linesDropped func() int64) *figures {
 	reg := metrics.NewRegistry()
 	fig := &figures{
-		registry: reg, dialed: metrics.NewCounter(), storeFailures: metrics.NewCounter(),
+		registry: reg, dialed: metrics.NewCounter(), storeFailures: metrics.NewCounter(), refused: metrics.NewCounter(),
 		version: metrics.NewGauge(), engines: metrics.NewGauge(), members: metrics.NewGauge(),
 	}
 	for name, figure := range map[string]any{
-		"EngineConnections": fig.dialed, "StoreFailures": fig.storeFailures, "LogLinesDropped": metrics.NewFunctionalGauge(linesDropped),
+		"EngineConnections": fig.dialed, "StoreFailures": fig.storeFailures, "StoreValuesRefused": fig.refused, "LogLinesDropped": metrics.NewFunctionalGauge(linesDropped),
 		"ConfigurationVersion": fig.version, "EnginesReady": fig.engines, "Members": fig.members,
 	} {
 		// A fresh registry holds no such name yet.
--- a/entry/lease.go
+++ b/entry/lease.go
@@ -47,7 +47,7 @@
 	for {
 		var err error
 		hosts := len(hos.belief.Load().members)
-		if lease == 0 || hos.settled() && misfits(ttl, leaseTime(hosts)) {
+		if lease == 0 || hos.entryBroken.Swap(false) || hos.settled() && misfits(ttl, leaseTime(hosts)) {
 			ttl = leaseTime(hosts)
 			lease, err = hos.enter(ctx, ttl)
 		} else {
--- a/entry/lease_test.go
+++ b/entry/lease_test.go
@@ -43,7 +43,7 @@
 func TestLeaseIsInDoubtWhenTheOwnEntryIsGone(t *testing.T) {
 	hos, err := New(Config{Settings: settings.Entry{Name: "self"}, Log: zerolog.Nop()})
 	assert.NilError(t, err)
-	obs := &observer{host: hos, directory: fleet.NewDirectory()}
+	obs := newObserver(hos)
 	obs.directory.SetMember(fleet.Member{Name: "self"})
 	obs.directory.SetMember(fleet.Member{Name: "other"})
 	gone := func(name string) store.Change {
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -47,6 +47,8 @@
 	revision  store.Revision
 	// whole is set while everything must be read anew.
 	whole bool
+	// refused are the keys whose values can't be used.
+	refused *refusals
 	// changed is what the update that is being taken changes of the hosts.
 	changed changeList
 	// paused says that a host that found no other has waited for some.
@@ -68,9 +70,16 @@
 	pause time.Duration
 }
 
+func newObserver(hos *Host) *observer {
+	return &observer{
+		host: hos, directory: fleet.NewDirectory(), readers: newReaders(hos.epoch), whole: true,
+		refused: newRefusals(hos.log, hos.figures.refused),
+	}
+}
+
 // observe follows the store until the context ends.
 func (hos *Host) observe(ctx context.Context) error {
-	obs := &observer{host: hos, directory: fleet.NewDirectory(), readers: newReaders(hos.epoch), whole: true}
+	obs := newObserver(hos)
 	for ctx.Err() == nil {
 		upd, err := obs.read(ctx)
 		if err != nil {
@@ -176,72 +185,113 @@
 func (obs *observer) replace(values []store.Value) {
 	var engines []fleet.Engine
 	var members []fleet.Member
+	var refused []fleet.EngineID
 	for _, val := range values {
-		switch kind, _ := platform.KindOf(val.Key); kind {
+		switch kind, name := platform.KindOf(val.Key); kind {
 		case platform.KeyConfiguration:
 			obs.takeConfiguration(val)
 		case platform.KeyEngine:
-			engines = obs.appendEngine(engines, val)
+			if eng, usable := obs.decodeEngine(val); usable {
+				engines = append(engines, eng)
+			} else {
+				refused = append(refused, fleet.EngineID(name))
+			}
 		case platform.KeyMember:
-			members = obs.appendMember(members, val)
+			if mem, usable := obs.decodeMember(val); usable {
+				members = append(members, mem)
+			}
 		case platform.KeySurvey:
 			obs.takeSurvey(val)
 		case platform.KeyOther:
 		}
 	}
 	obs.directory.Replace(time.Now(), engines, members)
+	for _, id := range refused {
+		obs.directory.DropEngine(id)
+	}
 	if obs.directory.Missing(obs.host.set.Name) {
 		obs.host.doubtLease()
 	}
 }
 
-func (obs *observer) appendEngine(engines []fleet.Engine, val store.Value) []fleet.Engine {
+// decodeEngine reads an engine's entry; one that can't be used names no engine, and
+// whoever stood there is lost.
+func (obs *observer) decodeEngine(val store.Value) (fleet.Engine, bool) {
 	eng, err := platform.DecodeEngine(val)
 	if err != nil {
-		obs.host.log.Error().Err(err).Uint64("Revision", uint64(val.Revision)).Msg("engine entry passed over")
-		return engines
+		obs.refused.refuse(val, err, "engine entry names no engine to use")
+		return fleet.Engine{}, false
 	}
-	return append(engines, eng)
+	obs.refused.accept(val.Key)
+	return eng, true
 }
 
-func (obs *observer) appendMember(members []fleet.Member, val store.Value) []fleet.Member {
+// decodeMember reads a host's entry. Where this host's own can't be read by others, it
+// is written again.
+func (obs *observer) decodeMember(val store.Value) (fleet.Member, bool) {
 	mem, err := platform.DecodeMember(val)
-	if err != nil {
-		obs.host.log.Error().Err(err).Uint64("Revision", uint64(val.Revision)).Msg("host entry passed over")
-		return members
+	if err == nil {
+		obs.refused.accept(val.Key)
+		return mem, true
+	}
+	obs.refused.refuse(val, err, "host entry names no host to use")
+	if val.Key == platform.MemberKey(obs.host.set.Name) {
+		obs.host.entryBroken.Store(true)
+		obs.host.doubtLease()
 	}
-	return append(members, mem)
+	return fleet.Member{}, false
 }
 
 // take takes one change.
 func (obs *observer) take(cha store.Change) {
-	kind, name := platform.KindOf(cha.Key)
-	switch {
-	case kind == platform.KeyConfiguration && !cha.Deleted:
+	if cha.Deleted {
+		obs.takeDeleted(cha)
+		return
+	}
+	switch kind, name := platform.KindOf(cha.Key); kind {
+	case platform.KeyConfiguration:
 		obs.takeConfiguration(cha.Value)
-	case kind == platform.KeySurvey && !cha.Deleted:
+	case platform.KeySurvey:
 		obs.takeSurvey(cha.Value)
-	case kind == platform.KeyEngine && cha.Deleted:
-		obs.host.log.Info().Str("Engine", name).Uint64("Revision", uint64(cha.Revision)).Msg("engine gone")
-		obs.directory.RemoveEngine(time.Now(), fleet.EngineID(name))
-	case kind == platform.KeyEngine:
-		for _, eng := range obs.appendEngine(nil, cha.Value) {
+	case platform.KeyEngine:
+		if eng, usable := obs.decodeEngine(cha.Value); usable {
 			obs.noteEngine(eng, cha.Revision)
+		} else {
+			obs.directory.DropEngine(fleet.EngineID(name))
 		}
-	case kind == platform.KeyMember && cha.Deleted:
-		obs.changed.gone = append(obs.changed.gone, name)
-		obs.directory.RemoveMember(time.Now(), name)
-		if name == obs.host.set.Name {
-			obs.host.doubtLease()
-		}
-	case kind == platform.KeyMember:
-		for _, mem := range obs.appendMember(nil, cha.Value) {
+	case platform.KeyMember:
+		if mem, usable := obs.decodeMember(cha.Value); usable {
 			obs.changed.entered = append(obs.changed.entered, name)
 			obs.directory.SetMember(mem)
+		} else {
+			obs.removeMember(name)
+		}
+	case platform.KeyOther:
+	}
+}
+
+// takeDeleted takes a key's removal. A configuration and a survey stay in force without
+// theirs.
+func (obs *observer) takeDeleted(cha store.Change) {
+	obs.refused.accept(cha.Key)
+	switch kind, name := platform.KindOf(cha.Key); kind {
+	case platform.KeyEngine:
+		obs.host.log.Info().Str("Engine", name).Uint64("Revision", uint64(cha.Revision)).Msg("engine gone")
+		obs.directory.RemoveEngine(time.Now(), fleet.EngineID(name))
+	case platform.KeyMember:
+		obs.removeMember(name)
+		if name == obs.host.set.Name {
+			obs.host.doubtLease()
 		}
+	case platform.KeyConfiguration, platform.KeySurvey, platform.KeyOther:
 	}
 }
 
+func (obs *observer) removeMember(name string) {
+	obs.changed.gone = append(obs.changed.gone, name)
+	obs.directory.RemoveMember(time.Now(), name)
+}
+
 func (obs *observer) noteEngine(eng fleet.Engine, rev store.Revision) {
 	obs.host.log.Info().Str("Engine", string(eng.ID)).Str("Service", eng.Service).Stringer("Address", eng.Address).
 		Bool("Draining", eng.Draining).Uint64("Revision", uint64(rev)).Msg("engine entry")
@@ -253,7 +303,7 @@
 func (obs *observer) takeConfiguration(val store.Value) {
 	con, err := platform.DecodeConfiguration(val.Data)
 	if err != nil {
-		obs.host.log.Error().Err(err).Uint64("Revision", uint64(val.Revision)).Msg("configuration refused, the last good one stays")
+		obs.refused.refuse(val, err, "configuration refused, the last good one stays")
 		return
 	}
 	if obs.table != nil && con.Version <= obs.table.Version() {
@@ -261,9 +311,10 @@
 	}
 	tab, err := route.NewTable(con)
 	if err != nil {
-		obs.host.log.Error().Err(err).Uint64("Version", con.Version).Msg("configuration refused, the last good one stays")
+		obs.refused.refuse(val, err, "configuration refused, the last good one stays")
 		return
 	}
+	obs.refused.accept(val.Key)
 	if err := platform.UnknownFields(val.Data); err != nil {
 		obs.host.log.Debug().Err(err).Uint64("Version", con.Version).Msg("configuration has a field that is passed over")
 	}
--- a/entry/survey.go
+++ b/entry/survey.go
@@ -22,9 +22,10 @@
 func (obs *observer) takeSurvey(val store.Value) {
 	sur, err := platform.DecodeSurvey(val)
 	if err != nil {
-		obs.host.log.Error().Err(err).Uint64("Revision", uint64(val.Revision)).Msg("survey passed over")
+		obs.refused.refuse(val, err, "survey passed over")
 		return
 	}
+	obs.refused.accept(val.Key)
 	obs.host.desk.takeSurvey(sur)
 }
 
--- a/entrytest/entrytest.go
+++ b/entrytest/entrytest.go
@@ -172,7 +172,7 @@
 	if draining {
 		state = "draining"
 	}
-	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"d0","slots":%d,"state":%q,"cold_left_ms":0,"seq":1}`, service, address, slots, state)
+	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"d0","version":"v1","slots":%d,"state":%q,"cold_left_ms":0,"seq":1}`, service, address, slots, state)
 }
 
 // EngineKey returns the key of an engine's entry.
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -71,6 +71,13 @@
 	delete(dir.engines, id)
 }
 
+// DropEngine takes an engine away at once, also during a hold: what lies at its key
+// names no engine.
+func (dir *Directory) DropEngine(id EngineID) {
+	delete(dir.engines, id)
+	delete(dir.missingEngines, id)
+}
+
 // SetMember takes a host's newest entry.
 func (dir *Directory) SetMember(mem Member) {
 	dir.members[mem.Name] = mem
--- a/platformtest/memory.go
+++ b/platformtest/memory.go
@@ -482,7 +482,7 @@
 		if state.Leaving {
 			word = "draining"
 		}
-		values = append(values, store.Value{Key: key, Data: []byte(`{"address":"127.0.0.1:1","state":"` + word + `"}`), Revision: max(1, mem.revision)})
+		values = append(values, store.Value{Key: key, Data: []byte(`{"service":"plain","address":"127.0.0.1:1","zone":"d0","version":"v1","slots":1,"state":"` + word + `","cold_left_ms":0,"seq":1}`), Revision: max(1, mem.revision)})
 	}
 	return values
 }
