feat: an engine that starts again under its id is another run

Cause: a run was named by the engine's id alone in fleet, scheduler, entry and upstream, so what a lost run held counted for the one that followed: its requests, unread prompts, cache and failures; requests on it waited for their deadline, and an entry of the former run that arrived late was believed.

Ruled out: ending every call at the former run's address when the later one is known. Between the restart and the news calls labelled with the former run reach the later one; only connections not heard of since before its start are ended.

Change: fleet.EngineID is the pair of name and start. Entries are ordered by start, then by sequence; one without a start at the key of an engine that told one is another writer's. The scheduler begins anew with each run, connections are kept by run, a grant and a host that know different runs agree on the later one (each way tested), and what may be repeated is repeated.

--- a/entry/attempt_test.go
+++ b/entry/attempt_test.go
@@ -17,21 +17,21 @@
 // An engine that the coordinator still grants although this host knows it to be
 // gone costs a question more, not the request.
 func TestGrantedEngineThatIsGoneIsPassedOver(t *testing.T) {
-	gone := fleet.Engine{ID: "gone", Service: "plain", Slots: 4, Domain: "here"}
-	left := fleet.Engine{ID: "left", Service: "plain", Slots: 4, Domain: "there"}
+	gone := fleet.Engine{ID: fleet.EngineID{Name: "gone"}, Service: "plain", Slots: 4, Domain: "here"}
+	left := fleet.Engine{ID: fleet.EngineID{Name: "left"}, Service: "plain", Slots: 4, Domain: "there"}
 	for _, tst := range []struct {
 		name   string
 		known  []fleet.Engine
-		engine fleet.EngineID
+		engine string
 	}{{"one is left", []fleet.Engine{left}, "left"}, {"none is left", nil, ""}} {
 		t.Run(tst.name, func(t *testing.T) {
 			hos, err := New(Config{Log: zerolog.Nop()})
 			assert.NilError(t, err)
 			hos.set.Domain = "here"
 			hos.desk.handle(scheduler.EnginesChanged{Engines: []fleet.Engine{gone, left}})
-			bel := &belief{engines: make(map[fleet.EngineID]fleet.Engine)}
+			bel := &belief{engines: make(map[string]fleet.Engine)}
 			for _, eng := range tst.known {
-				bel.engines[eng.ID] = eng
+				bel.engines[eng.ID.Name] = eng
 			}
 			hos.belief.Store(bel)
 			now := time.Now()
@@ -40,7 +40,7 @@
 				route: route.Route{Kind: route.KindSafe, Aim: time.Second, Public: true},
 			}
 			eng, pro := exc.reserve(t.Context())
-			assert.Equal(t, eng.ID, tst.engine)
+			assert.Equal(t, eng.ID.Name, tst.engine)
 			if tst.engine == "" {
 				assert.Equal(t, pro.status, http.StatusServiceUnavailable)
 				assert.Assert(t, pro.retryAfter > 0)
@@ -52,11 +52,11 @@
 // A guess is no reason to refuse a stream: it is begun where there is room, and one
 // that has begun goes on there.
 func TestStreamIsBegunAndGoesOnHoweverLong(t *testing.T) {
-	eng := fleet.Engine{ID: "busy", Service: "model", Slots: 2, Domain: "here"}
+	eng := fleet.Engine{ID: fleet.EngineID{Name: "busy"}, Service: "model", Slots: 2, Domain: "here"}
 	hos, err := New(Config{Log: zerolog.Nop()})
 	assert.NilError(t, err)
 	hos.desk.handle(scheduler.EnginesChanged{Engines: []fleet.Engine{eng}})
-	hos.belief.Store(&belief{engines: map[fleet.EngineID]fleet.Engine{eng.ID: eng}})
+	hos.belief.Store(&belief{engines: map[string]fleet.Engine{eng.ID.Name: eng}})
 	send := func(id string, hint int, last int64) *problem {
 		now := time.Now()
 		exc := &exchange{
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -312,6 +312,15 @@
 	des.tell(at, tic.reserve)
 }
 
+// moveHold notes that a request went to another run of its engine than was granted.
+func (des *desk) moveHold(id request.ID, run fleet.EngineID) {
+	des.mutex.Lock()
+	defer des.mutex.Unlock()
+	if hol := des.holds[id]; hol != nil {
+		hol.Engine = run.String()
+	}
+}
+
 // progress says that the first of an answer has come.
 func (des *desk) progress(pro reservation.Progress) {
 	des.mutex.Lock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -106,11 +106,24 @@
 // replaced.
 type belief struct {
 	// table is nil until a configuration is known.
-	table   *route.Table
-	engines map[fleet.EngineID]fleet.Engine
+	table *route.Table
+	// engines are by their names.
+	engines map[string]fleet.Engine
 	members []fleet.Member
 }
 
+// engine returns the engine that a grant names. Where the coordinator or this host knows
+// a later run of it than the other, the request goes to the later one: nothing of the
+// former is left, and what listens there turns away what is meant for another engine. So
+// no request is refused for what the store hasn't told everybody yet.
+func (bel *belief) engine(granted fleet.EngineID) (fleet.Engine, bool) {
+	eng, known := bel.engines[granted.Name]
+	if known && granted.Follows(eng.ID) {
+		eng.ID, eng.Draining = granted, false
+	}
+	return eng, known
+}
+
 // New returns a host; Start has it work.
 func New(cfg Config) (*Host, error) {
 	if cfg.LinesDropped == nil {
@@ -359,19 +372,20 @@
 	for {
 		select {
 		case <-tick.C:
-			hos.upstream.Retire(hos.engineAddresses())
+			hos.upstream.Retire(hos.engineRuns())
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
-func (hos *Host) engineAddresses() func(netip.AddrPort) bool {
-	known := make(map[netip.AddrPort]bool)
-	for _, eng := range hos.belief.Load().engines {
-		known[eng.Address] = true
+// engineRuns tells which runs of engines are known to be there.
+func (hos *Host) engineRuns() func(upstream.Endpoint) bool {
+	engines := hos.belief.Load().engines
+	return func(end upstream.Endpoint) bool {
+		eng, known := engines[end.Engine.Name]
+		return known && eng.Address == end.Address && !eng.ID.Follows(end.Engine)
 	}
-	return func(adr netip.AddrPort) bool { return known[adr] }
 }
 
 // Drain makes a planned stop: the host leaves the directory at once, takes
--- a/entry/granted_test.go
+++ b/entry/granted_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/reservation"
 	"lynxwell.dev/lynxwell/route"
 	"lynxwell.dev/lynxwell/settings"
 )
@@ -16,8 +18,8 @@
 func TestGrantOfAnEngineThatLeavesIsPassedOver(t *testing.T) {
 	hos, err := New(Config{Settings: settings.Entry{Name: "host-1", PeerKey: "key between the hosts"}, Log: zerolog.Nop()})
 	assert.NilError(t, err)
-	hos.belief.Store(&belief{engines: map[fleet.EngineID]fleet.Engine{
-		"stays": {ID: "stays"}, "leaves": {ID: "leaves", Draining: true},
+	hos.belief.Store(&belief{engines: map[string]fleet.Engine{
+		"stays": {ID: fleet.EngineID{Name: "stays"}}, "leaves": {ID: fleet.EngineID{Name: "leaves"}, Draining: true},
 	}})
 	for name, want := range map[string]cause{"stays": "", "leaves": causeEngineGone, "gone": causeEngineGone} {
 		exc := &exchange{host: hos, route: route.Route{Public: true}}
@@ -29,3 +31,39 @@
 		assert.Equal(t, pro.cause, want, name)
 	}
 }
+
+// Host and coordinator learn in either order that an engine has started again: the
+// request goes to the later run, and another coordinator is told of that one.
+func TestGrantAndHostMayKnowDifferentRuns(t *testing.T) {
+	former, later := fleet.NewEngineID("e", time.UnixMilli(1000)), fleet.NewEngineID("e", time.UnixMilli(2000))
+	for _, tst := range []struct {
+		name    string
+		known   fleet.Engine
+		granted fleet.EngineID
+		want    cause
+	}{
+		{"the host is behind", fleet.Engine{ID: former}, later, ""},
+		{"the former run was leaving", fleet.Engine{ID: former, Draining: true}, later, ""},
+		{"the coordinator is behind", fleet.Engine{ID: later}, former, ""},
+		{"the later run leaves", fleet.Engine{ID: later, Draining: true}, former, causeEngineGone},
+		{"another engine", fleet.Engine{ID: later}, fleet.NewEngineID("f", time.UnixMilli(2000)), causeEngineGone},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			hos, err := New(Config{Settings: settings.Entry{Name: "host-1", PeerKey: "key between the hosts"}, Log: zerolog.Nop()})
+			assert.NilError(t, err)
+			hos.belief.Store(&belief{engines: map[string]fleet.Engine{"e": tst.known}})
+			rid := request.ID{Unique: "r1"}
+			hos.desk.holds[rid] = &reservation.Adopt{ID: rid, Engine: tst.granted.String()}
+			exc := &exchange{host: hos, route: route.Route{Public: true}}
+			eng, pro := exc.granted(tst.granted.String(), rid)
+			if tst.want != "" {
+				assert.Equal(t, pro.cause, tst.want)
+				return
+			}
+			assert.Assert(t, pro == nil)
+			assert.Equal(t, eng.ID, later)
+			assert.Equal(t, eng.Draining, false)
+			assert.Equal(t, hos.desk.holds[rid].Engine, later.String())
+		})
+	}
+}
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -185,7 +185,7 @@
 func (obs *observer) replace(values []store.Value) {
 	var engines []fleet.Engine
 	var members []fleet.Member
-	var refused []fleet.EngineID
+	var refused []string
 	for _, val := range values {
 		switch kind, name := platform.KindOf(val.Key); kind {
 		case platform.KeyConfiguration:
@@ -194,7 +194,7 @@
 			if eng, usable := obs.decodeEngine(val); usable {
 				engines = append(engines, eng)
 			} else {
-				refused = append(refused, fleet.EngineID(name))
+				refused = append(refused, name)
 			}
 		case platform.KeyMember:
 			if mem, usable := obs.decodeMember(val); usable {
@@ -206,8 +206,8 @@
 		}
 	}
 	obs.directory.Replace(time.Now(), engines, members)
-	for _, id := range refused {
-		obs.directory.DropEngine(id)
+	for _, name := range refused {
+		obs.directory.DropEngine(name)
 	}
 	if obs.directory.Missing(obs.host.set.Name) {
 		obs.host.doubtLease()
@@ -257,7 +257,7 @@
 		if eng, usable := obs.decodeEngine(cha.Value); usable {
 			obs.noteEngine(eng, cha.Revision)
 		} else {
-			obs.directory.DropEngine(fleet.EngineID(name))
+			obs.directory.DropEngine(name)
 		}
 	case platform.KeyMember:
 		if mem, usable := obs.decodeMember(cha.Value); usable {
@@ -277,7 +277,7 @@
 	switch kind, name := platform.KindOf(cha.Key); kind {
 	case platform.KeyEngine:
 		obs.host.log.Info().Str("Engine", name).Uint64("Revision", uint64(cha.Revision)).Msg("engine gone")
-		obs.directory.RemoveEngine(time.Now(), fleet.EngineID(name))
+		obs.directory.RemoveEngine(time.Now(), name)
 	case platform.KeyMember:
 		obs.removeMember(name)
 		if name == obs.host.set.Name {
@@ -293,9 +293,9 @@
 }
 
 func (obs *observer) noteEngine(eng fleet.Engine, rev store.Revision) {
-	obs.host.log.Info().Str("Engine", string(eng.ID)).Str("Service", eng.Service).Stringer("Address", eng.Address).
-		Bool("Draining", eng.Draining).Uint64("Revision", uint64(rev)).Msg("engine entry")
-	obs.directory.SetEngine(eng)
+	newer := obs.directory.SetEngine(eng)
+	obs.host.log.Info().Stringer("Engine", eng.ID).Str("Service", eng.Service).Stringer("Address", eng.Address).Bool("Draining", eng.Draining).
+		Uint64("Sequence", eng.Sequence).Bool("Newer", newer).Uint64("Revision", uint64(rev)).Msg("engine entry")
 }
 
 // takeConfiguration puts a newer configuration in force; one that can't be used
@@ -330,12 +330,13 @@
 // publish makes what the observer knows the host's belief.
 func (obs *observer) publish() {
 	engines := obs.directory.Engines()
-	bel := &belief{table: obs.table, engines: make(map[fleet.EngineID]fleet.Engine, len(engines)), members: obs.directory.Members()}
+	bel := &belief{table: obs.table, engines: make(map[string]fleet.Engine, len(engines)), members: obs.directory.Members()}
 	for _, eng := range engines {
-		bel.engines[eng.ID] = eng
+		bel.engines[eng.ID.Name] = eng
 	}
 	obs.gauge(bel)
 	former := obs.host.belief.Swap(bel)
+	obs.endFormerRuns(former, engines)
 	if bel.table != nil && former.table != bel.table {
 		obs.host.desk.handle(scheduler.ConfigurationChanged{Table: bel.table})
 	}
@@ -347,6 +348,16 @@
 	obs.host.desk.changeMembers(ros)
 }
 
+// endFormerRuns ends what still waits for engines that have started again.
+func (obs *observer) endFormerRuns(former *belief, engines []fleet.Engine) {
+	for _, eng := range engines {
+		if known, found := former.engines[eng.ID.Name]; eng.ID.Born.IsZero() || found && known.ID == eng.ID {
+			continue
+		}
+		obs.host.upstream.EndFormer(eng.ID)
+	}
+}
+
 // gauge tells what the host believes.
 func (obs *observer) gauge(bel *belief) {
 	ready := int64(0)
--- a/entry/refused_test.go
+++ b/entry/refused_test.go
@@ -49,7 +49,7 @@
 func engineNames(obs *observer) string {
 	var names []string
 	for _, eng := range obs.directory.Engines() {
-		names = append(names, string(eng.ID))
+		names = append(names, eng.ID.Name)
 	}
 	return strings.Join(names, " ")
 }
--- a/entrytest/entrytest.go
+++ b/entrytest/entrytest.go
@@ -166,13 +166,30 @@
 	}
 }
 
+// EngineState is what an engine tells of itself.
+type EngineState struct {
+	Service  string
+	Address  string
+	Slots    int
+	Draining bool
+	// Born is when the engine's run started; the zero time has it not told.
+	Born time.Time
+	// Sequence counts what the run tells, from 1 on.
+	Sequence uint64
+}
+
 // EngineEntry returns an engine's entry in the store as the engine writes it.
-func EngineEntry(service, address string, slots int, draining bool) []byte {
+func EngineEntry(sta EngineState) []byte {
 	state := "ready"
-	if draining {
+	if sta.Draining {
 		state = "draining"
 	}
-	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"d0","version":"v1","slots":%d,"state":%q,"cold_left_ms":0,"seq":1}`, service, address, slots, state)
+	born := ""
+	if !sta.Born.IsZero() {
+		born = fmt.Sprintf(`,"born":%d`, sta.Born.UnixMilli())
+	}
+	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"d0","version":"v1","slots":%d,"state":%q,"cold_left_ms":0,"seq":%d%s}`,
+		sta.Service, sta.Address, sta.Slots, state, max(1, sta.Sequence), born)
 }
 
 // EngineKey returns the key of an engine's entry.
@@ -184,7 +201,13 @@
 // Enter writes an engine's entry.
 func (sys *System) Enter(eng *upstreamtest.Engine, address string, draining bool) {
 	sys.t.Helper()
-	sys.put(EngineKey(eng.ID()), string(EngineEntry(eng.Service(), address, eng.Slots(), draining)))
+	sys.EnterState(eng.ID(), EngineState{Service: eng.Service(), Address: address, Slots: eng.Slots(), Draining: draining})
+}
+
+// EnterState writes what an engine tells of itself.
+func (sys *System) EnterState(id string, sta EngineState) {
+	sys.t.Helper()
+	sys.put(EngineKey(id), string(EngineEntry(sta)))
 }
 
 // EnterLost writes the entry of a host that is there no more, or hardly: all that
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -13,10 +13,11 @@
 // held, what goes missing stays known until the hold is over: entries lapse
 // while the store is away although their owners live.
 type Directory struct {
-	engines map[EngineID]Engine
+	// engines and missingEngines are by the engines' names: one run of each is known.
+	engines map[string]Engine
 	members map[string]Member
 	// missing are entries that are gone from the store and still held.
-	missingEngines map[EngineID]bool
+	missingEngines map[string]bool
 	missingMembers map[string]bool
 	heldUntil      time.Time
 }
@@ -24,9 +25,9 @@
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
 	return &Directory{
-		engines:        make(map[EngineID]Engine),
+		engines:        make(map[string]Engine),
 		members:        make(map[string]Member),
-		missingEngines: make(map[EngineID]bool),
+		missingEngines: make(map[string]bool),
 		missingMembers: make(map[string]bool),
 	}
 }
@@ -38,9 +39,9 @@
 
 // Replace takes a whole reading of the store: what it lacks has gone missing.
 func (dir *Directory) Replace(now time.Time, engines []Engine, members []Member) {
-	for id := range dir.engines {
-		if !slices.ContainsFunc(engines, func(eng Engine) bool { return eng.ID == id }) {
-			dir.RemoveEngine(now, id)
+	for name := range dir.engines {
+		if !slices.ContainsFunc(engines, func(eng Engine) bool { return eng.ID.Name == name }) {
+			dir.RemoveEngine(now, name)
 		}
 	}
 	for name := range dir.members {
@@ -56,26 +57,38 @@
 	}
 }
 
-// SetEngine takes an engine's newest entry.
-func (dir *Directory) SetEngine(eng Engine) {
-	dir.engines[eng.ID] = eng
-	delete(dir.missingEngines, eng.ID)
+// SetEngine takes an engine's entry, and reports whether it is newer than what is known.
+// One that tells no start although the engine did isn't the engine's own: whoever stood
+// there is lost. Where its entry had gone, any of the same run is newer.
+func (dir *Directory) SetEngine(eng Engine) bool {
+	name := eng.ID.Name
+	former, known := dir.engines[name]
+	if known && eng.ID.Born.IsZero() && !former.ID.Born.IsZero() {
+		dir.DropEngine(name)
+		return false
+	}
+	if known && (former.ID.Follows(eng.ID) || !dir.missingEngines[name] && !eng.Supersedes(former)) {
+		return false
+	}
+	dir.engines[name] = eng
+	delete(dir.missingEngines, name)
+	return true
 }
 
 // RemoveEngine takes an engine's entry away, at once or when the hold is over.
-func (dir *Directory) RemoveEngine(now time.Time, id EngineID) {
-	if _, known := dir.engines[id]; known && now.Before(dir.heldUntil) {
-		dir.missingEngines[id] = true
+func (dir *Directory) RemoveEngine(now time.Time, name string) {
+	if _, known := dir.engines[name]; known && now.Before(dir.heldUntil) {
+		dir.missingEngines[name] = true
 		return
 	}
-	delete(dir.engines, id)
+	delete(dir.engines, name)
 }
 
 // DropEngine takes an engine away at once, also during a hold: what lies at its key
 // names no engine.
-func (dir *Directory) DropEngine(id EngineID) {
-	delete(dir.engines, id)
-	delete(dir.missingEngines, id)
+func (dir *Directory) DropEngine(name string) {
+	delete(dir.engines, name)
+	delete(dir.missingEngines, name)
 }
 
 // SetMember takes a host's newest entry.
@@ -99,8 +112,8 @@
 	if now.Before(dir.heldUntil) || len(dir.missingEngines)+len(dir.missingMembers) == 0 {
 		return false
 	}
-	for id := range dir.missingEngines {
-		delete(dir.engines, id)
+	for name := range dir.missingEngines {
+		delete(dir.engines, name)
 	}
 	for name := range dir.missingMembers {
 		delete(dir.members, name)
@@ -110,9 +123,9 @@
 	return true
 }
 
-// Engines returns all engines, sorted by their ids.
+// Engines returns all engines, sorted by their names.
 func (dir *Directory) Engines() []Engine {
-	return slices.SortedFunc(maps.Values(dir.engines), func(one, two Engine) int { return cmp.Compare(one.ID, two.ID) })
+	return slices.SortedFunc(maps.Values(dir.engines), func(one, two Engine) int { return cmp.Compare(one.ID.Name, two.ID.Name) })
 }
 
 // Members returns the hosts, the largest first, and equal ones by their names: after
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -4,8 +4,8 @@
 // # Usage
 //
 //	dir := fleet.NewDirectory()
-//	dir.SetEngine(now, eng)
-//	dir.RemoveEngine(now, id)
+//	dir.SetEngine(eng)
+//	dir.RemoveEngine(now, name)
 //	for _, eng := range dir.Engines() { ... }
 //	mem, found := dir.Coordinator(reachable)
 //
@@ -14,29 +14,10 @@
 
 import (
 	"net/netip"
-	"time"
 
 	"lynxwell.dev/lynxwell/request"
 )
 
-// EngineID names one run of an engine or a backend server; a restart has another.
-type EngineID string
-
-// Engine is an engine, or a backend server of a plain service.
-type Engine struct {
-	ID      EngineID
-	Service string
-	Address netip.AddrPort
-	// Domain is its failure domain.
-	Domain string
-	// Slots is how many requests it works on at a time.
-	Slots int
-	// Draining engines get no new work.
-	Draining bool
-	// ColdFor is how much longer the engine is slow from its start.
-	ColdFor time.Duration
-}
-
 // Member is a host that shares the work.
 type Member struct {
 	Name string
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -16,6 +16,8 @@
 // engine is what the scheduler knows of one engine.
 type engine struct {
 	fleet.Engine
+	// name is the run's id as hosts tell it to one another.
+	name    string
 	running map[request.ID]*run
 	// model is how fast it reads prompts and writes answers.
 	model *pace.Engine
@@ -67,7 +69,7 @@
 
 func newEngine(eng fleet.Engine, model *pace.Engine) *engine {
 	ene := &engine{
-		Engine: eng, running: make(map[request.ID]*run), model: model, work: assumedWork,
+		Engine: eng, name: eng.ID.String(), running: make(map[request.ID]*run), model: model, work: assumedWork,
 		stay: assumedStay, eventTokens: 1, cacheTokens: assumedCacheTokens,
 	}
 	// The only error is a size below 1.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -165,7 +165,7 @@
 }
 
 func (sys *system) enter(eng *engine, draining bool) {
-	entry := entrytest.EngineEntry(eng.service, eng.address.String(), slots, draining)
+	entry := entrytest.EngineEntry(entrytest.EngineState{Service: eng.service, Address: eng.address.String(), Slots: slots, Draining: draining})
 	sys.put(store.Write{Key: entrytest.EngineKey(eng.id), Blind: true, Data: entry})
 }
 
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -1,21 +1,17 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"net/url"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"lynxwell.dev/lynxwell/call"
+	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/transport"
 )
 
@@ -28,16 +24,9 @@
 type Client struct {
 	cfg   ClientConfig
 	mutex sync.Mutex
-	idle  map[netip.AddrPort][]*connection
-}
-
-// connection is one connection with what is buffered of it.
-type connection struct {
-	net.Conn
-	reader  *bufio.Reader
-	address netip.AddrPort
-	retire  time.Time
-	reused  bool
+	idle  map[Endpoint][]*connection
+	// busy are the connections that carry a call.
+	busy map[*connection]struct{}
 }
 
 // NewClient returns a client without any connection yet.
@@ -45,34 +34,34 @@
 	if cfg.DialTimeout == 0 {
 		cfg.DialTimeout = defaultDialTimeout
 	}
-	return &Client{cfg: cfg, idle: make(map[netip.AddrPort][]*connection)}
+	return &Client{cfg: cfg, idle: make(map[Endpoint][]*connection), busy: make(map[*connection]struct{})}
 }
 
 // Close closes the idle connections.
 func (cli *Client) Close() {
-	cli.Retire(func(netip.AddrPort) bool { return false })
+	cli.Retire(func(Endpoint) bool { return false })
 }
 
-// Retire closes the idle connections that have become old, and all to addresses
-// that aren't to be kept.
-func (cli *Client) Retire(keep func(netip.AddrPort) bool) {
+// Retire closes the idle connections that have become old, and all to endpoints that
+// aren't to be kept.
+func (cli *Client) Retire(keep func(Endpoint) bool) {
 	now := time.Now()
 	cli.mutex.Lock()
 	defer cli.mutex.Unlock()
-	for adr, list := range cli.idle {
+	for end, list := range cli.idle {
 		var kept []*connection
 		for _, con := range list {
-			if keep(adr) && now.Before(con.retire) {
+			if keep(end) && now.Before(con.retire) {
 				kept = append(kept, con)
 				continue
 			}
 			closeQuietly(con)
 		}
 		if len(kept) == 0 {
-			delete(cli.idle, adr)
+			delete(cli.idle, end)
 			continue
 		}
-		cli.idle[adr] = kept
+		cli.idle[end] = kept
 	}
 }
 
@@ -82,13 +71,13 @@
 }
 
 // take returns an idle connection that is sound, the youngest first.
-func (cli *Client) take(adr netip.AddrPort) *connection {
+func (cli *Client) take(end Endpoint) *connection {
 	for {
-		con := cli.pop(adr)
+		con := cli.pop(end)
 		if con == nil {
 			return nil
 		}
-		if time.Now().Before(con.retire) && quiet(con) {
+		if time.Now().Before(con.retire) && con.quiet() {
 			con.reused = true
 			return con
 		}
@@ -96,80 +85,82 @@
 	}
 }
 
-func (cli *Client) pop(adr netip.AddrPort) *connection {
+func (cli *Client) pop(end Endpoint) *connection {
 	cli.mutex.Lock()
 	defer cli.mutex.Unlock()
-	list := cli.idle[adr]
+	list := cli.idle[end]
 	if len(list) == 0 {
 		return nil
 	}
 	con := list[len(list)-1]
-	cli.idle[adr] = list[:len(list)-1]
+	cli.idle[end] = list[:len(list)-1]
 	return con
 }
 
-// quiet reports whether nothing has come on an idle connection: neither its end
-// nor bytes that nobody asked for.
-func quiet(con *connection) bool {
-	if con.reader.Buffered() > 0 {
-		return false
-	}
-	tcp, isTCP := con.Conn.(*net.TCPConn)
-	if !isTCP {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	silent := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, rerr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		silent = errors.Is(rerr, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && silent
-}
-
 func (cli *Client) put(con *connection) {
 	cli.mutex.Lock()
 	defer cli.mutex.Unlock()
-	cli.idle[con.address] = append(cli.idle[con.address], con)
+	cli.idle[con.endpoint] = append(cli.idle[con.endpoint], con)
 }
 
-func (cli *Client) dial(ctx context.Context, adr netip.AddrPort) (*connection, error) {
-	con, err := liveness.Dialer(cli.cfg.DialTimeout).DialContext(ctx, "tcp", adr.String())
+func (cli *Client) dial(ctx context.Context, end Endpoint) (*connection, error) {
+	opened, err := liveness.Dialer(cli.cfg.DialTimeout).DialContext(ctx, "tcp", end.Address.String())
 	if err != nil {
 		return nil, err
 	}
 	if cli.cfg.Dialed != nil {
 		cli.cfg.Dialed()
 	}
-	return &connection{Conn: con, reader: bufio.NewReaderSize(con, bufferBytes), address: adr}, nil
+	return newConnection(opened, end), nil
 }
 
 // Do sends the call and returns the answer's head with its body to be read. The
 // context ends the answer too, until Close.
 func (cli *Client) Do(ctx context.Context, cal Call) (*Answer, error) {
-	con := cli.take(cal.Address)
+	con := cli.take(cal.Endpoint)
 	if con == nil {
 		var err error
-		if con, err = cli.dial(ctx, cal.Address); err != nil {
+		if con, err = cli.dial(ctx, cal.Endpoint); err != nil {
 			return nil, &NotSentError{Address: cal.Address, Cause: err}
 		}
 	}
+	cli.setBusy(con, true)
 	exc := &exchange{client: cli, connection: con, written: make(chan error, 1)}
 	exc.stop = context.AfterFunc(ctx, exc.abort)
 	ans, err := exc.run(cal)
 	if err != nil {
 		exc.stop()
+		cli.setBusy(con, false)
 		closeQuietly(con)
 		return nil, &BrokenError{Address: cal.Address, Cause: cause(ctx, err)}
 	}
 	return ans, nil
 }
 
+func (cli *Client) setBusy(con *connection, busy bool) {
+	cli.mutex.Lock()
+	defer cli.mutex.Unlock()
+	if busy {
+		cli.busy[con] = struct{}{}
+		return
+	}
+	delete(cli.busy, con)
+}
+
+// EndFormer ends the calls at former runs of the engine: what has arrived of their
+// answers is read, and nothing more is waited for. A connection that was heard of about
+// when the later run started, or since, is left: it may lead to that one.
+func (cli *Client) EndFormer(later fleet.EngineID) {
+	limit := later.Born.Add(-bornMargin)
+	cli.mutex.Lock()
+	defer cli.mutex.Unlock()
+	for con := range cli.busy {
+		if later.Follows(con.endpoint.Engine) && con.heardAt().Before(limit) {
+			con.end()
+		}
+	}
+}
+
 func cause(ctx context.Context, err error) error {
 	if why := context.Cause(ctx); why != nil {
 		return why
@@ -190,7 +181,7 @@
 // abort unblocks whatever waits on the connection.
 func (exc *exchange) abort() {
 	// A connection that takes no deadline is closed already.
-	_ = exc.connection.SetDeadline(time.Unix(1, 0))
+	_ = exc.connection.SetDeadline(past)
 }
 
 func (exc *exchange) run(cal Call) (*Answer, error) {
@@ -285,6 +276,7 @@
 func (ans *Answer) Close() {
 	exc := ans.exchange
 	unbroken := exc.stop()
+	exc.client.setBusy(exc.connection, false)
 	if !unbroken || !ans.whole || ans.strays || ans.reply.Close || !ans.framed() || !exc.sent() {
 		closeQuietly(exc.connection)
 		return
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -38,7 +38,7 @@
 	t.Cleanup(cli.Close)
 	send := func(header http.Header) ([]byte, error) {
 		ans, err := cli.Do(t.Context(), upstream.Call{
-			Address: netip.MustParseAddrPort(srv.Listener.Addr().String()), ID: "r", Method: http.MethodGet, Target: "/", Host: "a", Header: header,
+			Endpoint: upstream.Endpoint{Address: netip.MustParseAddrPort(srv.Listener.Addr().String())}, ID: "r", Method: http.MethodGet, Target: "/", Host: "a", Header: header,
 		})
 		assert.NilError(t, err)
 		defer ans.Close()
@@ -102,7 +102,7 @@
 		{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok", false},
 	} {
 		cli := namedClient()
-		ans, err := cli.Do(t.Context(), upstream.Call{Address: rawEngine(t, tst.answer), ID: "mine", Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{}})
+		ans, err := cli.Do(t.Context(), upstream.Call{Endpoint: upstream.Endpoint{Address: rawEngine(t, tst.answer)}, ID: "mine", Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{}})
 		assert.Equal(t, err == nil, tst.taken, "%q: %v", tst.answer, err)
 		if err == nil {
 			ans.Close()
@@ -127,7 +127,7 @@
 		defer cli.Close()
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
-		ans, err := cli.Do(ctx, upstream.Call{Address: rawEngine(t, answer), ID: "mine", Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{}})
+		ans, err := cli.Do(ctx, upstream.Call{Endpoint: upstream.Endpoint{Address: rawEngine(t, answer)}, ID: "mine", Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{}})
 		assert.NilError(t, ctx.Err(), "the call went on")
 		if err != nil {
 			return
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	cli := upstream.NewClient(upstream.ClientConfig{})
-//	ans, err := cli.Do(ctx, upstream.Call{Address: adr, ID: id, Head: platform.DecodeAnswer, ...})
+//	ans, err := cli.Do(ctx, upstream.Call{Endpoint: end, ID: id, Head: platform.DecodeAnswer, ...})
 //	var nse *upstream.NotSentError // nothing left this host
 //	defer ans.Close()
 //	body, err := io.ReadAll(ans.Body)
@@ -20,6 +20,7 @@
 	"time"
 
 	"lynxwell.dev/lynxwell/call"
+	"lynxwell.dev/lynxwell/fleet"
 )
 
 // ClientConfig holds what a Client is made from.
@@ -52,9 +53,16 @@
 	smallBodyBytes = 2 << 10
 )
 
+// Endpoint is one run of an engine at its address. Connections are kept by it: what was
+// opened to a former run never carries a request for the later one.
+type Endpoint struct {
+	Address netip.AddrPort
+	Engine  fleet.EngineID
+}
+
 // Call is a request to an engine.
 type Call struct {
-	Address netip.AddrPort
+	Endpoint
 	// ID is the request's id, which the answer must carry.
 	ID     string
 	Method string
@@ -93,6 +101,17 @@
 // Unwrap returns the cause.
 func (ber *BrokenError) Unwrap() error { return ber.Cause }
 
+// RunEndedError reports a connection to a run of an engine that has ended, since the
+// engine has started again.
+type RunEndedError struct {
+	Endpoint Endpoint
+}
+
+// Error names the run.
+func (ree *RunEndedError) Error() string {
+	return "engine " + ree.Endpoint.Engine.String() + " has started again"
+}
+
 // StrayError reports answers that all belong to other requests.
 type StrayError struct {
 	ID string
