--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -58,6 +58,7 @@
 		newCheckCmd(),
 		newStoryCmd(),
 		newLossesCmd(),
+		newRolloutCmd(),
 		newLoadCmd(),
 		newStandinCmd(),
 		newBenchCmd(),
--- a/cmd/dumpcmd.go
+++ b/cmd/dumpcmd.go
@@ -76,19 +76,10 @@
 	if com.opts.metrics {
 		path = "/metrics"
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+com.opts.entry.String()+path, http.NoBody)
-	if err != nil {
-		return errors.Wrap(err, "make call")
-	}
-	rep, err := http.DefaultClient.Do(req)
+	raw, err := fetchEntry(ctx, com.opts.entry, path)
 	if err != nil {
 		return err
 	}
-	defer rep.Body.Close()
-	raw, err := io.ReadAll(rep.Body)
-	if err != nil {
-		return errors.Wrap(err, "read answer")
-	}
 	if com.opts.metrics {
 		_, err := str.out.Write(raw)
 		return err
@@ -96,6 +87,21 @@
 	return printIndented(str, raw)
 }
 
+// fetchEntry asks a host on the users' platform on its metrics address.
+func fetchEntry(ctx context.Context, adr netip.AddrPort, path string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+adr.String()+path, http.NoBody)
+	if err != nil {
+		return nil, errors.Wrap(err, "make call")
+	}
+	rep, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer rep.Body.Close()
+	raw, err := io.ReadAll(rep.Body)
+	return raw, errors.Wrap(err, "read answer")
+}
+
 func printIndented(str streams, raw []byte) error {
 	var pretty bytes.Buffer
 	if err := json.Indent(&pretty, raw, "", "  "); err != nil {
--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -47,6 +47,12 @@
 	return []byte(eid.String()), nil
 }
 
+// UnmarshalText reads what MarshalText wrote.
+func (eid *EngineID) UnmarshalText(text []byte) error {
+	*eid = ParseEngineID(string(text))
+	return nil
+}
+
 // ParseEngineID reads what String wrote. Any text names some engine.
 func ParseEngineID(text string) EngineID {
 	place := strings.LastIndex(text, bornSeparator)
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -114,13 +114,13 @@
 
 // worst returns the first route, by name, whose answers are worse; "*" stands for all
 // together.
-func (tal Tally) worst() (string, bool) {
+func (tal Tally) worst(isBad func(Counts) bool) (string, bool) {
 	for _, name := range slices.Sorted(maps.Keys(tal.Routes)) {
-		if tal.Routes[name].isBad() {
+		if isBad(tal.Routes[name]) {
 			return name, true
 		}
 	}
-	return "*", tal.all().isBad()
+	return "*", isBad(tal.all())
 }
 
 const (
--- a/rollout/policy.go
+++ b/rollout/policy.go
@@ -58,7 +58,9 @@
 
 // Rollout is one service's move to a version.
 type Rollout struct {
-	cfg      Config
+	cfg Config
+	// isBad is the test by which a version is found to be bad.
+	isBad    func(Counts) bool
 	standing Standing
 	state    State
 	// reason says why the state is what it is.
@@ -86,7 +88,7 @@
 
 // New returns the roll-out of an order as the store knows it.
 func New(cfg Config, std Standing) *Rollout {
-	rol := &Rollout{cfg: cfg, state: StateRunning, reason: "ordered"}
+	rol := &Rollout{cfg: cfg, isBad: Counts.isBad, state: StateRunning, reason: "ordered"}
 	rol.Adopt(std)
 	return rol
 }
@@ -196,7 +198,7 @@
 		rol.speed.observe(ans.Route, ans.Took, ans.Expected)
 	}
 	rol.fresh.add(ans.Route, cou)
-	if route, bad := rol.tally().worst(); ans.New && bad {
+	if route, bad := rol.tally().worst(rol.isBad); ans.New && bad {
 		rol.end(StateRolledBack, "answers are worse on "+route)
 	}
 }
