feat: hosts know one another by a secret of the deployment

Cause: deploy/settings.json carried a fixed key, so whoever read the repository could speak as a host: read the whole store through one, keys of client accounts among it, and have itself be given reservations.

Ruled out: a key sent along with each call (it is seen once and known for ever); a handshake of our own.

Change: a secret made at random by the first host, kept in the store under the condition of its revision. Hosts prove it to one another both ways by the handshake of TLS 1.3, with keys made from it, and never send it. It is renewed in two steps, so that the next one is accepted everywhere before it is shown; one that is taken out of the store or overwritten is put back; hosts without the store live on what they know. Whoever doesn't have it is refused, counted (PeersRefused) and logged in bounds. A key in the settings still goes before it.

Tests: strangers of five kinds, an old secret, renewals beside hosts that lost the store, and the secret taken away while the store is away.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,9 @@
 
 import (
 	"context"
+	"io"
+	"log"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -78,6 +81,8 @@
 	started   time.Time
 	// storeAway is set while the store is lost to other hosts too.
 	storeAway atomic.Bool
+	// secrets keeps what proves this host to others.
+	secrets *secrets
 	// rolloutNews wakes the keeper of roll-outs.
 	rolloutNews chan struct{}
 	// leaseDoubt wakes the keeper of the lease.
@@ -152,6 +157,7 @@
 	hos.belief.Store(&belief{})
 	hos.bounds.Store(&cfg.Settings.Bounds)
 	hos.confirmed.Store(neverConfirmed)
+	hos.secrets = newSecrets(hos)
 	hos.tasks = task.NewGroup(hos.log)
 	hos.upstream = upstream.NewClient(upstream.ClientConfig{
 		Decode: platform.DecodeAnswer,
@@ -169,8 +175,13 @@
 // are busy, and a heartbeat missed three times is no chance.
 var peerTiming = peer.Timing{Heartbeat: 200 * time.Millisecond, Timeout: 700 * time.Millisecond}
 
+// security returns how hosts know one another: by the key of their settings or, without
+// one, by the secret that lies in the store.
 func (hos *Host) security() peer.Security {
-	return peer.Security{Key: hos.set.PeerKey}
+	if hos.keyed() {
+		return peer.Security{Key: hos.set.PeerKey}
+	}
+	return peer.Security{TLS: hos.secrets.keeper.TLS()}
 }
 
 // member returns the host's own entry.
@@ -295,6 +306,7 @@
 	hos.tasks.Run("sessions", func() error { return hos.desk.keepSessions(ctx) })
 	hos.tasks.Run("presence", func() error { return hos.desk.keepPresence(ctx) })
 	hos.tasks.Run("settings", func() error { return hos.followSettings(ctx) })
+	hos.tasks.Run("secret", func() error { return hos.keepSecret(ctx) })
 	hos.tasks.Run("rollouts", func() error { return hos.keepRollouts(ctx) })
 	hos.tasks.Run("survey", func() error { return hos.keepSurvey(ctx) })
 	hos.tasks.Run("housekeeping", func() error { return hos.keepHouse(ctx) })
@@ -312,6 +324,15 @@
 	name    string
 	address netip.AddrPort
 	server  *http.Server
+	// serve serves in another way than the server itself; nil for that.
+	serve func(net.Listener, *http.Server) error
+}
+
+func (lis listener) serveOn(open net.Listener) error {
+	if lis.serve != nil {
+		return lis.serve(open, lis.server)
+	}
+	return lis.server.Serve(open)
 }
 
 // metricsListener names the one address that a host can do without.
@@ -323,12 +344,15 @@
 
 func (hos *Host) serve(ctx context.Context) error {
 	peers := peer.NewServer(peer.ServerConfig{Sessions: hos.desk, Mirror: hos.mirror, Security: hos.security(), Timing: peerTiming})
+	peerServer := peers.HTTPServer()
+	// Handshakes that fail are counted and logged by the secrets' keeper.
+	peerServer.ErrorLog = log.New(io.Discard, "", 0)
 	all := []listener{
-		{"CallerAddress", hos.set.CallerAddress, hos.callerServer()},
-		{"ReadyAddress", hos.set.ReadyAddress, plainServer(hos.readyHandler())},
-		{"DirectoryAddress", hos.set.DirectoryAddress, plainServer(hos.directoryHandler())},
-		{"PeerAddress", hos.set.PeerAddress, peers.HTTPServer()},
-		{metricsListener, hos.set.MetricsAddress, plainServer(hos.metricsHandler())},
+		{name: "CallerAddress", address: hos.set.CallerAddress, server: hos.callerServer()},
+		{name: "ReadyAddress", address: hos.set.ReadyAddress, server: plainServer(hos.readyHandler())},
+		{name: "DirectoryAddress", address: hos.set.DirectoryAddress, server: plainServer(hos.directoryHandler())},
+		{name: "PeerAddress", address: hos.set.PeerAddress, server: peerServer, serve: peers.Serve},
+		{name: metricsListener, address: hos.set.MetricsAddress, server: plainServer(hos.metricsHandler())},
 	}
 	for _, one := range all {
 		lis, err := liveness.Listen(ctx, one.address)
@@ -341,7 +365,7 @@
 			return errors.Wrap(err, one.name)
 		}
 		hos.servers = append(hos.servers, one.server)
-		hos.tasks.Run(one.name, func() error { return task.Served(one.server.Serve(lis)) })
+		hos.tasks.Run(one.name, func() error { return task.Served(one.serveOn(lis)) })
 	}
 	return nil
 }
--- a/entry/figures.go
+++ b/entry/figures.go
@@ -17,6 +17,8 @@
 	storeFailures metrics.Counter
 	// refused counts values of the store that can't be used.
 	refused metrics.Counter
+	// peersRefused counts hosts that didn't prove to be of this deployment.
+	peersRefused metrics.Counter
 	// version, engines and members tell what the host believes.
 	version metrics.Gauge
 	engines metrics.Gauge
@@ -32,11 +34,11 @@
 func newFigures(linesDropped func() int64) *figures {
 	reg := metrics.NewRegistry()
 	fig := &figures{
-		registry: reg, dialed: metrics.NewCounter(), storeFailures: metrics.NewCounter(), refused: metrics.NewCounter(),
+		registry: reg, dialed: metrics.NewCounter(), storeFailures: metrics.NewCounter(), refused: metrics.NewCounter(), peersRefused: metrics.NewCounter(),
 		version: metrics.NewGauge(), engines: metrics.NewGauge(), members: metrics.NewGauge(),
 	}
 	for name, figure := range map[string]any{
-		"EngineConnections": fig.dialed, "StoreFailures": fig.storeFailures, "StoreValuesRefused": fig.refused, "LogLinesDropped": metrics.NewFunctionalGauge(linesDropped),
+		"EngineConnections": fig.dialed, "StoreFailures": fig.storeFailures, "StoreValuesRefused": fig.refused, "PeersRefused": fig.peersRefused, "LogLinesDropped": metrics.NewFunctionalGauge(linesDropped),
 		"ConfigurationVersion": fig.version, "EnginesReady": fig.engines, "Members": fig.members,
 	} {
 		// A fresh registry holds no such name yet.
--- a/entry/leader.go
+++ b/entry/leader.go
@@ -74,6 +74,19 @@
 	return served > 1 && 2*served > len(des.roster.members)
 }
 
+// inCharge reports whether this host decides for all, as far as it knows; the mutex is
+// held.
+func (des *desk) inCharge() bool {
+	return des.active == des.host.epoch && !des.roster.outside && (des.leads() || len(des.roster.members) == 1)
+}
+
+// coordinates reports whether this host decides for all.
+func (des *desk) coordinates() bool {
+	des.mutex.Lock()
+	defer des.mutex.Unlock()
+	return des.inCharge()
+}
+
 // served returns how many hosts have this one decide, itself among them.
 func (des *desk) served() int {
 	served := 1
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -189,6 +189,7 @@
 	var engines []fleet.Engine
 	var members []fleet.Member
 	var refused []string
+	obs.loseRing()
 	for _, val := range values {
 		switch kind, name := platform.KindOf(val.Key); kind {
 		case platform.KeyConfiguration:
@@ -205,6 +206,8 @@
 			}
 		case platform.KeySurvey:
 			obs.takeSurvey(val)
+		case platform.KeyRing:
+			obs.takeRing(val)
 		case platform.KeyOrder:
 			obs.takeOrder(val)
 		case platform.KeyRolloutState:
@@ -275,6 +278,8 @@
 		} else {
 			obs.removeMember(name)
 		}
+	case platform.KeyRing:
+		obs.takeRing(cha.Value)
 	case platform.KeyOrder:
 		obs.takeOrder(cha.Value)
 	case platform.KeyRolloutState:
@@ -302,6 +307,8 @@
 		obs.rollouts.set(name, func(std *rollout.Standing) { std.State, std.StateVersion, std.StateRevision = 0, "", 0 })
 	case platform.KeyLedger:
 		obs.rollouts.set(name, func(std *rollout.Standing) { std.Ledger, std.LedgerRevision = rollout.Ledger{}, 0 })
+	case platform.KeyRing:
+		obs.loseRing()
 	case platform.KeyConfiguration, platform.KeySurvey, platform.KeyOrder, platform.KeyOther:
 	}
 }
--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -119,8 +119,7 @@
 	if !des.core.RolloutsOpen() {
 		return nil, false
 	}
-	inCharge := des.active == des.host.epoch && !des.roster.outside && (des.leads() || len(des.roster.members) == 1)
-	if !inCharge {
+	if !des.inCharge() {
 		return nil, true
 	}
 	writes := des.core.RolloutWrites(now)
--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -22,6 +22,13 @@
 
 // keepSessions keeps a session with each candidate until the context ends.
 func (des *desk) keepSessions(ctx context.Context) error {
+	if !des.host.keyed() {
+		select {
+		case <-des.host.secrets.known:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
 	ends := make(chan request.Epoch)
 	running := make(map[request.Epoch]context.CancelFunc)
 	for {
--- a/entry/source.go
+++ b/entry/source.go
@@ -197,7 +197,7 @@
 // when it starts has callers too, and doesn't wait until one of those is ready: hosts
 // whose power came back a tenth of a second after its own held it up for 0.2 s.
 func (obs *observer) followed(now time.Time) (fleet.Member, bool) {
-	if obs.host.confirmed.Load() == neverConfirmed && !obs.paused {
+	if obs.host.confirmed.Load() == neverConfirmed && !obs.paused || !obs.host.knowsPeers() {
 		return fleet.Member{}, false
 	}
 	if obs.lostAt.IsZero() && now.Before(obs.direct) {
--- a/entrytest/entrytest.go
+++ b/entrytest/entrytest.go
@@ -65,6 +65,9 @@
 	Bounds settings.Bounds
 	// OneDomain puts all hosts into one failure domain.
 	OneDomain bool
+	// StoredSecret has the hosts know one another by a secret in the store, and not by
+	// PeerKey.
+	StoredSecret bool
 	// MetricsTaken has the address of the figures be taken already.
 	MetricsTaken bool
 }
@@ -286,12 +289,16 @@
 		assert.NilError(sys.t, err)
 		sys.t.Cleanup(func() { _ = lis.Close() })
 	}
+	peerKey := PeerKey
+	if cfg.StoredSecret {
+		peerKey = ""
+	}
 	data, err := json.Marshal(settings.Entry{
 		Name: fmt.Sprintf("host-%d", idx), Domain: domain,
 		CallerAddress: embedded.NextAddress(), ReadyAddress: embedded.NextAddress(), DirectoryAddress: embedded.NextAddress(),
 		PeerAddress: embedded.NextAddress(), MetricsAddress: metrics,
 		StoreAddress: sys.storeAddress(one),
-		PeerKey:      PeerKey, Bounds: cfg.Bounds,
+		PeerKey:      peerKey, Bounds: cfg.Bounds,
 	})
 	assert.NilError(sys.t, err)
 	set, err := settings.ParseEntry("test", data)
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -29,7 +29,8 @@
 	MetricsAddress netip.AddrPort
 	// StoreAddress is where the platform's store listens.
 	StoreAddress netip.AddrPort
-	// PeerKey is the key that all hosts share.
+	// PeerKey is a key that all hosts share. Without one they know one another by a secret
+	// that the first of them makes and that lies in the store.
 	PeerKey string
 	// LogLevel is a zerolog level; empty stands for "info".
 	LogLevel string
@@ -74,6 +75,9 @@
 	// known to be good, from 0 to 1, and ExposureSlack how many more; defaults 0.1 and 20.
 	ExposureShare float64
 	ExposureSlack float64
+	// RenewSecretSeconds is how often the secret by which hosts know one another is
+	// renewed, default 86400.
+	RenewSecretSeconds float64
 }
 
 // The defaults of Bounds: what both users' deployments had at first.
@@ -88,6 +92,7 @@
 	defaultLimitWindowSeconds  = 8
 	defaultExposureShare       = 0.1
 	defaultExposureSlack       = 20
+	defaultRenewSecretSeconds  = 86400
 )
 
 // Revoke returns RevokeMilliseconds as a duration.
@@ -107,6 +112,9 @@
 // LimitWindow returns LimitWindowSeconds as a duration.
 func (bou Bounds) LimitWindow() time.Duration { return seconds(bou.LimitWindowSeconds) }
 
+// RenewSecret returns RenewSecretSeconds as a duration.
+func (bou Bounds) RenewSecret() time.Duration { return seconds(bou.RenewSecretSeconds) }
+
 func seconds(value float64) time.Duration {
 	return time.Duration(value * float64(time.Second))
 }
@@ -147,6 +155,7 @@
 	fillNumber(&bou.LimitWindowSeconds, defaultLimitWindowSeconds)
 	fillNumber(&bou.ExposureShare, defaultExposureShare)
 	fillNumber(&bou.ExposureSlack, defaultExposureSlack)
+	fillNumber(&bou.RenewSecretSeconds, defaultRenewSecretSeconds)
 	return bou
 }
 
@@ -166,7 +175,7 @@
 		{usable(ent.PeerAddress), "PeerAddress", wantAddress},
 		{usable(ent.MetricsAddress), "MetricsAddress", wantAddress},
 		{usable(ent.StoreAddress), "StoreAddress", wantAddress},
-		{len(ent.PeerKey) >= minKeyLen, "PeerKey", "want a key of 16 bytes or more"},
+		{ent.PeerKey == "" || len(ent.PeerKey) >= minKeyLen, "PeerKey", "want a key of 16 bytes or more, or none"},
 		{ent.Cores >= 0, "Cores", wantPositive},
 		{ent.CoreSpeed >= 0, "CoreSpeed", wantPositive},
 	}, ent.Bounds.checks()...))
@@ -188,5 +197,6 @@
 		{bou.LimitOvershoot >= 0 && bou.LimitOvershoot <= 1, "Bounds.LimitOvershoot", "want 0 to 1"},
 		{bou.ExposureShare >= 0 && bou.ExposureShare <= 1, "Bounds.ExposureShare", "want 0 to 1"},
 		{bou.ExposureSlack >= 0, "Bounds.ExposureSlack", "want 0 or more"},
+		{bou.RenewSecretSeconds >= 0, "Bounds.RenewSecretSeconds", "want 0 or more"},
 	}
 }
