fix: a trouble of the whole service isn't taken for a bad version's

Cause: TestGoodVersionIsCompleted and TestRolloutOutlastsTheCoordinator failed four times in seven runs beside a busy machine, each with "answers have become worse" in the log: bursts of answers that took 4 ms in place of 1 counted as slow, and all trials since a ledger's write came in a row, so the former version's answers at the same time weren't seen yet.

Change: slow answers are 30 ms longer than usual at least; the running ratio compares with the former version's answers of the last 0.15 s; each trial comes after four requests to the former version.

--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -96,7 +96,10 @@
 
 // steps returns by how much a bad and a good answer of the new version change the ratio.
 func (cou Counts) steps() (ofBad, ofGood float64) {
-	usual := cou.formerPart()
+	return stepsBeyond(cou.formerPart())
+}
+
+func stepsBeyond(usual float64) (ofBad, ofGood float64) {
 	bad := min(0.95, usual+badPart)
 	return math.Log(bad / usual), math.Log((1 - bad) / (1 - usual))
 }
@@ -115,18 +118,38 @@
 // times.
 const turnedBadAt = 11.0
 
-// running are the running ratios of a roll-out, by route.
-type running map[string]float64
-
-// observe takes an answer of the new version, and reports whether its route has turned bad.
-func (run running) observe(route string, cou Counts, bad bool) bool {
-	ofBad, ofGood := cou.steps()
-	step := ofGood
-	if bad {
-		step = ofBad
+// lately is the time over which the former version's answers count as given at the same
+// time as the new one's: a trouble of the whole service, or of the hosts, isn't the new
+// version's fault, and must be seen in the former one's answers within a few bad ones.
+const lately = 150 * time.Millisecond
+
+// running is a route's running ratio, beside what the former version answered lately.
+type running struct {
+	ratio     float64
+	good, bad float64
+	at        time.Time
+}
+
+// observe takes an answer of either version, with all answers so far, and reports whether
+// the route has turned bad.
+func (run *running) observe(now time.Time, cou Counts, isNew, bad bool) bool {
+	fade := math.Exp(-float64(now.Sub(run.at)) / float64(lately))
+	run.good, run.bad, run.at = run.good*fade, run.bad*fade, now
+	switch {
+	case !isNew && bad:
+		run.bad++
+	case !isNew:
+		run.good++
+	default:
+		usual := max(cou.formerPart(), Counts{FormerGood: int(run.good), FormerBad: int(run.bad)}.formerPart())
+		ofBad, ofGood := stepsBeyond(usual)
+		step := ofGood
+		if bad {
+			step = ofBad
+		}
+		run.ratio = max(0, run.ratio+step)
 	}
-	run[route] = max(0, run[route]+step)
-	return run[route] >= turnedBadAt
+	return run.ratio >= turnedBadAt
 }
 
 // isBad reports whether the new version's answers are worse.
@@ -155,6 +178,9 @@
 	// engines of a service differ by up to three times; bad versions are several times
 	// slower.
 	slowTimes = 4.0
+	// leastSlow is how much longer than usual it takes at least: what nobody notices isn't
+	// bad, however many times as long, and a busy host adds some milliseconds to anything.
+	leastSlow = 30 * time.Millisecond
 	// typicalGain is the weight of an answer in the usual logarithm of took by expected.
 	typicalGain = 0.05
 )
@@ -173,5 +199,6 @@
 
 // isSlow reports whether an answer took several times as long as usual.
 func (spe *speed) isSlow(route string, took, expected time.Duration) bool {
-	return math.Log(float64(took)/float64(expected)) > max(0, spe.logs[route])+math.Log(slowTimes)
+	usual := time.Duration(float64(expected) * math.Exp(max(0, spe.logs[route])))
+	return took > time.Duration(slowTimes*float64(usual)) && took-usual >= leastSlow
 }
--- a/rollout/policy.go
+++ b/rollout/policy.go
@@ -43,6 +43,9 @@
 	routeAnswers = 30
 	// neededRoom is how many slots the new engines need for each of the former ones.
 	neededRoom = 0.8
+	// trialEvery is how many requests the former version is given between two trials: its
+	// answers at the same time tell a trouble of all from one of the new version.
+	trialEvery = 4
 	// writePause is the least time between two writes of a ledger: each is a call to the
 	// store and a change that all hosts read.
 	writePause = 500 * time.Millisecond
@@ -71,13 +74,16 @@
 	// them it gave.
 	mine  int
 	given int
+	// sinceTrial is how many requests were given since the last trial.
+	sinceTrial int
 	// fresh is what was seen since the ledger was last written, sent what a write holds
 	// that isn't answered yet.
 	fresh   Tally
 	sent    Tally
 	sending bool
 	speed   speed
-	running running
+	// running are the routes' running ratios.
+	running map[string]*running
 	// ledgerAt and stateAt are when both were last asked to be written.
 	ledgerAt time.Time
 	stateAt  time.Time
@@ -91,7 +97,7 @@
 
 // New returns the roll-out of an order as the store knows it.
 func New(cfg Config, std Standing) *Rollout {
-	rol := &Rollout{cfg: cfg, isBad: Counts.isBad, running: make(running), state: StateRunning, reason: "ordered"}
+	rol := &Rollout{sinceTrial: trialEvery, cfg: cfg, isBad: Counts.isBad, running: make(map[string]*running), state: StateRunning, reason: "ordered"}
 	rol.Adopt(std)
 	return rol
 }
@@ -155,7 +161,7 @@
 		return Access{New: true, Former: req.Repeated}
 	case rol.phase == phaseMoving:
 		return Access{Former: true}
-	case req.Repeated || rol.given >= rol.mine:
+	case req.Repeated || rol.given >= rol.mine || rol.sinceTrial < trialEvery:
 		return Access{Former: true}
 	case !req.Repeatable && rol.tally().Routes[req.Route].isGood():
 		// What can't be sent again is only given until its route is known to be good.
@@ -168,13 +174,15 @@
 // Given notes that a request was given to an engine.
 func (rol *Rollout) Given(isNew bool) {
 	rol.fresh.Requests++
+	rol.sinceTrial++
 	if isNew && rol.phase == phaseProving {
 		rol.given++
+		rol.sinceTrial = 0
 	}
 }
 
 // Answered notes what came of a request.
-func (rol *Rollout) Answered(ans Answer) {
+func (rol *Rollout) Answered(now time.Time, ans Answer) {
 	if rol.state.IsEnd() {
 		return
 	}
@@ -201,19 +209,25 @@
 		rol.speed.observe(ans.Route, ans.Took, ans.Expected)
 	}
 	rol.fresh.add(ans.Route, cou)
-	if ans.New {
-		rol.judge(ans.Route, bad)
-	}
+	rol.judge(now, ans, bad)
 }
 
 // judge ends the roll-out where the new version's answers are worse, or have become so.
-func (rol *Rollout) judge(answered string, bad bool) {
+func (rol *Rollout) judge(now time.Time, ans Answer, bad bool) {
 	tal := rol.tally()
-	turned := rol.running.observe(answered, tal.Routes[answered], bad)
+	run := rol.running[ans.Route]
+	if run == nil {
+		run = &running{at: now}
+		rol.running[ans.Route] = run
+	}
+	turned := run.observe(now, tal.Routes[ans.Route], ans.New, bad)
+	if !ans.New {
+		return
+	}
 	if route, worse := tal.worst(rol.isBad); worse {
 		rol.end(StateRolledBack, "answers are worse on "+route)
 	} else if turned {
-		rol.end(StateRolledBack, "answers have become worse on "+answered)
+		rol.end(StateRolledBack, "answers have become worse on "+ans.Route)
 	}
 }
 
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -7,7 +7,7 @@
 //	rol := rollout.New(cfg, rollout.Standing{Order: order})
 //	acc := rol.Access(now, rollout.Request{Route: "r1", Repeatable: true})
 //	rol.Given(isNew)
-//	rol.Answered(rollout.Answer{Route: "r1", New: true, Failed: true})
+//	rol.Answered(now, rollout.Answer{Route: "r1", New: true, Failed: true})
 //	for _, wri := range rol.Writes(now, fleet) { ... } // to be put under a condition
 //	rol.Recorded(wri, revision)
 //
--- a/scheduler/rollout.go
+++ b/scheduler/rollout.go
@@ -174,7 +174,7 @@
 	if ans.Unfinished {
 		ans.Took = now.Sub(rnn.given)
 	}
-	svc.rollout.Answered(ans)
+	svc.rollout.Answered(now, ans)
 }
 
 // usualTime returns how long an answer takes an engine of usual speed.
