--- a/entry/observe.go
+++ b/entry/observe.go
@@ -320,7 +320,7 @@
 
 func (obs *observer) noteEngine(eng fleet.Engine, rev store.Revision) {
 	newer := obs.directory.SetEngine(eng)
-	obs.host.log.Info().Stringer("Engine", eng.ID).Str("Service", eng.Service).Stringer("Address", eng.Address).Bool("Draining", eng.Draining).
+	obs.host.log.Info().Stringer("Engine", eng.ID).Str("Service", eng.Service).Str("Version", eng.Version).Stringer("Address", eng.Address).Bool("Draining", eng.Draining).
 		Uint64("Sequence", eng.Sequence).Bool("Newer", newer).Uint64("Revision", uint64(rev)).Msg("engine entry")
 }
 
