fix: roll-outs: later versions get work after an end, an order of what serves changes nothing

Found on reading: after a completed roll-out engines of any other version got nothing for ever, also those that a release brought later; and an order of the version that serves already would have had a tenth of the requests served.

Change: the engines known when a roll-out completes are taken for stopped, no others; an order of the version that serves is completed at once. Both tests failed first.

--- a/rollout/policy.go
+++ b/rollout/policy.go
@@ -99,6 +99,10 @@
 func New(cfg Config, std Standing) *Rollout {
 	rol := &Rollout{sinceTrial: trialEvery, cfg: cfg, isBad: Counts.isBad, running: make(map[string]*running), state: StateRunning, reason: "ordered"}
 	rol.Adopt(std)
+	if std.state() == StateNone && std.State == StateCompleted && std.StateVersion == std.Order.Version {
+		// All requests go to the version since a former order.
+		rol.end(StateCompleted, "the version serves already")
+	}
 	return rol
 }
 
@@ -150,7 +154,7 @@
 	inCharge := now.Sub(rol.decidedAt) < chargeLapse
 	switch {
 	case rol.state == StateCompleted:
-		return Access{New: true}
+		return Access{Former: true, New: true}
 	case rol.state == StateRolledBack:
 		return Access{Former: true}
 	case !inCharge:
@@ -242,6 +246,10 @@
 	}
 	if rol.began.IsZero() {
 		rol.began = now
+		if fle.FormerSlots == 0 && fle.NewSlots > 0 {
+			rol.end(StateCompleted, "no other version is there")
+			return
+		}
 	}
 	passed := float64(now.Sub(rol.began)) / float64(max(1, rol.standing.Order.Period))
 	room := fle.NewSlots > 0 && float64(fle.NewSlots) >= neededRoom*float64(fle.FormerSlots)
--- a/rollout/policy_test.go
+++ b/rollout/policy_test.go
@@ -355,6 +355,25 @@
 	assert.Equal(t, pla.keeper.standing.State, rollout.StateCompleted)
 }
 
+// An order to the version that serves already changes nothing for callers: it is completed
+// at once, whether a former order brought it or it was there from the beginning.
+func TestOrderOfTheVersionThatServes(t *testing.T) {
+	pla := newPlay(7)
+	pla.run(period)
+	assert.Equal(t, pla.keeper.standing.State, rollout.StateCompleted)
+	pla.keeper.order("v2")
+	again := rollout.New(rollout.Config{Self: "a", Share: share, Slack: slack}, pla.keeper.standing)
+	assert.Equal(t, again.Access(pla.now, rollout.Request{Route: "safe"}), rollout.Access{Former: true, New: true})
+	writes := again.Writes(pla.now, pla.fleet)
+	assert.Equal(t, len(writes), 1)
+	assert.Equal(t, writes[0].State, rollout.StateCompleted)
+
+	first := newPlay(8)
+	first.fleet = rollout.Fleet{NewSlots: 540}
+	first.tick()
+	assert.Equal(t, first.keeper.standing.State, rollout.StateCompleted)
+}
+
 // Whoever decides, takes over, decides at the same time, starts again or loses answers of
 // the store: before the version is known to be good it never gets more than the users
 // allow.
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -17,7 +17,9 @@
 type engine struct {
 	fleet.Engine
 	// name is the run's id as hosts tell it to one another.
-	name    string
+	name string
+	// stopped says that a roll-out to another version has stopped it.
+	stopped bool
 	running map[request.ID]*run
 	// model is how fast it reads prompts and writes answers.
 	model *pace.Engine
--- a/scheduler/rollout.go
+++ b/scheduler/rollout.go
@@ -27,6 +27,7 @@
 		svc := cor.service(std.Order.Service)
 		if svc.rollout != nil && std.Order.Revision <= svc.rollout.Order().Revision {
 			svc.rollout.Adopt(std)
+			svc.stopFormer()
 			continue
 		}
 		if former := svc.rollout; former != nil && former.State() != rollout.StateCompleted {
@@ -34,6 +35,8 @@
 		}
 		delete(svc.distrusted, std.Order.Version)
 		svc.rollout = rollout.New(cor.cfg.Rollouts, std)
+		// Whoever starts when it is over knows no engine from before.
+		svc.moved = svc.rollout.State() == rollout.StateCompleted
 	}
 	for _, svc := range cor.services {
 		cor.serve(now, svc)
@@ -46,6 +49,19 @@
 	}
 }
 
+// stopFormer takes the former engines for stopped once the roll-out is seen to be
+// completed: they stop at once, and their entries outlast them by seconds. Engines that
+// come later, of whatever version, aren't concerned.
+func (svc *service) stopFormer() {
+	if svc.rollout.State() != rollout.StateCompleted || svc.moved {
+		return
+	}
+	svc.moved = true
+	for _, ene := range svc.engines {
+		ene.stopped = !svc.isNew(ene)
+	}
+}
+
 // RolloutWrites decides on the roll-outs as the one scheduler in charge of all hosts, and
 // returns what is to be written to the store.
 func (cor *Core) RolloutWrites(now time.Time) []rollout.Write {
@@ -53,6 +69,7 @@
 	for _, svc := range cor.services {
 		if svc.rollout != nil {
 			writes = append(writes, svc.rollout.Writes(now, svc.fleet())...)
+			svc.stopFormer()
 		}
 	}
 	return writes
@@ -113,7 +130,8 @@
 		return acc
 	}
 	acc.Access = svc.rollout.Access(now, rollout.Request{Route: res.Route, Repeatable: res.Repeatable, Repeated: res.Attempt > 0})
-	if !acc.New || !acc.Former || res.Attempt > 0 {
+	onTrial := acc.New && acc.Former && svc.rollout.State() == rollout.StateRunning
+	if !onTrial {
 		return acc
 	}
 	acc.New = false
@@ -130,7 +148,7 @@
 // allows reports whether a request may go to the engine.
 func (acc access) allows(ene *engine) bool {
 	switch {
-	case acc.service.distrusted[ene.Version]:
+	case ene.stopped || acc.service.distrusted[ene.Version]:
 		return false
 	case acc.service.isNew(ene):
 		return acc.New || ene == acc.trial
--- a/scheduler/rollout_test.go
+++ b/scheduler/rollout_test.go
@@ -121,3 +121,29 @@
 	assert.Assert(t, bad > 0 && bad <= 10, "%d", bad)
 	assert.Equal(t, des.core.Dump(des.now).Services[0].Rollout.State, "RolledBack")
 }
+
+// Once a roll-out is completed the former engines are taken for stopped, although their
+// entries are still there. Engines that come later get work whatever their version, also
+// on a host that starts later.
+func TestCompletedRolloutStopsTheFormerEnginesOnly(t *testing.T) {
+	des := ordered(t)
+	completed := standingOf("v2", 7)
+	completed.State, completed.StateVersion, completed.StateRevision = rollout.StateCompleted, "v2", 8
+	des.handle(scheduler.RolloutsChanged{Standings: []rollout.Standing{completed}})
+	granted := make(map[string]int)
+	for idx := range 16 {
+		name := fmt.Sprint("r-", idx)
+		granted[engineOf(des.reserve(repeatable(name)), name)]++
+	}
+	assert.Equal(t, granted["new-1"]+granted["new-2"], 16, "%v", granted)
+	later := []fleet.Engine{versioned("later-1", "v3"), versioned("later-2", "v1")}
+	for _, eng := range later {
+		des.handle(scheduler.EnginesChanged{Engines: []fleet.Engine{eng}})
+		assert.Equal(t, engineOf(des.reserve(repeatable(eng.ID.Name)), eng.ID.Name), eng.ID.Name)
+	}
+	starting := newDesk(later...)
+	starting.handle(scheduler.RolloutsChanged{Standings: []rollout.Standing{completed}})
+	starting.handle(scheduler.EnginesChanged{Engines: later})
+	starting.handle(scheduler.RolloutsChanged{Standings: []rollout.Standing{completed}})
+	assert.Assert(t, engineOf(starting.reserve(repeatable("r")), "r") != "")
+}
