--- a/soak/soak.go
+++ b/soak/soak.go
@@ -198,7 +198,7 @@
 	sys.t.Helper()
 	hos := &host{store: processtest.NewLink(sys.t, sys.store)}
 	hos.set = settings.Entry{
-		Name: fmt.Sprintf("host-%d", idx), Domain: fmt.Sprintf("d%d", idx%2), StoreAddress: hos.store.Address, PeerKey: "key between the hosts of a soak",
+		Name: fmt.Sprintf("host-%d", idx), Domain: fmt.Sprintf("d%d", idx%2), StoreAddress: hos.store.Address,
 		CallerAddress: embedded.NextAddress(), ReadyAddress: embedded.NextAddress(), DirectoryAddress: embedded.NextAddress(),
 		PeerAddress: embedded.NextAddress(), MetricsAddress: embedded.NextAddress(),
 	}
