--- a/entry/coordinator_test.go
+++ b/entry/coordinator_test.go
@@ -28,15 +28,14 @@
 func TestFormerCoordinatorForgetsWhatItGranted(t *testing.T) {
 	slow := upstreamtest.NewEngine(upstreamtest.Config{ID: "m1", Service: entrytest.Model, Slots: 4, Events: 40, Step: 50 * time.Millisecond})
 	sys := start(t, 3, []*upstreamtest.Engine{slow, plainEngine("p1")})
-	sys.Until("one host coordinates", func() bool { return coordinator(sys) != nil })
-	first := coordinator(sys)
+	var first, second *entrytest.Host
+	sys.Until("one host coordinates", func() bool { first = coordinator(sys); return first != nil })
 	key := "lynxwell/hosts/" + first.Settings.Name
 	entry, err := sys.Store.Get(t.Context(), key)
 	assert.NilError(t, err)
 	_, err = sys.Store.Put(t.Context(), store.Write{Key: key, Delete: true, Blind: true})
 	assert.NilError(t, err)
-	sys.Until("another host coordinates", func() bool { return coordinator(sys) != nil && coordinator(sys) != first })
-	second := coordinator(sys)
+	sys.Until("another host coordinates", func() bool { second = coordinator(sys); return second != nil && second != first })
 	var gateway *entrytest.Host
 	for _, hos := range sys.Hosts {
 		if hos != first && hos != second {
--- a/entry/rollouts_test.go
+++ b/entry/rollouts_test.go
@@ -149,8 +149,8 @@
 		t.Run(name, func(t *testing.T) {
 			one, two := version("new-1", "v2", tst.change), version("new-2", "v2", tst.change)
 			sys := startRollout(t, 3, one, two)
-			sys.Until("one host coordinates", func() bool { return coordinator(sys) != nil })
-			first := coordinator(sys)
+			var first *entrytest.Host
+			sys.Until("one host coordinates", func() bool { first = coordinator(sys); return first != nil })
 			sys.Hosts = without(sys.Hosts, first)
 			tra := startTraffic(t, sys, sys.Hosts)
 			sys.Until("the version is tried", func() bool { return runCount(one, two) > 0 })
--- a/entry/secret_test.go
+++ b/entry/secret_test.go
@@ -98,7 +98,9 @@
 	first, _ := ringOf(t, sys)
 	for round := range 4 {
 		_, before := ringOf(t, sys)
-		cut := without(sys.Hosts, coordinator(sys))[round%2]
+		var decides *entrytest.Host
+		sys.Until("one host coordinates", func() bool { decides = coordinator(sys); return decides != nil })
+		cut := without(sys.Hosts, decides)[round%2]
 		cut.CutStore(true)
 		sys.Until("the next step", func() bool {
 			served(t, sys, fmt.Sprint("r", round, time.Now().UnixNano(), "-"))
