refactor: no work for roll-outs where none was ordered; one way to judge a value of the store

Found on reading the change: each decision asked of each engine whether a roll-out closes it, and the load of all engines was worked out for each grant and the usual time for each answer, also after a roll-out had ended; each whole reading of the store made the keys of the same secrets again; refuse-or-accept stood seven times; and the server for other hosts had all its complaints thrown away, a handler's panic among them.

Change: a decision asks only where a roll-out was ordered; the same secrets are taken once; refusals.usable; complaints other than failed handshakes go into the log. Behaviour is the same but for those lines.

--- a/credential/credential.go
+++ b/credential/credential.go
@@ -16,6 +16,7 @@
 package credential
 
 import (
+	"bytes"
 	"crypto/ed25519"
 	"crypto/hkdf"
 	"crypto/rand"
@@ -84,6 +85,11 @@
 	return nil
 }
 
+func (rin Ring) equal(other Ring) bool {
+	return bytes.Equal(rin.Current, other.Current) && bytes.Equal(rin.Next, other.Next) && bytes.Equal(rin.Former, other.Former) &&
+		rin.Changed.Equal(other.Changed)
+}
+
 // settleTime is for how long a next secret is accepted before it is shown: changes reach
 // every host that reaches the store or another host within seconds, and one that was cut
 // off for minutes still knows the next one.
@@ -159,6 +165,10 @@
 	if err := rin.Check(); err != nil {
 		return err
 	}
+	if former, known := kee.Ring(); known && former.equal(rin) {
+		// Each whole reading of the store brings it again; keys cost 0.1 ms each to make.
+		return nil
+	}
 	kno := &known{ring: rin}
 	for _, sec := range []Secret{rin.Current, rin.Next, rin.Former} {
 		if len(sec) == 0 {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,7 +17,6 @@
 
 import (
 	"context"
-	"io"
 	"log"
 	"net"
 	"net/http"
@@ -345,8 +344,7 @@
 func (hos *Host) serve(ctx context.Context) error {
 	peers := peer.NewServer(peer.ServerConfig{Sessions: hos.desk, Mirror: hos.mirror, Security: hos.security(), Timing: peerTiming})
 	peerServer := peers.HTTPServer()
-	// Handshakes that fail are counted and logged by the secrets' keeper.
-	peerServer.ErrorLog = log.New(io.Discard, "", 0)
+	peerServer.ErrorLog = log.New(serverErrors{log: hos.log}, "", 0)
 	all := []listener{
 		{name: "CallerAddress", address: hos.set.CallerAddress, server: hos.callerServer()},
 		{name: "ReadyAddress", address: hos.set.ReadyAddress, server: plainServer(hos.readyHandler())},
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -230,28 +230,19 @@
 // whoever stood there is lost.
 func (obs *observer) decodeEngine(val store.Value) (fleet.Engine, bool) {
 	eng, err := platform.DecodeEngine(val)
-	if err != nil {
-		obs.refused.refuse(val, err, "engine entry names no engine to use")
-		return fleet.Engine{}, false
-	}
-	obs.refused.accept(val.Key)
-	return eng, true
+	return eng, obs.refused.usable(val, err, "engine entry names no engine to use")
 }
 
 // decodeMember reads a host's entry. Where this host's own can't be read by others, it
 // is written again.
 func (obs *observer) decodeMember(val store.Value) (fleet.Member, bool) {
 	mem, err := platform.DecodeMember(val)
-	if err == nil {
-		obs.refused.accept(val.Key)
-		return mem, true
-	}
-	obs.refused.refuse(val, err, "host entry names no host to use")
-	if val.Key == platform.MemberKey(obs.host.set.Name) {
+	usable := obs.refused.usable(val, err, "host entry names no host to use")
+	if !usable && val.Key == platform.MemberKey(obs.host.set.Name) {
 		obs.host.entryBroken.Store(true)
 		obs.host.doubtLease()
 	}
-	return fleet.Member{}, false
+	return mem, usable
 }
 
 // take takes one change.
--- a/entry/refused.go
+++ b/entry/refused.go
@@ -24,6 +24,17 @@
 	return &refusals{log: log, counter: counter, reasons: make(map[string]string)}
 }
 
+// usable reports whether a value could be read, and notes either: consequence says what
+// the host does where it couldn't.
+func (ref *refusals) usable(val store.Value, err error, consequence string) bool {
+	if err != nil {
+		ref.refuse(val, err, consequence)
+		return false
+	}
+	ref.accept(val.Key)
+	return true
+}
+
 // refuse notes a value that can't be used; consequence says what the host does instead.
 func (ref *refusals) refuse(val store.Value, err error, consequence string) {
 	ref.counter.Inc(1)
--- a/entry/restart_test.go
+++ b/entry/restart_test.go
@@ -31,7 +31,7 @@
 }
 
 // run has a run of the engine take what comes from now on. What the former had taken
-// stays silent, as on a machine that is lost without a word.
+// stays silent, as on a host that is lost without a word.
 func (slo *slot) run(eng *upstreamtest.Engine) {
 	handler := eng.Handler()
 	slo.handler.Store(&handler)
--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -52,11 +52,9 @@
 // former one goes on.
 func (obs *observer) takeOrder(val store.Value) {
 	ord, err := platform.DecodeOrder(val)
-	if err != nil {
-		obs.refused.refuse(val, err, "roll-out order refused, the former one stays")
+	if !obs.refused.usable(val, err, "roll-out order refused, the former one stays") {
 		return
 	}
-	obs.refused.accept(val.Key)
 	if ord.Revision <= obs.rollouts.standings[ord.Service].Order.Revision {
 		return
 	}
@@ -72,12 +70,9 @@
 // takeRolloutState takes what was told of a roll-out.
 func (obs *observer) takeRolloutState(name string, val store.Value) {
 	sta, version, err := platform.DecodeRolloutState(val)
-	if err != nil {
-		// The key's revision counts all the same: the next one is told in its place.
-		obs.refused.refuse(val, err, "roll-out state passed over")
-	} else {
-		obs.refused.accept(val.Key)
-	}
+	// The revision of a state that can't be read counts all the same: the next one is told
+	// in its place. So does a ledger's.
+	obs.refused.usable(val, err, "roll-out state passed over")
 	obs.rollouts.set(name, func(std *rollout.Standing) {
 		std.State, std.StateVersion, std.StateRevision = sta, version, uint64(val.Revision)
 	})
@@ -86,11 +81,7 @@
 // takeLedger takes what hosts keep of a roll-out.
 func (obs *observer) takeLedger(name string, val store.Value) {
 	led, err := platform.DecodeLedger(val)
-	if err != nil {
-		obs.refused.refuse(val, err, "roll-out ledger passed over")
-	} else {
-		obs.refused.accept(val.Key)
-	}
+	obs.refused.usable(val, err, "roll-out ledger passed over")
 	obs.rollouts.set(name, func(std *rollout.Standing) { std.Ledger, std.LedgerRevision = led, uint64(val.Revision) })
 }
 
--- a/entry/secret.go
+++ b/entry/secret.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"lynxwell.dev/lynxwell/credential"
 	"lynxwell.dev/lynxwell/platform"
@@ -70,6 +72,22 @@
 // keyed reports whether the settings hold a key, in place of the secret in the store.
 func (hos *Host) keyed() bool { return hos.set.PeerKey != "" }
 
+// handshakeComplaint begins what the library's server says of each handshake that fails.
+var handshakeComplaint = []byte("http: TLS handshake error")
+
+// serverErrors takes what the library's server for other hosts complains of into the log,
+// but for handshakes: any stranger can have as many of those fail as it likes, and whoever
+// shows another secret is counted by the keeper of the secrets.
+type serverErrors struct{ log zerolog.Logger }
+
+// Write implements io.Writer.
+func (see serverErrors) Write(line []byte) (int, error) {
+	if !bytes.HasPrefix(line, handshakeComplaint) {
+		see.log.Error().Bytes("Detail", line).Msg("server for other hosts")
+	}
+	return len(line), nil
+}
+
 // knowsPeers reports whether this host can prove to be one of the deployment.
 func (hos *Host) knowsPeers() bool {
 	if hos.keyed() {
@@ -89,11 +107,9 @@
 	scr.mutex.Lock()
 	scr.revision, scr.broken = val.Revision, err != nil
 	scr.mutex.Unlock()
-	if err != nil {
-		obs.refused.refuse(val, err, "secrets refused, the former ones stay")
+	if !obs.refused.usable(val, err, "secrets refused, the former ones stay") {
 		return
 	}
-	obs.refused.accept(val.Key)
 	scr.knowing.Do(func() { close(scr.known) })
 	obs.host.log.Info().Uint64("Revision", uint64(val.Revision)).Bool("Next", len(rin.Next) > 0).Bool("Former", len(rin.Former) > 0).
 		Time("Changed", rin.Changed).Msg("secrets in force")
--- a/entry/survey.go
+++ b/entry/survey.go
@@ -21,11 +21,9 @@
 // takeSurvey takes what the hosts have recorded of the engines' speed.
 func (obs *observer) takeSurvey(val store.Value) {
 	sur, err := platform.DecodeSurvey(val)
-	if err != nil {
-		obs.refused.refuse(val, err, "survey passed over")
+	if !obs.refused.usable(val, err, "survey passed over") {
 		return
 	}
-	obs.refused.accept(val.Key)
 	obs.host.desk.takeSurvey(sur)
 }
 
--- a/scheduler/rollout.go
+++ b/scheduler/rollout.go
@@ -90,6 +90,11 @@
 	return svc.rollout != nil && ene.Version == svc.rollout.Order().Version
 }
 
+// isRolling reports whether the service has a roll-out that isn't decided.
+func (svc *service) isRolling() bool {
+	return svc.rollout != nil && !svc.rollout.State().IsEnd()
+}
+
 // fleet returns what a roll-out decides by.
 func (svc *service) fleet() rollout.Fleet {
 	var fle rollout.Fleet
@@ -115,6 +120,8 @@
 // access is to which engines of a service a request may go.
 type access struct {
 	service *service
+	// restricted says that a roll-out was ever ordered; without one all engines are open.
+	restricted bool
 	rollout.Access
 	// trial is the one engine of a version that isn't known to be good which is tried, nil
 	// for none; all others of it get nothing.
@@ -125,13 +132,12 @@
 // bear it under the usual load: some versions are bad only then, and a share of a tenth
 // over as many new engines as there are former ones would never load one.
 func (svc *service) access(now time.Time, res reservation.Reserve) access {
-	acc := access{service: svc, Access: rollout.Access{Former: true, New: true}}
 	if svc.rollout == nil {
-		return acc
+		return access{}
 	}
+	acc := access{service: svc, restricted: true}
 	acc.Access = svc.rollout.Access(now, rollout.Request{Route: res.Route, Repeatable: res.Repeatable, Repeated: res.Attempt > 0})
-	onTrial := acc.New && acc.Former && svc.rollout.State() == rollout.StateRunning
-	if !onTrial {
+	if !acc.New || !acc.Former || !svc.isRolling() {
 		return acc
 	}
 	acc.New = false
@@ -145,7 +151,7 @@
 	return acc
 }
 
-// allows reports whether a request may go to the engine.
+// allows reports whether a request may go to the engine, where access is restricted.
 func (acc access) allows(ene *engine) bool {
 	switch {
 	case ene.stopped || acc.service.distrusted[ene.Version]:
@@ -176,13 +182,13 @@
 	if svc.rollout == nil {
 		return
 	}
-	rnn.loaded = len(rnn.engine.running)+1 >= svc.usualLoad()
+	rnn.loaded = svc.isRolling() && len(rnn.engine.running)+1 >= svc.usualLoad()
 	svc.rollout.Given(svc.isNew(rnn.engine))
 }
 
 // noteAnswered notes what came of a run for the service's roll-out.
 func (svc *service) noteAnswered(now time.Time, rnn *run, rel reservation.Release) {
-	if svc.rollout == nil || rnn.route == "" || !rel.Dispatched || rel.Rejected {
+	if !svc.isRolling() || rnn.route == "" || !rel.Dispatched || rel.Rejected {
 		return
 	}
 	ans := rollout.Answer{
