--- a/entry/caller.go
+++ b/entry/caller.go
@@ -87,6 +87,8 @@
 	age     time.Duration
 	// callerAge is how long the caller had waited before, since its first try.
 	callerAge time.Duration
+	// digest is that of the request, set once its body is read.
+	digest call.Digest
 
 	// What the attempts have come to so far.
 	attempts   int
@@ -160,6 +162,7 @@
 	if pro := exc.readBody(htr, bel.table); pro != nil {
 		return pro
 	}
+	exc.digest = exc.request.Digest(exc.account.Name)
 	exc.setDeadline()
 	exc.callerAge = hos.ages.note(rou.Name, req.Deadline)
 	return nil
@@ -284,7 +287,7 @@
 	evt := hos.log.Info().Str("Request", exc.request.ID).Str("Route", exc.route.Name).Str("Service", exc.service).
 		Str("Account", exc.account.Name).Uint64("Version", exc.version).Dur("Age", exc.age).Dur("CallerAge", exc.callerAge).
 		Str("Cause", string(cau)).Int("Status", status).Int("Attempts", exc.attempts).Str("Engine", exc.engine).
-		Str("DecidedBy", exc.decidedBy).Dur("Waited", exc.waited).Dur("First", exc.firstAfter).Dur("Took", took)
+		Str("DecidedBy", exc.decidedBy).Dur("Waited", exc.waited).Dur("First", exc.firstAfter).Dur("Took", took).Stringer("Digest", exc.digest)
 	if !exc.deadline.IsZero() {
 		evt = evt.Dur("Left", exc.remaining())
 	}
