fix: a request that ends the engines that run it is held back

Cause: nothing that outlived a request remembered what it did to its engine. The first hypothesis (engines end by themselves) is ruled out by the failing test, the third (hosts' own repeats) adds to it on routes that may be repeated, and is mended with it: repeats count too. Change: package quarantine remembers by digest which requests an engine ran when it ended, told apart from a broken answer, a reset and a cut link by a look whether anything still listens there, or later by the list of engines. A request that was part of two ends runs alone, one that ended an engine alone, or three, is held; an answer acquits. Told to the host that decides and the next one, by those to the gateways, and kept in the store for the loss of all. One who changes the request each time is found by being at each end beyond its share of the work, and its requests run apart with pauses.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -58,7 +58,7 @@
 		newCheckCmd(),
 		newStoryCmd(),
 		newLossesCmd(),
-		newRolloutCmd(),
+		newRolloutCmd(), newHeldCmd(),
 		newLoadCmd(),
 		newStandinCmd(),
 		newBenchCmd(),
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -59,6 +59,7 @@
 	causeBrokenOff  cause = "StreamBrokenOff"
 	causeDeadline   cause = "Deadline"
 	causeCallerLeft cause = "CallerLeft"
+	causeHeld       cause = "Held"
 )
 
 // problem is a final answer of the host's own.
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -151,6 +151,7 @@
 	for _, snd := range des.core.Handle(time.Now(), evt) {
 		des.deliver(snd)
 	}
+	des.passChanges()
 	if !des.ticking && des.core.Waiting() {
 		des.ticking = true
 		time.AfterFunc(tickInterval, des.tick)
@@ -224,6 +225,7 @@
 	ado := reservation.Adopt{
 		ID: gra.ID, Ballot: gra.Ballot, Engine: gra.Engine, Service: tic.reserve.Service,
 		Account: tic.reserve.Account, Cost: tic.reserve.Cost, Unread: true, PromptTokens: tic.reserve.PromptTokens,
+		Route: tic.reserve.Route, Digest: tic.reserve.Digest,
 	}
 	des.holds[gra.ID] = &ado
 	if by != des.host.epoch {
@@ -253,6 +255,11 @@
 func (des *desk) reserve(ctx context.Context, res reservation.Reserve) (decision, error) {
 	tic := &ticket{reserve: res, decision: make(chan decision, 1)}
 	des.mutex.Lock()
+	if ref, held := des.core.Held(time.Now(), res); held {
+		// Whoever decides, also one that doesn't know of it yet.
+		des.mutex.Unlock()
+		return decision{refusal: &ref, by: des.host.epoch}, nil
+	}
 	des.tickets[res.ID] = tic
 	des.ask(tic)
 	des.mutex.Unlock()
--- a/entry/elect.go
+++ b/entry/elect.go
@@ -110,6 +110,9 @@
 	if decides && len(des.toldAbsent) > 0 {
 		des.tellAbsentTo(inb)
 	}
+	if decides {
+		des.tellCasesTo(inb)
+	}
 	des.share(des.active)
 	des.tellLeader()
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -84,6 +84,10 @@
 	secrets *secrets
 	// rolloutNews wakes the keeper of roll-outs.
 	rolloutNews chan struct{}
+	// heldNews wakes the keeper of held requests; heldRevision is the store's of what lies
+	// there, 0 for nothing.
+	heldNews     chan struct{}
+	heldRevision atomic.Uint64
 	// leaseDoubt wakes the keeper of the lease.
 	leaseDoubt chan struct{}
 	// entryBroken is set when another writer's value lies where the host's own entry
@@ -151,6 +155,7 @@
 		wanted:      make(chan struct{}),
 		leaseDoubt:  make(chan struct{}, 1),
 		rolloutNews: make(chan struct{}, 1),
+		heldNews:    make(chan struct{}, 1),
 		done:        make(chan struct{}),
 	}
 	hos.belief.Store(&belief{})
@@ -307,6 +312,7 @@
 	hos.tasks.Run("settings", func() error { return hos.followSettings(ctx) })
 	hos.tasks.Run("secret", func() error { return hos.keepSecret(ctx) })
 	hos.tasks.Run("rollouts", func() error { return hos.keepRollouts(ctx) })
+	hos.tasks.Run("held", func() error { return hos.keepHeld(ctx) })
 	hos.tasks.Run("survey", func() error { return hos.keepSurvey(ctx) })
 	hos.tasks.Run("housekeeping", func() error { return hos.keepHouse(ctx) })
 	go func() {
--- a/entry/figures.go
+++ b/entry/figures.go
@@ -96,9 +96,13 @@
 
 func (hos *Host) metricsHandler() http.Handler {
 	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
-		if req.URL.Path == PathDump {
+		switch req.URL.Path {
+		case PathDump:
 			hos.serveDump(wri, req)
 			return
+		case PathFree:
+			hos.serveFree(wri, req)
+			return
 		}
 		wri.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		// A reader that has left can't be told anything more.
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -190,6 +190,7 @@
 	var members []fleet.Member
 	var refused []string
 	obs.loseRing()
+	obs.loseHeld()
 	for _, val := range values {
 		switch kind, name := platform.KindOf(val.Key); kind {
 		case platform.KeyConfiguration:
@@ -214,6 +215,8 @@
 			obs.takeRolloutState(name, val)
 		case platform.KeyLedger:
 			obs.takeLedger(name, val)
+		case platform.KeyHolds:
+			obs.takeHeld(val)
 		case platform.KeyOther:
 		}
 	}
@@ -277,6 +280,8 @@
 		obs.takeRolloutState(name, cha.Value)
 	case platform.KeyLedger:
 		obs.takeLedger(name, cha.Value)
+	case platform.KeyHolds:
+		obs.takeHeld(cha.Value)
 	case platform.KeyOther:
 	}
 }
@@ -300,6 +305,8 @@
 		obs.rollouts.set(name, func(std *rollout.Standing) { std.Ledger, std.LedgerRevision = rollout.Ledger{}, 0 })
 	case platform.KeyRing:
 		obs.loseRing()
+	case platform.KeyHolds:
+		obs.loseHeld()
 	case platform.KeyConfiguration, platform.KeySurvey, platform.KeyOrder, platform.KeyOther:
 	}
 }
--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -135,6 +135,7 @@
 	des.host.log.Info().Str("Member", lin.member.Name).Stringer("MemberEpoch", lin.member.Epoch).Msg("session up")
 	des.links[lin.member.Epoch] = lin
 	delete(des.unreached, lin.member.Epoch)
+	des.tellCases(lin.member.Epoch)
 	des.elect()
 	des.tellLeader()
 }
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -78,6 +78,7 @@
 		env.Message = &peerpb.Envelope_Adopt{Adopt: &peerpb.Adopt{
 			Id: idToWire(msg.ID), Ballot: ballotToWire(msg.Ballot), Engine: msg.Engine,
 			Service: msg.Service, Account: msg.Account, Cost: msg.Cost, Unread: msg.Unread, PromptTokens: uint32(msg.PromptTokens),
+			Route: msg.Route, Digest: msg.Digest[:],
 		}}
 	case reservation.Spent:
 		env.Message = &peerpb.Envelope_Spent{Spent: &peerpb.Spent{Account: msg.Account, Debt: msg.Debt, Share: msg.Share}}
@@ -87,6 +88,10 @@
 		env.Message = &peerpb.Envelope_Absent{Absent: &peerpb.Absent{Hosts: epochsToWire(msg.Hosts)}}
 	case reservation.Leader:
 		env.Message = &peerpb.Envelope_Leader{Leader: &peerpb.Leader{Host: uint64(msg.Host)}}
+	case reservation.EngineEnded:
+		env.Message = &peerpb.Envelope_EngineEnded{EngineEnded: endedToWire(msg)}
+	case reservation.CaseReport:
+		env.Message = &peerpb.Envelope_CaseReport{CaseReport: reportToWire(msg.Report)}
 	case reservation.Progress:
 		env.Message = &peerpb.Envelope_Progress{Progress: &peerpb.Progress{
 			Id: idToWire(msg.ID), FirstTokenUs: msg.FirstToken.Microseconds(),
@@ -122,7 +127,7 @@
 		Domain: msg.Domain, AimUs: msg.Aim.Microseconds(), AgeUs: msg.Age.Microseconds(), Route: msg.Route, Repeatable: msg.Repeatable,
 		Cost: msg.Cost, Attempt: uint32(msg.Attempt),
 		Exclude: msg.Exclude, Parts: partsToWire(msg.Parts),
-		Urgency: uint32(msg.Urgency), AnswerTokens: uint32(msg.AnswerTokens),
+		Urgency: uint32(msg.Urgency), AnswerTokens: uint32(msg.AnswerTokens), Digest: msg.Digest[:],
 	}
 }
 
@@ -148,7 +153,7 @@
 		Dispatched: msg.Dispatched, Failed: msg.Failed,
 		PrefillTokens: uint32(msg.PrefillTokens), DecodeTokens: uint32(msg.DecodeTokens),
 		FirstTokenUs: msg.FirstToken.Microseconds(), TotalUs: msg.Total.Microseconds(),
-		Rejected: msg.Rejected,
+		Rejected: msg.Rejected, Answered: msg.Answered,
 	}
 }
 
@@ -202,6 +207,10 @@
 		return reservation.Evict{ID: idFromWire(wms.Evict.GetId()), Service: wms.Evict.GetService(), Rank: int(wms.Evict.GetRank())}
 	case *peerpb.Envelope_Evicted:
 		return reservation.Evicted{ID: idFromWire(wms.Evicted.GetId()), Done: wms.Evicted.GetDone(), FloorRank: int(wms.Evicted.GetFloorRank())}
+	case *peerpb.Envelope_EngineEnded:
+		return endedFromWire(wms.EngineEnded)
+	case *peerpb.Envelope_CaseReport:
+		return reservation.CaseReport{Report: reportFromWire(wms.CaseReport)}
 	default:
 		return nil
 	}
@@ -211,7 +220,7 @@
 	return reservation.Adopt{
 		ID: idFromWire(wad.GetId()), Ballot: ballotFromWire(wad.GetBallot(), wad.GetId()), Engine: wad.GetEngine(),
 		Service: wad.GetService(), Account: wad.GetAccount(), Cost: wad.GetCost(),
-		Unread: wad.GetUnread(), PromptTokens: int(wad.GetPromptTokens()),
+		Unread: wad.GetUnread(), PromptTokens: int(wad.GetPromptTokens()), Route: wad.GetRoute(), Digest: digestFromWire(wad.GetDigest()),
 	}
 }
 
@@ -225,7 +234,7 @@
 		Domain: wre.GetDomain(), Aim: fromMicros(wre.GetAimUs()), Age: fromMicros(wre.GetAgeUs()), Route: wre.GetRoute(), Repeatable: wre.GetRepeatable(),
 		Cost: wre.GetCost(), Attempt: int(wre.GetAttempt()),
 		Exclude: wre.GetExclude(), Parts: partsFromWire(wre.GetParts()),
-		Urgency: int(wre.GetUrgency()), AnswerTokens: int(wre.GetAnswerTokens()),
+		Urgency: int(wre.GetUrgency()), AnswerTokens: int(wre.GetAnswerTokens()), Digest: digestFromWire(wre.GetDigest()),
 	}
 }
 
@@ -242,7 +251,7 @@
 		Dispatched: wre.GetDispatched(), Failed: wre.GetFailed(),
 		PrefillTokens: int(wre.GetPrefillTokens()), DecodeTokens: int(wre.GetDecodeTokens()),
 		FirstToken: fromMicros(wre.GetFirstTokenUs()), Total: fromMicros(wre.GetTotalUs()),
-		Rejected: wre.GetRejected(),
+		Rejected: wre.GetRejected(), Answered: wre.GetAnswered(),
 	}
 }
 
--- /dev/null
+++ b/peer/convertcase.go
@@ -0,0 +1,61 @@
+package peer
+
+import (
+	"lynxwell.dev/lynxwell/call"
+	"lynxwell.dev/lynxwell/peer/peerpb"
+	"lynxwell.dev/lynxwell/quarantine"
+	"lynxwell.dev/lynxwell/reservation"
+)
+
+// digestFromWire returns none for what isn't a digest: a host that sends another length
+// speaks of something that this one doesn't know.
+func digestFromWire(raw []byte) call.Digest {
+	var dig call.Digest
+	if len(raw) == len(dig) {
+		copy(dig[:], raw)
+	}
+	return dig
+}
+
+func subjectToWire(sub quarantine.Subject) *peerpb.Subject {
+	return &peerpb.Subject{Digest: sub.Digest[:], Service: sub.Service, Account: sub.Account, Route: sub.Route}
+}
+
+func subjectFromWire(wsu *peerpb.Subject) quarantine.Subject {
+	return quarantine.Subject{Digest: digestFromWire(wsu.GetDigest()), Service: wsu.GetService(), Account: wsu.GetAccount(), Route: wsu.GetRoute()}
+}
+
+func endedToWire(msg reservation.EngineEnded) *peerpb.EngineEnded {
+	return &peerpb.EngineEnded{
+		Id: idToWire(msg.ID), Subject: subjectToWire(msg.Subject), Engine: msg.Engine, Uncertain: msg.Uncertain, Alone: msg.Alone,
+	}
+}
+
+func endedFromWire(wen *peerpb.EngineEnded) reservation.EngineEnded {
+	return reservation.EngineEnded{
+		ID: idFromWire(wen.GetId()), Uncertain: wen.GetUncertain(),
+		Observation: quarantine.Observation{Subject: subjectFromWire(wen.GetSubject()), Engine: wen.GetEngine(), Alone: wen.GetAlone()},
+	}
+}
+
+func reportToWire(rep quarantine.Report) *peerpb.CaseReport {
+	wre := &peerpb.CaseReport{
+		Subject: subjectToWire(rep.Subject), Held: rep.Held, ForGood: rep.ForGood, LeftUs: rep.Left.Microseconds(),
+		Trials: uint32(rep.Trials), Cleared: rep.Cleared,
+	}
+	for _, end := range rep.Ends {
+		wre.Ends = append(wre.Ends, &peerpb.CaseReport_End{Engine: end.Engine, Alone: end.Alone})
+	}
+	return wre
+}
+
+func reportFromWire(wre *peerpb.CaseReport) quarantine.Report {
+	rep := quarantine.Report{
+		Subject: subjectFromWire(wre.GetSubject()), Held: wre.GetHeld(), ForGood: wre.GetForGood(), Left: fromMicros(wre.GetLeftUs()),
+		Trials: int(wre.GetTrials()), Cleared: wre.GetCleared(),
+	}
+	for _, wen := range wre.GetEnds() {
+		rep.Ends = append(rep.Ends, quarantine.End{Engine: wen.GetEngine(), Alone: wen.GetAlone()})
+	}
+	return rep
+}
--- /dev/null
+++ b/quarantine/registry.go
@@ -0,0 +1,228 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"lynxwell.dev/lynxwell/call"
+)
+
+// Registry is what is known against requests.
+type Registry struct {
+	cfg   Config
+	cases map[call.Digest]*Case
+	// doubts are ends of which it isn't known whether the engine's or the connection's.
+	doubts map[doubtKey]doubt
+	// cleared is when requests were cleared here lately.
+	cleared map[call.Digest]time.Time
+	sources map[Source]*sourceState
+	changes []Change
+	// stored is what the store was last read to hold of held requests.
+	stored map[call.Digest]storedHold
+}
+
+// New returns a registry that knows nothing.
+func New(cfg Config) *Registry {
+	cfg.SuspectAt = cmp.Or(cfg.SuspectAt, defaultSuspectAt)
+	cfg.HoldAt = cmp.Or(cfg.HoldAt, defaultHoldAt)
+	cfg.HoldAloneAt = cmp.Or(cfg.HoldAloneAt, defaultHoldAloneAt)
+	return &Registry{
+		cfg: cfg, cases: make(map[call.Digest]*Case), doubts: make(map[doubtKey]doubt), cleared: make(map[call.Digest]time.Time),
+		sources: make(map[Source]*sourceState), stored: make(map[call.Digest]storedHold),
+	}
+}
+
+// Quiet reports whether nothing is known against any request, as on a calm day.
+func (reg *Registry) Quiet() bool {
+	return len(reg.cases) == 0 && len(reg.doubts) == 0 && len(reg.sources) == 0
+}
+
+// Level returns what may be done with a request.
+func (reg *Registry) Level(now time.Time, dig call.Digest) Level {
+	if cas := reg.cases[dig]; cas != nil {
+		return cas.level(now, reg.cfg)
+	}
+	if len(reg.doubts) > 0 && reg.doubted(dig) {
+		return LevelWatched
+	}
+	return LevelClear
+}
+
+// HeldFor returns for how much longer a held request is held; 0 for good.
+func (reg *Registry) HeldFor(now time.Time, dig call.Digest) time.Duration {
+	cas := reg.cases[dig]
+	if cas == nil || cas.Until.IsZero() {
+		return 0
+	}
+	return max(0, cas.Until.Sub(now))
+}
+
+// Ended notes an engine's end while it ran a request.
+func (reg *Registry) Ended(now time.Time, obs Observation) {
+	if obs.Digest == (call.Digest{}) {
+		return
+	}
+	reg.forget(now)
+	delete(reg.cleared, obs.Digest)
+	cas := reg.cases[obs.Digest]
+	if cas == nil {
+		cas = &Case{Subject: obs.Subject}
+		reg.cases[obs.Digest] = cas
+	}
+	before := cas.level(now, reg.cfg)
+	known := len(cas.Ends) > 0
+	cas.Seen = now
+	if !cas.addEnd(End{Engine: obs.Engine, Alone: obs.Alone}) {
+		return
+	}
+	reg.judge(now, cas)
+	reg.tell(now, cas, before, known)
+}
+
+// judge holds a case that is proved, or that has ended an engine since it was let out.
+func (reg *Registry) judge(now time.Time, cas *Case) {
+	switch {
+	case cas.heldAt(now):
+	case cas.Held:
+		cas.Trials++
+		cas.Until = now.Add(laterHold)
+		if cas.Trials >= maxTrials {
+			cas.Until = time.Time{}
+		}
+	case cas.provedBy(reg.cfg):
+		cas.Held, cas.Until = true, now.Add(firstHold)
+	}
+}
+
+// Answered notes that an engine answered a request: it doesn't end engines.
+func (reg *Registry) Answered(now time.Time, dig call.Digest) {
+	reg.clear(now, dig, KindAcquitted)
+	if len(reg.doubts) > 0 {
+		maps.DeleteFunc(reg.doubts, func(key doubtKey, _ doubt) bool { return key.digest == dig })
+	}
+}
+
+// Free lets a request go on an operator's word, and reports whether it was known.
+func (reg *Registry) Free(now time.Time, dig call.Digest) bool {
+	return reg.clear(now, dig, KindFreed)
+}
+
+func (reg *Registry) clear(now time.Time, dig call.Digest, why Kind) bool {
+	cas := reg.cases[dig]
+	if cas == nil {
+		return false
+	}
+	delete(reg.cases, dig)
+	reg.cleared[dig] = now
+	reg.change(now, why, cas)
+	return true
+}
+
+// Lives notes that an engine that was taken to have ended has answered since: what looked
+// like its end was that of its connections.
+func (reg *Registry) Lives(now time.Time, engine string) {
+	for dig, cas := range reg.cases {
+		kept := slices.DeleteFunc(slices.Clone(cas.Ends), func(end End) bool { return end.Engine == engine })
+		switch {
+		case len(kept) == len(cas.Ends) || cas.Held:
+		case len(kept) == 0:
+			reg.clear(now, dig, KindAcquitted)
+		default:
+			cas.Ends = kept
+		}
+	}
+}
+
+// Ends returns in how many ends a request was.
+func (reg *Registry) Ends(dig call.Digest) int {
+	if cas := reg.cases[dig]; cas != nil {
+		return len(cas.Ends)
+	}
+	return 0
+}
+
+// Cases returns all cases, those with most against them first.
+func (reg *Registry) Cases(now time.Time) []Case {
+	all := make([]Case, 0, len(reg.cases))
+	for _, cas := range reg.cases {
+		copied := *cas
+		copied.Ends = slices.Clone(cas.Ends)
+		all = append(all, copied)
+	}
+	slices.SortFunc(all, func(one, two Case) int {
+		return cmp.Or(
+			cmp.Compare(two.level(now, reg.cfg), one.level(now, reg.cfg)),
+			two.Seen.Compare(one.Seen),
+			slices.Compare(one.Digest[:], two.Digest[:]),
+		)
+	})
+	return all
+}
+
+// LevelOf returns the level of a case that Cases returned.
+func (reg *Registry) LevelOf(now time.Time, cas Case) Level {
+	return cas.level(now, reg.cfg)
+}
+
+// forget drops what is too old, and what is too much: first those that have done least,
+// the oldest of them first. What is dropped of a request that does end engines is learnt
+// again, at the cost of as many engines.
+func (reg *Registry) forget(now time.Time) {
+	for dig, cas := range reg.cases {
+		if cas.tooOld(now, reg.cfg) {
+			reg.drop(now, dig)
+		}
+	}
+	maps.DeleteFunc(reg.cleared, func(_ call.Digest, at time.Time) bool { return now.Sub(at) > clearedFor })
+	reg.forgetSources(now)
+	if len(reg.cases) < maxCases && reg.heldCount() < MaxHeld {
+		return
+	}
+	all := reg.Cases(now)
+	for _, cas := range all[min(len(all), maxCases-1):] {
+		reg.drop(now, cas.Digest)
+	}
+	held := 0
+	for _, cas := range all {
+		if !cas.Held {
+			continue
+		}
+		held++
+		if held >= MaxHeld {
+			reg.drop(now, cas.Digest)
+		}
+	}
+}
+
+func (reg *Registry) heldCount() int {
+	held := 0
+	for _, cas := range reg.cases {
+		if cas.Held {
+			held++
+		}
+	}
+	return held
+}
+
+func (cas *Case) tooOld(now time.Time, cfg Config) bool {
+	switch {
+	case cas.heldAt(now):
+		return false
+	case cas.Held:
+		// It may still come back, and would end as many engines as the first time.
+		return now.Sub(cas.Until) > laterHold
+	case len(cas.Ends) >= cfg.SuspectAt:
+		return now.Sub(cas.Seen) > suspectedFor
+	default:
+		return now.Sub(cas.Seen) > watchedFor
+	}
+}
+
+func (reg *Registry) drop(now time.Time, dig call.Digest) {
+	if cas := reg.cases[dig]; cas != nil {
+		delete(reg.cases, dig)
+		reg.change(now, KindForgotten, cas)
+	}
+}
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"lynxwell.dev/lynxwell/call"
+	"lynxwell.dev/lynxwell/quarantine"
 	"lynxwell.dev/lynxwell/request"
 )
 
@@ -74,6 +75,13 @@
 	Exclude []string
 	// Parts make up the prompt, for the engines' caches.
 	Parts []call.Part
+	// Digest is the same for the same request under another id; zero for none.
+	Digest call.Digest
+}
+
+// Subject returns the request as far as it matters whether it ends engines.
+func (res Reserve) Subject() quarantine.Subject {
+	return quarantine.Subject{Digest: res.Digest, Service: res.Service, Account: res.Account, Route: res.Route}
 }
 
 // Grant gives a gateway one slot of an engine for one request.
@@ -112,11 +120,13 @@
 	ReasonBudget
 	// ReasonNoEngine says that no engine of the service is left to try.
 	ReasonNoEngine
+	// ReasonHeld says that the request ends the engines that run it.
+	ReasonHeld
 )
 
 // String returns the reason's name.
 func (rea Reason) String() string {
-	names := [...]string{"None", "Full", "Moved", "Expired", "Closed", "Fenced", "Forgotten", "NotGranter", "Overload", "Limit", "Budget", "NoEngine"}
+	names := [...]string{"None", "Full", "Moved", "Expired", "Closed", "Fenced", "Forgotten", "NotGranter", "Overload", "Limit", "Budget", "NoEngine", "Held"}
 	if int(rea) >= len(names) {
 		return "Invalid"
 	}
@@ -155,6 +165,8 @@
 	Failed bool
 	// Rejected is set when the engine turned the request away.
 	Rejected bool
+	// Answered is set when the engine gave its whole answer, a failure of its own too.
+	Answered bool
 	// PrefillTokens, FirstToken, DecodeTokens and Total measure the run.
 	PrefillTokens int
 	DecodeTokens  int
@@ -174,6 +186,14 @@
 	Cost         float64
 	Unread       bool
 	PromptTokens int
+	// Route and Digest are as in the reservation.
+	Route  string
+	Digest call.Digest
+}
+
+// Subject returns the request as far as it matters whether it ends engines.
+func (ado Adopt) Subject() quarantine.Subject {
+	return quarantine.Subject{Digest: ado.Digest, Service: ado.Service, Account: ado.Account, Route: ado.Route}
 }
 
 // Progress says that the first of an answer has come.
@@ -214,6 +234,22 @@
 	Hosts []request.Epoch
 }
 
+// EngineEnded tells a coordinator that an engine ended while it ran a request of the
+// gateway's. It goes before the request's Release.
+type EngineEnded struct {
+	ID request.ID
+	quarantine.Observation
+	// Uncertain says that the gateway saw the connection end and doesn't know whether the
+	// engine did.
+	Uncertain bool
+}
+
+// CaseReport tells what is known against a request that ends engines: a gateway its new
+// coordinator, and a coordinator the gateways that it decides for.
+type CaseReport struct {
+	quarantine.Report
+}
+
 // Hold lists everything that the gateway holds from the coordinator; it opens
 // a session. Grants that it doesn't list were never dispatched and never will be.
 type Hold struct {
@@ -263,3 +299,6 @@
 func (Appoint) isMessage()  {}
 func (Absent) isMessage()   {}
 func (Leader) isMessage()   {}
+
+func (EngineEnded) isMessage() {}
+func (CaseReport) isMessage()  {}
--- a/scheduler/dump.go
+++ b/scheduler/dump.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/quarantine"
 	"lynxwell.dev/lynxwell/rollout"
 )
 
@@ -16,6 +17,10 @@
 	Parts    float64
 	Services []ServiceDump
 	Accounts []AccountDump
+	// Cases are the requests that were part of engines' ends, the worst first, Restricted
+	// those whose requests run alone since theirs end engines and change each time.
+	Cases      []CaseDump          `json:",omitempty"`
+	Restricted []quarantine.Source `json:",omitempty"`
 }
 
 // ServiceDump is one service.
@@ -66,7 +71,7 @@
 
 // Dump returns the core's state.
 func (cor *Core) Dump(now time.Time) Dump {
-	dum := Dump{Parts: cor.parts}
+	dum := Dump{Parts: cor.parts, Cases: cor.dumpCases(now), Restricted: cor.quarantine.Restricted()}
 	for _, svc := range cor.services {
 		dum.Services = append(dum.Services, svc.dump(now))
 	}
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -10,6 +10,7 @@
 	"lynxwell.dev/lynxwell/call"
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/pace"
+	"lynxwell.dev/lynxwell/quarantine"
 	"lynxwell.dev/lynxwell/request"
 )
 
@@ -38,6 +39,13 @@
 	partTokens  int
 	cacheTokens int
 	health      health
+	// apartUntil is until when it gets nothing but suspected requests, aloneRuns counts
+	// those that it runs.
+	apartUntil time.Time
+	aloneRuns  int
+	// ended says that it was told to have ended, at a time; its entry may outlast it.
+	ended   bool
+	endedAt time.Time
 }
 
 // run is a request that an engine was given.
@@ -65,6 +73,13 @@
 	route      string
 	repeatable bool
 	loaded     bool
+	// subject is the request as far as it matters whether it ends engines. alone says that
+	// it may, and has the engine for itself, guarded that those of its sender may, and that
+	// only such are beside it; watched that it was part of an end before.
+	subject quarantine.Subject
+	alone   bool
+	guarded bool
+	watched bool
 }
 
 // maxParts bounds the parts remembered of an engine.
--- a/scheduler/rollout.go
+++ b/scheduler/rollout.go
@@ -188,7 +188,8 @@
 
 // noteAnswered notes what came of a run for the service's roll-out.
 func (svc *service) noteAnswered(now time.Time, rnn *run, rel reservation.Release) {
-	if !svc.isRolling() || rnn.route == "" || !rel.Dispatched || rel.Rejected {
+	// What becomes of a suspected request tells nothing of its engine's version.
+	if !svc.isRolling() || rnn.route == "" || !rel.Dispatched || rel.Rejected || rnn.alone || rnn.guarded || rnn.watched {
 		return
 	}
 	ans := rollout.Answer{
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -20,6 +20,7 @@
 
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/pace"
+	"lynxwell.dev/lynxwell/quarantine"
 	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/reservation"
 	"lynxwell.dev/lynxwell/rollout"
@@ -50,6 +51,8 @@
 	LimitOvershoot float64
 	// Rollouts bounds what versions get that aren't known to be good.
 	Rollouts rollout.Config
+	// Quarantine says when requests are held back that end engines.
+	Quarantine quarantine.Config
 }
 
 // Event is something that happened to the scheduler.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -8,8 +8,12 @@
 	"net/http"
 	"net/url"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/singleflight"
+
 	"lynxwell.dev/lynxwell/call"
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/transport"
@@ -20,6 +24,10 @@
 // three losses in a row on a bad link are over within one.
 var liveness = transport.Liveness{Limit: time.Second}
 
+// probeTimeout bounds the look whether an engine is there: a process that is gone refuses
+// within a round trip, and callers wait meanwhile.
+const probeTimeout = 150 * time.Millisecond
+
 // Client reaches engines and backend servers.
 type Client struct {
 	cfg   ClientConfig
@@ -27,6 +35,8 @@
 	idle  map[Endpoint][]*connection
 	// busy are the connections that carry a call.
 	busy map[*connection]struct{}
+	// probes are the looks at engines that go on.
+	probes singleflight.Group
 }
 
 // NewClient returns a client without any connection yet.
@@ -137,6 +147,47 @@
 	return ans, nil
 }
 
+// Probe is what a look at an engine's address shows.
+type Probe uint8
+
+const (
+	// ProbeUnknown shows nothing: nobody answered in time.
+	ProbeUnknown Probe = iota
+	// ProbeListens shows that something listens there, the engine or a later one.
+	ProbeListens
+	// ProbeRefused shows that nothing listens there: its process is gone.
+	ProbeRefused
+)
+
+// Probe looks whether anything listens at the endpoint. Those who ask at the same time
+// share one look: when an engine ends, all that it ran ask at once.
+func (cli *Client) Probe(ctx context.Context, end Endpoint) Probe {
+	found, _, _ := cli.probes.Do(end.Address.String(), func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+		defer cancel()
+		con, err := liveness.Dialer(probeTimeout).DialContext(ctx, "tcp", end.Address.String())
+		switch {
+		case err == nil:
+			closeQuietly(con)
+			return ProbeListens, nil
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return ProbeRefused, nil
+		default:
+			return ProbeUnknown, nil
+		}
+	})
+	pro, _ := found.(Probe)
+	return pro
+}
+
+// EndedByPeer reports whether a call failed since the other end closed or reset its
+// connection, or is known to have ended.
+func EndedByPeer(err error) bool {
+	var later *RunEndedError
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) ||
+		errors.Is(err, syscall.EPIPE) || errors.As(err, &later)
+}
+
 func (cli *Client) setBusy(con *connection, busy bool) {
 	cli.mutex.Lock()
 	defer cli.mutex.Unlock()
