test: crashes through the loss of the coordinator, of all hosts and of the store; fix: an engine may end again before the store tells of its new run

Cause: TestRequestIsHeldWithoutTheStore failed with 4 arrivals of 3. With the store away an engine that starts again keeps the start that hosts know, and its second end was taken for the first one, told twice. Change: an end that follows a run which began after the last one was seen is another; what several hosts tell of runs at the same time stays one.

--- a/entry/crash.go
+++ b/entry/crash.go
@@ -70,7 +70,7 @@
 		ID: att.release.ID, Uncertain: att.ending == endingDoubted,
 		Observation: quarantine.Observation{
 			Subject: quarantine.Subject{Digest: exc.digest, Service: exc.service, Account: exc.account.Name, Route: exc.route.Name},
-			Engine:  eng.ID.String(),
+			Engine:  eng.ID.String(), Ran: time.Since(att.started),
 		},
 	})
 }
--- a/entrytest/crash.go
+++ b/entrytest/crash.go
@@ -216,6 +216,18 @@
 	return append([]time.Time(nil), cra.ends...)
 }
 
+// Drain has an engine say that it leaves.
+func (cra *Crashing) Drain(engine string) {
+	cra.sys.t.Helper()
+	cra.mutex.Lock()
+	defer cra.mutex.Unlock()
+	for _, sit := range cra.sites {
+		if sit.name == engine {
+			cra.sys.EnterState(engine, EngineState{Service: Model, Address: sit.address, Slots: cra.cfg.Slots, Draining: true, Sequence: 2})
+		}
+	}
+}
+
 // UntilUp waits until so many engines run.
 func (cra *Crashing) UntilUp(count int) {
 	cra.sys.t.Helper()
--- a/entrytest/entrytest.go
+++ b/entrytest/entrytest.go
@@ -318,6 +318,11 @@
 	return sys.get("http://" + hos.Settings.MetricsAddress.String() + "/metrics").Body
 }
 
+// Dump returns a host's state.
+func (sys *System) Dump(hos *Host) string {
+	return sys.get("http://" + hos.Settings.MetricsAddress.String() + entry.PathDump).Body
+}
+
 // Log returns what the hosts have logged.
 func (sys *System) Log() string { return sys.log.String() }
 
--- a/peer/convertcase.go
+++ b/peer/convertcase.go
@@ -27,14 +27,14 @@
 
 func endedToWire(msg reservation.EngineEnded) *peerpb.EngineEnded {
 	return &peerpb.EngineEnded{
-		Id: idToWire(msg.ID), Subject: subjectToWire(msg.Subject), Engine: msg.Engine, Uncertain: msg.Uncertain, Alone: msg.Alone,
+		Id: idToWire(msg.ID), Subject: subjectToWire(msg.Subject), Engine: msg.Engine, Uncertain: msg.Uncertain, Alone: msg.Alone, RanUs: msg.Ran.Microseconds(),
 	}
 }
 
 func endedFromWire(wen *peerpb.EngineEnded) reservation.EngineEnded {
 	return reservation.EngineEnded{
 		ID: idFromWire(wen.GetId()), Uncertain: wen.GetUncertain(),
-		Observation: quarantine.Observation{Subject: subjectFromWire(wen.GetSubject()), Engine: wen.GetEngine(), Alone: wen.GetAlone()},
+		Observation: quarantine.Observation{Subject: subjectFromWire(wen.GetSubject()), Engine: wen.GetEngine(), Alone: wen.GetAlone(), Ran: fromMicros(wen.GetRanUs())},
 	}
 }
 
@@ -44,7 +44,7 @@
 		Trials: uint32(rep.Trials), Cleared: rep.Cleared,
 	}
 	for _, end := range rep.Ends {
-		wre.Ends = append(wre.Ends, &peerpb.CaseReport_End{Engine: end.Engine, Alone: end.Alone})
+		wre.Ends = append(wre.Ends, &peerpb.CaseReport_End{Engine: end.Engine, Alone: end.Alone, Again: uint32(end.Again)})
 	}
 	return wre
 }
@@ -55,7 +55,7 @@
 		Trials: int(wre.GetTrials()), Cleared: wre.GetCleared(),
 	}
 	for _, wen := range wre.GetEnds() {
-		rep.Ends = append(rep.Ends, quarantine.End{Engine: wen.GetEngine(), Alone: wen.GetAlone()})
+		rep.Ends = append(rep.Ends, quarantine.End{Engine: wen.GetEngine(), Alone: wen.GetAlone(), Again: int(wen.GetAgain())})
 	}
 	return rep
 }
--- a/quarantine/doubt.go
+++ b/quarantine/doubt.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"time"
 
 	"lynxwell.dev/lynxwell/call"
@@ -15,19 +16,19 @@
 // doubt is a request whose connection to its engine ended, without it being known whether
 // the engine did.
 type doubt struct {
-	subject Subject
-	alone   bool
-	since   time.Time
+	observed Observation
+	since    time.Time
 }
 
 // Doubt notes that the connection to an engine ended while it ran a request, but not
 // whether the engine did: it may be the link, or one broken answer, and by the time that
 // the host looked another run may have been there. The list of engines will tell.
 func (reg *Registry) Doubt(now time.Time, obs Observation) {
+	reg.forget(now)
 	if obs.Digest == (call.Digest{}) || len(reg.doubts) >= maxCases {
 		return
 	}
-	reg.doubts[doubtKey{digest: obs.Digest, engine: obs.Engine}] = doubt{subject: obs.Subject, alone: obs.Alone, since: now}
+	reg.doubts[doubtKey{digest: obs.Digest, engine: obs.Engine}] = doubt{observed: obs, since: now}
 }
 
 // Engine is a run of an engine that is known.
@@ -56,12 +57,18 @@
 			delete(reg.doubts, key)
 		case !known:
 			delete(reg.doubts, key)
-			certain = append(certain, Observation{Subject: dou.subject, Engine: key.engine, Alone: dou.alone})
+			obs := dou.observed
+			obs.Ran += now.Sub(dou.since)
+			certain = append(certain, obs)
 		}
 	}
 	return certain
 }
 
+func (reg *Registry) forgetDoubts(now time.Time) {
+	maps.DeleteFunc(reg.doubts, func(_ doubtKey, dou doubt) bool { return now.Sub(dou.since) > doubtFor })
+}
+
 func (reg *Registry) doubted(dig call.Digest) bool {
 	for key := range reg.doubts {
 		if key.digest == dig {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -89,6 +89,10 @@
 	// maxCases bounds what is remembered, at some 300 bytes each; MaxHeld bounds what of it
 	// is held, which has to fit into one value of the store.
 	maxCases = 4096
+	// keptCases are left when there are too many, and forgetInterval is how often old ones
+	// are looked for: neither is to be done at each end.
+	keptCases      = 3072
+	forgetInterval = time.Second
 	// MaxHeld is how many requests are held at most.
 	MaxHeld = 256
 	// maxEnds bounds the ends that a case names.
@@ -122,12 +126,19 @@
 	Engine string
 	// Alone says that the engine ran nothing else.
 	Alone bool
+	// Ran is for how long it had run the request.
+	Ran time.Duration
 }
 
 // End is an engine's end under a request.
 type End struct {
+	// Engine is the run that ended, as far as it is known: one may start again, and end
+	// again, before the store tells of it. Again counts its ends from 0 on.
 	Engine string
+	Again  int
 	Alone  bool
+	// seen is when this host learnt of it.
+	seen time.Time
 }
 
 // Case is what is known against one request.
@@ -161,19 +172,42 @@
 	}
 }
 
-// addEnd adds an end, once for each engine, and reports whether anything is new.
-func (cas *Case) addEnd(end End) bool {
+// addEnd adds an end, and reports whether anything is new. Several hosts may tell of the
+// same one, whose requests ran at the same time; what began after it was seen is another.
+func (cas *Case) addEnd(now time.Time, obs Observation) bool {
+	end := End{Engine: obs.Engine, Alone: obs.Alone, seen: now}
 	for idx, known := range cas.Ends {
-		if known.Engine == end.Engine {
+		if known.Engine != obs.Engine {
+			continue
+		}
+		if !known.seen.Before(now.Add(-obs.Ran)) {
+			cas.Ends[idx].Alone = known.Alone || obs.Alone
+			return cas.Ends[idx].Alone != known.Alone
+		}
+		end.Again = known.Again + 1
+	}
+	cas.append(end)
+	return true
+}
+
+// mergeEnd adds an end that another host told of, and reports whether anything is new.
+func (cas *Case) mergeEnd(now time.Time, end End) bool {
+	for idx, known := range cas.Ends {
+		if known.Engine == end.Engine && known.Again == end.Again {
 			cas.Ends[idx].Alone = known.Alone || end.Alone
 			return cas.Ends[idx].Alone != known.Alone
 		}
 	}
+	end.seen = now
+	cas.append(end)
+	return true
+}
+
+func (cas *Case) append(end End) {
 	if len(cas.Ends) >= maxEnds {
 		cas.Ends = append(cas.Ends[:0:0], cas.Ends[1:]...)
 	}
 	cas.Ends = append(cas.Ends, end)
-	return true
 }
 
 // provedBy reports whether the ends suffice to hold the request.
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -16,9 +16,10 @@
 	// doubts are ends of which it isn't known whether the engine's or the connection's.
 	doubts map[doubtKey]doubt
 	// cleared is when requests were cleared here lately.
-	cleared map[call.Digest]time.Time
-	sources map[Source]*sourceState
-	changes []Change
+	cleared    map[call.Digest]time.Time
+	sources    map[Source]*sourceState
+	changes    []Change
+	nextForget time.Time
 	// stored is what the store was last read to hold of held requests.
 	stored map[call.Digest]storedHold
 }
@@ -74,7 +75,7 @@
 	before := cas.level(now, reg.cfg)
 	known := len(cas.Ends) > 0
 	cas.Seen = now
-	if !cas.addEnd(End{Engine: obs.Engine, Alone: obs.Alone}) {
+	if !cas.addEnd(now, obs) {
 		return
 	}
 	reg.judge(now, cas)
@@ -93,6 +94,7 @@
 		}
 	case cas.provedBy(reg.cfg):
 		cas.Held, cas.Until = true, now.Add(firstHold)
+		reg.boundHeld(now)
 	}
 }
 
@@ -170,6 +172,10 @@
 // the oldest of them first. What is dropped of a request that does end engines is learnt
 // again, at the cost of as many engines.
 func (reg *Registry) forget(now time.Time) {
+	if now.Before(reg.nextForget) && len(reg.cases) < maxCases {
+		return
+	}
+	reg.nextForget = now.Add(forgetInterval)
 	for dig, cas := range reg.cases {
 		if cas.tooOld(now, reg.cfg) {
 			reg.drop(now, dig)
@@ -177,35 +183,29 @@
 	}
 	maps.DeleteFunc(reg.cleared, func(_ call.Digest, at time.Time) bool { return now.Sub(at) > clearedFor })
 	reg.forgetSources(now)
-	if len(reg.cases) < maxCases && reg.heldCount() < MaxHeld {
+	reg.forgetDoubts(now)
+	if len(reg.cases) < maxCases {
 		return
 	}
-	all := reg.Cases(now)
-	for _, cas := range all[min(len(all), maxCases-1):] {
+	for _, cas := range reg.Cases(now)[keptCases:] {
 		reg.drop(now, cas.Digest)
 	}
+}
+
+// boundHeld drops the oldest of too many held requests.
+func (reg *Registry) boundHeld(now time.Time) {
 	held := 0
-	for _, cas := range all {
+	for _, cas := range reg.Cases(now) {
 		if !cas.Held {
 			continue
 		}
 		held++
-		if held >= MaxHeld {
+		if held > MaxHeld {
 			reg.drop(now, cas.Digest)
 		}
 	}
 }
 
-func (reg *Registry) heldCount() int {
-	held := 0
-	for _, cas := range reg.cases {
-		if cas.Held {
-			held++
-		}
-	}
-	return held
-}
-
 func (cas *Case) tooOld(now time.Time, cfg Config) bool {
 	switch {
 	case cas.heldAt(now):
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -135,12 +135,16 @@
 	before := cas.level(now, reg.cfg)
 	known := len(cas.Ends) > 0
 	for _, end := range rep.Ends[:min(maxEnds, len(rep.Ends))] {
-		if cas.addEnd(end) {
+		if cas.mergeEnd(now, end) {
 			cas.Seen = now
 		}
 	}
 	if rep.Held {
+		newly := !cas.Held
 		cas.hold(now, rep)
+		if newly {
+			reg.boundHeld(now)
+		}
 	} else if !cas.Held && cas.provedBy(reg.cfg) {
 		reg.judge(now, cas)
 	}
--- a/quarantine/store.go
+++ b/quarantine/store.go
@@ -10,8 +10,8 @@
 // Hold is a held request as the store keeps it: what has to outlast the loss of all hosts.
 type Hold struct {
 	Subject
-	// Engines are those that ended under it.
-	Engines []string
+	// Ends are those of the engines that ran it.
+	Ends []End
 	// Until is by the time of day; zero stands for good.
 	Until  time.Time
 	Trials int
@@ -30,11 +30,7 @@
 	reg.stored = make(map[call.Digest]storedHold, len(holds))
 	for _, hol := range holds {
 		reg.stored[hol.Digest] = storedHold{trials: hol.Trials, forGood: hol.Until.IsZero()}
-		rep := Report{Subject: hol.Subject, Held: true, ForGood: hol.Until.IsZero(), Left: hol.Until.Sub(now), Trials: hol.Trials}
-		for _, name := range hol.Engines {
-			rep.Ends = append(rep.Ends, End{Engine: name})
-		}
-		reg.Merge(now, rep)
+		reg.Merge(now, Report{Subject: hol.Subject, Ends: hol.Ends, Held: true, ForGood: hol.Until.IsZero(), Left: hol.Until.Sub(now), Trials: hol.Trials})
 	}
 	for dig := range former {
 		if _, still := reg.stored[dig]; !still {
@@ -54,11 +50,7 @@
 		}
 		known, stored := reg.stored[dig]
 		differs = differs || !stored || known != (storedHold{trials: cas.Trials, forGood: cas.Until.IsZero()})
-		hol := Hold{Subject: cas.Subject, Until: cas.Until, Trials: cas.Trials}
-		for _, end := range cas.Ends {
-			hol.Engines = append(hol.Engines, end.Engine)
-		}
-		holds = append(holds, hol)
+		holds = append(holds, Hold{Subject: cas.Subject, Ends: slices.Clone(cas.Ends), Until: cas.Until, Trials: cas.Trials})
 	}
 	slices.SortFunc(holds, func(one, two Hold) int { return slices.Compare(one.Digest[:], two.Digest[:]) })
 	return holds, differs || len(holds) != len(reg.stored)
