test: hosts that were suspended, failing; one clock for what lasts and lapses

Cause: not mended yet. Ages, deadlines and holds went by the steady clock, read wherever they were needed, which stands still while a host is suspended. Change: they go by one Clock, given to the pure parts as the time of events; it doesn't count suspensions yet, so behaviour is the same. Its stand-in can be suspended.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"encoding/json"
 	"hash/fnv"
 	"io"
@@ -116,7 +115,7 @@
 }
 
 func (hos *Host) serveCaller(wri http.ResponseWriter, htr *http.Request) {
-	exc := &exchange{host: hos, writer: wri, started: time.Now()}
+	exc := &exchange{host: hos, writer: wri, started: hos.clock.Now()}
 	if hos.draining.Load() {
 		wri.Header().Set("Connection", "close")
 	}
@@ -125,7 +124,7 @@
 		exc.refuse(*pro)
 		return
 	}
-	ctx, cancel := context.WithDeadline(htr.Context(), exc.deadline)
+	ctx, cancel := hos.clock.WithDeadline(htr.Context(), exc.deadline)
 	defer cancel()
 	exc.run(ctx)
 }
@@ -238,7 +237,7 @@
 
 // remaining is the time left until the deadline.
 func (exc *exchange) remaining() time.Duration {
-	return time.Until(exc.deadline)
+	return exc.host.clock.Until(exc.deadline)
 }
 
 // problemBody is the body of a final answer of the host's own.
@@ -279,7 +278,7 @@
 // logEnd writes the line of a request's end and counts it.
 func (exc *exchange) logEnd(status int, cau cause, detail string) {
 	hos := exc.host
-	took := time.Since(exc.started)
+	took := hos.clock.Since(exc.started)
 	hos.figures.count("Requests." + exc.route.Kind.String() + "." + string(cau))
 	hos.figures.observe("Request.Time."+exc.route.Kind.String(), took)
 	if exc.firstAfter > 0 {
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -106,7 +106,7 @@
 	if chosen == des.host.epoch {
 		return
 	}
-	for _, rep := range des.core.CaseReports(time.Now(), quarantine.LevelWatched, maxReports) {
+	for _, rep := range des.core.CaseReports(des.host.clock.Now(), quarantine.LevelWatched, maxReports) {
 		des.tell(chosen, reservation.CaseReport{Report: rep})
 	}
 }
@@ -114,7 +114,7 @@
 // tellCasesTo tells a gateway that has this host decide of the suspected and held requests;
 // the mutex is held.
 func (des *desk) tellCasesTo(inb *inbound) {
-	for _, rep := range des.core.CaseReports(time.Now(), quarantine.LevelSuspected, maxReports) {
+	for _, rep := range des.core.CaseReports(des.host.clock.Now(), quarantine.LevelSuspected, maxReports) {
 		inb.send(reservation.CaseReport{Report: rep})
 	}
 }
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -148,7 +148,7 @@
 
 // step has the scheduler decide and passes on what it says; the mutex is held.
 func (des *desk) step(evt scheduler.Event) {
-	for _, snd := range des.core.Handle(time.Now(), evt) {
+	for _, snd := range des.core.Handle(des.host.clock.Now(), evt) {
 		des.deliver(snd)
 	}
 	des.passChanges()
@@ -255,7 +255,7 @@
 func (des *desk) reserve(ctx context.Context, res reservation.Reserve) (decision, error) {
 	tic := &ticket{reserve: res, decision: make(chan decision, 1)}
 	des.mutex.Lock()
-	if ref, held := des.core.Held(time.Now(), res); held {
+	if ref, held := des.core.Held(des.host.clock.Now(), res); held {
 		// Whoever decides, also one that doesn't know of it yet.
 		des.mutex.Unlock()
 		return decision{refusal: &ref, by: des.host.epoch}, nil
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -25,7 +25,7 @@
 			wri.WriteHeader(http.StatusNotFound)
 			return
 		}
-		if ready, why := hos.ready(time.Now()); !ready {
+		if ready, why := hos.ready(hos.clock.Now()); !ready {
 			http.Error(wri, why, http.StatusServiceUnavailable)
 			return
 		}
@@ -40,7 +40,7 @@
 			return
 		}
 		hos.awaitBegun(req.Context())
-		addresses := hos.addresses(time.Now())
+		addresses := hos.addresses(hos.clock.Now())
 		if len(addresses) == 0 {
 			http.Error(wri, "no host takes requests", http.StatusServiceUnavailable)
 			return
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -40,7 +40,7 @@
 
 // Dump returns the host's state.
 func (hos *Host) Dump() Dump {
-	now := time.Now()
+	now := hos.clock.Now()
 	bel := hos.belief.Load()
 	_, why := hos.ready(now)
 	dum := Dump{
--- a/entry/elect.go
+++ b/entry/elect.go
@@ -22,7 +22,7 @@
 // elect makes the host that is to decide the coordinator; the mutex is held.
 // Reservations that wait go to the new one.
 func (des *desk) elect() {
-	now := time.Now()
+	now := des.host.clock.Now()
 	chosen := des.choose()
 	if chosen != des.active && des.staysSteady(now) {
 		des.electLater(now)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,6 +29,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"lynxwell.dev/lynxwell/clock"
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/peer"
 	"lynxwell.dev/lynxwell/platform"
@@ -52,21 +53,25 @@
 	// SettingsFile is read again at each hangup and when it changes; empty for
 	// settings that never change.
 	SettingsFile string
+	// Clock are the clocks that the host goes by; nil for the operating system's.
+	Clock clock.Source
 	// Hangups brings the signals that ask for it; nil for none.
 	Hangups <-chan os.Signal
 }
 
 // Host is one process of the system.
 type Host struct {
-	cfg      Config
-	set      settings.Entry
-	log      zerolog.Logger
-	epoch    request.Epoch
-	store    *store.Recorder
-	figures  *figures
-	ages     *ages
-	desk     *desk
-	mirror   *mirror
+	cfg     Config
+	set     settings.Entry
+	log     zerolog.Logger
+	epoch   request.Epoch
+	store   *store.Recorder
+	figures *figures
+	ages    *ages
+	desk    *desk
+	mirror  *mirror
+	// clock tells by what time rights last and lapse.
+	clock    *clock.Clock
 	upstream *upstream.Client
 	peers    *peer.Client
 	tasks    *task.Group
@@ -84,6 +89,8 @@
 	secrets *secrets
 	// rolloutNews wakes the keeper of roll-outs.
 	rolloutNews chan struct{}
+	// woken brings the length of a suspension.
+	woken chan time.Duration
 	// heldNews wakes the keeper of held requests; heldRevision is the store's of what lies
 	// there, 0 for nothing.
 	heldNews     chan struct{}
@@ -144,11 +151,10 @@
 		return nil, err
 	}
 	hos := &Host{
-		cfg: cfg, set: cfg.Settings, epoch: epoch, store: store.NewRecorder(cfg.Store), started: time.Now(),
+		cfg: cfg, set: cfg.Settings, epoch: epoch, store: store.NewRecorder(cfg.Store),
 		log:         cfg.Log.With().Str("Host", cfg.Settings.Name).Logger(),
 		figures:     newFigures(cfg.LinesDropped),
 		ages:        newAges(),
-		mirror:      newMirror(),
 		leaving:     make(chan struct{}),
 		begun:       make(chan struct{}),
 		listed:      make(chan struct{}),
@@ -156,15 +162,19 @@
 		leaseDoubt:  make(chan struct{}, 1),
 		rolloutNews: make(chan struct{}, 1),
 		heldNews:    make(chan struct{}, 1),
+		woken:       make(chan time.Duration, 1),
 		done:        make(chan struct{}),
 	}
+	hos.clock = clock.New(clock.Config{Source: cfg.Clock, Suspended: hos.noteSuspended, Failed: hos.noteClockFailed})
+	hos.started = hos.clock.Now()
+	hos.mirror = newMirror(hos.clock.Now)
 	hos.belief.Store(&belief{})
 	hos.bounds.Store(&cfg.Settings.Bounds)
 	hos.confirmed.Store(neverConfirmed)
 	hos.secrets = newSecrets(hos)
 	hos.tasks = task.NewGroup(hos.log)
 	hos.upstream = upstream.NewClient(upstream.ClientConfig{
-		Decode: platform.DecodeAnswer,
+		Decode: platform.DecodeAnswer, Now: hos.clock.Now,
 		Dialed: func() { hos.figures.dialed.Inc(1) },
 	})
 	hos.peers = peer.NewClient(peer.ClientConfig{Security: hos.security(), Timing: peerTiming, Self: hos.Header})
@@ -258,7 +268,7 @@
 
 // noteBegun lets those go on who wait for the first configuration.
 func (hos *Host) noteBegun() {
-	if ready, _ := hos.ready(time.Now()); ready {
+	if ready, _ := hos.ready(hos.clock.Now()); ready {
 		hos.beginning.Do(func() { close(hos.begun) })
 	}
 }
@@ -266,7 +276,7 @@
 // awaitBegun waits until the host can serve, in the first moments after its start.
 func (hos *Host) awaitBegun(ctx context.Context) {
 	hos.wanting.Do(func() { close(hos.wanted) })
-	left := startGrace - time.Since(hos.started)
+	left := startGrace - hos.clock.Since(hos.started)
 	if left <= 0 {
 		return
 	}
@@ -305,6 +315,8 @@
 		cancel()
 		return err
 	}
+	hos.tasks.Run("waking", func() error { return hos.keepAwake(ctx) })
+	hos.tasks.Run("clock", func() error { return hos.clock.Watch(ctx) })
 	hos.tasks.Run("observer", func() error { return hos.observe(ctx) })
 	hos.tasks.Run("lease", func() error { return hos.keepLease(ctx) })
 	hos.tasks.Run("sessions", func() error { return hos.desk.keepSessions(ctx) })
--- a/entry/follow_test.go
+++ b/entry/follow_test.go
@@ -16,7 +16,7 @@
 // Two hosts that start together may each take the other for the one that reads the
 // store. Neither waits for the other's changes then.
 func TestNobodyWaitsForAHostThatFollowsAnother(t *testing.T) {
-	mir := newMirror()
+	mir := newMirror(time.Now)
 	mir.replace(nil, 7, time.Now())
 	ends := make(chan error, 1)
 	go func() {
--- a/entry/lease.go
+++ b/entry/lease.go
@@ -99,7 +99,7 @@
 
 // settled reports whether hosts that started with this one have entered too.
 func (hos *Host) settled() bool {
-	return time.Since(hos.started) > startSettles
+	return hos.clock.Since(hos.started) > startSettles
 }
 
 // awaitListed waits for the first reading of the store.
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -92,7 +92,7 @@
 		obs.regained()
 		obs.apply(upd)
 		if len(upd.changes.Changes) > 0 && !upd.whole {
-			task.Sleep(ctx, obs.gather(time.Now()))
+			task.Sleep(ctx, obs.gather(obs.host.clock.Now()))
 		}
 	}
 	return ctx.Err()
@@ -121,7 +121,7 @@
 		obs.host.mirror.apply(upd.changes, upd.confirmed)
 	}
 	obs.revision = max(obs.revision, upd.changes.Revision)
-	settled := obs.directory.Settle(time.Now())
+	settled := obs.directory.Settle(obs.host.clock.Now())
 	obs.host.confirm(upd.confirmed)
 	if upd.whole || len(upd.changes.Changes) > 0 || settled {
 		obs.publish()
@@ -135,7 +135,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	now := time.Now()
+	now := obs.host.clock.Now()
 	if obs.lostAt.IsZero() {
 		obs.lostAt = now
 		obs.pause = minRetry
@@ -160,7 +160,7 @@
 func (obs *observer) liveOnPeers(ctx context.Context, until time.Time) {
 	for ctx.Err() == nil {
 		obs.askPeers(ctx)
-		left := time.Until(until)
+		left := obs.host.clock.Until(until)
 		task.Sleep(ctx, min(left, peerInterval))
 		if left <= peerInterval {
 			return
@@ -173,7 +173,7 @@
 	if obs.lostAt.IsZero() {
 		return
 	}
-	now := time.Now()
+	now := obs.host.clock.Now()
 	obs.host.log.Info().Dur("After", now.Sub(obs.lostAt)).Uint64("Revision", uint64(obs.revision)).Msg("store regained")
 	obs.lostAt = time.Time{}
 	obs.nextProbe = time.Time{}
@@ -220,7 +220,7 @@
 		case platform.KeyOther:
 		}
 	}
-	obs.directory.Replace(time.Now(), engines, members)
+	obs.directory.Replace(obs.host.clock.Now(), engines, members)
 	for _, name := range refused {
 		obs.directory.DropEngine(name)
 	}
@@ -293,7 +293,7 @@
 	switch kind, name := platform.KindOf(cha.Key); kind {
 	case platform.KeyEngine:
 		obs.host.log.Info().Str("Engine", name).Uint64("Revision", uint64(cha.Revision)).Msg("engine gone")
-		obs.directory.RemoveEngine(time.Now(), name)
+		obs.directory.RemoveEngine(obs.host.clock.Now(), name)
 	case platform.KeyMember:
 		obs.removeMember(name)
 		if name == obs.host.set.Name {
@@ -313,7 +313,7 @@
 
 func (obs *observer) removeMember(name string) {
 	obs.changed.gone = append(obs.changed.gone, name)
-	obs.directory.RemoveMember(time.Now(), name)
+	obs.directory.RemoveMember(obs.host.clock.Now(), name)
 }
 
 func (obs *observer) noteEngine(eng fleet.Engine, rev store.Revision) {
--- a/entry/presence.go
+++ b/entry/presence.go
@@ -25,7 +25,7 @@
 	for {
 		select {
 		case <-timer.C:
-			timer.Reset(des.tellAbsent(time.Now()))
+			timer.Reset(des.tellAbsent(des.host.clock.Now()))
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -131,7 +131,7 @@
 		case <-hos.rolloutNews:
 			tick.Reset(rolloutInterval)
 		case <-tick.C:
-			writes, open := hos.desk.rolloutWrites(time.Now())
+			writes, open := hos.desk.rolloutWrites(hos.clock.Now())
 			if !open {
 				tick.Stop()
 			}
--- a/entry/roster.go
+++ b/entry/roster.go
@@ -70,7 +70,7 @@
 
 // setRoster takes a new roster; the mutex is held.
 func (des *desk) setRoster(ros roster) {
-	now := time.Now()
+	now := des.host.clock.Now()
 	des.listed, des.roster = ros, ros.restarted(des.restarted)
 	des.presence.SetMembers(now, des.roster.members)
 	des.forgetUnreached()
--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -220,6 +220,6 @@
 func (des *desk) dropInbound(session uint64) {
 	inb := des.inbound[session]
 	delete(des.inbound, session)
-	des.presence.Lost(time.Now(), inb.gateway)
+	des.presence.Lost(des.host.clock.Now(), inb.gateway)
 	des.step(scheduler.GatewayLost{Gateway: inb.gateway})
 }
--- a/entry/source.go
+++ b/entry/source.go
@@ -83,11 +83,11 @@
 		obs.host.awaitWanted(ctx)
 		return obs.listStale(ctx)
 	}
-	patient := time.Now().Add(followPatience)
+	patient := obs.host.clock.Now().Add(followPatience)
 	for {
-		mem, found := obs.followed(time.Now())
+		mem, found := obs.followed(obs.host.clock.Now())
 		obs.host.mirror.setRelayed(found)
-		if !found && obs.rests(time.Now()) {
+		if !found && obs.rests(obs.host.clock.Now()) {
 			return update{}, obs.cause
 		}
 		if !found {
@@ -97,14 +97,14 @@
 		if err == nil || ctx.Err() != nil {
 			return upd, err
 		}
-		if isNotReady(err) && time.Now().Before(patient) {
+		if isNotReady(err) && obs.host.clock.Now().Before(patient) {
 			task.Sleep(ctx, followRetry)
 			continue
 		}
 		if obs.lostAt.IsZero() {
 			obs.host.log.Info().Err(err).Str("Member", mem.Name).Msg("the host followed failed")
 		}
-		now := time.Now()
+		now := obs.host.clock.Now()
 		obs.met = 0
 		obs.readers.fail(now, mem)
 		if _, another := obs.followed(now); another {
@@ -154,7 +154,7 @@
 // directTime returns how long the store is read directly after the host followed
 // failed this one.
 func (obs *observer) directTime() time.Duration {
-	if time.Since(obs.host.started) < startSettles {
+	if obs.host.clock.Since(obs.host.started) < startSettles {
 		return startDirect
 	}
 	return directFor
@@ -273,13 +273,13 @@
 	if obs.whole {
 		after = 0
 	}
-	asked := time.Now()
+	asked := obs.host.clock.Now()
 	fol, err := obs.host.peers.Follow(ctx, mem.PeerAddress, after, wait)
 	if err != nil {
 		return update{}, err
 	}
 	upd := update{whole: fol.Whole, changes: fol.Changes, confirmed: asked.Add(fol.Confirmed), from: mem.Name}
-	if age := time.Since(upd.confirmed); age > followAge {
+	if age := obs.host.clock.Since(upd.confirmed); age > followAge {
 		return update{}, &StaleMirrorError{Member: mem.Name, Age: age}
 	}
 	if upd.changes.Revision < obs.revision {
@@ -307,7 +307,7 @@
 
 // list reads everything from the store.
 func (obs *observer) list(ctx context.Context) (update, error) {
-	confirmed := time.Now()
+	confirmed := obs.host.clock.Now()
 	values, rev, err := obs.host.store.List(ctx, platform.Prefix)
 	if err != nil {
 		return update{}, err
@@ -322,10 +322,10 @@
 	if !obs.lostAt.IsZero() || obs.host.confirmed.Load() == neverConfirmed {
 		// A watch that waits would tell only at its end that the store is there.
 		wait = probeWait
-	} else if obs.readers.reads(time.Now(), obs.mates()) {
+	} else if obs.readers.reads(obs.host.clock.Now(), obs.mates()) {
 		wait = followedWait
 	}
-	asked := time.Now()
+	asked := obs.host.clock.Now()
 	changes, err := obs.host.store.Watch(ctx, platform.Prefix, obs.revision, wait)
 	var gone *store.CompactedError
 	if errors.As(err, &gone) {
--- a/entry/spending.go
+++ b/entry/spending.go
@@ -98,7 +98,7 @@
 	if spe == nil || res.Attempt > 0 {
 		return
 	}
-	spe.settle(time.Now())
+	spe.settle(des.host.clock.Now())
 	spe.debt += res.Cost
 }
 
@@ -110,7 +110,7 @@
 // tellSpent tells the new coordinator what this host owes, of the accounts that it
 // owes most; the mutex is held.
 func (des *desk) tellSpent(chosen request.Epoch) {
-	now := time.Now()
+	now := des.host.clock.Now()
 	cfg := schedulerConfig(des.host)
 	var told []reservation.Spent
 	for _, acc := range des.limitedAccounts() {
--- a/entrytest/entrytest.go
+++ b/entrytest/entrytest.go
@@ -27,6 +27,8 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"lynxwell.dev/lynxwell/clock"
+	"lynxwell.dev/lynxwell/clocktest"
 	"lynxwell.dev/lynxwell/embedded"
 	"lynxwell.dev/lynxwell/entry"
 	"lynxwell.dev/lynxwell/fleet"
@@ -67,6 +69,8 @@
 	// StoredSecret has the hosts know one another by a secret in the store, and not by
 	// PeerKey.
 	StoredSecret bool
+	// Suspendable gives each host clocks of its own, which a test may suspend.
+	Suspendable bool
 	// MetricsTaken has the address of the figures be taken already.
 	MetricsTaken bool
 }
@@ -87,6 +91,8 @@
 	cut atomic.Bool
 	// refused has the store refuse them by its rate.
 	refused atomic.Bool
+	// Clock are the host's clocks with Suspendable.
+	Clock *clocktest.Source
 }
 
 // RefuseStore has the store refuse the host's calls by its rate, or serve them again.
@@ -225,8 +231,13 @@
 	assert.NilError(sys.t, err)
 	set, err := settings.ParseEntry("test", data)
 	assert.NilError(sys.t, err)
+	var source clock.Source
+	if cfg.Suspendable {
+		one.Clock = clocktest.NewSource()
+		source = one.Clock
+	}
 	hos, err := entry.New(entry.Config{
-		Settings: set, Log: zerolog.New(sys.log).With().Timestamp().Logger(),
+		Clock: source, Settings: set, Log: zerolog.New(sys.log).With().Timestamp().Logger(),
 		Store: platform.NewClient(platform.ClientConfig{Address: set.StoreAddress}),
 	})
 	assert.NilError(sys.t, err)
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -44,6 +44,9 @@
 	if cfg.DialTimeout == 0 {
 		cfg.DialTimeout = defaultDialTimeout
 	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
 	return &Client{cfg: cfg, idle: make(map[Endpoint][]*connection), busy: make(map[*connection]struct{})}
 }
 
@@ -55,7 +58,7 @@
 // Retire closes the idle connections that have become old, and all to endpoints that
 // aren't to be kept.
 func (cli *Client) Retire(keep func(Endpoint) bool) {
-	now := time.Now()
+	now := cli.cfg.Now()
 	cli.mutex.Lock()
 	defer cli.mutex.Unlock()
 	for end, list := range cli.idle {
@@ -87,7 +90,7 @@
 		if con == nil {
 			return nil
 		}
-		if time.Now().Before(con.retire) && con.quiet() {
+		if cli.cfg.Now().Before(con.retire) && con.quiet() {
 			con.reused = true
 			return con
 		}
@@ -134,6 +137,10 @@
 			return nil, &NotSentError{Address: cal.Address, Cause: err}
 		}
 	}
+	if err := cal.check(); err != nil {
+		closeQuietly(con)
+		return nil, &NotSentError{Address: cal.Address, Cause: err}
+	}
 	cli.setBusy(con, true)
 	exc := &exchange{client: cli, connection: con, written: make(chan error, 1)}
 	exc.stop = context.AfterFunc(ctx, exc.abort)
@@ -188,6 +195,14 @@
 		errors.Is(err, syscall.EPIPE) || errors.As(err, &later)
 }
 
+// check returns why the call may not be made any more; nil while it may.
+func (cal Call) check() error {
+	if cal.Check == nil {
+		return nil
+	}
+	return cal.Check()
+}
+
 func (cli *Client) setBusy(con *connection, busy bool) {
 	cli.mutex.Lock()
 	defer cli.mutex.Unlock()
@@ -336,7 +351,7 @@
 	if ans.Head.IdleLimit > 0 {
 		limit = ans.Head.IdleLimit - idleMargin
 	}
-	exc.connection.retire = time.Now().Add(limit)
+	exc.connection.retire = exc.client.cfg.Now().Add(limit)
 	if limit <= 0 || exc.connection.reader.Buffered() > 0 {
 		closeQuietly(exc.connection)
 		return
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -29,6 +29,8 @@
 	DialTimeout time.Duration
 	// Decode reads an answer's head.
 	Decode func(status int, header http.Header) call.AnswerHead
+	// Now tells the time that idle connections count by; nil stands for time.Now.
+	Now func() time.Time
 	// Dialed is called for each new connection; nil for nobody.
 	Dialed func()
 }
@@ -71,6 +73,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Check is asked right before anything is written, since what allowed the call may have
+	// lapsed while a connection was made; nil for nobody. What it returns ends the call.
+	Check func() error
 }
 
 // NotSentError reports a call of which nothing left this host.
