fix: a host that was suspended acts on nothing that has lapsed

Cause: the steady clock stands still while a host is suspended, and with it all ages, deadlines and timers: a key taken away in the meantime opened. Change: the one clock counts suspensions. Left as they were: measurements of how long answers took, the ages in the secret between hosts and the starts of engines, which go by the time of day.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -102,8 +102,11 @@
 func (clk *Clock) Now() time.Time {
 	steady, day := clk.cfg.Source.Now()
 	steady -= clk.steady
-	_ = day
-	return clk.base.Add(steady)
+	parted := int64(day.Round(0).Sub(clk.base) - steady)
+	if moved := time.Duration(parted - clk.parted.Load()); moved > drift || moved < -drift {
+		clk.look(parted)
+	}
+	return clk.base.Add(steady + time.Duration(clk.suspended.Load()))
 }
 
 // known returns the time by what is known of suspensions, without looking for another.
--- a/entry/suspension_test.go
+++ b/entry/suspension_test.go
@@ -69,6 +69,21 @@
 	assert.Assert(t, time.Since(started) < 3*time.Second, "it waits on after its deadline")
 }
 
+// A host that was suspended for longer than its sessions last trusts none of them: whoever
+// decided for others asks, and its gateways are given anew.
+func TestSessionsEndWithASuspension(t *testing.T) {
+	sys := suspendable(t, 3, twoOfEach())
+	for _, hos := range sys.Hosts {
+		before := strings.Count(sys.Log(), "session lost")
+		hos.Clock.Suspend(6 * time.Second)
+		sys.Until("its sessions end", func() bool { return strings.Count(sys.Log(), "session lost") > before })
+		sys.UntilReady()
+		id := "after-" + hos.Settings.Name
+		ans := sys.Send(t.Context(), hos, entrytest.Request{ID: id, Path: "/unsafe/x"})
+		assert.Equal(t, ans.Status, http.StatusOK, ans.Body)
+	}
+}
+
 // What a host that was suspended knows of the store is as old as that for those that read
 // through it.
 func TestSuspendedHostPassesNothingOnAsNew(t *testing.T) {
@@ -84,3 +99,25 @@
 		assert.Equal(t, ans.Status, http.StatusServiceUnavailable, ans.Body)
 	}
 }
+
+// A hold counts the time that its host was suspended, and outlasts it.
+func TestHoldEndsByTheClockThatCountsSuspensions(t *testing.T) {
+	sys := entrytest.Start(t, entrytest.Config{Hosts: 1, Suspendable: true})
+	cra := sys.AddCrashing(entrytest.CrashConfig{Engines: 6, Events: events, After: 10 * time.Millisecond, Lapse: 50 * time.Millisecond, Back: 150 * time.Millisecond})
+	sys.Configure(entrytest.Configuration{Version: 1})
+	sys.UntilReady()
+	sys.UntilEngines(6)
+	untilHeld(t, sys, cra)
+	hos := sys.Hosts[0]
+	hos.Clock.Suspend(30 * time.Minute)
+	sys.UntilReady()
+	assert.Assert(t, strings.Contains(sendCrashing(t, sys, hos, "half").Body, `"Held"`))
+	hos.Clock.Suspend(31 * time.Minute)
+	sys.UntilReady()
+	arrived := len(cra.Arrivals())
+	cra.UntilUp(cra.Count())
+	sys.Until("it is let out", func() bool {
+		sendCrashing(t, sys, hos, fmt.Sprint("out-", time.Now().UnixNano()))
+		return len(cra.Arrivals()) > arrived
+	})
+}
--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -123,7 +123,7 @@
 // chooseApart returns an engine for a request that may end it, where nothing is lost with
 // it that needn't be. Where there is none, one gets nothing more until it is free.
 func (cor *Core) chooseApart(now time.Time, svc *service, wai *waiter, han handling) candidate {
-	open := svc.openTo(now, cor, wai)
+	open := svc.openTo(now, wai)
 	if len(open) < minToSetApart {
 		return cor.choose(now, svc, wai)
 	}
@@ -172,7 +172,7 @@
 
 // openTo returns the engines at which a request may run alone: no others' trials, none
 // that it was at before, and none that is taken to have ended.
-func (svc *service) openTo(now time.Time, cor *Core, wai *waiter) []*engine {
+func (svc *service) openTo(now time.Time, wai *waiter) []*engine {
 	acc := svc.access(now, wai.reserve)
 	acc.trial = nil
 	aside := svc.asideAllowed(now)
--- a/scheduler/quarantine_test.go
+++ b/scheduler/quarantine_test.go
@@ -31,8 +31,13 @@
 			varied   bool
 			chance   float64
 		}{
-			{"calm", 0, false, 0}, {"chance", 0, false, 1.0 / 60}, {"storm", 0, false, 1.0 / 10},
-			{"one", 1, false, 0}, {"one-chance", 1, false, 1.0 / 60}, {"five", 5, false, 0}, {"varied", 1, true, 0},
+			{"calm", 0, false, 0},
+			{"chance", 0, false, 1.0 / 60},
+			{"storm", 0, false, 1.0 / 10},
+			{"one", 1, false, 0},
+			{"one-chance", 1, false, 1.0 / 60},
+			{"five", 5, false, 0},
+			{"varied", 1, true, 0},
 		} {
 			for _, way := range crashWays {
 				b.Run(fmt.Sprintf("%d/%s/%s", size, kind.name, way.name), func(b *testing.B) {
