test: the soak has a caller whose request ends engines; perf: clearances spread only where the case did

Cause: each acquittal was told to all gateways, also of requests that only the deciding hosts knew of, and each gateway told it back.

--- a/cmd/standincmd.go
+++ b/cmd/standincmd.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -49,6 +50,7 @@
 	com.upstream.String(&com.opts.upCfg.Service, "", "service", "the service that it belongs to")
 	com.upstream.Int(&com.opts.upCfg.Slots, "", "slots", "requests that run at once; 0 is no bound")
 	com.upstream.Int(&com.opts.upCfg.Events, "", "events", "length of a stream; 0 answers whole")
+	com.upstream.String(&com.opts.upCfg.CrashBody, "", "crash-body", "text in a request's body that ends the process, as some requests end an engine")
 	com.upstream.Duration(&com.opts.upCfg.Reading, "", "reading", "time to read one token of a prompt")
 	com.upstream.Duration(&com.opts.upCfg.Step, "", "step", "time between two events")
 	for _, sub := range []*flaggy.Subcommand{com.platform, com.engine, com.backend, com.upstream} {
@@ -87,6 +89,7 @@
 	case com.backend.Used:
 		return serveStandin(ctx, str, com.opts.listen, backendtest.New(com.opts.backCfg).Handler())
 	case com.upstream.Used:
+		com.opts.upCfg.Crash = func() { os.Exit(exitFailure) }
 		return serveStandin(ctx, str, com.opts.listen, upstreamtest.NewEngine(com.opts.upCfg).Handler())
 	default:
 		return &usageError{flag: "standin", reason: "want platform, engine, backend or upstream"}
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -138,14 +138,14 @@
 
 func (des *desk) passChange(cha quarantine.Change) {
 	msg := reservation.CaseReport{Report: cha.Report}
-	if cha.Kind != quarantine.KindWatched && cha.Kind != quarantine.KindForgotten {
+	if cha.Spreads() {
 		for _, inb := range des.inbound {
 			if inb.appointed {
 				inb.send(msg)
 			}
 		}
 	}
-	if !cha.Report.Cleared {
+	if !cha.Report.Cleared || cha.Heard {
 		return
 	}
 	for epo := range des.links {
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -122,6 +122,13 @@
 	return true
 }
 
+// clearHeard clears a case on another host's word.
+func (reg *Registry) clearHeard(now time.Time, dig call.Digest, why Kind) {
+	if reg.clear(now, dig, why) {
+		reg.changes[len(reg.changes)-1].Heard = true
+	}
+}
+
 // Lives notes that an engine that was taken to have ended has answered since: what looked
 // like its end was that of its connections.
 func (reg *Registry) Lives(now time.Time, engine string) {
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -42,6 +42,23 @@
 	Case Case
 	// Report is what other hosts are told.
 	Report Report
+	// Heard says that another host told of it.
+	Heard bool
+}
+
+// Spreads reports whether hosts that don't decide have to know: those are told of requests
+// from their second end on.
+func (cha Change) Spreads() bool {
+	switch cha.Kind {
+	case KindSuspected, KindHeld:
+		return true
+	case KindAcquitted, KindFreed:
+		return cha.Case.Held || len(cha.Case.Ends) > 1
+	case KindWatched, KindForgotten:
+		return false
+	default:
+		return false
+	}
 }
 
 // Report is what hosts tell one another of a case. Times are told as how much is left, as
@@ -120,7 +137,7 @@
 		return
 	}
 	if rep.Cleared {
-		reg.clear(now, rep.Digest, KindAcquitted)
+		reg.clearHeard(now, rep.Digest, KindAcquitted)
 		return
 	}
 	if at, cleared := reg.cleared[rep.Digest]; cleared && now.Sub(at) <= clearedFor {
--- a/quarantine/store.go
+++ b/quarantine/store.go
@@ -34,7 +34,7 @@
 	}
 	for dig := range former {
 		if _, still := reg.stored[dig]; !still {
-			reg.clear(now, dig, KindFreed)
+			reg.clearHeard(now, dig, KindFreed)
 		}
 	}
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -89,7 +89,13 @@
 func (sys *system) check(sent []sending) {
 	sys.t.Helper()
 	runs := make(map[string][]upstreamtest.Run)
+	ended := 0
 	for _, eng := range sys.engines {
+		if eng.hasEnded() {
+			// What it ran is lost with it.
+			ended++
+			continue
+		}
 		for _, run := range sys.runs(eng) {
 			runs[run.ID] = append(runs[run.ID], run)
 			if !eng.leftAt.IsZero() && run.At.After(eng.leftAt.Add(leaveBound)) {
@@ -108,6 +114,10 @@
 			served++
 		}
 	}
+	sys.t.Logf("%d engines ended under one caller's request", ended)
+	if ended > maxEnded {
+		sys.t.Errorf("one caller's request ended %d engines", ended)
+	}
 	for id := range runs {
 		assert.Check(sys.t, known[id], "an engine ran %s, which nobody sent", id)
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -88,6 +88,9 @@
 
 func (sys *system) engineTrouble() {
 	eng := sys.engines[sys.random.IntN(len(sys.engines))]
+	if eng.hasEnded() {
+		return
+	}
 	trb := upstreamtest.Trouble(1 + sys.random.IntN(int(upstreamtest.Early)-1))
 	sys.post(eng.address, upstreamtest.PathTrouble, upstreamtest.Switch{Trouble: trb, Times: 1 + sys.random.IntN(4)})
 }
@@ -95,7 +98,7 @@
 // engineLeaves has an engine drain, or go without a word, and another one come.
 func (sys *system) engineLeaves() {
 	eng := sys.engines[sys.random.IntN(len(sys.engines))]
-	if !eng.leftAt.IsZero() {
+	if !eng.leftAt.IsZero() || eng.hasEnded() {
 		return
 	}
 	if sys.random.IntN(2) == 0 {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -92,6 +92,19 @@
 	address netip.AddrPort
 	// leftAt is when its entry was taken away or began to drain; zero before.
 	leftAt time.Time
+	// ended is closed when its process has ended, replaced says that another is in its place.
+	ended    chan struct{}
+	replaced bool
+}
+
+// hasEnded reports whether the engine's process has ended.
+func (eng *engine) hasEnded() bool {
+	select {
+	case <-eng.ended:
+		return true
+	default:
+		return false
+	}
 }
 
 // Play plays a seed and checks the promises.
@@ -103,13 +116,17 @@
 	sys := start(t, cfg)
 	ctx, cancel := context.WithCancel(t.Context())
 	sent := sys.visit(ctx, cfg.Seed)
+	culprit := sys.endEngines(ctx, cfg.Seed)
 	for range steps {
 		sys.fault()
+		sys.replaceEnded()
 		sys.wait(time.Duration(float64(stepMean) * sys.random.ExpFloat64()))
 	}
 	sys.heal()
 	sys.wait(settleTime)
 	cancel()
+	<-culprit
+	sys.replaceEnded()
 	results := <-sent
 	sys.check(results)
 	sys.serves(cfg.Seed)
@@ -156,10 +173,14 @@
 	sys.t.Helper()
 	args := []string{"upstream", "--id", id, "--service", service}
 	if service == entrytest.Model {
-		args = append(args, "--events", fmt.Sprint(events), "--step", "20ms")
+		args = append(args, "--events", fmt.Sprint(events), "--step", "20ms", "--crash-body", entrytest.CrashBody)
 	}
-	_, adr := processtest.Standin(sys.t, sys.dir, "engine-"+id, args...)
-	eng := &engine{id: id, service: service, address: adr}
+	pro, adr := processtest.Standin(sys.t, sys.dir, "engine-"+id, args...)
+	eng := &engine{id: id, service: service, address: adr, ended: make(chan struct{})}
+	go func() {
+		pro.Wait()
+		close(eng.ended)
+	}()
 	sys.engines = append(sys.engines, eng)
 	sys.enter(eng, false)
 }
--- a/upstreamtest/engine.go
+++ b/upstreamtest/engine.go
@@ -78,6 +78,10 @@
 	SlowEvery int
 	// Sound is how many answers are sound before.
 	Sound int
+	// CrashBody ends the engine when it runs a request whose body holds it; empty for none.
+	// Crash is called then, and ends it.
+	CrashBody string
+	Crash     func()
 }
 
 // Run is a request that the engine ran.
@@ -197,6 +201,10 @@
 			return
 		}
 		eng.run(req, string(body))
+		if eng.cfg.CrashBody != "" && strings.Contains(string(body), eng.cfg.CrashBody) {
+			eng.cfg.Crash()
+			panic(http.ErrAbortHandler)
+		}
 		eng.answer(wri, req, trb)
 	})
 }
