--- a/call/digest_test.go
+++ b/call/digest_test.go
@@ -44,14 +44,14 @@
 func TestDigestsOfDifferentFieldsDiffer(t *testing.T) {
 	text := rapid.StringMatching(`[a-c]{0,3}`)
 	rapid.Check(t, func(t *rapid.T) {
-		make1 := func(label string) (call.Request, string) {
+		draw := func(label string) (call.Request, string) {
 			return call.Request{
 				Method: text.Draw(t, label+"method"), Host: text.Draw(t, label+"host"), Target: text.Draw(t, label+"target"),
 				Body: []byte(text.Draw(t, label+"body")),
 			}, text.Draw(t, label+"account")
 		}
-		one, accountOne := make1("one")
-		two, accountTwo := make1("two")
+		one, accountOne := draw("one")
+		two, accountTwo := draw("two")
 		same := accountOne == accountTwo && one.Method == two.Method && one.Host == two.Host && one.Target == two.Target && bytes.Equal(one.Body, two.Body)
 		assert.Equal(t, one.Digest(accountOne) == two.Digest(accountTwo), same)
 	})
--- a/scheduler/crash_sim_test.go
+++ b/scheduler/crash_sim_test.go
@@ -1,10 +1,13 @@
 package scheduler_test
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"lynxwell.dev/lynxwell/call"
@@ -22,7 +25,9 @@
 	des    *desk
 	random *rand.Rand
 	queue  crashQueue
+	// number and sent count the engines and the requests.
 	number int
+	sent   int
 	// engines are those that run, byRun what each runs.
 	engines map[string]*crashEngine
 	entries map[string]fleet.Engine
@@ -180,18 +185,9 @@
 }
 
 func (eng *crashEngine) sorted() []*crashRun {
-	var all []*crashRun
-	for _, run := range eng.runs {
-		all = append(all, run)
-	}
-	for i := range all {
-		for j := i + 1; j < len(all); j++ {
-			if all[j].reserve.ID.Unique < all[i].reserve.ID.Unique {
-				all[i], all[j] = all[j], all[i]
-			}
-		}
-	}
-	return all
+	return slices.SortedFunc(maps.Values(eng.runs), func(one, two *crashRun) int {
+		return cmp.Compare(one.reserve.ID.Unique, two.reserve.ID.Unique)
+	})
 }
 
 // loseRun has the host repeat what an end took, or its caller come back some day.
@@ -214,17 +210,16 @@
 // again has a caller send its request once more, under another id.
 func (pla *crashPlay) again(run *crashRun) {
 	again := *run
-	pla.number2(&again.reserve)
+	pla.name(&again.reserve)
 	again.reserve.Attempt, again.reserve.Exclude = 0, nil
 	again.tries++
 	pla.ask(&again)
 }
 
-var crashIDs int
-
-func (pla *crashPlay) number2(res *reservation.Reserve) {
-	crashIDs++
-	res.ID = id(fmt.Sprintf("c%09d", crashIDs))
+// name gives a request an id of its own.
+func (pla *crashPlay) name(res *reservation.Reserve) {
+	pla.sent++
+	res.ID = id(fmt.Sprintf("c%09d", pla.sent))
 }
 
 func (pla *crashPlay) digest() call.Digest {
@@ -238,7 +233,7 @@
 // send sends a request; the accounts have unequal shares of the work.
 func (pla *crashPlay) send(culprit bool, account string, dig call.Digest) {
 	res := prompt("", 300+pla.random.IntN(600))
-	pla.number2(&res)
+	pla.name(&res)
 	res.Account, res.Digest, res.Route = account, dig, "stream"
 	res.Repeatable = !culprit && pla.random.Float64() < crashResumable
 	if res.Repeatable {
