test: a host that alone lost the store keeps engines that left, failing

Traced in its logs: the others told it of the removal at 35.1; each failed call to the store renewed the time for which what is missing is kept.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -484,3 +484,19 @@
 // stopWithin is what the end of a host may take: what a planned stop leaves of the
 // grace for it.
 const stopWithin = 400 * time.Millisecond
+
+// Seen: an engine that had left got requests for 8.8 s, all by one host.
+// Came about so: only that host's way to the store was silent, for 5 s. Others told it of the
+// entry that was gone; it kept the engine in mind all the while, and two seconds longer.
+// Cause: what goes missing in an outage is kept until the outage is over for the host itself,
+// since entries lapse then although their engines live. They don't while the store serves
+// the others.
+// Proof: this test, in which the engine was kept until the end.
+func TestHostThatAloneLostTheStoreDropsEnginesThatLeft(t *testing.T) {
+	sys := start(t, 3, twoOfEach())
+	sys.Hosts[0].CutStore(true)
+	sys.Until("the store is lost", func() bool { return strings.Contains(sys.Log(), "store lost") })
+	sys.Remove("p1")
+	sys.UntilEngines(3)
+	assert.Assert(t, !strings.Contains(sys.Log(), "store regained"))
+}
