feat: logs and figures tell what engines say of themselves in their answers

The line of a decision tells how many engines of the service are set aside, and whether they are used all the same. Nothing is decided by it yet.

--- a/call/call.go
+++ b/call/call.go
@@ -71,4 +71,8 @@
 	Slots   int
 	// IdleLimit is how long the connection may be idle; 0 where it isn't told.
 	IdleLimit time.Duration
+	// Draining says that the engine leaves.
+	Draining bool
+	// Backoff is for how long the engine wants nothing more from this host; 0 for no wish.
+	Backoff time.Duration
 }
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -191,7 +191,7 @@
 		evt = evt.Str("Request", msg.ID.Unique).Stringer("Reason", msg.Reason).Dur("RetryAfter", msg.RetryAfter)
 	}
 	inp := snd.Inputs
-	evt.Stringer("Gateway", snd.To).Dur("Waited", inp.Waited).Int("Waiting", inp.Waiting).Int("Engines", inp.Engines).
+	evt.Stringer("Gateway", snd.To).Dur("Waited", inp.Waited).Int("Waiting", inp.Waiting).Int("Engines", inp.Engines).Int("Aside", inp.Aside).Bool("AsideUsed", inp.AsideUsed).
 		Int("Running", inp.Running).Dur("Unread", inp.Unread).Dur("Expected", inp.Expected).Msg("decision")
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -73,6 +73,7 @@
 	// clock tells by what time rights last and lapse.
 	clock    *clock.Clock
 	upstream *upstream.Client
+	notices  *notices
 	peers    *peer.Client
 	tasks    *task.Group
 	servers  []*http.Server
@@ -173,8 +174,9 @@
 	hos.confirmed.Store(neverConfirmed)
 	hos.secrets = newSecrets(hos)
 	hos.tasks = task.NewGroup(hos.log)
+	hos.notices = newNotices(hos)
 	hos.upstream = upstream.NewClient(upstream.ClientConfig{
-		Decode: platform.DecodeAnswer, Now: hos.clock.Now,
+		Decode: platform.DecodeAnswer, Now: hos.clock.Now, Heard: hos.notices.take,
 		Dialed: func() { hos.figures.dialed.Inc(1) },
 	})
 	hos.peers = peer.NewClient(peer.ClientConfig{Security: hos.security(), Timing: peerTiming, Self: hos.Header})
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -120,8 +120,11 @@
 	Running  int
 	Unread   time.Duration
 	Expected time.Duration
-	// Engines is how many the service has.
-	Engines int
+	// Engines is how many the service has, Aside how many of them are left out for their
+	// health; AsideUsed says that these are too many, so that they are used all the same.
+	Engines   int
+	Aside     int
+	AsideUsed bool
 }
 
 // The figures of the policy. Those from trials are named in
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -47,6 +47,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Heard == nil {
+		cfg.Heard = func(Endpoint, call.AnswerHead) {}
+	}
 	return &Client{cfg: cfg, idle: make(map[Endpoint][]*connection), busy: make(map[*connection]struct{})}
 }
 
@@ -289,6 +292,7 @@
 			continue
 		}
 		head := exc.client.cfg.Decode(rep.StatusCode, rep.Header)
+		exc.client.cfg.Heard(cal.Endpoint, head)
 		if head.ID == "" && rep.StatusCode < http.StatusBadRequest {
 			return nil, &StrayError{}
 		}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -33,6 +33,9 @@
 	Now func() time.Time
 	// Dialed is called for each new connection; nil for nobody.
 	Dialed func()
+	// Heard is called with the head of each answer of an engine, also of one that belongs
+	// to another request, before anything of it is passed on; nil for nobody.
+	Heard func(Endpoint, call.AnswerHead)
 }
 
 const (
--- a/upstreamtest/engine.go
+++ b/upstreamtest/engine.go
@@ -97,6 +97,12 @@
 	Body      string
 }
 
+// Arrival is a request that reached the engine, whether it ran or not.
+type Arrival struct {
+	ID string
+	At time.Time
+}
+
 // Engine is the stand-in.
 type Engine struct {
 	cfg      Config
@@ -108,6 +114,11 @@
 	left int
 	// onTaken is called once, at the next request.
 	onTaken func()
+	// leaves has every answer say that the engine leaves; over 0, pause has it turn all
+	// requests away and ask for so long a pause.
+	leaves   bool
+	pause    time.Duration
+	arrivals []Arrival
 }
 
 // NewEngine returns a sound engine.
@@ -155,6 +166,36 @@
 	eng.onTaken = call
 }
 
+// Leave has the engine say in all its answers that it leaves; it serves on.
+func (eng *Engine) Leave() {
+	eng.mutex.Lock()
+	defer eng.mutex.Unlock()
+	eng.leaves = true
+}
+
+// Pause has the engine turn all requests away and ask for so long a pause each time; 0 has
+// it serve again.
+func (eng *Engine) Pause(dur time.Duration) {
+	eng.mutex.Lock()
+	defer eng.mutex.Unlock()
+	eng.pause = dur
+}
+
+// Arrivals returns all requests that reached the engine, in order.
+func (eng *Engine) Arrivals() []Arrival {
+	eng.mutex.Lock()
+	defer eng.mutex.Unlock()
+	return append([]Arrival(nil), eng.arrivals...)
+}
+
+// arrive notes a request, and returns what the engine says of itself.
+func (eng *Engine) arrive(id string) (leaves bool, pause time.Duration) {
+	eng.mutex.Lock()
+	defer eng.mutex.Unlock()
+	eng.arrivals = append(eng.arrivals, Arrival{ID: id, At: time.Now()})
+	return eng.leaves, eng.pause
+}
+
 // Runs returns what the engine ran, in order.
 func (eng *Engine) Runs() []Run {
 	eng.mutex.Lock()
@@ -180,6 +221,17 @@
 			wri.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		leaves, pause := eng.arrive(req.Header.Get("Request-Id"))
+		if leaves {
+			wri.Header().Set("Server-Leaving", "1")
+		}
+		if pause > 0 {
+			wri.Header().Set("Request-Id", req.Header.Get("Request-Id"))
+			wri.Header().Set("Not-Executed", "1")
+			wri.Header().Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', -1, 64))
+			wri.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		trb, room, taken := eng.enter()
 		if taken != nil {
 			taken()
