fix: what an engine says in its answers is kept to by each host that hears it

Cause: the store's entry was all that a host went by for who leaves, and a guess by failures for who is busy; what an engine says of itself in its own answers was dropped. So it reached nobody while the store was away, and a pause that was asked for was given up where the guess would have left too few engines. Ruled out: a request that was sent late (answered within 6 ms of its grant), and a host that knew while another decided (no line tells of a grant passed over). The lifting of engines set aside is how the second came about (21 of 23 requests), not its cause. Change: both words are taken at an answer's head, by the run that spoke; each host keeps to them by itself, after a grant and again right before sending, and tells those who decide, now or next. They grant a leaving engine to nobody, one that asked for a pause not to the host that it asked, nor for up to four seconds to the others; then one request tries first. A grant that can't be used goes back with its reason, and takes neither place in the line nor budget. Where all engines that are left pause or leave, callers hear so at once, with when to come back. Nothing of it counts against an engine's health or a version.

--- a/call/call.go
+++ b/call/call.go
@@ -71,8 +71,14 @@
 	Slots   int
 	// IdleLimit is how long the connection may be idle; 0 where it isn't told.
 	IdleLimit time.Duration
+	// Misdirected says that the request was meant for another engine than the one that
+	// answers, and Instance names that one; empty where it doesn't say.
+	Misdirected bool
+	Instance    string
 	// Draining says that the engine leaves.
 	Draining bool
 	// Backoff is for how long the engine wants nothing more from this host; 0 for no wish.
-	Backoff time.Duration
+	// UnreadBackoff is the beginning of such a wish that can't be taken as it stands.
+	Backoff       time.Duration
+	UnreadBackoff string
 }
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -52,6 +52,7 @@
 	causeNoEngine   cause = "NoEngine"
 	causeEngineGone cause = "EngineGone"
 	causeEngineFull cause = "EngineTurnedAway"
+	causeBarred     cause = "EnginesPaused"
 	causeEngineLost cause = "EngineLost"
 	causeNotReached cause = "EngineNotReached"
 	causeBadAnswer  cause = "BadAnswer"
@@ -68,6 +69,8 @@
 	// retryAfter is when to come back; 0 tells nothing.
 	retryAfter time.Duration
 	detail     string
+	// sentBack says that a grant was sent back, after which another one may be had.
+	sentBack bool
 }
 
 // exchange is one request on its way through this host.
@@ -91,8 +94,12 @@
 	digest call.Digest
 
 	// What the attempts have come to so far.
-	attempts   int
-	exclude    []string
+	attempts int
+	exclude  []string
+	// again says that the last grant wasn't used.
+	again bool
+	// sentBack counts the grants that couldn't be used, since their engines wanted nothing.
+	sentBack   int
 	mayHaveRun bool
 	headSent   bool
 	lastEvent  int64
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -47,7 +47,7 @@
 		return endingNone
 	}
 	known, found := exc.host.belief.Load().engine(eng.ID)
-	if !found || known.Draining {
+	if !found || known.Draining || exc.host.notices.bar(eng.ID).Bar == fleet.BarDraining {
 		return endingNone
 	}
 	if known.ID.Follows(eng.ID) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -419,6 +419,7 @@
 		select {
 		case <-tick.C:
 			hos.upstream.Retire(hos.engineRuns())
+			hos.notices.forget(hos.belief.Load())
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -136,6 +136,7 @@
 	des.links[lin.member.Epoch] = lin
 	delete(des.unreached, lin.member.Epoch)
 	des.tellCases(lin.member.Epoch)
+	des.tellNotices(lin.member)
 	des.elect()
 	des.tellLeader()
 }
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -92,6 +92,8 @@
 		env.Message = &peerpb.Envelope_EngineEnded{EngineEnded: endedToWire(msg)}
 	case reservation.CaseReport:
 		env.Message = &peerpb.Envelope_CaseReport{CaseReport: reportToWire(msg.Report)}
+	case reservation.EngineNotice:
+		env.Message = &peerpb.Envelope_EngineNotice{EngineNotice: noticeToWire(msg)}
 	case reservation.Progress:
 		env.Message = &peerpb.Envelope_Progress{Progress: &peerpb.Progress{
 			Id: idToWire(msg.ID), FirstTokenUs: msg.FirstToken.Microseconds(),
@@ -127,7 +129,7 @@
 		Domain: msg.Domain, AimUs: msg.Aim.Microseconds(), AgeUs: msg.Age.Microseconds(), Route: msg.Route, Repeatable: msg.Repeatable,
 		Cost: msg.Cost, Attempt: uint32(msg.Attempt),
 		Exclude: msg.Exclude, Parts: partsToWire(msg.Parts),
-		Urgency: uint32(msg.Urgency), AnswerTokens: uint32(msg.AnswerTokens), Digest: msg.Digest[:],
+		Urgency: uint32(msg.Urgency), AnswerTokens: uint32(msg.AnswerTokens), Digest: msg.Digest[:], Again: msg.Again,
 	}
 }
 
@@ -153,7 +155,7 @@
 		Dispatched: msg.Dispatched, Failed: msg.Failed,
 		PrefillTokens: uint32(msg.PrefillTokens), DecodeTokens: uint32(msg.DecodeTokens),
 		FirstTokenUs: msg.FirstToken.Microseconds(), TotalUs: msg.Total.Microseconds(),
-		Rejected: msg.Rejected, Answered: msg.Answered,
+		Rejected: msg.Rejected, Answered: msg.Answered, BackedOff: msg.BackedOff,
 	}
 }
 
@@ -209,6 +211,8 @@
 		return reservation.Evicted{ID: idFromWire(wms.Evicted.GetId()), Done: wms.Evicted.GetDone(), FloorRank: int(wms.Evicted.GetFloorRank())}
 	case *peerpb.Envelope_EngineEnded:
 		return endedFromWire(wms.EngineEnded)
+	case *peerpb.Envelope_EngineNotice:
+		return noticeFromWire(wms.EngineNotice)
 	case *peerpb.Envelope_CaseReport:
 		return reservation.CaseReport{Report: reportFromWire(wms.CaseReport)}
 	default:
@@ -234,7 +238,7 @@
 		Domain: wre.GetDomain(), Aim: fromMicros(wre.GetAimUs()), Age: fromMicros(wre.GetAgeUs()), Route: wre.GetRoute(), Repeatable: wre.GetRepeatable(),
 		Cost: wre.GetCost(), Attempt: int(wre.GetAttempt()),
 		Exclude: wre.GetExclude(), Parts: partsFromWire(wre.GetParts()),
-		Urgency: int(wre.GetUrgency()), AnswerTokens: int(wre.GetAnswerTokens()), Digest: digestFromWire(wre.GetDigest()),
+		Urgency: int(wre.GetUrgency()), AnswerTokens: int(wre.GetAnswerTokens()), Digest: digestFromWire(wre.GetDigest()), Again: wre.GetAgain(),
 	}
 }
 
@@ -251,7 +255,7 @@
 		Dispatched: wre.GetDispatched(), Failed: wre.GetFailed(),
 		PrefillTokens: int(wre.GetPrefillTokens()), DecodeTokens: int(wre.GetDecodeTokens()),
 		FirstToken: fromMicros(wre.GetFirstTokenUs()), Total: fromMicros(wre.GetTotalUs()),
-		Rejected: wre.GetRejected(), Answered: wre.GetAnswered(),
+		Rejected: wre.GetRejected(), Answered: wre.GetAnswered(), BackedOff: wre.GetBackedOff(),
 	}
 }
 
--- a/peer/convertcase.go
+++ b/peer/convertcase.go
@@ -2,6 +2,7 @@
 
 import (
 	"lynxwell.dev/lynxwell/call"
+	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/peer/peerpb"
 	"lynxwell.dev/lynxwell/quarantine"
 	"lynxwell.dev/lynxwell/reservation"
@@ -25,6 +26,19 @@
 	return quarantine.Subject{Digest: digestFromWire(wsu.GetDigest()), Service: wsu.GetService(), Account: wsu.GetAccount(), Route: wsu.GetRoute()}
 }
 
+func noticeToWire(msg reservation.EngineNotice) *peerpb.EngineNotice {
+	return &peerpb.EngineNotice{Engine: msg.Run.String(), Bar: uint32(msg.Bar), LeftUs: msg.Left.Microseconds()}
+}
+
+// noticeFromWire returns no bar for one that this program doesn't know.
+func noticeFromWire(wno *peerpb.EngineNotice) reservation.EngineNotice {
+	not := fleet.Notice{Run: fleet.ParseEngineID(wno.GetEngine()), Left: fromMicros(wno.GetLeftUs())}
+	if bar := wno.GetBar(); bar <= uint32(fleet.BarBackoff) {
+		not.Bar = fleet.Bar(bar)
+	}
+	return reservation.EngineNotice{Notice: not}
+}
+
 func endedToWire(msg reservation.EngineEnded) *peerpb.EngineEnded {
 	return &peerpb.EngineEnded{
 		Id: idToWire(msg.ID), Subject: subjectToWire(msg.Subject), Engine: msg.Engine, Uncertain: msg.Uncertain, Alone: msg.Alone, RanUs: msg.Ran.Microseconds(),
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -77,6 +77,9 @@
 	Parts []call.Part
 	// Digest is the same for the same request under another id; zero for none.
 	Digest call.Digest
+	// Again says that the request was granted before and not sent: it has its place in the
+	// line, and in the budget of repeats, already.
+	Again bool
 }
 
 // Subject returns the request as far as it matters whether it ends engines.
@@ -122,11 +125,13 @@
 	ReasonNoEngine
 	// ReasonHeld says that the request ends the engines that run it.
 	ReasonHeld
+	// ReasonBackoff says that all engines that are left have asked for a pause, or leave.
+	ReasonBackoff
 )
 
 // String returns the reason's name.
 func (rea Reason) String() string {
-	names := [...]string{"None", "Full", "Moved", "Expired", "Closed", "Fenced", "Forgotten", "NotGranter", "Overload", "Limit", "Budget", "NoEngine", "Held"}
+	names := [...]string{"None", "Full", "Moved", "Expired", "Closed", "Fenced", "Forgotten", "NotGranter", "Overload", "Limit", "Budget", "NoEngine", "Held", "Backoff"}
 	if int(rea) >= len(names) {
 		return "Invalid"
 	}
@@ -165,6 +170,9 @@
 	Failed bool
 	// Rejected is set when the engine turned the request away.
 	Rejected bool
+	// BackedOff is set when the engine asked for a pause in place of an answer, which tells
+	// nothing of its health.
+	BackedOff bool
 	// Answered is set when the engine gave its whole answer, a failure of its own too.
 	Answered bool
 	// PrefillTokens, FirstToken, DecodeTokens and Total measure the run.
--- a/scheduler/apart.go
+++ b/scheduler/apart.go
@@ -92,7 +92,7 @@
 	aside := svc.asideAllowed(now)
 	var open []*engine
 	for _, ene := range svc.engines {
-		barred := ene.Draining || (acc.restricted && !acc.allows(ene)) || slices.Contains(wai.reserve.Exclude, ene.name)
+		barred := ene.Draining || ene.barredFor(now, wai.gateway) || (acc.restricted && !acc.allows(ene)) || slices.Contains(wai.reserve.Exclude, ene.name)
 		if barred || ene.endedLately(now) || (aside && !ene.health.usable(now)) {
 			continue
 		}
@@ -173,5 +173,5 @@
 // goneAllowed reports whether engines that ended may be left out: not while all of a
 // service's would be, since one host may take a cut link for an engine's end.
 func (svc *service) goneAllowed(now time.Time) bool {
-	return slices.ContainsFunc(svc.engines, func(ene *engine) bool { return !ene.Draining && !ene.isGone(now) })
+	return slices.ContainsFunc(svc.engines, func(ene *engine) bool { return !ene.leaving() && !ene.isGone(now) })
 }
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -46,6 +46,8 @@
 	// ended says that it was told to have ended, at a time; its entry may outlast it.
 	ended   bool
 	endedAt time.Time
+	// said is what it has said of itself in answers; nil for nothing.
+	said *said
 }
 
 // run is a request that an engine was given.
--- /dev/null
+++ b/scheduler/notice.go
@@ -0,0 +1,233 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/reservation"
+)
+
+// What engines say of themselves in their answers reaches this core from the gateways that
+// heard it. A gateway that was asked for a pause is never granted the engine meanwhile, also
+// where nothing else is left; an engine that leaves is granted to nobody. It is their own
+// word and no guess, so it isn't weighed against an engine's health or the size of a service.
+
+// PauseScope is who keeps away from an engine that has asked one gateway for a pause.
+type PauseScope uint8
+
+const (
+	// PauseAll has all gateways keep away, for a while, and one request find out whether
+	// the engine serves again.
+	PauseAll PauseScope = iota
+	// PauseAsked has the others go on as if nothing had been said.
+	PauseAsked
+)
+
+const (
+	// maxSharedPause bounds for how long those keep away that weren't asked: as long as
+	// from an engine that fails again and again. One gateway may have heard wrong.
+	maxSharedPause = maxAside
+	// backoffSpread is over what time those come back who were refused until a pause ends,
+	// so that they don't come in step: an engine of four slots and 60 ms takes some thirty
+	// in that.
+	backoffSpread = 500 * time.Millisecond
+)
+
+// said is what an engine has said of itself. Engines that have said nothing have none, so
+// that a calm day costs one comparison an engine.
+type said struct {
+	// leaves says that it leaves, or that another one answers at its address.
+	leaves bool
+	// asked is until when the gateways that it asked for a pause send it nothing, sharedUntil
+	// until when the others don't.
+	asked       map[request.Epoch]time.Time
+	sharedUntil time.Time
+	// at is when it last asked. Until an answer to a later run shows that it serves again it
+	// gets one request at a time, which probe is.
+	at       time.Time
+	unproved bool
+	probe    *run
+}
+
+// heard takes what an engine said to a gateway.
+func (cor *Core) heard(now time.Time, from request.Epoch, msg reservation.EngineNotice) {
+	ene := cor.engines[msg.Run]
+	if ene == nil || msg.Bar == fleet.BarNone {
+		return
+	}
+	if ene.said == nil {
+		ene.said = &said{asked: make(map[request.Epoch]time.Time)}
+		cor.service(ene.Service).said++
+	}
+	if msg.Bar != fleet.BarBackoff {
+		ene.said.leaves = true
+	} else {
+		ene.said.pause(now, from, msg.Left, cor.cfg.Pauses)
+	}
+	cor.serveEngine(now, ene)
+}
+
+func (sai *said) pause(now time.Time, from request.Epoch, left time.Duration, scope PauseScope) {
+	if until := now.Add(left); until.After(sai.asked[from]) {
+		sai.asked[from] = until
+	}
+	if scope == PauseAsked {
+		return
+	}
+	if until := now.Add(min(left, maxSharedPause)); until.After(sai.sharedUntil) {
+		sai.sharedUntil = until
+	}
+	sai.at, sai.unproved = now, true
+}
+
+// bars reports whether the engine may not be granted to a gateway now.
+func (sai *said) bars(now time.Time, gateway request.Epoch) bool {
+	return sai.leaves || now.Before(sai.sharedUntil) || now.Before(sai.asked[gateway]) || sai.unproved && sai.probe != nil
+}
+
+// opens returns when the engine may be granted to a gateway; false for never.
+func (sai *said) opens(gateway request.Epoch) (time.Time, bool) {
+	at := sai.asked[gateway]
+	if sai.sharedUntil.After(at) {
+		at = sai.sharedUntil
+	}
+	return at, !sai.leaves
+}
+
+// lapsed reports whether nothing of what was said holds any more.
+func (sai *said) lapsed(now time.Time) bool {
+	maps.DeleteFunc(sai.asked, func(_ request.Epoch, until time.Time) bool { return !now.Before(until) })
+	return !sai.leaves && !sai.unproved && len(sai.asked) == 0 && !now.Before(sai.sharedUntil)
+}
+
+// barredFor reports whether the engine said anything that keeps it from a gateway.
+func (ene *engine) barredFor(now time.Time, gateway request.Epoch) bool {
+	return ene.said != nil && ene.said.bars(now, gateway)
+}
+
+// leaving reports whether the engine leaves, by its entry or by its own word.
+func (ene *engine) leaving() bool {
+	return ene.Draining || ene.said != nil && ene.said.leaves
+}
+
+// silenced reports whether the engine is granted to nobody now.
+func (ene *engine) silenced(now time.Time) bool {
+	return ene.leaving() || ene.said != nil && (now.Before(ene.said.sharedUntil) || ene.said.unproved && ene.said.probe != nil)
+}
+
+// noteProbe has the run find out whether an engine serves again that asked for a pause.
+func (ene *engine) noteProbe(rnn *run) {
+	if ene.said != nil && ene.said.unproved {
+		ene.said.probe = rnn
+	}
+}
+
+// noteServes takes an answer to a run that the engine got after it last asked for a pause:
+// it serves again.
+func (ene *engine) noteServes(rnn *run) {
+	if ene.said != nil && rnn.given.After(ene.said.at) {
+		ene.said.unproved, ene.said.probe = false, nil
+	}
+}
+
+// endProbe lets the next one try where this run has ended, whatever it showed.
+func (ene *engine) endProbe(rnn *run) {
+	if ene.said != nil && ene.said.probe == rnn {
+		ene.said.probe = nil
+	}
+}
+
+// forgetSaid drops what engines of the service have said that holds no more.
+func (svc *service) forgetSaid(now time.Time) {
+	if svc.said == 0 {
+		return
+	}
+	svc.said = 0
+	for _, ene := range svc.engines {
+		if ene.said == nil {
+			continue
+		}
+		if ene.said.lapsed(now) {
+			ene.said = nil
+			continue
+		}
+		svc.said++
+	}
+}
+
+// line is what one look through those who wait has found of places.
+type line struct {
+	// full says that a usual request found no engine; fullFor the same of gateways that
+	// engines have asked for a pause, whose requests may find none where others do.
+	full    bool
+	fullFor map[request.Epoch]bool
+}
+
+// isFull reports whether a gateway's usual requests find no engine.
+func (lin *line) isFull(gateway request.Epoch) bool {
+	return lin.full || lin.fullFor[gateway]
+}
+
+// note takes that a usual request found no engine.
+func (lin *line) note(now time.Time, svc *service, gateway request.Epoch) {
+	if lin.isFull(gateway) {
+		return
+	}
+	if svc.said == 0 || !svc.hasAsked(now, gateway) {
+		lin.full = true
+		return
+	}
+	if lin.fullFor == nil {
+		lin.fullFor = make(map[request.Epoch]bool)
+	}
+	lin.fullFor[gateway] = true
+}
+
+// hasAsked reports whether an engine of the service has asked the gateway for a pause.
+func (svc *service) hasAsked(now time.Time, gateway request.Epoch) bool {
+	return slices.ContainsFunc(svc.engines, func(ene *engine) bool {
+		return ene.said != nil && now.Before(ene.said.asked[gateway])
+	})
+}
+
+// closedUntil returns until when no engine that is left may be granted to who waits, by what
+// the engines said alone: the zero time for as long as they last. It reports false while
+// there is one that said nothing against it.
+func (svc *service) closedUntil(wai *waiter) (time.Time, bool) {
+	var soonest time.Time
+	for _, ene := range svc.engines {
+		if ene.Draining || slices.Contains(wai.reserve.Exclude, ene.name) {
+			continue
+		}
+		if ene.said == nil {
+			return time.Time{}, false
+		}
+		opens, ever := ene.said.opens(wai.gateway)
+		if ever && (soonest.IsZero() || opens.Before(soonest)) {
+			soonest = opens
+		}
+	}
+	return soonest, true
+}
+
+// refuseClosed refuses a request at once that can't be granted before its time is up, since
+// all engines that are left leave or have asked for a pause, and reports whether it did.
+func (cor *Core) refuseClosed(now time.Time, svc *service, wai *waiter) bool {
+	if svc.said == 0 {
+		return false
+	}
+	until, closed := svc.closedUntil(wai)
+	if !closed || !until.IsZero() && !until.After(wai.until) {
+		return false
+	}
+	after := retryAfter(wai.reserve)
+	if !until.IsZero() {
+		after = until.Sub(now) + time.Duration(pointOf(wai.reserve.ID)*float64(backoffSpread))
+	}
+	cor.giveBack(wai.reserve.Account, cor.costOf(wai.reserve))
+	cor.send(wai.gateway, reservation.Refuse{ID: wai.reserve.ID, Ballot: wai.reserve.Ballot, Reason: reservation.ReasonBackoff, RetryAfter: after}, svc.inputs(now, wai.since))
+	return true
+}
--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -224,7 +224,7 @@
 	usual := make(map[quarantine.Source]int)
 	usualYoung := make(map[quarantine.Source]int)
 	for _, ene := range svc.engines {
-		if ene == ended || ene.Draining || ene.endedLately(now) {
+		if ene == ended || ene.leaving() || ene.endedLately(now) {
 			continue
 		}
 		others++
@@ -267,7 +267,7 @@
 	}
 	known := make([]quarantine.Engine, 0, len(cor.engines))
 	for _, ene := range cor.engines {
-		known = append(known, quarantine.Engine{Run: ene.name, Leaving: ene.Draining})
+		known = append(known, quarantine.Engine{Run: ene.name, Leaving: ene.leaving()})
 	}
 	for _, obs := range cor.quarantine.EnginesChanged(now, known) {
 		cor.noteEnd(now, obs)
@@ -351,6 +351,7 @@
 		}
 		delete(rnn.engine.running, id)
 		rnn.engine.end(now, rnn)
+		rnn.engine.endProbe(rnn)
 		cor.noteOver(now, rnn)
 		return true
 	})
--- a/scheduler/rollout.go
+++ b/scheduler/rollout.go
@@ -100,10 +100,10 @@
 	var fle rollout.Fleet
 	for _, ene := range svc.engines {
 		switch {
-		case svc.isNew(ene) && !ene.Draining:
+		case svc.isNew(ene) && !ene.leaving():
 			fle.NewSlots += ene.Slots
 		case !svc.isNew(ene):
-			if !ene.Draining {
+			if !ene.leaving() {
 				fle.FormerSlots += ene.Slots
 			}
 			fle.Running += len(ene.running)
@@ -143,7 +143,7 @@
 	acc.New = false
 	usual := svc.usualLoad()
 	for _, ene := range svc.engines {
-		if svc.isNew(ene) && !ene.Draining && len(ene.running) < usual && ene.hasRoom(now) {
+		if svc.isNew(ene) && !ene.silenced(now) && len(ene.running) < usual && ene.hasRoom(now) {
 			acc.trial = ene
 			break
 		}
@@ -167,7 +167,7 @@
 func (svc *service) usualLoad() int {
 	engines, running := 0, 0
 	for _, ene := range svc.engines {
-		if !svc.isNew(ene) && !ene.Draining {
+		if !svc.isNew(ene) && !ene.leaving() {
 			engines++
 			running += len(ene.running)
 		}
@@ -189,7 +189,7 @@
 // noteAnswered notes what came of a run for the service's roll-out.
 func (svc *service) noteAnswered(now time.Time, rnn *run, rel reservation.Release) {
 	// What becomes of a suspected request tells nothing of its engine's version.
-	if !svc.isRolling() || rnn.route == "" || !rel.Dispatched || rel.Rejected || rnn.alone || rnn.guarded || rnn.watched {
+	if !svc.isRolling() || rnn.route == "" || !rel.Dispatched || rel.Rejected || rel.BackedOff || rnn.alone || rnn.guarded || rnn.watched {
 		return
 	}
 	ans := rollout.Answer{
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -51,6 +51,8 @@
 	LimitOvershoot float64
 	// Rollouts bounds what versions get that aren't known to be good.
 	Rollouts rollout.Config
+	// Pauses says who keeps away from an engine that has asked for a pause.
+	Pauses PauseScope
 	// Quarantine says when requests are held back that end engines.
 	Quarantine quarantine.Config
 }
