--- a/scheduler/notice.go
+++ b/scheduler/notice.go
@@ -62,6 +62,7 @@
 		ene.said = &said{asked: make(map[request.Epoch]time.Time)}
 		cor.service(ene.Service).said++
 	}
+	cor.service(ene.Service).closings = closings{}
 	if msg.Bar != fleet.BarBackoff {
 		ene.said.leaves = true
 	} else {
@@ -152,13 +153,15 @@
 		}
 		if ene.said.lapsed(now) {
 			ene.said = nil
+			svc.closings = closings{}
 			continue
 		}
 		svc.said++
 	}
 }
 
-// line is what one look through those who wait has found of places.
+// line is what one look through those who wait has found of places. Thousands may wait, so
+// what holds for all requests of a gateway is found once.
 type line struct {
 	// full says that a usual request found no engine; fullFor the same of gateways that
 	// engines have asked for a pause, whose requests may find none where others do.
@@ -166,6 +169,26 @@
 	fullFor map[request.Epoch]bool
 }
 
+// closings are until when a service's engines may not be granted, by what they have said. It
+// is found once and kept until one says more: where all 650 pause, and 4,096 requests of 300
+// gateways wait for their end, a look took 4.8 ms without that
+// (BenchmarkManyWaitingUnderPauses).
+type closings struct {
+	// open says that some engine has said nothing, looked that this is known.
+	open   bool
+	looked bool
+	by     map[request.Epoch]closing
+}
+
+// closing is until when no engine may be granted to a gateway.
+type closing struct {
+	// holds is false where an engine has said nothing against it.
+	holds bool
+	// opens says that one of them may be granted from a time on; otherwise all leave.
+	opens bool
+	until time.Time
+}
+
 // isFull reports whether a gateway's usual requests find no engine.
 func (lin *line) isFull(gateway request.Epoch) bool {
 	return lin.full || lin.fullFor[gateway]
@@ -193,24 +216,44 @@
 	})
 }
 
-// closedUntil returns until when no engine that is left may be granted to who waits, by what
-// the engines said alone: the zero time for as long as they last. It reports false while
-// there is one that said nothing against it.
-func (svc *service) closedUntil(wai *waiter) (time.Time, bool) {
-	var soonest time.Time
+// closingFor returns until when none of the engines that are left to a request may be
+// granted to it.
+func (svc *service) closingFor(wai *waiter) closing {
+	if len(wai.reserve.Exclude) > 0 {
+		return svc.closing(wai.gateway, wai.reserve.Exclude)
+	}
+	clo := &svc.closings
+	if !clo.looked {
+		clo.looked = true
+		clo.open = slices.ContainsFunc(svc.engines, func(ene *engine) bool { return !ene.Draining && ene.said == nil })
+		clo.by = make(map[request.Epoch]closing)
+	}
+	if clo.open {
+		return closing{}
+	}
+	known, found := clo.by[wai.gateway]
+	if !found {
+		known = svc.closing(wai.gateway, nil)
+		clo.by[wai.gateway] = known
+	}
+	return known
+}
+
+func (svc *service) closing(gateway request.Epoch, exclude []string) closing {
+	clo := closing{holds: true}
 	for _, ene := range svc.engines {
-		if ene.Draining || slices.Contains(wai.reserve.Exclude, ene.name) {
+		if ene.Draining || slices.Contains(exclude, ene.name) {
 			continue
 		}
 		if ene.said == nil {
-			return time.Time{}, false
+			return closing{}
 		}
-		opens, ever := ene.said.opens(wai.gateway)
-		if ever && (soonest.IsZero() || opens.Before(soonest)) {
-			soonest = opens
+		at, ever := ene.said.opens(gateway)
+		if ever && (!clo.opens || at.Before(clo.until)) {
+			clo.opens, clo.until = true, at
 		}
 	}
-	return soonest, true
+	return clo
 }
 
 // refuseClosed refuses a request at once that can't be granted before its time is up, since
@@ -219,13 +262,13 @@
 	if svc.said == 0 {
 		return false
 	}
-	until, closed := svc.closedUntil(wai)
-	if !closed || !until.IsZero() && !until.After(wai.until) {
+	clo := svc.closingFor(wai)
+	if !clo.holds || clo.opens && !clo.until.After(wai.until) {
 		return false
 	}
 	after := retryAfter(wai.reserve)
-	if !until.IsZero() {
-		after = until.Sub(now) + time.Duration(pointOf(wai.reserve.ID)*float64(backoffSpread))
+	if clo.opens {
+		after = clo.until.Sub(now) + time.Duration(pointOf(wai.reserve.ID)*float64(backoffSpread))
 	}
 	cor.giveBack(wai.reserve.Account, cor.costOf(wai.reserve))
 	cor.send(wai.gateway, reservation.Refuse{ID: wai.reserve.ID, Ballot: wai.reserve.Ballot, Reason: reservation.ReasonBackoff, RetryAfter: after}, svc.inputs(now, wai.since))
