--- a/entry/dump.go
+++ b/entry/dump.go
@@ -24,6 +24,8 @@
 	Age     string
 	Members []fleet.Member
 	Engines []fleet.Engine
+	// Notices are what engines have said of themselves to this host, and holds.
+	Notices []NoticeDump `json:",omitempty"`
 	// Coordinator is the epoch of the host that decides; Own says that it is this one.
 	Coordinator string
 	Own         bool
@@ -38,6 +40,14 @@
 	Scheduler scheduler.Dump
 }
 
+// NoticeDump is what an engine has said of itself to this host.
+type NoticeDump struct {
+	Engine fleet.EngineID
+	Says   string
+	// Left is for how much longer a wish for a pause holds.
+	Left string `json:",omitempty"`
+}
+
 // Dump returns the host's state.
 func (hos *Host) Dump() Dump {
 	now := hos.clock.Now()
@@ -53,6 +63,13 @@
 	for _, eng := range bel.engines {
 		dum.Engines = append(dum.Engines, eng)
 	}
+	for _, not := range hos.notices.current() {
+		one := NoticeDump{Engine: not.Run, Says: not.Bar.String()}
+		if not.Left > 0 {
+			one.Left = not.Left.String()
+		}
+		dum.Notices = append(dum.Notices, one)
+	}
 	hos.desk.dump(now, &dum)
 	return dum
 }
--- a/scheduler/dump.go
+++ b/scheduler/dump.go
@@ -57,6 +57,11 @@
 	Work   string
 	// AsideFor is for how long it gets nothing because it failed; empty for not.
 	AsideFor string
+	// Says is what the engine has said of itself; empty for nothing. PausedFor is for how
+	// long nobody is granted it, Asked how many gateways it has asked for a pause.
+	Says      string `json:",omitempty"`
+	PausedFor string `json:",omitempty"`
+	Asked     int    `json:",omitempty"`
 	// CachedTokens are taken to be in its cache.
 	CachedTokens int
 }
@@ -112,6 +117,9 @@
 		Read: pro.Read, Event: pro.Event, Weight: pro.Weight,
 		Work: ene.work.String(), CachedTokens: ene.partTokens,
 	}
+	if ene.said != nil {
+		dum.Says, dum.PausedFor, dum.Asked = ene.said.String(), max(0, ene.said.sharedUntil.Sub(now)).String(), len(ene.said.asked)
+	}
 	if ene.health.aside > 0 {
 		dum.AsideFor = max(0, ene.health.until.Sub(now)).String()
 	}
--- a/scheduler/notice.go
+++ b/scheduler/notice.go
@@ -71,6 +71,18 @@
 	cor.serveEngine(now, ene)
 }
 
+// String returns what holds of it, for dumps.
+func (sai *said) String() string {
+	switch {
+	case sai.leaves:
+		return "Leaves"
+	case sai.unproved:
+		return "Unproved"
+	default:
+		return "Paused"
+	}
+}
+
 func (sai *said) pause(now time.Time, from request.Epoch, left time.Duration, scope PauseScope) {
 	if until := now.Add(left); until.After(sai.asked[from]) {
 		sai.asked[from] = until
