--- a/soak/check.go
+++ b/soak/check.go
@@ -114,6 +114,7 @@
 			served++
 		}
 	}
+	sys.checkWords(sent)
 	sys.t.Logf("%d engines ended under one caller's request", ended)
 	if ended > maxEnded {
 		sys.t.Errorf("one caller's request ended %d engines", ended)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -47,6 +47,7 @@
 
 func (sys *system) killHost() {
 	hos := sys.anyHost()
+	hos.disturb()
 	hos.Kill()
 	hos.Wait()
 	sys.run(hos)
@@ -58,14 +59,22 @@
 		return
 	}
 	hos.down = true
+	hos.disturb()
 	hos.Terminate()
 }
 
 func (sys *system) freezeHost() {
 	hos := sys.anyHost()
+	hos.disturb()
 	hos.Freeze()
 	sys.wait(time.Duration(sys.random.IntN(1500)) * time.Millisecond)
 	hos.Wake()
+	hos.disturb()
+}
+
+// disturb notes that the host doesn't run on as it did.
+func (hos *host) disturb() {
+	hos.disturbed = append(hos.disturbed, time.Now())
 }
 
 func (sys *system) healLinks() {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -68,8 +68,10 @@
 	t      *testing.T
 	dir    string
 	random *rand.Rand
-	store  netip.AddrPort
-	hosts  []*host
+	// words decides what engines say of themselves, by itself: the faults of a seed stay.
+	words *rand.Rand
+	store netip.AddrPort
+	hosts []*host
 	// engines are all that ever ran; entered are those with an entry.
 	engines []*engine
 	version uint64
@@ -84,6 +86,8 @@
 	store *processtest.Link
 	file  string
 	down  bool
+	// disturbed is when the host was killed, stopped, started, frozen or woken.
+	disturbed []time.Time
 }
 
 type engine struct {
@@ -95,6 +99,9 @@
 	// ended is closed when its process has ended, replaced says that another is in its place.
 	ended    chan struct{}
 	replaced bool
+	// saysLeaves says that its answers tell of its leave, pauses that it turns requests away.
+	saysLeaves bool
+	pauses     bool
 }
 
 // hasEnded reports whether the engine's process has ended.
@@ -119,10 +126,12 @@
 	culprit := sys.endEngines(ctx, cfg.Seed)
 	for range steps {
 		sys.fault()
+		sys.engineSays()
 		sys.replaceEnded()
 		sys.wait(time.Duration(float64(stepMean) * sys.random.ExpFloat64()))
 	}
 	sys.heal()
+	sys.endPauses()
 	sys.wait(settleTime)
 	cancel()
 	<-culprit
@@ -139,7 +148,7 @@
 
 func start(t *testing.T, cfg Config) *system {
 	t.Helper()
-	sys := &system{t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(cfg.Seed, 1)), revoked: make(map[string]time.Time)}
+	sys := &system{t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(cfg.Seed, 1)), words: rand.New(rand.NewPCG(cfg.Seed, 55)), revoked: make(map[string]time.Time)}
 	_, sys.store = processtest.Standin(t, sys.dir, "store", "platform")
 	for idx := range perService {
 		sys.addEngine(fmt.Sprintf("m%d", idx), entrytest.Model)
@@ -233,6 +242,7 @@
 	data, err := json.Marshal(hos.set)
 	assert.NilError(sys.t, err)
 	assert.NilError(sys.t, os.WriteFile(hos.file, data, 0o600))
+	hos.disturb()
 	hos.Process = processtest.Run(sys.t, sys.dir, hos.set.Name, "entry", "--settings", hos.file)
 	hos.down = false
 }
@@ -264,13 +274,18 @@
 
 // runs returns what an engine ran.
 func (sys *system) runs(eng *engine) []upstreamtest.Run {
+	return read[upstreamtest.Run](sys, eng, upstreamtest.PathRuns)
+}
+
+// read reads a list from an engine's own switches.
+func read[T any](sys *system, eng *engine, path string) []T {
 	sys.t.Helper()
-	req, err := http.NewRequestWithContext(sys.t.Context(), http.MethodGet, "http://"+eng.address.String()+upstreamtest.PathRuns, http.NoBody)
+	req, err := http.NewRequestWithContext(sys.t.Context(), http.MethodGet, "http://"+eng.address.String()+path, http.NoBody)
 	assert.NilError(sys.t, err)
 	rep, err := http.DefaultClient.Do(req)
 	assert.NilError(sys.t, err)
 	defer rep.Body.Close()
-	var runs []upstreamtest.Run
-	assert.NilError(sys.t, json.NewDecoder(rep.Body).Decode(&runs))
-	return runs
+	var list []T
+	assert.NilError(sys.t, json.NewDecoder(rep.Body).Decode(&list))
+	return list
 }
--- a/upstreamtest/engine.go
+++ b/upstreamtest/engine.go
@@ -101,6 +101,10 @@
 type Arrival struct {
 	ID string
 	At time.Time
+	// Leaves says that the answer told of the engine's leave, Pause for how long a pause it
+	// asked in place of an answer; 0 for none.
+	Leaves bool
+	Pause  time.Duration
 }
 
 // Engine is the stand-in.
@@ -192,7 +196,7 @@
 func (eng *Engine) arrive(id string) (leaves bool, pause time.Duration) {
 	eng.mutex.Lock()
 	defer eng.mutex.Unlock()
-	eng.arrivals = append(eng.arrivals, Arrival{ID: id, At: time.Now()})
+	eng.arrivals = append(eng.arrivals, Arrival{ID: id, At: time.Now(), Leaves: eng.leaves, Pause: eng.pause})
 	return eng.leaves, eng.pause
 }
 
--- a/upstreamtest/switch.go
+++ b/upstreamtest/switch.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 )
 
 // The paths of the stand-in's own switches.
@@ -11,6 +12,10 @@
 	PathTrouble = "/standin/trouble"
 	// PathRuns answers GET with all runs.
 	PathRuns = "/standin/runs"
+	// PathArrivals answers GET with all arrivals.
+	PathArrivals = "/standin/arrivals"
+	// PathWord takes a Word by POST.
+	PathWord = "/standin/word"
 )
 
 // Switch is the body of PathTrouble.
@@ -20,6 +25,14 @@
 	Times int
 }
 
+// Word is what the engine says of itself from now on: the body of PathWord.
+type Word struct {
+	// Leaves has it say that it leaves, to its end; Pause turns requests away and asks for
+	// so long a pause, 0 ends that.
+	Leaves bool
+	Pause  time.Duration
+}
+
 // serveSwitch serves the stand-in's own paths; it returns false for all others.
 func (eng *Engine) serveSwitch(wri http.ResponseWriter, req *http.Request) bool {
 	switch req.URL.Path {
@@ -30,6 +43,20 @@
 			return true
 		}
 		eng.Trouble(swi.Trouble, swi.Times)
+	case PathWord:
+		var word Word
+		if err := json.NewDecoder(req.Body).Decode(&word); err != nil {
+			http.Error(wri, err.Error(), http.StatusBadRequest)
+			return true
+		}
+		if word.Leaves {
+			eng.Leave()
+		}
+		eng.Pause(word.Pause)
+	case PathArrivals:
+		wri.Header().Set("Content-Type", "application/json")
+		// A reader that has left can't be told anything more.
+		_ = json.NewEncoder(wri).Encode(eng.Arrivals())
 	case PathRuns:
 		wri.Header().Set("Content-Type", "application/json")
 		// A reader that has left can't be told anything more.
