--- a/scheduler/notice.go
+++ b/scheduler/notice.go
@@ -30,6 +30,9 @@
 	// maxSharedPause bounds for how long those keep away that weren't asked: as long as
 	// from an engine that fails again and again. One gateway may have heard wrong.
 	maxSharedPause = maxAside
+	// toldAgain is by how much a pause may seem longer when it is told again: the difference
+	// between two ways from a gateway to here.
+	toldAgain = 200 * time.Millisecond
 	// backoffSpread is over what time those come back who were refused until a pause ends,
 	// so that they don't come in step: an engine of four slots and 60 ms takes some thirty
 	// in that.
@@ -83,11 +86,16 @@
 	}
 }
 
+// pause keeps a gateway away to the end of what it was asked for, and the others for a while
+// when it is asked anew: what is told again, as to a host that decides next or with a grant
+// that is sent back, says nothing more of the engine.
 func (sai *said) pause(now time.Time, from request.Epoch, left time.Duration, scope PauseScope) {
-	if until := now.Add(left); until.After(sai.asked[from]) {
+	until := now.Add(left)
+	anew := until.Sub(sai.asked[from]) > toldAgain
+	if until.After(sai.asked[from]) {
 		sai.asked[from] = until
 	}
-	if scope == PauseAsked {
+	if scope == PauseAsked || !anew {
 		return
 	}
 	if until := now.Add(min(left, maxSharedPause)); until.After(sai.sharedUntil) {
@@ -172,15 +180,6 @@
 	}
 }
 
-// line is what one look through those who wait has found of places. Thousands may wait, so
-// what holds for all requests of a gateway is found once.
-type line struct {
-	// full says that a usual request found no engine; fullFor the same of gateways that
-	// engines have asked for a pause, whose requests may find none where others do.
-	full    bool
-	fullFor map[request.Epoch]bool
-}
-
 // closings are until when a service's engines may not be granted, by what they have said. It
 // is found once and kept until one says more: where all 650 pause, and 4,096 requests of 300
 // gateways wait for their end, a look took 4.8 ms without that
@@ -201,26 +200,6 @@
 	until time.Time
 }
 
-// isFull reports whether a gateway's usual requests find no engine.
-func (lin *line) isFull(gateway request.Epoch) bool {
-	return lin.full || lin.fullFor[gateway]
-}
-
-// note takes that a usual request found no engine.
-func (lin *line) note(now time.Time, svc *service, gateway request.Epoch) {
-	if lin.isFull(gateway) {
-		return
-	}
-	if svc.said == 0 || !svc.hasAsked(now, gateway) {
-		lin.full = true
-		return
-	}
-	if lin.fullFor == nil {
-		lin.fullFor = make(map[request.Epoch]bool)
-	}
-	lin.fullFor[gateway] = true
-}
-
 // hasAsked reports whether an engine of the service has asked the gateway for a pause.
 func (svc *service) hasAsked(now time.Time, gateway request.Epoch) bool {
 	return slices.ContainsFunc(svc.engines, func(ene *engine) bool {
--- a/scheduler/notice_test.go
+++ b/scheduler/notice_test.go
@@ -85,6 +85,21 @@
 	assert.Equal(t, engineOf(des.reserveFrom(peer, plain("over")), "over"), "a")
 }
 
+// What is told again, by a gateway that opens its session anew, keeps the others from the
+// engine no longer.
+func TestPauseThatIsToldAgainHoldsUpNobodyElse(t *testing.T) {
+	des := newDesk(plainEngine("a", 4))
+	des.says(peer, "a", fleet.BarBackoff, time.Hour)
+	des.after(5 * time.Second)
+	assert.Equal(t, engineOf(des.reserveFrom(otherPeer, plain("probe")), "probe"), "a")
+	des.now = des.now.Add(20 * time.Millisecond)
+	des.handle(scheduler.Received{From: otherPeer, Message: answered("probe")})
+	des.says(peer, "a", fleet.BarBackoff, time.Hour-5*time.Second)
+	assert.Equal(t, engineOf(des.reserveFrom(otherPeer, plain("next")), "next"), "a")
+	_, ref := decisionOn(des.reserveFrom(peer, plain("asked")), "asked")
+	assert.Equal(t, ref.Reason, reservation.ReasonBackoff)
+}
+
 // A probe that shows nothing lets the next one try.
 func TestProbeThatEndsWithoutAnAnswerIsFollowedByAnother(t *testing.T) {
 	for name, end := range map[string]func(*desk){
