perf: one request at a time finds out whether an engine that asked another host for a pause serves

Cause: engines may turn away a part of what they get. Change: the others try one request at a time, at once and then 0.5, 1, 2 and 4 s after each further wish; an answer opens the engine. A try that isn't answered within a second is followed by another one. Who is refused until a pause ends is told to come back when the engines are open to other hosts, which is where most callers come back to.

--- a/scheduler/notice.go
+++ b/scheduler/notice.go
@@ -18,11 +18,17 @@
 // PauseScope is who keeps away from an engine that has asked one gateway for a pause.
 type PauseScope uint8
 
+// Which of them serves callers best hangs on how much the engine turns away, which it doesn't
+// say; docs/design/engines-own-word.md has the figures.
 const (
-	// PauseAll has all gateways keep away, for a while, and one request find out whether
-	// the engine serves again.
-	PauseAll PauseScope = iota
-	// PauseAsked has the others go on as if nothing had been said.
+	// PauseProbing has one request of the others at a time find out whether the engine
+	// serves them: at once, and later each time that it asks again. The one that is kept.
+	PauseProbing PauseScope = iota
+	// PauseAll has all gateways keep away, for a while. Where engines turn away one request
+	// in twenty it serves half as many as PauseProbing.
+	PauseAll
+	// PauseAsked has the others go on as if nothing had been said. Where engines turn all
+	// away, and with many gateways, tens of times as many requests are turned away.
 	PauseAsked
 )
 
@@ -30,13 +36,17 @@
 	// maxSharedPause bounds for how long those keep away that weren't asked: as long as
 	// from an engine that fails again and again. One gateway may have heard wrong.
 	maxSharedPause = maxAside
+	// probeFor is for how long one request keeps the others waiting that tries an engine
+	// first: its answer may be lost, and engines are to be back within a second.
+	probeFor = time.Second
 	// toldAgain is by how much a pause may seem longer when it is told again: the difference
 	// between two ways from a gateway to here.
 	toldAgain = 200 * time.Millisecond
-	// backoffSpread is over what time those come back who were refused until a pause ends,
-	// so that they don't come in step: an engine of four slots and 60 ms takes some thirty
-	// in that.
-	backoffSpread = 500 * time.Millisecond
+	// minBackoffSpread and maxBackoffSpread are how long after a pause's end those come back
+	// who were refused until then, so that they don't come in step: an engine of four slots
+	// and 60 ms takes some thirty in that.
+	minBackoffSpread = 100 * time.Millisecond
+	maxBackoffSpread = 500 * time.Millisecond
 )
 
 // said is what an engine has said of itself. Engines that have said nothing have none, so
@@ -53,6 +63,9 @@
 	at       time.Time
 	unproved bool
 	probe    *run
+	// step is for how long the others kept away the last time, stepAt since when.
+	step   time.Duration
+	stepAt time.Time
 }
 
 // heard takes what an engine said to a gateway.
@@ -98,24 +111,45 @@
 	if scope == PauseAsked || !anew {
 		return
 	}
-	if until := now.Add(min(left, maxSharedPause)); until.After(sai.sharedUntil) {
+	shared := min(left, maxSharedPause)
+	if scope == PauseProbing {
+		shared = min(left, sai.nextStep(now))
+	}
+	if until := now.Add(shared); until.After(sai.sharedUntil) {
 		sai.sharedUntil = until
 	}
 	sai.at, sai.unproved = now, true
 }
 
+// nextStep returns for how long the others keep away: not at all at first, since the engine
+// may turn away a part of what it gets only, and longer each time that it does so again
+// without an answer in between.
+func (sai *said) nextStep(now time.Time) time.Duration {
+	switch {
+	case !sai.unproved:
+		sai.step, sai.stepAt = 0, now
+	case now.Sub(sai.stepAt) > toldAgain:
+		sai.step, sai.stepAt = min(maxAside, max(minAside, 2*sai.step)), now
+	}
+	return sai.step
+}
+
 // bars reports whether the engine may not be granted to a gateway now.
 func (sai *said) bars(now time.Time, gateway request.Epoch) bool {
-	return sai.leaves || now.Before(sai.sharedUntil) || now.Before(sai.asked[gateway]) || sai.unproved && sai.probe != nil
+	return sai.leaves || now.Before(sai.sharedUntil) || now.Before(sai.asked[gateway]) || sai.probing(now)
 }
 
-// opens returns when the engine may be granted to a gateway; false for never.
-func (sai *said) opens(gateway request.Epoch) (time.Time, bool) {
-	at := sai.asked[gateway]
-	if sai.sharedUntil.After(at) {
-		at = sai.sharedUntil
+// probing reports whether a request is finding out whether the engine serves again.
+func (sai *said) probing(now time.Time) bool {
+	return sai.unproved && sai.probe != nil && now.Sub(sai.probe.given) < probeFor
+}
+
+// opens returns from when on the engine may be granted to a gateway, unless it leaves.
+func (sai *said) opens(gateway request.Epoch) time.Time {
+	if at := sai.asked[gateway]; at.After(sai.sharedUntil) {
+		return at
 	}
-	return at, !sai.leaves
+	return sai.sharedUntil
 }
 
 // lapsed reports whether nothing of what was said holds any more.
@@ -136,7 +170,7 @@
 
 // silenced reports whether the engine is granted to nobody now.
 func (ene *engine) silenced(now time.Time) bool {
-	return ene.leaving() || ene.said != nil && (now.Before(ene.said.sharedUntil) || ene.said.unproved && ene.said.probe != nil)
+	return ene.leaving() || ene.said != nil && (now.Before(ene.said.sharedUntil) || ene.said.probing(now))
 }
 
 // noteProbe has the run find out whether an engine serves again that asked for a pause.
@@ -198,6 +232,9 @@
 	// opens says that one of them may be granted from a time on; otherwise all leave.
 	opens bool
 	until time.Time
+	// elsewhere is from when on one may be granted to gateways that weren't asked: a caller
+	// that comes back does so to any host.
+	elsewhere time.Time
 }
 
 // hasAsked reports whether an engine of the service has asked the gateway for a pause.
@@ -239,10 +276,17 @@
 		if ene.said == nil {
 			return closing{}
 		}
-		at, ever := ene.said.opens(gateway)
-		if ever && (!clo.opens || at.Before(clo.until)) {
-			clo.opens, clo.until = true, at
+		if ene.said.leaves {
+			continue
+		}
+		at, elsewhere := ene.said.opens(gateway), ene.said.sharedUntil
+		if !clo.opens || at.Before(clo.until) {
+			clo.until = at
+		}
+		if !clo.opens || elsewhere.Before(clo.elsewhere) {
+			clo.elsewhere = elsewhere
 		}
+		clo.opens = true
 	}
 	return clo
 }
@@ -259,7 +303,7 @@
 	}
 	after := retryAfter(wai.reserve)
 	if clo.opens {
-		after = clo.until.Sub(now) + time.Duration(pointOf(wai.reserve.ID)*float64(backoffSpread))
+		after = max(0, clo.elsewhere.Sub(now)) + minBackoffSpread + time.Duration(pointOf(wai.reserve.ID)*float64(maxBackoffSpread-minBackoffSpread))
 	}
 	cor.giveBack(wai.reserve.Account, cor.costOf(wai.reserve))
 	cor.send(wai.gateway, reservation.Refuse{ID: wai.reserve.ID, Ballot: wai.reserve.Ballot, Reason: reservation.ReasonBackoff, RetryAfter: after}, svc.inputs(now, wai.since))
