test: the soak tells an engine nothing that ends at that moment

Nothing of the product. Change: a call that fails waits for the engine's end, and fails the play where that doesn't come.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -101,7 +101,7 @@
 		return
 	}
 	trb := upstreamtest.Trouble(1 + sys.random.IntN(int(upstreamtest.Early)-1))
-	sys.post(eng.address, upstreamtest.PathTrouble, upstreamtest.Switch{Trouble: trb, Times: 1 + sys.random.IntN(4)})
+	sys.tell(eng, upstreamtest.PathTrouble, upstreamtest.Switch{Trouble: trb, Times: 1 + sys.random.IntN(4)})
 }
 
 // engineLeaves has an engine drain, or go without a word, and another one come.
--- a/soak/words.go
+++ b/soak/words.go
@@ -63,7 +63,7 @@
 		return
 	}
 	sys.t.Log(time.Now().Format("05.000"), eng.id, "says", word)
-	sys.post(eng.address, upstreamtest.PathWord, word)
+	sys.tell(eng, upstreamtest.PathWord, word)
 }
 
 // checkWords holds what reached engines against what they had said to the host before.
