--- a/entry/barred_test.go
+++ b/entry/barred_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,6 +12,9 @@
 
 	"lynxwell.dev/lynxwell/call"
 	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/peer"
+	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/reservation"
 	"lynxwell.dev/lynxwell/route"
 	"lynxwell.dev/lynxwell/settings"
 	"lynxwell.dev/lynxwell/upstream"
@@ -83,3 +87,41 @@
 	}
 	assert.Assert(t, log.lines-before <= 4, log.lines-before)
 }
+
+// A coordinator that hasn't heard it yet may grant what an engine has told this host alone.
+// The grant goes back, and costs the request nothing.
+func TestGrantOfAnEngineThatWantsNothingIsSentBack(t *testing.T) {
+	for _, head := range []call.AnswerHead{{Draining: true}, {Backoff: time.Hour}, {Misdirected: true, Instance: "e2"}} {
+		hos := barredHost(t, io.Discard)
+		run := fleet.EngineID{Name: "e1"}
+		hos.belief.Store(&belief{engines: map[string]fleet.Engine{"e1": {ID: run}}})
+		exc := &exchange{host: hos, route: route.Route{Public: true}}
+		rid := request.ID{Unique: "r1"}
+		_, pro := exc.granted("e1", rid)
+		assert.Assert(t, pro == nil)
+		hos.notices.take(upstream.Endpoint{Engine: run}, head)
+		hos.desk.holds[rid] = &reservation.Adopt{ID: rid, Engine: "e1"}
+		_, pro = exc.granted("e1", rid)
+		assert.Assert(t, pro != nil && pro.sentBack, "%+v", head)
+		assert.Assert(t, exc.again && exc.attempts == 0 && len(exc.exclude) == 0)
+		assert.Equal(t, len(hos.desk.holds), 0)
+	}
+}
+
+// A host that may decide next is told all that engines have said when its session opens.
+func TestSessionThatOpensIsToldWhatEnginesSaid(t *testing.T) {
+	hos := barredHost(t, io.Discard)
+	hos.notices.take(upstream.Endpoint{Engine: fleet.EngineID{Name: "e1"}}, call.AnswerHead{Draining: true})
+	hos.notices.take(upstream.Endpoint{Engine: fleet.EngineID{Name: "e2"}}, call.AnswerHead{Backoff: time.Hour})
+	hos.notices.take(upstream.Endpoint{Engine: fleet.EngineID{Name: "e3"}}, call.AnswerHead{Backoff: time.Nanosecond})
+	que := peer.NewQueue()
+	hos.desk.linkUp(&link{member: fleet.Member{Name: "h2", Epoch: 7}, queue: que, cancel: func() {}})
+	var told []string
+	for out, more := que.Take(); more; out, more = que.Take() {
+		if not, isNotice := out.Message.(reservation.EngineNotice); isNotice {
+			told = append(told, not.Run.Name+" "+not.Bar.String())
+		}
+	}
+	slices.Sort(told)
+	assert.DeepEqual(t, told, []string{"e1 Draining", "e2 Backoff"})
+}
--- a/scheduler/pause_sim_test.go
+++ b/scheduler/pause_sim_test.go
@@ -100,7 +100,7 @@
 )
 
 func newPausePlay(cfg pausePlayConfig) *pausePlay {
-	scope := map[pauseWay]scheduler.PauseScope{pauseOfAsked: scheduler.PauseAsked, pauseProbing: scheduler.PauseProbing}[cfg.way]
+	scope := map[pauseWay]scheduler.PauseScope{pauseOfAsked: scheduler.PauseAsked, pauseOfAll: scheduler.PauseAll}[cfg.way]
 	pla := &pausePlay{
 		cfg: cfg, random: rand.New(rand.NewPCG(cfg.seed, 11)), engines: make(map[string]*pauseEngine),
 		hosts: make(map[request.Epoch]*fleet.Notices), waiting: make(map[request.ID]*pauseRun),
--- a/tools/mutate/mutations.go
+++ b/tools/mutate/mutations.go
@@ -7,7 +7,42 @@
 // cores are the unit tests of the pure cores and the exhaustive checks.
 var cores = []string{"./gateway", "./coordinator", "./modeltest", "-run", "Test[^M]"}
 
+// words are the tests of what engines say of themselves.
+var words = []string{"./entry", "./scheduler", "./fleet", "-run", "Notice|Pause|Word|WantsNothing|Leaves|WaitsForAConnection|AsksAgain|Told|WhoGivesIt|SessionThatOpens"}
+
 var mutations = []mutation{
+	{
+		"Word: a host looks at a grant's engine again", "entry/reserve.go",
+		"		if err := hos.barred(eng.ID); err != nil {", "		if err := hos.barred(eng.ID); false && err != nil {", words,
+	},
+	{
+		"Word: a host looks again right before it sends", "entry/attempt.go",
+		"		return hos.barred(run)\n", "		return nil\n", words,
+	},
+	{
+		"Word: it is its speaker's", "entry/notices.go",
+		"	case head.Instance != \"\" && head.Instance != end.Engine.Name, head.Misdirected && head.Instance == \"\":\n		return nil\n", "", words,
+	},
+	{
+		"Word: an engine that leaves is granted to nobody", "scheduler/notice.go",
+		"	return sai.leaves || now.Before(sai.sharedUntil)", "	return now.Before(sai.sharedUntil)", words,
+	},
+	{
+		"Word: a host that was asked for a pause isn't granted the engine", "scheduler/notice.go",
+		" || now.Before(sai.asked[gateway]) || sai.probing(now)", " || sai.probing(now)", words,
+	},
+	{
+		"Word: one request at a time tries an engine after a pause", "scheduler/notice.go",
+		" || sai.probing(now)\n", "\n", words,
+	},
+	{
+		"Word: a host that may decide next is told", "entry/sessions.go",
+		"	des.tellNotices(lin.member)\n", "", words,
+	},
+	{
+		"Word: a pause is no failure", "scheduler/core.go",
+		"	case rel.BackedOff:\n		ene.health.forgotten()\n", "", words,
+	},
 	{
 		"Fence: a promise holds lower ballots off", "coordinator/ledger.go",
 		"	case bal.Less(rec.ballot):\n		return reservation.ReasonFenced, rec.ballot.Holder\n", "", model,
