--- a/scheduler/notice.go
+++ b/scheduler/notice.go
@@ -63,9 +63,8 @@
 	at       time.Time
 	unproved bool
 	probe    *run
-	// step is for how long the others kept away the last time, stepAt since when.
-	step   time.Duration
-	stepAt time.Time
+	// step is for how long the others kept away the last time.
+	step time.Duration
 }
 
 // heard takes what an engine said to a gateway.
@@ -113,7 +112,7 @@
 	}
 	shared := min(left, maxSharedPause)
 	if scope == PauseProbing {
-		shared = min(left, sai.nextStep(now))
+		shared = min(left, sai.nextStep(from))
 	}
 	if until := now.Add(shared); until.After(sai.sharedUntil) {
 		sai.sharedUntil = until
@@ -122,14 +121,14 @@
 }
 
 // nextStep returns for how long the others keep away: not at all at first, since the engine
-// may turn away a part of what it gets only, and longer each time that it does so again
-// without an answer in between.
-func (sai *said) nextStep(now time.Time) time.Duration {
+// may turn away a part of what it gets only, and longer each time that it turns away the one
+// that tried. What it was given before that and turns away tells nothing new.
+func (sai *said) nextStep(from request.Epoch) time.Duration {
 	switch {
 	case !sai.unproved:
-		sai.step, sai.stepAt = 0, now
-	case now.Sub(sai.stepAt) > toldAgain:
-		sai.step, sai.stepAt = min(maxAside, max(minAside, 2*sai.step)), now
+		sai.step = 0
+	case sai.probe != nil && sai.probe.gateway == from:
+		sai.step = min(maxAside, max(minAside, 2*sai.step))
 	}
 	return sai.step
 }
