--- a/entry/notices.go
+++ b/entry/notices.go
@@ -83,7 +83,7 @@
 		ntc.loggedAt[end.Engine] = now
 	}
 	known, listed := ntc.host.belief.Load().engine(end.Engine)
-	evt := ntc.host.log.Info().Stringer("Engine", end.Engine).Stringer("Address", end.Address).Stringer("Says", not.Bar).Str("Request", head.ID).
+	evt := ntc.host.log.Info().Stringer("Engine", end.Engine).Stringer("Address", end.Address).Stringer("Says", not.Bar).Str("AnswerTo", head.ID).
 		Bool("Listed", listed).Bool("EntryDraining", known.Draining).Uint64("EntrySequence", known.Sequence).Dur("Age", ntc.host.age(now))
 	if not.Bar == fleet.BarBackoff {
 		evt = evt.Dur("For", not.Left)
@@ -102,7 +102,7 @@
 		return
 	}
 	ntc.unreadableAt = now
-	ntc.host.log.Warn().Stringer("Engine", end.Engine).Stringer("Address", end.Address).Str("Request", head.ID).Str("RetryAfter", head.UnreadBackoff).
+	ntc.host.log.Warn().Stringer("Engine", end.Engine).Stringer("Address", end.Address).Str("AnswerTo", head.ID).Str("RetryAfter", head.UnreadBackoff).
 		Dur("Taken", head.Backoff).Msg("pause that an engine asks for is not taken as it stands")
 }
 
