test: who decides isn't told of doubts that another host settled, failing

Traced in the hosts' logs: the host that decided had lost the store, so its doubts of three engines' ends stayed open; two others settled theirs, held the request and told nobody.

--- a/entry/barred_test.go
+++ b/entry/barred_test.go
@@ -13,9 +13,11 @@
 	"lynxwell.dev/lynxwell/call"
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/peer"
+	"lynxwell.dev/lynxwell/quarantine"
 	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/reservation"
 	"lynxwell.dev/lynxwell/route"
+	"lynxwell.dev/lynxwell/scheduler"
 	"lynxwell.dev/lynxwell/settings"
 	"lynxwell.dev/lynxwell/upstream"
 )
@@ -125,3 +127,40 @@
 	slices.Sort(told)
 	assert.DeepEqual(t, told, []string{"e1 Draining", "e2 Backoff"})
 }
+
+// Seen: one caller's request ended eight engines, while all three hosts were in session.
+// Came about so: engines that ended went on listening for a moment, so that it was in doubt
+// whether they had, until their entries went. The host that decided had lost the store and
+// saw no entry go; the others settled their doubts, suspected and held the request, and told
+// only gateways that they decide for, of which there were none.
+// Cause: what a host concludes reached those who decide only when it was cleared, and what
+// those hear themselves hung on the store.
+// Proof: this test; nobody is told that the request is suspected.
+func TestWhoDecidesIsToldOfDoubtsThatAnotherHostSettled(t *testing.T) {
+	hos := barredHost(t, io.Discard)
+	que := peer.NewQueue()
+	hos.desk.linkUp(&link{member: fleet.Member{Name: "h2", Epoch: 7}, queue: que, cancel: func() {}})
+	var engines []fleet.Engine
+	for _, name := range []string{"e1", "e2", "e3"} {
+		engines = append(engines, fleet.Engine{ID: fleet.EngineID{Name: name}, Service: "s", Slots: 4})
+	}
+	hos.desk.handle(scheduler.EnginesChanged{Engines: engines})
+	sub := quarantine.Subject{Digest: call.Digest{7}, Service: "s", Account: "kitchen", Route: "r"}
+	for _, name := range []string{"e1", "e2"} {
+		hos.desk.engineEnded(reservation.EngineEnded{
+			ID: request.ID{Unique: "at-" + name}, Uncertain: true, Observation: quarantine.Observation{Subject: sub, Engine: name},
+		})
+	}
+	for range que.Len() {
+		que.Take()
+	}
+	hos.desk.handle(scheduler.EnginesChanged{Engines: engines[2:]})
+	ends := 0
+	for range que.Len() {
+		out, _ := que.Take()
+		if rep, isReport := out.Message.(reservation.CaseReport); isReport && rep.Report.Digest == sub.Digest {
+			ends = max(ends, len(rep.Report.Ends))
+		}
+	}
+	assert.Equal(t, ends, 2)
+}
