refactor: one way to tell those who decide, one for an engine that is barred to all, one to start hosts in tests

Cause: read once more, the loop over those who decide stood twice (ends of engines, notices), the test whether an engine is barred to all gateways twice, the soak's call to a switch twice, and the start of hosts in tests three times. Change: tellDeciders, barsAll, tryPost, startWith; behaviour and assertions are as they were.

--- a/entry/crash.go
+++ b/entry/crash.go
@@ -90,10 +90,7 @@
 func (des *desk) engineEnded(msg reservation.EngineEnded) {
 	des.mutex.Lock()
 	defer des.mutex.Unlock()
-	for epo := range des.links {
-		des.tell(epo, msg)
-	}
-	des.tell(des.host.epoch, msg)
+	des.tellDeciders(msg)
 }
 
 // maxReports bounds the cases that another host is told of at once: a quarter of what
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -250,6 +250,15 @@
 	}
 }
 
+// tellDeciders tells the own scheduler, the one that decides and the one that would next, so
+// that what is told outlasts the loss of any of them; the mutex is held.
+func (des *desk) tellDeciders(msg reservation.Message) {
+	for epo := range des.links {
+		des.tell(epo, msg)
+	}
+	des.tell(des.host.epoch, msg)
+}
+
 // reserve asks the coordinator for an engine and waits for its decision, or for
 // the end of the context.
 func (des *desk) reserve(ctx context.Context, res reservation.Reserve) (decision, error) {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -45,7 +45,13 @@
 
 func start(t *testing.T, hosts int, engines []*upstreamtest.Engine) *entrytest.System {
 	t.Helper()
-	sys := entrytest.Start(t, entrytest.Config{Hosts: hosts, Engines: engines})
+	return startWith(t, entrytest.Config{Hosts: hosts, Engines: engines})
+}
+
+// startWith starts hosts with a first configuration in force.
+func startWith(t *testing.T, cfg entrytest.Config) *entrytest.System {
+	t.Helper()
+	sys := entrytest.Start(t, cfg)
 	sys.Configure(entrytest.Configuration{Version: 1})
 	sys.UntilReady()
 	return sys
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -11,7 +11,7 @@
 )
 
 // What an engine says of itself in an answer is taken at the answer's head, before anything
-// of it is passed on, and kept to by this host alone, whoever decides and whatever the
+// of it is passed on, and kept to by this host itself, whoever decides and whatever the
 // store says: an engine that leaves while the store is away got 27 requests in twelve
 // seconds, and one that asked for a pause of three seconds seven from one host.
 
@@ -142,11 +142,7 @@
 func (des *desk) tellNotice(not fleet.Notice) {
 	des.mutex.Lock()
 	defer des.mutex.Unlock()
-	msg := reservation.EngineNotice{Notice: not}
-	for epo := range des.links {
-		des.tell(epo, msg)
-	}
-	des.tell(des.host.epoch, msg)
+	des.tellDeciders(reservation.EngineNotice{Notice: not})
 }
 
 // tellNotices tells a host that decides, or would next, all that engines have said to this
--- a/entry/notices_test.go
+++ b/entry/notices_test.go
@@ -28,10 +28,7 @@
 // tests are of engines.
 func startPatient(t *testing.T, hosts int, engines []*upstreamtest.Engine) *entrytest.System {
 	t.Helper()
-	sys := entrytest.Start(t, entrytest.Config{Hosts: hosts, Engines: engines, Bounds: settings.Bounds{RevokeMilliseconds: 60_000}})
-	sys.Configure(entrytest.Configuration{Version: 1})
-	sys.UntilReady()
-	return sys
+	return startWith(t, entrytest.Config{Hosts: hosts, Engines: engines, Bounds: settings.Bounds{RevokeMilliseconds: 60_000}})
 }
 
 // sendPlain sends a request by a host, whose name is in its id.
--- a/entry/suspension_test.go
+++ b/entry/suspension_test.go
@@ -16,10 +16,7 @@
 // suspendable starts hosts whose clocks a test may suspend.
 func suspendable(t *testing.T, hosts int, engines []*upstreamtest.Engine) *entrytest.System {
 	t.Helper()
-	sys := entrytest.Start(t, entrytest.Config{Hosts: hosts, Engines: engines, Suspendable: true})
-	sys.Configure(entrytest.Configuration{Version: 1})
-	sys.UntilReady()
-	return sys
+	return startWith(t, entrytest.Config{Hosts: hosts, Engines: engines, Suspendable: true})
 }
 
 // Seen: the pages tell that a host may be suspended for seconds, and that the steady clock
--- a/scheduler/notice.go
+++ b/scheduler/notice.go
@@ -135,7 +135,12 @@
 
 // bars reports whether the engine may not be granted to a gateway now.
 func (sai *said) bars(now time.Time, gateway request.Epoch) bool {
-	return sai.leaves || now.Before(sai.sharedUntil) || now.Before(sai.asked[gateway]) || sai.probing(now)
+	return sai.barsAll(now) || now.Before(sai.asked[gateway])
+}
+
+// barsAll reports whether the engine may be granted to no gateway now.
+func (sai *said) barsAll(now time.Time) bool {
+	return sai.leaves || now.Before(sai.sharedUntil) || sai.probing(now)
 }
 
 // probing reports whether a request is finding out whether the engine serves again.
@@ -169,7 +174,7 @@
 
 // silenced reports whether the engine is granted to nobody now.
 func (ene *engine) silenced(now time.Time) bool {
-	return ene.leaving() || ene.said != nil && (now.Before(ene.said.sharedUntil) || ene.said.probing(now))
+	return ene.Draining || ene.said != nil && ene.said.barsAll(now)
 }
 
 // noteProbe has the run find out whether an engine serves again that asked for a pause.
--- a/scheduler/pause_sim_test.go
+++ b/scheduler/pause_sim_test.go
@@ -95,7 +95,7 @@
 	pauseAim   = 300 * time.Millisecond
 	pauseTime  = 1500 * time.Millisecond
 	pauseRest  = 3 * time.Second
-	pauseWay1  = time.Millisecond
+	pauseTrip  = time.Millisecond
 	pauseShed  = 8 * time.Second
 )
 
@@ -188,7 +188,7 @@
 		delete(pla.waiting, idOf(snd.Message))
 		switch msg := snd.Message.(type) {
 		case reservation.Grant:
-			pla.in(pauseWay1, func() { pla.granted(run, msg.Engine) })
+			pla.in(pauseTrip, func() { pla.granted(run, msg.Engine) })
 		case reservation.Refuse:
 			pla.refused(run, msg.RetryAfter)
 		}
@@ -225,7 +225,7 @@
 		pla.result.worst = max(pla.result.worst, eng.sent[run.host])
 	}
 	if now.Before(eng.shedUntil) && (pla.cfg.part == 0 || pla.random.Float64() < pla.cfg.part) {
-		pla.in(pauseWay1, func() { pla.turnedAway(run, eng) })
+		pla.in(pauseTrip, func() { pla.turnedAway(run, eng) })
 		return
 	}
 	if eng.waits {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -213,32 +213,34 @@
 }
 
 func (sys *system) post(adr netip.AddrPort, path string, body any) {
+	sys.t.Helper()
+	assert.NilError(sys.t, sys.tryPost(adr, path, body))
+}
+
+// tryPost returns an error where no answer came; any other answer than a good one fails the
+// play.
+func (sys *system) tryPost(adr netip.AddrPort, path string, body any) error {
 	sys.t.Helper()
 	data, err := json.Marshal(body)
 	assert.NilError(sys.t, err)
 	req, err := http.NewRequestWithContext(sys.t.Context(), http.MethodPost, "http://"+adr.String()+path, bytes.NewReader(data))
 	assert.NilError(sys.t, err)
 	rep, err := http.DefaultClient.Do(req)
-	assert.NilError(sys.t, err)
+	if err != nil {
+		return err
+	}
 	assert.NilError(sys.t, rep.Body.Close())
 	assert.Equal(sys.t, rep.StatusCode, http.StatusOK)
+	return nil
 }
 
 // tell has an engine's own switch take a body. The engine may end at that very moment, since
 // a caller's request does it: then there is nothing to tell any more.
 func (sys *system) tell(eng *engine, path string, body any) {
 	sys.t.Helper()
-	data, err := json.Marshal(body)
-	assert.NilError(sys.t, err)
-	req, err := http.NewRequestWithContext(sys.t.Context(), http.MethodPost, "http://"+eng.address.String()+path, bytes.NewReader(data))
-	assert.NilError(sys.t, err)
-	rep, err := http.DefaultClient.Do(req)
-	if err != nil {
+	if err := sys.tryPost(eng.address, path, body); err != nil {
 		sys.until(eng.id+" has ended, since it can't be told", eng.hasEnded)
-		return
 	}
-	assert.NilError(sys.t, rep.Body.Close())
-	assert.Equal(sys.t, rep.StatusCode, http.StatusOK)
 }
 
 func (sys *system) addHost(idx int) {
--- a/tools/mutate/mutations.go
+++ b/tools/mutate/mutations.go
@@ -29,7 +29,7 @@
 	},
 	{
 		"Word: a host that was asked for a pause isn't granted the engine", "scheduler/notice.go",
-		" || now.Before(sai.asked[gateway]) || sai.probing(now)", " || sai.probing(now)", words,
+		"	return sai.barsAll(now) || now.Before(sai.asked[gateway])\n", "	return sai.barsAll(now)\n", words,
 	},
 	{
 		"Word: one request at a time tries an engine after a pause", "scheduler/notice.go",
