feat: hosts see the rate that engines name, in a line and figures; no decision changes

Cause: three hypotheses on engines that get more than the rate that they had named couldn't be told apart, since nothing in logs or figures told of that rate. Change: the adapter decodes it (a decimal number, the lowest where several are named; what is no number, negative or without end is told and not taken), a host logs a rate that is new, another one, one that can't be read, and the first answer without one to a request that was sent later; three counters. Measured: go test ./entry ./upstream ./platform ./fleet passes. Nothing acts on it.

--- a/call/call.go
+++ b/call/call.go
@@ -81,4 +81,9 @@
 	// UnreadBackoff is the beginning of such a wish that can't be taken as it stands.
 	Backoff       time.Duration
 	UnreadBackoff string
+	// HasRate says that the engine names a rate: Rate is the most requests a second that it
+	// takes from all hosts together. UnreadRate is the beginning of one that can't be taken.
+	HasRate    bool
+	Rate       float64
+	UnreadRate string
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -74,6 +74,7 @@
 	clock    *clock.Clock
 	upstream *upstream.Client
 	notices  *notices
+	rates    *rates
 	peers    *peer.Client
 	tasks    *task.Group
 	servers  []*http.Server
@@ -142,6 +143,12 @@
 	return eng, known
 }
 
+// lists reports whether the run is listed.
+func (bel *belief) lists(run fleet.EngineID) bool {
+	eng, known := bel.engines[run.Name]
+	return known && eng.ID == run
+}
+
 // New returns a host; Start has it work.
 func New(cfg Config) (*Host, error) {
 	if cfg.LinesDropped == nil {
@@ -175,8 +182,9 @@
 	hos.secrets = newSecrets(hos)
 	hos.tasks = task.NewGroup(hos.log)
 	hos.notices = newNotices(hos)
+	hos.rates = newRates(hos)
 	hos.upstream = upstream.NewClient(upstream.ClientConfig{
-		Decode: platform.DecodeAnswer, Now: hos.clock.Now, Heard: hos.notices.take,
+		Decode: platform.DecodeAnswer, Now: hos.clock.Now, Heard: hos.heard,
 		Dialed: func() { hos.figures.dialed.Inc(1) },
 	})
 	hos.peers = peer.NewClient(peer.ClientConfig{Security: hos.security(), Timing: peerTiming, Self: hos.Header})
@@ -184,6 +192,12 @@
 	return hos, nil
 }
 
+// heard takes what the head of an answer says of its engine.
+func (hos *Host) heard(hrd upstream.Heard) {
+	hos.notices.take(hrd.Endpoint, hrd.Head)
+	hos.rates.take(hrd)
+}
+
 // neverConfirmed is long before any time since the start.
 const neverConfirmed = -int64(time.Hour)
 
@@ -420,6 +434,7 @@
 		case <-tick.C:
 			hos.upstream.Retire(hos.engineRuns())
 			hos.notices.forget(hos.belief.Load())
+			hos.rates.forget(hos.belief.Load())
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -127,10 +127,7 @@
 	now := ntc.host.clock.Now()
 	ntc.mutex.Lock()
 	defer ntc.mutex.Unlock()
-	ntc.heard.Forget(now, func(run fleet.EngineID) bool {
-		eng, known := bel.engines[run.Name]
-		return known && eng.ID == run
-	})
+	ntc.heard.Forget(now, bel.lists)
 	for run, at := range ntc.loggedAt {
 		if now.Sub(at) >= noticePause {
 			delete(ntc.loggedAt, run)
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -48,7 +48,7 @@
 		cfg.Now = time.Now
 	}
 	if cfg.Heard == nil {
-		cfg.Heard = func(Endpoint, call.AnswerHead) {}
+		cfg.Heard = func(Heard) {}
 	}
 	return &Client{cfg: cfg, idle: make(map[Endpoint][]*connection), busy: make(map[*connection]struct{})}
 }
@@ -266,6 +266,7 @@
 		req.Body = io.NopCloser(bytes.NewReader(cal.Body))
 		req.ContentLength = int64(len(cal.Body))
 	}
+	sent := exc.client.cfg.Now()
 	if len(cal.Body) > smallBodyBytes {
 		go func() { exc.written <- req.Write(exc.connection) }()
 	} else {
@@ -275,12 +276,12 @@
 			return nil, err
 		}
 	}
-	return exc.read(cal, req)
+	return exc.read(cal, req, sent)
 }
 
 // read reads answers until one belongs to the call. A success must name it; a
 // failure without a name is taken for the engine's own that couldn't read it.
-func (exc *exchange) read(cal Call, req *http.Request) (*Answer, error) {
+func (exc *exchange) read(cal Call, req *http.Request, sent time.Time) (*Answer, error) {
 	var stray string
 	for range maxStray {
 		//nolint:bodyclose // Answer.Close ends the whole connection or keeps it.
@@ -292,11 +293,12 @@
 			continue
 		}
 		head := exc.client.cfg.Decode(rep.StatusCode, rep.Header)
-		exc.client.cfg.Heard(cal.Endpoint, head)
+		own := head.ID == "" || head.ID == cal.ID
+		exc.client.cfg.Heard(Heard{Endpoint: cal.Endpoint, Head: head, Sent: sent, Stray: !own})
 		if head.ID == "" && rep.StatusCode < http.StatusBadRequest {
 			return nil, &StrayError{}
 		}
-		if head.ID == "" || head.ID == cal.ID {
+		if own {
 			return &Answer{Status: rep.StatusCode, Header: rep.Header, Head: head, Body: rep.Body, reply: rep, exchange: exc, strays: stray != ""}, nil
 		}
 		stray = head.ID
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -35,7 +35,7 @@
 	Dialed func()
 	// Heard is called with the head of each answer of an engine, also of one that belongs
 	// to another request, before anything of it is passed on; nil for nobody.
-	Heard func(Endpoint, call.AnswerHead)
+	Heard func(Heard)
 }
 
 const (
@@ -65,6 +65,16 @@
 	Engine  fleet.EngineID
 }
 
+// Heard is the head of an answer that came on a connection to an engine.
+type Heard struct {
+	Endpoint
+	Head call.AnswerHead
+	// Sent is when the request was written whose answer was waited for; Stray says that this
+	// one belongs to another request.
+	Sent  time.Time
+	Stray bool
+}
+
 // Call is a request to an engine.
 type Call struct {
 	Endpoint
