--- a/entry/notices_test.go
+++ b/entry/notices_test.go
@@ -39,15 +39,15 @@
 	})
 }
 
-// arrivedFrom counts the requests that reached an engine from a host.
-func arrivedFrom(eng *upstreamtest.Engine, hos *entrytest.Host) int {
-	count := 0
+// arrivalsFrom returns the requests that reached an engine from a host.
+func arrivalsFrom(eng *upstreamtest.Engine, hos *entrytest.Host) []upstreamtest.Arrival {
+	var from []upstreamtest.Arrival
 	for _, arr := range eng.Arrivals() {
 		if strings.HasPrefix(arr.ID, hos.Settings.Name+"-") {
-			count++
+			from = append(from, arr)
 		}
 	}
-	return count
+	return from
 }
 
 // Seen: an engine that leaves got 27 requests in twelve seconds, two of them by a host that
@@ -70,7 +70,7 @@
 		}
 	}
 	for _, hos := range sys.Hosts {
-		count := arrivedFrom(engines[0], hos)
+		count := len(arrivalsFrom(engines[0], hos))
 		assert.Check(t, count <= 1, "%d requests by %s", count, hos.Settings.Name)
 	}
 }
@@ -98,7 +98,7 @@
 		}
 	}
 	for _, hos := range sys.Hosts {
-		count := arrivedFrom(engines[0], hos)
+		count := len(arrivalsFrom(engines[0], hos))
 		assert.Check(t, count <= 2, "%d requests by %s", count, hos.Settings.Name)
 	}
 }
@@ -118,7 +118,7 @@
 		}
 	}
 	for _, hos := range sys.Hosts {
-		count := arrivedFrom(engines[0], hos)
+		count := len(arrivalsFrom(engines[0], hos))
 		assert.Check(t, count <= 1, "%d requests by %s", count, hos.Settings.Name)
 	}
 }
--- /dev/null
+++ b/entry/rates_test.go
@@ -0,0 +1,68 @@
+package entry_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lynxwell.dev/lynxwell/entrytest"
+	"lynxwell.dev/lynxwell/upstreamtest"
+)
+
+// What the users allow an engine that has named a rate: in some 4 s one and a half times what
+// that allows, and five more, of all hosts together that it had told.
+const (
+	rateWindow = 4 * time.Second
+	rateFactor = 1.5
+	rateSlack  = 5
+)
+
+func allowedIn(perSecond float64) int {
+	return int(rateFactor*perSecond*rateWindow.Seconds() + rateSlack)
+}
+
+// worstOfTold returns the most requests that reached an engine in some window, by hosts that
+// it had answered before.
+func worstOfTold(eng *upstreamtest.Engine, hosts []*entrytest.Host) int {
+	var told []time.Time
+	for _, hos := range hosts {
+		arrivals := arrivalsFrom(eng, hos)
+		for _, arr := range arrivals[min(1, len(arrivals)):] {
+			told = append(told, arr.At)
+		}
+	}
+	worst := 0
+	for _, first := range told {
+		count := 0
+		for _, at := range told {
+			if since := at.Sub(first); since >= 0 && since < rateWindow {
+				count++
+			}
+		}
+		worst = max(worst, count)
+	}
+	return worst
+}
+
+// Seen: two engines that had named 1.5 and 2.2 requests a second got 28 and 25 in four
+// seconds, of two and of four hosts that they had told, where 14 and 18 are allowed. They
+// answered all of them in time.
+// Came about so: one host decided for all. It granted both engines as before, by their
+// slots, their prompts to be read and their health.
+func TestEngineThatNamesARateGetsNoMore(t *testing.T) {
+	const perSecond = 1.5
+	engines := plainEngines(2)
+	sys := startPatient(t, 3, engines)
+	engines[0].Limit(perSecond)
+	for num := range 40 {
+		for _, hos := range sys.Hosts {
+			ans := sendPlain(t, sys, hos, "unsafe", num)
+			assert.Equal(t, ans.Status, http.StatusOK, ans.Body)
+		}
+	}
+	assert.Assert(t, len(engines[0].Arrivals()) > 0, "it serves what it takes")
+	worst := worstOfTold(engines[0], sys.Hosts)
+	assert.Check(t, worst <= allowedIn(perSecond), "%d requests in some %s", worst, rateWindow)
+}
--- a/upstreamtest/engine.go
+++ b/upstreamtest/engine.go
@@ -97,16 +97,6 @@
 	Body      string
 }
 
-// Arrival is a request that reached the engine, whether it ran or not.
-type Arrival struct {
-	ID string
-	At time.Time
-	// Leaves says that the answer told of the engine's leave, Pause for how long a pause it
-	// asked in place of an answer; 0 for none.
-	Leaves bool
-	Pause  time.Duration
-}
-
 // Engine is the stand-in.
 type Engine struct {
 	cfg      Config
@@ -120,8 +110,10 @@
 	onTaken func()
 	// leaves has every answer say that the engine leaves; over 0, pause has it turn all
 	// requests away and ask for so long a pause.
-	leaves   bool
-	pause    time.Duration
+	leaves bool
+	pause  time.Duration
+	// rate is what all answers name as the most requests a second; nil for nothing.
+	rate     *float64
 	arrivals []Arrival
 }
 
@@ -170,36 +162,6 @@
 	eng.onTaken = call
 }
 
-// Leave has the engine say in all its answers that it leaves; it serves on.
-func (eng *Engine) Leave() {
-	eng.mutex.Lock()
-	defer eng.mutex.Unlock()
-	eng.leaves = true
-}
-
-// Pause has the engine turn all requests away and ask for so long a pause each time; 0 has
-// it serve again.
-func (eng *Engine) Pause(dur time.Duration) {
-	eng.mutex.Lock()
-	defer eng.mutex.Unlock()
-	eng.pause = dur
-}
-
-// Arrivals returns all requests that reached the engine, in order.
-func (eng *Engine) Arrivals() []Arrival {
-	eng.mutex.Lock()
-	defer eng.mutex.Unlock()
-	return append([]Arrival(nil), eng.arrivals...)
-}
-
-// arrive notes a request, and returns what the engine says of itself.
-func (eng *Engine) arrive(id string) (leaves bool, pause time.Duration) {
-	eng.mutex.Lock()
-	defer eng.mutex.Unlock()
-	eng.arrivals = append(eng.arrivals, Arrival{ID: id, At: time.Now(), Leaves: eng.leaves, Pause: eng.pause})
-	return eng.leaves, eng.pause
-}
-
 // Runs returns what the engine ran, in order.
 func (eng *Engine) Runs() []Run {
 	eng.mutex.Lock()
@@ -225,15 +187,7 @@
 			wri.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		leaves, pause := eng.arrive(req.Header.Get("Request-Id"))
-		if leaves {
-			wri.Header().Set("Server-Leaving", "1")
-		}
-		if pause > 0 {
-			wri.Header().Set("Request-Id", req.Header.Get("Request-Id"))
-			wri.Header().Set("Not-Executed", "1")
-			wri.Header().Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', -1, 64))
-			wri.WriteHeader(http.StatusServiceUnavailable)
+		if eng.speak(wri, req) {
 			return
 		}
 		trb, room, taken := eng.enter()
@@ -461,16 +415,6 @@
 	}
 }
 
-// rawHeader returns what the engine says of itself as lines of a head.
-func (eng *Engine) rawHeader() string {
-	eng.mutex.Lock()
-	defer eng.mutex.Unlock()
-	if eng.leaves {
-		return "Server-Leaving: 1\r\n"
-	}
-	return ""
-}
-
 func framed(buf *bufio.ReadWriter, id, body, more string) {
 	fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: signed-%s\r\nContent-Length: %d\r\n%s\r\n%s", id, id, len(body), more, body)
 }
--- a/upstreamtest/switch.go
+++ b/upstreamtest/switch.go
@@ -31,6 +31,8 @@
 	// so long a pause, 0 ends that.
 	Leaves bool
 	Pause  time.Duration
+	// Rate is the most requests a second that all answers name; nil for none.
+	Rate *float64
 }
 
 // serveSwitch serves the stand-in's own paths; it returns false for all others.
@@ -53,6 +55,11 @@
 			eng.Leave()
 		}
 		eng.Pause(word.Pause)
+		if word.Rate != nil {
+			eng.Limit(*word.Rate)
+		} else {
+			eng.Unlimit()
+		}
 	case PathArrivals:
 		wri.Header().Set("Content-Type", "application/json")
 		// A reader that has left can't be told anything more.
