refactor: what an engine says of itself is a sealed set of words, in one place a host

Cause: a rate isn't a bar; the type that held leave, replacement and pause had no room for it, so that a host kept rates beside the other words. Change: fleet.Word (Leaving, Replaced, Pause, RateLimit, Unlimited), kept by fleet.Notices; the host that hears one tells those who decide of each alike. A rate ends with an answer without one to a request that was sent after it was last named, never with an answer to another request; one that can't be read leaves the former.

--- a/entry/barred_test.go
+++ b/entry/barred_test.go
@@ -27,8 +27,8 @@
 func TestAnswerIsTheWordOfWhoGivesIt(t *testing.T) {
 	const backoff = 3 * time.Second
 	end := upstream.Endpoint{Engine: fleet.EngineID{Name: "e1"}}
-	leaves := fleet.Notice{Run: end.Engine, Bar: fleet.BarDraining}
-	pause := fleet.Notice{Run: end.Engine, Bar: fleet.BarBackoff, Left: backoff}
+	leaves := fleet.Notice{Run: end.Engine, Word: fleet.Leaving{}}
+	pause := fleet.Notice{Run: end.Engine, Word: fleet.Pause{Left: backoff}}
 	for _, tst := range []struct {
 		name string
 		head call.AnswerHead
@@ -38,12 +38,16 @@
 		{"says both", call.AnswerHead{Draining: true, Backoff: backoff}, []fleet.Notice{leaves, pause}},
 		{"names itself", call.AnswerHead{Instance: "e1", Draining: true}, []fleet.Notice{leaves}},
 		{"turns away by its own name", call.AnswerHead{Misdirected: true, Instance: "e1", Draining: true}, []fleet.Notice{leaves}},
-		{"another one's address now", call.AnswerHead{Misdirected: true, Instance: "e2", Draining: true, Backoff: backoff}, []fleet.Notice{{Run: end.Engine, Bar: fleet.BarReplaced}}},
+		{"another one's address now", call.AnswerHead{Misdirected: true, Instance: "e2", Draining: true, Backoff: backoff}, []fleet.Notice{{Run: end.Engine, Word: fleet.Replaced{}}}},
 		{"turns away without a name", call.AnswerHead{Misdirected: true, Draining: true}, nil},
+		{"names a rate", call.AnswerHead{HasRate: true, Rate: 1.5}, []fleet.Notice{{Run: end.Engine, Word: fleet.RateLimit{PerSecond: 1.5}}}},
+		{"names a rate that can't be read", call.AnswerHead{UnreadRate: "few"}, nil},
+		{"names a rate and leaves", call.AnswerHead{Draining: true, HasRate: true}, []fleet.Notice{leaves, {Run: end.Engine, Word: fleet.RateLimit{}}}},
+		{"another one's rate", call.AnswerHead{Instance: "e2", HasRate: true}, nil},
 		{"another one answers", call.AnswerHead{Instance: "e2", Draining: true}, nil},
 	} {
 		t.Run(tst.name, func(t *testing.T) {
-			assert.DeepEqual(t, noticesOf(end, tst.head), tst.want)
+			assert.DeepEqual(t, newNotices(nil).words(upstream.Heard{Endpoint: end, Head: tst.head}), tst.want)
 		})
 	}
 }
@@ -62,11 +66,12 @@
 	run := fleet.EngineID{Name: "e1"}
 	exc := &exchange{host: hos, route: route.Route{Public: true}, deadline: hos.clock.Now().Add(time.Minute)}
 	assert.NilError(t, exc.mayStillSend(run))
-	hos.notices.take(upstream.Endpoint{Engine: run}, call.AnswerHead{Backoff: time.Hour})
+	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: run}, Head: call.AnswerHead{Backoff: time.Hour}})
 	err := exc.mayStillSend(run)
 	var barred *BarredError
 	assert.Assert(t, errors.As(err, &barred), "%v", err)
-	assert.Equal(t, barred.Notice.Bar, fleet.BarBackoff)
+	_, isPause := barred.Notice.Word.(fleet.Pause)
+	assert.Assert(t, isPause, "%v", barred)
 	assert.NilError(t, exc.mayStillSend(fleet.EngineID{Name: "e2"}))
 }
 
@@ -85,7 +90,7 @@
 	hos := barredHost(t, &log)
 	before := log.lines
 	for range 1000 {
-		hos.notices.take(upstream.Endpoint{Engine: fleet.EngineID{Name: "e1"}}, call.AnswerHead{Backoff: time.Millisecond, UnreadBackoff: "soon"})
+		hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: fleet.EngineID{Name: "e1"}}, Head: call.AnswerHead{Backoff: time.Millisecond, UnreadBackoff: "soon"}})
 	}
 	assert.Assert(t, log.lines-before <= 4, log.lines-before)
 }
@@ -101,7 +106,7 @@
 		rid := request.ID{Unique: "r1"}
 		_, pro := exc.granted("e1", rid)
 		assert.Assert(t, pro == nil)
-		hos.notices.take(upstream.Endpoint{Engine: run}, head)
+		hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: run}, Head: head})
 		hos.desk.holds[rid] = &reservation.Adopt{ID: rid, Engine: "e1"}
 		_, pro = exc.granted("e1", rid)
 		assert.Assert(t, pro != nil && pro.sentBack, "%+v", head)
@@ -113,15 +118,15 @@
 // A host that may decide next is told all that engines have said when its session opens.
 func TestSessionThatOpensIsToldWhatEnginesSaid(t *testing.T) {
 	hos := barredHost(t, io.Discard)
-	hos.notices.take(upstream.Endpoint{Engine: fleet.EngineID{Name: "e1"}}, call.AnswerHead{Draining: true})
-	hos.notices.take(upstream.Endpoint{Engine: fleet.EngineID{Name: "e2"}}, call.AnswerHead{Backoff: time.Hour})
-	hos.notices.take(upstream.Endpoint{Engine: fleet.EngineID{Name: "e3"}}, call.AnswerHead{Backoff: time.Nanosecond})
+	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: fleet.EngineID{Name: "e1"}}, Head: call.AnswerHead{Draining: true}})
+	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: fleet.EngineID{Name: "e2"}}, Head: call.AnswerHead{Backoff: time.Hour}})
+	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: fleet.EngineID{Name: "e3"}}, Head: call.AnswerHead{Backoff: time.Nanosecond}})
 	que := peer.NewQueue()
 	hos.desk.linkUp(&link{member: fleet.Member{Name: "h2", Epoch: 7}, queue: que, cancel: func() {}})
 	var told []string
 	for out, more := que.Take(); more; out, more = que.Take() {
 		if not, isNotice := out.Message.(reservation.EngineNotice); isNotice {
-			told = append(told, not.Run.Name+" "+not.Bar.String())
+			told = append(told, not.Run.Name+" "+not.Word.String())
 		}
 	}
 	slices.Sort(told)
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -47,7 +47,8 @@
 		return endingNone
 	}
 	known, found := exc.host.belief.Load().engine(eng.ID)
-	if !found || known.Draining || exc.host.notices.bar(eng.ID).Bar == fleet.BarDraining {
+	_, leaves := exc.host.notices.bar(eng.ID).(fleet.Leaving)
+	if !found || known.Draining || leaves {
 		return endingNone
 	}
 	if known.ID.Follows(eng.ID) {
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -46,6 +46,8 @@
 	Says   string
 	// Left is for how much longer a wish for a pause holds.
 	Left string `json:",omitempty"`
+	// PerSecond is the rate that it takes; nil where it names none.
+	PerSecond *float64 `json:",omitempty"`
 }
 
 // Dump returns the host's state.
@@ -64,9 +66,12 @@
 		dum.Engines = append(dum.Engines, eng)
 	}
 	for _, not := range hos.notices.current() {
-		one := NoticeDump{Engine: not.Run, Says: not.Bar.String()}
-		if not.Left > 0 {
-			one.Left = not.Left.String()
+		one := NoticeDump{Engine: not.Run, Says: not.Word.String()}
+		switch wrd := not.Word.(type) {
+		case fleet.Pause:
+			one.Left = wrd.Left.String()
+		case fleet.RateLimit:
+			one.PerSecond = &wrd.PerSecond
 		}
 		dum.Notices = append(dum.Notices, one)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -74,7 +74,6 @@
 	clock    *clock.Clock
 	upstream *upstream.Client
 	notices  *notices
-	rates    *rates
 	peers    *peer.Client
 	tasks    *task.Group
 	servers  []*http.Server
@@ -182,9 +181,8 @@
 	hos.secrets = newSecrets(hos)
 	hos.tasks = task.NewGroup(hos.log)
 	hos.notices = newNotices(hos)
-	hos.rates = newRates(hos)
 	hos.upstream = upstream.NewClient(upstream.ClientConfig{
-		Decode: platform.DecodeAnswer, Now: hos.clock.Now, Heard: hos.heard,
+		Decode: platform.DecodeAnswer, Now: hos.clock.Now, Heard: hos.notices.take,
 		Dialed: func() { hos.figures.dialed.Inc(1) },
 	})
 	hos.peers = peer.NewClient(peer.ClientConfig{Security: hos.security(), Timing: peerTiming, Self: hos.Header})
@@ -192,12 +190,6 @@
 	return hos, nil
 }
 
-// heard takes what the head of an answer says of its engine.
-func (hos *Host) heard(hrd upstream.Heard) {
-	hos.notices.take(hrd.Endpoint, hrd.Head)
-	hos.rates.take(hrd)
-}
-
 // neverConfirmed is long before any time since the start.
 const neverConfirmed = -int64(time.Hour)
 
@@ -434,7 +426,6 @@
 		case <-tick.C:
 			hos.upstream.Retire(hos.engineRuns())
 			hos.notices.forget(hos.belief.Load())
-			hos.rates.forget(hos.belief.Load())
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -4,20 +4,17 @@
 	"sync"
 	"time"
 
-	"lynxwell.dev/lynxwell/call"
 	"lynxwell.dev/lynxwell/fleet"
-	"lynxwell.dev/lynxwell/reservation"
 	"lynxwell.dev/lynxwell/upstream"
 )
 
 // What an engine says of itself in an answer is taken at the answer's head, before anything
 // of it is passed on, and kept to by this host itself, whoever decides and whatever the
-// store says: an engine that leaves while the store is away got 27 requests in twelve
-// seconds, and one that asked for a pause of three seconds seven from one host.
+// store says: those who decide may not have heard it, and the store may be away.
 
-// noticePause is how often, at most, a line tells that an engine asks for a pause, for each
-// run, and that one can't be read, for all: a thousand such answers a second must not push
-// other lines out of the log.
+// noticePause is how often, at most, a line tells of a run's pauses and rates, and one that
+// a word can't be read, for all: a thousand such answers a second must not push other lines
+// out of the log.
 const noticePause = time.Second
 
 // notices are what engines have said of themselves in their answers to this host.
@@ -25,8 +22,8 @@
 	host  *Host
 	mutex sync.Mutex
 	heard *fleet.Notices
-	// loggedAt is when a line last told of a run's wish for a pause, unreadableAt when one
-	// told of a wish that can't be read.
+	// loggedAt is when a line last told of a run's pause or rate, unreadableAt when one told
+	// of a word that can't be read.
 	loggedAt     map[fleet.EngineID]time.Time
 	unreadableAt time.Time
 }
@@ -36,64 +33,119 @@
 }
 
 // take notes what the head of an answer says of its engine, and tells those who decide.
-func (ntc *notices) take(end upstream.Endpoint, head call.AnswerHead) {
-	if head.UnreadBackoff != "" {
-		ntc.noteUnread(end, head)
-	}
-	for _, not := range noticesOf(end, head) {
-		now := ntc.host.clock.Now()
-		ntc.mutex.Lock()
-		news := ntc.heard.Take(now, not)
-		ntc.log(now, end, head, not, news)
-		ntc.mutex.Unlock()
-		ntc.host.figures.count("EngineNotices." + not.Bar.String())
-		if news || not.Bar == fleet.BarBackoff {
+func (ntc *notices) take(hrd upstream.Heard) {
+	if hrd.Head.UnreadBackoff != "" || hrd.Head.UnreadRate != "" {
+		ntc.noteUnread(hrd)
+	}
+	now := ntc.host.clock.Now()
+	ntc.mutex.Lock()
+	words := ntc.words(hrd)
+	news := make([]bool, len(words))
+	for num, not := range words {
+		former, known := ntc.heard.Limit(hrd.Engine)
+		news[num] = ntc.heard.Take(now, not)
+		if news[num] && !ntc.quiet(now, not) {
+			ntc.log(now, hrd, not.Word, former, known)
+		}
+	}
+	ntc.mutex.Unlock()
+	for num, not := range words {
+		ntc.host.figures.count("EngineNotices." + not.Word.String())
+		if news[num] || isToldAgain(not.Word) {
 			ntc.host.desk.tellNotice(not)
 		}
 	}
 }
 
-// noticesOf returns what an answer says of the engine that it was asked of. An answer that
-// names another engine, or turns the request away as meant for another one without a name,
-// is that other one's word. One that belongs to another request still came from this
-// engine.
-func noticesOf(end upstream.Endpoint, head call.AnswerHead) []fleet.Notice {
+// isToldAgain reports whether who decides hears a word each time: when a pause or a rate was
+// last named tells which answers came after it.
+func isToldAgain(word fleet.Word) bool {
+	switch word.(type) {
+	case fleet.Pause, fleet.RateLimit:
+		return true
+	default:
+		return false
+	}
+}
+
+// words returns what an answer says of the engine that it was asked of; the mutex is held. An
+// answer that names another engine, or turns the request away as meant for another one without
+// a name, is that other one's word. One that belongs to another request still came from this
+// engine, but from when isn't known.
+func (ntc *notices) words(hrd upstream.Heard) []fleet.Notice {
+	head := hrd.Head
 	switch {
-	case head.Misdirected && head.Instance != "" && head.Instance != end.Engine.Name:
-		return []fleet.Notice{{Run: end.Engine, Bar: fleet.BarReplaced}}
-	case head.Instance != "" && head.Instance != end.Engine.Name, head.Misdirected && head.Instance == "":
+	case head.Misdirected && head.Instance != "" && head.Instance != hrd.Engine.Name:
+		return []fleet.Notice{{Run: hrd.Engine, Word: fleet.Replaced{}}}
+	case head.Instance != "" && head.Instance != hrd.Engine.Name, head.Misdirected && head.Instance == "":
 		return nil
 	}
 	var all []fleet.Notice
 	if head.Draining {
-		all = append(all, fleet.Notice{Run: end.Engine, Bar: fleet.BarDraining})
+		all = append(all, fleet.Notice{Run: hrd.Engine, Word: fleet.Leaving{}})
 	}
 	if head.Backoff > 0 {
-		all = append(all, fleet.Notice{Run: end.Engine, Bar: fleet.BarBackoff, Left: head.Backoff})
+		all = append(all, fleet.Notice{Run: hrd.Engine, Word: fleet.Pause{Left: head.Backoff}})
+	}
+	if word := ntc.limitIn(hrd); word != nil {
+		all = append(all, fleet.Notice{Run: hrd.Engine, Word: word})
 	}
 	return all
 }
 
-// log writes what is news, with what the engine's entry says meanwhile; the mutex is held.
-func (ntc *notices) log(now time.Time, end upstream.Endpoint, head call.AnswerHead, not fleet.Notice, news bool) {
-	if !news || not.Bar == fleet.BarBackoff && now.Sub(ntc.loggedAt[end.Engine]) < noticePause {
-		return
+// limitIn returns what an answer says of the rate that its engine takes; nil for nothing. A
+// rate that can't be read leaves the one that was named before, which is named again so that
+// nobody takes this answer for one without.
+func (ntc *notices) limitIn(hrd upstream.Heard) fleet.Word {
+	switch {
+	case hrd.Head.HasRate:
+		return fleet.RateLimit{PerSecond: hrd.Head.Rate}
+	case hrd.Head.UnreadRate != "":
+		if former, holds := ntc.heard.Limit(hrd.Engine); holds {
+			return former.RateLimit
+		}
+		return nil
+	case !hrd.Stray && ntc.heard.EndsLimit(hrd.Engine, hrd.Sent):
+		return fleet.Unlimited{}
+	default:
+		return nil
 	}
-	if not.Bar == fleet.BarBackoff {
-		ntc.loggedAt[end.Engine] = now
+}
+
+// quiet reports whether a line told of the run a moment ago, and notes that one does now; the
+// mutex is held. A leave is told once, at once.
+func (ntc *notices) quiet(now time.Time, not fleet.Notice) bool {
+	switch not.Word.(type) {
+	case fleet.Leaving, fleet.Replaced:
+		return false
 	}
-	known, listed := ntc.host.belief.Load().engine(end.Engine)
-	evt := ntc.host.log.Info().Stringer("Engine", end.Engine).Stringer("Address", end.Address).Stringer("Says", not.Bar).Str("AnswerTo", head.ID).
+	if now.Sub(ntc.loggedAt[not.Run]) < noticePause {
+		return true
+	}
+	ntc.loggedAt[not.Run] = now
+	return false
+}
+
+// log writes what is news, with what the engine's entry says meanwhile; the mutex is held.
+func (ntc *notices) log(now time.Time, hrd upstream.Heard, word fleet.Word, former fleet.NamedLimit, limited bool) {
+	known, listed := ntc.host.belief.Load().engine(hrd.Engine)
+	evt := ntc.host.log.Info().Stringer("Engine", hrd.Engine).Stringer("Address", hrd.Address).Stringer("Says", word).Str("AnswerTo", hrd.Head.ID).
 		Bool("Listed", listed).Bool("EntryDraining", known.Draining).Uint64("EntrySequence", known.Sequence).Dur("Age", ntc.host.age(now))
-	if not.Bar == fleet.BarBackoff {
-		evt = evt.Dur("For", not.Left)
+	switch wrd := word.(type) {
+	case fleet.Pause:
+		evt = evt.Dur("For", wrd.Left)
+	case fleet.RateLimit:
+		evt = evt.Float64("PerSecond", wrd.PerSecond)
+	}
+	if limited {
+		evt = evt.Float64("FormerPerSecond", former.PerSecond).Dur("FormerAge", now.Sub(former.At))
 	}
 	evt.Msg("engine says of itself")
 }
 
-// noteUnread logs a wish for a pause that can't be read; the engine is judged by its
-// health alone then.
-func (ntc *notices) noteUnread(end upstream.Endpoint, head call.AnswerHead) {
+// noteUnread logs a word that can't be read. Without the pause that it asks for an engine is
+// judged by its health alone; the rate that it named before holds on.
+func (ntc *notices) noteUnread(hrd upstream.Heard) {
 	ntc.host.figures.count("EngineNotices.Unread")
 	now := ntc.host.clock.Now()
 	ntc.mutex.Lock()
@@ -102,12 +154,18 @@
 		return
 	}
 	ntc.unreadableAt = now
-	ntc.host.log.Warn().Stringer("Engine", end.Engine).Stringer("Address", end.Address).Str("AnswerTo", head.ID).Str("RetryAfter", head.UnreadBackoff).
-		Dur("Taken", head.Backoff).Msg("pause that an engine asks for is not taken as it stands")
+	evt := ntc.host.log.Warn().Stringer("Engine", hrd.Engine).Stringer("Address", hrd.Address).Str("AnswerTo", hrd.Head.ID)
+	if hrd.Head.UnreadBackoff != "" {
+		evt = evt.Str("RetryAfter", hrd.Head.UnreadBackoff).Dur("Taken", hrd.Head.Backoff)
+	}
+	if hrd.Head.UnreadRate != "" {
+		evt = evt.Str("Rate", hrd.Head.UnreadRate)
+	}
+	evt.Msg("what an engine says of itself is not taken as it stands")
 }
 
-// bar returns whether anything that an engine said keeps this host from sending to it.
-func (ntc *notices) bar(run fleet.EngineID) fleet.Notice {
+// bar returns what an engine said that keeps this host from sending to it; nil for nothing.
+func (ntc *notices) bar(run fleet.EngineID) fleet.Word {
 	now := ntc.host.clock.Now()
 	ntc.mutex.Lock()
 	defer ntc.mutex.Unlock()
@@ -134,40 +192,3 @@
 		}
 	}
 }
-
-// tellNotice tells the own scheduler, the one that decides and the one that would next.
-func (des *desk) tellNotice(not fleet.Notice) {
-	des.mutex.Lock()
-	defer des.mutex.Unlock()
-	des.tellDeciders(reservation.EngineNotice{Notice: not})
-}
-
-// tellNotices tells a host that decides, or would next, all that engines have said to this
-// one; the mutex is held.
-func (des *desk) tellNotices(to fleet.Member) {
-	for _, not := range des.host.notices.current() {
-		des.tell(to.Epoch, reservation.EngineNotice{Notice: not})
-	}
-}
-
-// BarredError reports a request that isn't sent since its engine wants nothing from this
-// host.
-type BarredError struct {
-	Notice fleet.Notice
-}
-
-// Error names the engine and what it said.
-func (ber *BarredError) Error() string {
-	return "engine " + ber.Notice.Run.String() + " wants nothing from this host: " + ber.Notice.Bar.String()
-}
-
-// barred returns a *BarredError for an engine that wants nothing from this host. Those who
-// decide are told again: one of them granted it.
-func (hos *Host) barred(run fleet.EngineID) error {
-	not := hos.notices.bar(run)
-	if not.Bar == fleet.BarNone {
-		return nil
-	}
-	hos.desk.tellNotice(not)
-	return &BarredError{Notice: not}
-}
--- a/entry/reserve.go
+++ b/entry/reserve.go
@@ -21,7 +21,10 @@
 	evt := exc.host.log.Info().Str("Request", exc.request.ID).Str("Engine", exc.engine).Str("DecidedBy", exc.decidedBy)
 	var barred *BarredError
 	if errors.As(err, &barred) {
-		evt = evt.Stringer("Says", barred.Notice.Bar).Dur("For", barred.Notice.Left)
+		evt = evt.Stringer("Says", barred.Notice.Word)
+		if pau, isPause := barred.Notice.Word.(fleet.Pause); isPause {
+			evt = evt.Dur("For", pau.Left)
+		}
 	}
 	evt.Msg("grant sent back")
 }
--- a/peer/convertcase.go
+++ b/peer/convertcase.go
@@ -26,15 +26,46 @@
 	return quarantine.Subject{Digest: digestFromWire(wsu.GetDigest()), Service: wsu.GetService(), Account: wsu.GetAccount(), Route: wsu.GetRoute()}
 }
 
+// The numbers of engines' words.
+const (
+	wordLeaving uint32 = iota + 1
+	wordReplaced
+	wordPause
+	wordRateLimit
+	wordUnlimited
+)
+
 func noticeToWire(msg reservation.EngineNotice) *peerpb.EngineNotice {
-	return &peerpb.EngineNotice{Engine: msg.Run.String(), Bar: uint32(msg.Bar), LeftUs: msg.Left.Microseconds()}
+	wno := &peerpb.EngineNotice{Engine: msg.Run.String()}
+	switch wrd := msg.Word.(type) {
+	case fleet.Leaving:
+		wno.Word = wordLeaving
+	case fleet.Replaced:
+		wno.Word = wordReplaced
+	case fleet.Pause:
+		wno.Word, wno.LeftUs = wordPause, wrd.Left.Microseconds()
+	case fleet.RateLimit:
+		wno.Word, wno.PerSecond = wordRateLimit, wrd.PerSecond
+	case fleet.Unlimited:
+		wno.Word = wordUnlimited
+	}
+	return wno
 }
 
-// noticeFromWire returns no bar for one that this program doesn't know.
+// noticeFromWire returns no word for one that this program doesn't know.
 func noticeFromWire(wno *peerpb.EngineNotice) reservation.EngineNotice {
-	not := fleet.Notice{Run: fleet.ParseEngineID(wno.GetEngine()), Left: fromMicros(wno.GetLeftUs())}
-	if bar := wno.GetBar(); bar <= uint32(fleet.BarBackoff) {
-		not.Bar = fleet.Bar(bar)
+	not := fleet.Notice{Run: fleet.ParseEngineID(wno.GetEngine())}
+	switch wno.GetWord() {
+	case wordLeaving:
+		not.Word = fleet.Leaving{}
+	case wordReplaced:
+		not.Word = fleet.Replaced{}
+	case wordPause:
+		not.Word = fleet.Pause{Left: fromMicros(wno.GetLeftUs())}
+	case wordRateLimit:
+		not.Word = fleet.RateLimit{PerSecond: wno.GetPerSecond()}
+	case wordUnlimited:
+		not.Word = fleet.Unlimited{}
 	}
 	return reservation.EngineNotice{Notice: not}
 }
--- a/scheduler/notice.go
+++ b/scheduler/notice.go
@@ -70,20 +70,27 @@
 // heard takes what an engine said to a gateway.
 func (cor *Core) heard(now time.Time, from request.Epoch, msg reservation.EngineNotice) {
 	ene := cor.engines[msg.Run]
-	if ene == nil || msg.Bar == fleet.BarNone {
+	if ene == nil {
 		return
 	}
+	switch wrd := msg.Word.(type) {
+	case fleet.Leaving, fleet.Replaced:
+		cor.speaks(ene).leaves = true
+	case fleet.Pause:
+		cor.speaks(ene).pause(now, from, wrd.Left, cor.cfg.Pauses)
+	}
+	cor.serveEngine(now, ene)
+}
+
+// speaks returns what an engine has said that keeps gateways away, about to be changed.
+func (cor *Core) speaks(ene *engine) *said {
+	svc := cor.service(ene.Service)
 	if ene.said == nil {
 		ene.said = &said{asked: make(map[request.Epoch]time.Time)}
-		cor.service(ene.Service).said++
-	}
-	cor.service(ene.Service).closings = closings{}
-	if msg.Bar != fleet.BarBackoff {
-		ene.said.leaves = true
-	} else {
-		ene.said.pause(now, from, msg.Left, cor.cfg.Pauses)
+		svc.said++
 	}
-	cor.serveEngine(now, ene)
+	svc.closings = closings{}
+	return ene.said
 }
 
 // String returns what holds of it, for dumps.
--- a/scheduler/notice_test.go
+++ b/scheduler/notice_test.go
@@ -16,9 +16,9 @@
 const otherPeer = request.Epoch(3)
 
 // says has an engine say something to a gateway.
-func (des *desk) says(gateway request.Epoch, engine string, bar fleet.Bar, left time.Duration) []scheduler.Send {
+func (des *desk) says(gateway request.Epoch, engine string, word fleet.Word) []scheduler.Send {
 	return des.handle(scheduler.Received{From: gateway, Message: reservation.EngineNotice{
-		Notice: fleet.Notice{Run: fleet.EngineID{Name: engine}, Bar: bar, Left: left},
+		Notice: fleet.Notice{Run: fleet.EngineID{Name: engine}, Word: word},
 	}})
 }
 
@@ -53,7 +53,7 @@
 // written again and says that it is ready.
 func TestEngineThatLeavesIsGrantedToNobody(t *testing.T) {
 	des := newDesk(plainEngine("a", 4), plainEngine("b", 4))
-	des.says(peer, "a", fleet.BarDraining, 0)
+	des.says(peer, "a", fleet.Leaving{})
 	ready := plainEngine("a", 4)
 	ready.Sequence = 9
 	des.handle(scheduler.EnginesChanged{Engines: []fleet.Engine{ready, plainEngine("b", 4)}})
@@ -70,7 +70,7 @@
 // out whether the engine serves them, and an answer opens it.
 func TestPauseIsKeptAndOneRequestTriesFirst(t *testing.T) {
 	des := newDesk(plainEngine("a", 4))
-	des.says(peer, "a", fleet.BarBackoff, 6*time.Second)
+	des.says(peer, "a", fleet.Pause{Left: 6*time.Second})
 	des.after(4 * time.Second)
 	_, ref := decisionOn(des.reserveFrom(peer, plain("asked")), "asked")
 	assert.Equal(t, ref.Reason, reservation.ReasonBackoff)
@@ -89,7 +89,7 @@
 // not longer than it asks for.
 func TestEngineThatAsksAgainIsTriedLaterEachTime(t *testing.T) {
 	des := newDesk(plainEngine("a", 4))
-	des.says(request.Epoch(50), "a", fleet.BarBackoff, 10*time.Second)
+	des.says(request.Epoch(50), "a", fleet.Pause{Left: 10*time.Second})
 	for num, pause := range []time.Duration{0, 500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 4 * time.Second} {
 		gateway := request.Epoch(100 + num)
 		if pause > 0 {
@@ -103,21 +103,21 @@
 		name := fmt.Sprint("try", num)
 		assert.Equal(t, engineOf(des.reserveFrom(gateway, plain(name)), name), "a")
 		des.now = des.now.Add(300 * time.Millisecond)
-		des.says(gateway, "a", fleet.BarBackoff, 10*time.Second)
+		des.says(gateway, "a", fleet.Pause{Left: 10*time.Second})
 		des.release(reservation.Release{ID: id(name), Engine: "a", Dispatched: true, Rejected: true, BackedOff: true})
 	}
 	des.after(4 * time.Second)
 	assert.Equal(t, engineOf(des.reserveFrom(otherPeer, plain("served")), "served"), "a")
 	des.now = des.now.Add(10 * time.Millisecond)
 	des.release(answered("served"))
-	des.says(request.Epoch(51), "a", fleet.BarBackoff, 10*time.Second)
+	des.says(request.Epoch(51), "a", fleet.Pause{Left: 10*time.Second})
 	assert.Equal(t, engineOf(des.reserveFrom(otherPeer, plain("anew")), "anew"), "a", "it has served since")
 }
 
 // The answer to who tries first may be lost: another one tries after a second.
 func TestLostProbeHoldsUpTheOthersForASecond(t *testing.T) {
 	des := newDesk(plainEngine("a", 4))
-	des.says(peer, "a", fleet.BarBackoff, time.Second)
+	des.says(peer, "a", fleet.Pause{Left: time.Second})
 	assert.Equal(t, engineOf(des.reserveFrom(otherPeer, plain("lost")), "lost"), "a")
 	des.after(950 * time.Millisecond)
 	engine, _ := decisionOn(des.reserveFrom(otherPeer, plain("waits")), "waits")
@@ -129,12 +129,12 @@
 // engine no longer.
 func TestPauseThatIsToldAgainHoldsUpNobodyElse(t *testing.T) {
 	des := newDesk(plainEngine("a", 4))
-	des.says(peer, "a", fleet.BarBackoff, time.Hour)
+	des.says(peer, "a", fleet.Pause{Left: time.Hour})
 	des.now = des.now.Add(5 * time.Second)
 	assert.Equal(t, engineOf(des.reserveFrom(otherPeer, plain("probe")), "probe"), "a")
 	des.now = des.now.Add(20 * time.Millisecond)
 	des.handle(scheduler.Received{From: otherPeer, Message: answered("probe")})
-	des.says(peer, "a", fleet.BarBackoff, time.Hour-5*time.Second)
+	des.says(peer, "a", fleet.Pause{Left: time.Hour-5*time.Second})
 	assert.Equal(t, engineOf(des.reserveFrom(otherPeer, plain("next")), "next"), "a")
 	_, ref := decisionOn(des.reserveFrom(peer, plain("asked")), "asked")
 	assert.Equal(t, ref.Reason, reservation.ReasonBackoff)
@@ -149,7 +149,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			des := newDesk(plainEngine("a", 4))
-			des.says(peer, "a", fleet.BarBackoff, time.Second)
+			des.says(peer, "a", fleet.Pause{Left: time.Second})
 			des.after(time.Second)
 			assert.Equal(t, engineOf(des.reserve(plain("probe")), "probe"), "a")
 			end(des)
@@ -162,8 +162,8 @@
 // who can wait for the end of the pause waits, and is served first, in the order of tiers.
 func TestAllEnginesThatPauseOrLeave(t *testing.T) {
 	des := newDesk(plainEngine("a", 1), plainEngine("b", 4))
-	des.says(peer, "b", fleet.BarDraining, 0)
-	des.says(peer, "a", fleet.BarBackoff, 2*time.Second)
+	des.says(peer, "b", fleet.Leaving{})
+	des.says(peer, "a", fleet.Pause{Left: 2*time.Second})
 	_, ref := decisionOn(des.reserve(plain("early")), "early")
 	assert.Equal(t, ref.Reason, reservation.ReasonBackoff)
 	assert.Assert(t, ref.RetryAfter >= 100*time.Millisecond && ref.RetryAfter <= 500*time.Millisecond, "other hosts may use it: %s", ref.RetryAfter)
@@ -177,7 +177,7 @@
 	assert.Equal(t, engineOf(des.after(40*time.Millisecond), "high"), "a")
 	des.now = des.now.Add(10 * time.Millisecond)
 	assert.Equal(t, engineOf(des.release(answered("high")), "low"), "a")
-	des.says(peer, "a", fleet.BarDraining, 0)
+	des.says(peer, "a", fleet.Leaving{})
 	_, ref = decisionOn(des.reserve(plain("none")), "none")
 	assert.Equal(t, ref.Reason, reservation.ReasonBackoff)
 	assert.Assert(t, ref.RetryAfter > 0)
@@ -191,7 +191,7 @@
 		assert.Equal(t, engineOf(des.reserve(long(name)), name), "a")
 	}
 	des.handle(scheduler.EnginesChanged{Engines: []fleet.Engine{plainEngine("a", 1), plainEngine("b", 4)}})
-	des.says(peer, "b", fleet.BarBackoff, 50*time.Millisecond)
+	des.says(peer, "b", fleet.Pause{Left: 50*time.Millisecond})
 	waits := plain("waits")
 	waits.Rank = -1
 	engine, _ := decisionOn(des.reserve(waits), "waits")
@@ -224,7 +224,7 @@
 	for num := range 6 {
 		des.reserve(plain(fmt.Sprint("line", num)))
 	}
-	des.says(peer, "a", fleet.BarDraining, 0)
+	des.says(peer, "a", fleet.Leaving{})
 	des.release(reservation.Release{ID: first.ID, Engine: "a"})
 	first.Again = true
 	des.reserve(first)
@@ -252,7 +252,7 @@
 			}
 			for num := range paused {
 				for gateway := range 20 {
-					des.says(request.Epoch(100+gateway*15), fmt.Sprintf("e%03d", num), fleet.BarBackoff, time.Hour)
+					des.says(request.Epoch(100+gateway*15), fmt.Sprintf("e%03d", num), fleet.Pause{Left: time.Hour})
 				}
 			}
 			for num := range 4096 {
--- a/scheduler/pause_sim_test.go
+++ b/scheduler/pause_sim_test.go
@@ -209,8 +209,8 @@
 // granted has the host look at the engine once more, and send the request.
 func (pla *pausePlay) granted(run *pauseRun, name string) {
 	eng, now := pla.engines[name], pla.des.now
-	if not := pla.hosts[run.host].Bar(now, eng.ID); not.Bar != fleet.BarNone {
-		pla.tell(run.host, not)
+	if word := pla.hosts[run.host].Bar(now, eng.ID); word != nil {
+		pla.tell(run.host, fleet.Notice{Run: eng.ID, Word: word})
 		pla.finish(run, reservation.Release{ID: run.reserve.ID, Engine: name})
 		run.reserve.Again = true
 		if pla.cfg.way == pauseByHost {
@@ -250,7 +250,7 @@
 	}
 	rel := reservation.Release{ID: run.reserve.ID, Engine: eng.ID.Name, Dispatched: true, Rejected: true}
 	if pla.cfg.way != pauseIgnored {
-		not := fleet.Notice{Run: eng.ID, Bar: fleet.BarBackoff, Left: pauseRest}
+		not := fleet.Notice{Run: eng.ID, Word: fleet.Pause{Left: pauseRest}}
 		pla.hosts[run.host].Take(pla.des.now, not)
 		pla.tell(run.host, not)
 		rel.BackedOff = pla.cfg.way != pauseByHost
--- a/tools/mutate/mutations.go
+++ b/tools/mutate/mutations.go
@@ -21,7 +21,7 @@
 	},
 	{
 		"Word: it is its speaker's", "entry/notices.go",
-		"	case head.Instance != \"\" && head.Instance != end.Engine.Name, head.Misdirected && head.Instance == \"\":\n		return nil\n", "", words,
+		"	case head.Instance != \"\" && head.Instance != hrd.Engine.Name, head.Misdirected && head.Instance == \"\":\n		return nil\n", "", words,
 	},
 	{
 		"Word: an engine that leaves is granted to nobody", "scheduler/notice.go",
