fix: engines that name a rate are granted no more than that by all hosts together

Callers saw nothing: all were served. Engines that had named the most requests a second that they take got twice and more of what is allowed, by hosts that they had told. Cause: nobody read the word; what an engine says of itself that the adapter doesn't know went on to the caller. Ruled out: hosts that each keep to it by themselves, and grants beside the host that decides (it granted all of them, and one host alone was over). Change: who decides paces its grants of such an engine with tokens at the named rate, in its share of it: the part of the hosts that it decides for. A core that decides for nobody has no share and one that takes over begins with no tokens, so the sum holds without knowing what the former granted. A grant says whether it was paced; a host that has heard a rate sends back one that wasn't, or that is over 0.5 s old, and tells again. A rate ends with an answer without one to what was granted after it was last named. Engines are asked twice in four seconds at the least. Who can't be granted anything in its time while all engines have named rates hears at once, and when the line has moved so far. A request turned away by a rate is no failure. A connection whose request isn't sent is kept for the next.

--- a/entry/barred.go
+++ b/entry/barred.go
@@ -1,6 +1,11 @@
 package entry
 
 import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/reservation"
 )
@@ -42,3 +47,65 @@
 	hos.desk.tellNotice(not)
 	return &BarredError{Notice: not}
 }
+
+// grant is what a request was granted its engine by.
+type grant struct {
+	// paced says that it is within the rate that the engine has named, as far as who decided
+	// knew of one.
+	paced bool
+	at    time.Time
+}
+
+// grantHolds is for how long a grant within an engine's rate may be used: a connection takes
+// up to a second to be made, and what was granted in that second would come at once.
+const grantHolds = 500 * time.Millisecond
+
+// UnpacedError reports a request that isn't sent since its grant isn't within the rate that
+// its engine takes.
+type UnpacedError struct {
+	Run       fleet.EngineID
+	PerSecond float64
+	// Paced says that it was once, Age how long ago.
+	Paced bool
+	Age   time.Duration
+}
+
+// Error names the engine, its rate and the grant's age.
+func (uer *UnpacedError) Error() string {
+	why := "who decided doesn't know of it"
+	if uer.Paced {
+		why = "granted " + uer.Age.String() + " ago"
+	}
+	return fmt.Sprintf("engine %s takes %g requests a second: %s", uer.Run, uer.PerSecond, why)
+}
+
+// unpaced returns an *UnpacedError for an engine that has named a rate to this host, unless
+// the grant is within it. Those who decide are told again.
+func (hos *Host) unpaced(run fleet.EngineID, grt grant) error {
+	lim, holds := hos.notices.limit(run)
+	if !holds {
+		return nil
+	}
+	age := hos.clock.Since(grt.at)
+	if grt.paced && age < grantHolds {
+		return nil
+	}
+	hos.desk.tellNotice(fleet.Notice{Run: run, Word: lim})
+	return &UnpacedError{Run: run, PerSecond: lim.PerSecond, Paced: grt.paced, Age: age}
+}
+
+// maySend returns a *BarredError or an *UnpacedError for an engine that by its own word
+// doesn't take a request now.
+func (hos *Host) maySend(run fleet.EngineID, grt grant) error {
+	if err := hos.barred(run); err != nil {
+		return err
+	}
+	return hos.unpaced(run, grt)
+}
+
+// unwanted reports whether an engine's own word kept a request from being sent.
+func unwanted(err error) bool {
+	var barred *BarredError
+	var unpaced *UnpacedError
+	return errors.As(err, &barred) || errors.As(err, &unpaced)
+}
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -53,6 +53,7 @@
 	causeEngineGone cause = "EngineGone"
 	causeEngineFull cause = "EngineTurnedAway"
 	causeBarred     cause = "EnginesPaused"
+	causeRate       cause = "EnginesLimited"
 	causeEngineLost cause = "EngineLost"
 	causeNotReached cause = "EngineNotReached"
 	causeBadAnswer  cause = "BadAnswer"
@@ -109,9 +110,11 @@
 	// longestPause is the longest time between two events that the caller was sent.
 	longestPause time.Duration
 	engine       string
-	decidedBy    string
-	waited       time.Duration
-	firstAfter   time.Duration
+	// grant is the last one, of that engine.
+	grant      grant
+	decidedBy  string
+	waited     time.Duration
+	firstAfter time.Duration
 }
 
 func (hos *Host) callerServer() *http.Server {
--- a/entry/elect.go
+++ b/entry/elect.go
@@ -125,6 +125,7 @@
 // serve more together than one.
 func (des *desk) share(chosen request.Epoch) {
 	served := 1
+	elsewhere := chosen != des.host.epoch && des.served() == 1
 	if chosen == des.host.epoch {
 		served = des.served()
 	}
@@ -132,7 +133,7 @@
 	if des.roster.outside && len(des.roster.candidates) > 0 {
 		parts = outsideParts
 	}
-	des.step(scheduler.ShareChanged{Parts: parts, Hosts: len(des.roster.members)})
+	des.step(scheduler.ShareChanged{Parts: parts, Hosts: len(des.roster.members), Elsewhere: elsewhere})
 }
 
 // limitParts returns into how many parts the limits are divided where each part
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -172,6 +172,14 @@
 	return ntc.heard.Bar(now, run)
 }
 
+// limit returns the rate that an engine has named to this host, and whether it holds.
+func (ntc *notices) limit(run fleet.EngineID) (fleet.RateLimit, bool) {
+	ntc.mutex.Lock()
+	defer ntc.mutex.Unlock()
+	lim, holds := ntc.heard.Limit(run)
+	return lim.RateLimit, holds
+}
+
 // current returns all that holds now.
 func (ntc *notices) current() []fleet.Notice {
 	now := ntc.host.clock.Now()
--- a/entry/rates_test.go
+++ b/entry/rates_test.go
@@ -51,6 +51,10 @@
 // answered all of them in time.
 // Came about so: one host decided for all. It granted both engines as before, by their
 // slots, their prompts to be read and their health.
+// Cause: the rate that an engine names in its answers was read by nobody; an answer's header
+// that the adapter doesn't know went on to the caller, and no line told of it.
+// Proof: this test; 117 of 120 requests reached the engine in half a second, nearly all that
+// there were, since it was as good as the other one.
 func TestEngineThatNamesARateGetsNoMore(t *testing.T) {
 	const perSecond = 1.5
 	engines := plainEngines(2)
--- a/entry/reserve.go
+++ b/entry/reserve.go
@@ -19,6 +19,7 @@
 	exc.sentBack++
 	exc.host.figures.count("GrantsSentBack")
 	evt := exc.host.log.Info().Str("Request", exc.request.ID).Str("Engine", exc.engine).Str("DecidedBy", exc.decidedBy)
+	evt = evt.AnErr("Because", err)
 	var barred *BarredError
 	if errors.As(err, &barred) {
 		evt = evt.Stringer("Says", barred.Notice.Word)
@@ -91,6 +92,7 @@
 	if dec.refusal != nil {
 		return fleet.Engine{}, exc.refusal(*dec.refusal)
 	}
+	exc.grant = grant{paced: dec.grant.Paced, at: hos.clock.Now()}
 	return exc.granted(dec.grant.Engine, res.ID)
 }
 
@@ -151,7 +153,7 @@
 		}
 	}
 	if pro == nil {
-		if err := hos.barred(eng.ID); err != nil {
+		if err := hos.maySend(eng.ID, exc.grant); err != nil {
 			exc.sendBack(err)
 			pro = exc.notRun(causeBarred, err.Error())
 			pro.sentBack = true
@@ -180,6 +182,8 @@
 		pro.cause, pro.detail = causeNoEngine, "no engine is left to try"
 	case reservation.ReasonBackoff:
 		pro.cause, pro.detail = causeBarred, "all engines that are left have asked for a pause, or leave"
+	case reservation.ReasonRate:
+		pro.cause, pro.detail = causeRate, "all engines that are left have named the rate that they take, and others were before"
 	case reservation.ReasonHeld:
 		return heldProblem(ref)
 	}
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -61,7 +61,7 @@
 		env.Message = &peerpb.Envelope_Reserve{Reserve: reserveToWire(msg)}
 	case reservation.Grant:
 		env.Message = &peerpb.Envelope_Grant{Grant: &peerpb.Grant{
-			Id: idToWire(msg.ID), Ballot: ballotToWire(msg.Ballot), Engine: msg.Engine,
+			Id: idToWire(msg.ID), Ballot: ballotToWire(msg.Ballot), Engine: msg.Engine, Paced: msg.Paced,
 		}}
 	case reservation.Refuse:
 		env.Message = &peerpb.Envelope_Refuse{Refuse: &peerpb.Refuse{
@@ -184,7 +184,7 @@
 	case *peerpb.Envelope_Reserve:
 		return reserveFromWire(wms.Reserve)
 	case *peerpb.Envelope_Grant:
-		return reservation.Grant{ID: idFromWire(wms.Grant.GetId()), Ballot: ballotFromWire(wms.Grant.GetBallot(), wms.Grant.GetId()), Engine: wms.Grant.GetEngine()}
+		return grantFromWire(wms.Grant)
 	case *peerpb.Envelope_Refuse:
 		return refuseFromWire(wms.Refuse)
 	case *peerpb.Envelope_Withdraw:
@@ -242,6 +242,12 @@
 	}
 }
 
+func grantFromWire(wgr *peerpb.Grant) reservation.Grant {
+	return reservation.Grant{
+		ID: idFromWire(wgr.GetId()), Ballot: ballotFromWire(wgr.GetBallot(), wgr.GetId()), Engine: wgr.GetEngine(), Paced: wgr.GetPaced(),
+	}
+}
+
 func refuseFromWire(wre *peerpb.Refuse) reservation.Refuse {
 	return reservation.Refuse{
 		ID: idFromWire(wre.GetId()), Ballot: ballotFromWire(wre.GetBallot(), wre.GetId()), Reason: reservation.Reason(wre.GetReason()),
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -92,6 +92,9 @@
 	ID     request.ID
 	Ballot request.Ballot
 	Engine string
+	// Paced says that it is within the rate that the engine has named; false where the
+	// coordinator knows of none.
+	Paced bool
 }
 
 // Reason says why a coordinator doesn't keep a reservation.
@@ -127,11 +130,14 @@
 	ReasonHeld
 	// ReasonBackoff says that all engines that are left have asked for a pause, or leave.
 	ReasonBackoff
+	// ReasonRate says that all engines that are left have named the rate that they take, and
+	// those before the request get all of it in its time.
+	ReasonRate
 )
 
 // String returns the reason's name.
 func (rea Reason) String() string {
-	names := [...]string{"None", "Full", "Moved", "Expired", "Closed", "Fenced", "Forgotten", "NotGranter", "Overload", "Limit", "Budget", "NoEngine", "Held", "Backoff"}
+	names := [...]string{"None", "Full", "Moved", "Expired", "Closed", "Fenced", "Forgotten", "NotGranter", "Overload", "Limit", "Budget", "NoEngine", "Held", "Backoff", "Rate"}
 	if int(rea) >= len(names) {
 		return "Invalid"
 	}
@@ -170,8 +176,8 @@
 	Failed bool
 	// Rejected is set when the engine turned the request away.
 	Rejected bool
-	// BackedOff is set when the engine asked for a pause in place of an answer, which tells
-	// nothing of its health.
+	// BackedOff is set when the engine asked for a pause in place of an answer, or turned the
+	// request away by the rate that it takes, which tells nothing of its health.
 	BackedOff bool
 	// Answered is set when the engine gave its whole answer, a failure of its own too.
 	Answered bool
--- a/scheduler/apart.go
+++ b/scheduler/apart.go
@@ -70,7 +70,7 @@
 
 // admits reports whether the engine may be given a request that may end it.
 func (ene *engine) admits(now time.Time, han handling) bool {
-	if ene.aloneRuns > 0 || !ene.hasSlot() {
+	if ene.aloneRuns > 0 || !ene.hasSlot() || !ene.pacing.admits(now) {
 		return false
 	}
 	if han == handleAlone {
--- a/scheduler/dump.go
+++ b/scheduler/dump.go
@@ -62,10 +62,23 @@
 	Says      string `json:",omitempty"`
 	PausedFor string `json:",omitempty"`
 	Asked     int    `json:",omitempty"`
+	// Rate is what it takes of all hosts together; nil where it has named none.
+	Rate *RateDump `json:",omitempty"`
 	// CachedTokens are taken to be in its cache.
 	CachedTokens int
 }
 
+// RateDump is the rate that an engine has named.
+type RateDump struct {
+	// PerSecond is what it has named, Own what this core grants of it.
+	PerSecond float64
+	Own       float64
+	// Tokens are the requests that may be granted now, Spent those that were within four
+	// seconds before, by the gateway; only the last are remembered.
+	Tokens float64
+	Spent  map[string]int
+}
+
 // AccountDump is one client account's limit.
 type AccountDump struct {
 	Name  string
@@ -120,8 +133,21 @@
 	if ene.said != nil {
 		dum.Says, dum.PausedFor, dum.Asked = ene.said.String(), max(0, ene.said.sharedUntil.Sub(now)).String(), len(ene.said.asked)
 	}
+	if ene.pacing != nil {
+		dum.Rate = ene.pacing.dump(now)
+	}
 	if ene.health.aside > 0 {
 		dum.AsideFor = max(0, ene.health.until.Sub(now)).String()
 	}
 	return dum
 }
+
+func (pac *pacing) dump(now time.Time) *RateDump {
+	pac.fill(now)
+	pac.forgetSpent(now)
+	dum := &RateDump{PerSecond: pac.perSecond, Own: pac.rate(), Tokens: pac.tokens, Spent: make(map[string]int)}
+	for _, spe := range pac.spent {
+		dum.Spent[spe.gateway.String()]++
+	}
+	return dum
+}
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -48,6 +48,8 @@
 	endedAt time.Time
 	// said is what it has said of itself in answers; nil for nothing.
 	said *said
+	// pacing keeps what it is granted to the rate that it has named; nil for none.
+	pacing *pacing
 }
 
 // run is a request that an engine was given.
@@ -70,6 +72,10 @@
 	queued bool
 	// expected is how long the first token was predicted to take.
 	expected time.Duration
+	// paced says that it took a token of the engine's rate, inherited that another core granted
+	// it some time ago.
+	paced     bool
+	inherited bool
 	// route and repeatable are the request's, where this scheduler granted it; loaded says
 	// that its engine had as much to do as others.
 	route      string
--- a/scheduler/line.go
+++ b/scheduler/line.go
@@ -25,6 +25,8 @@
 	// more. In the worst seconds of overload a third of what was granted came too late
 	// for its callers' aim, while others that could be in time were refused.
 	late bool
+	// paced says that an engine would have been its own but for the rate that it has named.
+	paced bool
 }
 
 func (cor *Core) reserve(now time.Time, from request.Epoch, res reservation.Reserve) {
@@ -95,6 +97,13 @@
 	return inp
 }
 
+// inputsOf returns what the decision on one that has waited rests on.
+func (svc *service) inputsOf(now time.Time, wai *waiter) Inputs {
+	inp := svc.inputs(now, wai.since)
+	inp.Paced, inp.WaitedForRate = svc.paced, wai.paced
+	return inp
+}
+
 // retryAfter returns when the caller of a refused request comes back: within what
 // it has left, and callers not in step.
 func retryAfter(res reservation.Reserve) time.Duration {
@@ -118,6 +127,7 @@
 	}
 	svc.forgetSaid(now)
 	kept := svc.waiting[:0]
+	alw := svc.allowance(now)
 	var lin line
 	for _, wai := range svc.waiting {
 		han := cor.handlingOf(now, wai)
@@ -127,12 +137,13 @@
 			cor.heldBack(now, wai.gateway, wai.reserve, svc)
 		case (han == handleAlone || han == handleGuarded || !lin.isFull(wai.gateway)) && cor.grant(now, svc, wai, han):
 		case cor.refuseClosed(now, svc, wai):
+		case han == handleUsual && cor.refuseSpent(now, svc, wai, alw, len(kept)):
 		case !now.Before(wai.until):
 			if !wai.late && han == handleUsual {
 				svc.refusedAt = now
 			}
 			cor.giveBack(wai.reserve.Account, cor.costOf(wai.reserve))
-			cor.refuse(wai.gateway, wai.reserve, reservation.ReasonOverload, svc.inputs(now, wai.since))
+			cor.refuse(wai.gateway, wai.reserve, reservation.ReasonOverload, svc.inputsOf(now, wai))
 		default:
 			if len(wai.reserve.Exclude) == 0 && han == handleUsual {
 				lin.note(now, svc, wai.gateway)
--- a/scheduler/notice.go
+++ b/scheduler/notice.go
@@ -78,6 +78,10 @@
 		cor.speaks(ene).leaves = true
 	case fleet.Pause:
 		cor.speaks(ene).pause(now, from, wrd.Left, cor.cfg.Pauses)
+	case fleet.RateLimit:
+		cor.limitRate(now, ene, wrd)
+	case fleet.Unlimited:
+		cor.unlimit(ene)
 	}
 	cor.serveEngine(now, ene)
 }
@@ -317,6 +321,6 @@
 		after = max(0, clo.elsewhere.Sub(now)) + minBackoffSpread + time.Duration(pointOf(wai.reserve.ID)*float64(maxBackoffSpread-minBackoffSpread))
 	}
 	cor.giveBack(wai.reserve.Account, cor.costOf(wai.reserve))
-	cor.send(wai.gateway, reservation.Refuse{ID: wai.reserve.ID, Ballot: wai.reserve.Ballot, Reason: reservation.ReasonBackoff, RetryAfter: after}, svc.inputs(now, wai.since))
+	cor.send(wai.gateway, reservation.Refuse{ID: wai.reserve.ID, Ballot: wai.reserve.Ballot, Reason: reservation.ReasonBackoff, RetryAfter: after}, svc.inputsOf(now, wai))
 	return true
 }
--- a/scheduler/notice_test.go
+++ b/scheduler/notice_test.go
@@ -70,7 +70,7 @@
 // out whether the engine serves them, and an answer opens it.
 func TestPauseIsKeptAndOneRequestTriesFirst(t *testing.T) {
 	des := newDesk(plainEngine("a", 4))
-	des.says(peer, "a", fleet.Pause{Left: 6*time.Second})
+	des.says(peer, "a", fleet.Pause{Left: 6 * time.Second})
 	des.after(4 * time.Second)
 	_, ref := decisionOn(des.reserveFrom(peer, plain("asked")), "asked")
 	assert.Equal(t, ref.Reason, reservation.ReasonBackoff)
@@ -89,7 +89,7 @@
 // not longer than it asks for.
 func TestEngineThatAsksAgainIsTriedLaterEachTime(t *testing.T) {
 	des := newDesk(plainEngine("a", 4))
-	des.says(request.Epoch(50), "a", fleet.Pause{Left: 10*time.Second})
+	des.says(request.Epoch(50), "a", fleet.Pause{Left: 10 * time.Second})
 	for num, pause := range []time.Duration{0, 500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 4 * time.Second} {
 		gateway := request.Epoch(100 + num)
 		if pause > 0 {
@@ -103,14 +103,14 @@
 		name := fmt.Sprint("try", num)
 		assert.Equal(t, engineOf(des.reserveFrom(gateway, plain(name)), name), "a")
 		des.now = des.now.Add(300 * time.Millisecond)
-		des.says(gateway, "a", fleet.Pause{Left: 10*time.Second})
+		des.says(gateway, "a", fleet.Pause{Left: 10 * time.Second})
 		des.release(reservation.Release{ID: id(name), Engine: "a", Dispatched: true, Rejected: true, BackedOff: true})
 	}
 	des.after(4 * time.Second)
 	assert.Equal(t, engineOf(des.reserveFrom(otherPeer, plain("served")), "served"), "a")
 	des.now = des.now.Add(10 * time.Millisecond)
 	des.release(answered("served"))
-	des.says(request.Epoch(51), "a", fleet.Pause{Left: 10*time.Second})
+	des.says(request.Epoch(51), "a", fleet.Pause{Left: 10 * time.Second})
 	assert.Equal(t, engineOf(des.reserveFrom(otherPeer, plain("anew")), "anew"), "a", "it has served since")
 }
 
@@ -134,7 +134,7 @@
 	assert.Equal(t, engineOf(des.reserveFrom(otherPeer, plain("probe")), "probe"), "a")
 	des.now = des.now.Add(20 * time.Millisecond)
 	des.handle(scheduler.Received{From: otherPeer, Message: answered("probe")})
-	des.says(peer, "a", fleet.Pause{Left: time.Hour-5*time.Second})
+	des.says(peer, "a", fleet.Pause{Left: time.Hour - 5*time.Second})
 	assert.Equal(t, engineOf(des.reserveFrom(otherPeer, plain("next")), "next"), "a")
 	_, ref := decisionOn(des.reserveFrom(peer, plain("asked")), "asked")
 	assert.Equal(t, ref.Reason, reservation.ReasonBackoff)
@@ -163,7 +163,7 @@
 func TestAllEnginesThatPauseOrLeave(t *testing.T) {
 	des := newDesk(plainEngine("a", 1), plainEngine("b", 4))
 	des.says(peer, "b", fleet.Leaving{})
-	des.says(peer, "a", fleet.Pause{Left: 2*time.Second})
+	des.says(peer, "a", fleet.Pause{Left: 2 * time.Second})
 	_, ref := decisionOn(des.reserve(plain("early")), "early")
 	assert.Equal(t, ref.Reason, reservation.ReasonBackoff)
 	assert.Assert(t, ref.RetryAfter >= 100*time.Millisecond && ref.RetryAfter <= 500*time.Millisecond, "other hosts may use it: %s", ref.RetryAfter)
@@ -191,7 +191,7 @@
 		assert.Equal(t, engineOf(des.reserve(long(name)), name), "a")
 	}
 	des.handle(scheduler.EnginesChanged{Engines: []fleet.Engine{plainEngine("a", 1), plainEngine("b", 4)}})
-	des.says(peer, "b", fleet.Pause{Left: 50*time.Millisecond})
+	des.says(peer, "b", fleet.Pause{Left: 50 * time.Millisecond})
 	waits := plain("waits")
 	waits.Rank = -1
 	engine, _ := decisionOn(des.reserve(waits), "waits")
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -85,8 +85,10 @@
 // divided: 1 where it decides for all hosts, 3 where it decides for two of six.
 type ShareChanged struct {
 	Parts float64
-	// Hosts is how many hosts there are.
-	Hosts int
+	// Hosts is how many hosts there are; Elsewhere says that this scheduler decides for none
+	// of them.
+	Hosts     int
+	Elsewhere bool
 }
 
 // SurveyRead brings what the hosts have recorded of the engines' speed.
@@ -127,6 +129,13 @@
 	Engines   int
 	Aside     int
 	AsideUsed bool
+	// Paced is how many of them have named a rate, WaitedForRate says that the request could
+	// have been granted one of these but for that. PerSecond is the rate of the engine that
+	// was granted, Spent how many it was granted within four seconds before; 0 without one.
+	Paced         int
+	WaitedForRate bool
+	PerSecond     float64
+	Spent         int
 }
 
 // The figures of the policy. Those from trials are named in
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -141,7 +141,11 @@
 		}
 	}
 	if err := cal.check(); err != nil {
-		closeQuietly(con)
+		// Nothing was written: whoever is next to ask needn't make one.
+		if con.retire.IsZero() {
+			con.retire = cli.cfg.Now().Add(defaultIdleLimit)
+		}
+		cli.put(con)
 		return nil, &NotSentError{Address: cal.Address, Cause: err}
 	}
 	cli.setBusy(con, true)
