test: ways of keeping to a rate over all hosts, with hosts divided and coordinators lost

What was tried: nothing, equal parts by host, parts lent by need, grants paced by who decides; 4, 18 and 140 engines before 4, 7 and 300 hosts, three seeds. Conclusion: paced grants.

--- /dev/null
+++ b/scheduler/rate_sim_test.go
@@ -0,0 +1,534 @@
+package scheduler_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/reservation"
+	"lynxwell.dev/lynxwell/scheduler"
+)
+
+// rateWay is what is made of the rate that an engine names for all hosts together.
+type rateWay uint8
+
+const (
+	// rateIgnored grants as if nothing had been named.
+	rateIgnored rateWay = iota
+	// rateByParts has each host keep to an equal part by itself, and send back what goes
+	// beyond it.
+	rateByParts
+	// rateByLease has hosts keep to parts that who decides lends them twice a second, by what
+	// they asked for.
+	rateByLease
+	// rateByGrant has who decides pace its grants, with a fixed part for who stands alone.
+	rateByGrant
+)
+
+const (
+	rateWork    = 60 * time.Millisecond
+	rateAim     = 400 * time.Millisecond
+	rateTrip    = time.Millisecond
+	rateTick    = 10 * time.Millisecond
+	rateLease   = 500 * time.Millisecond
+	rateNamedAt = 2 * time.Second
+	// What the users allow: from some time after a rate was first named, in each window so
+	// many times what it allows and so many more, by hosts that were told some time before.
+	rateGrace  = 3 * time.Second
+	rateTold   = 500 * time.Millisecond
+	rateWindow = 4 * time.Second
+	rateFactor = 1.5
+	rateSlack  = 5
+	// slowChance is how often a connection takes up to a second to be made, grantHolds for how
+	// long a host uses a grant of an engine with a rate.
+	slowChance = 0.03
+	grantHolds = 500 * time.Millisecond
+)
+
+// ratePlay is a service some of whose engines name rates, before hosts that are one group, or
+// several that have lost each other, each with a host that decides; time is the play's own.
+type ratePlay struct {
+	cfg     ratePlayConfig
+	now     time.Time
+	random  *rand.Rand
+	queue   crashQueue
+	engines []*rateEngine
+	hosts   []*rateHost
+	runs    map[request.ID]*rateRun
+	sent    int
+	result  rateResult
+	// judgedFrom is from when on engines are held against their rates.
+	judgedFrom time.Time
+}
+
+type ratePlayConfig struct {
+	seed    uint64
+	way     rateWay
+	engines int
+	hosts   int
+	// rates are those that the first engines name; the others name none.
+	rates []float64
+	// load is in requests a second; favored is the part of them that comes to one host.
+	load    float64
+	favored float64
+	length  time.Duration
+	// changes are when hosts are divided anew, the first into how many groups.
+	changes []rateChange
+}
+
+// rateChange has hosts be so many groups from a time on, led by the next hosts in turn.
+type rateChange struct {
+	at     time.Duration
+	groups int
+}
+
+type rateResult struct {
+	sent, served, refused int
+	// worst is the largest part of what is allowed that an engine got in some window, used the
+	// least part of its rate, over the time for which it was named.
+	worst float64
+	used  float64
+	// waited is what those waited who were served.
+	waited time.Duration
+}
+
+type rateEngine struct {
+	fleet.Engine
+	rate  float64
+	named bool
+	// arrivals are by hosts that it had told some time before, all of them others too.
+	arrivals []time.Time
+	all      int
+	// told is when it first named its rate to a host.
+	told map[*rateHost]time.Time
+}
+
+type rateHost struct {
+	epoch   request.Epoch
+	des     *desk
+	heard   *fleet.Notices
+	decider *rateHost
+	// buckets are the host's own parts, by the engine.
+	buckets map[string]*ratePart
+}
+
+// ratePart is a host's part of an engine's rate.
+type ratePart struct {
+	share, perSecond, tokens float64
+	filled                   time.Time
+	// wanted counts the requests since parts were last lent.
+	wanted int
+}
+
+type rateRun struct {
+	reserve reservation.Reserve
+	host    *rateHost
+	started time.Time
+	tries   int
+}
+
+func newRatePlay(cfg ratePlayConfig) *ratePlay {
+	pla := &ratePlay{cfg: cfg, now: time.Unix(5000, 0), random: rand.New(rand.NewPCG(cfg.seed, 17)), runs: make(map[request.ID]*rateRun)}
+	var all []fleet.Engine
+	for num := range cfg.engines {
+		eng := &rateEngine{Engine: plainEngine(fmt.Sprintf("e%03d", num), 6), told: make(map[*rateHost]time.Time)}
+		if num < len(cfg.rates) {
+			eng.rate = cfg.rates[num]
+		}
+		pla.engines = append(pla.engines, eng)
+		all = append(all, eng.Engine)
+	}
+	for num := range cfg.hosts {
+		hos := &rateHost{epoch: request.Epoch(num + 10), heard: fleet.NewNotices(), buckets: make(map[string]*ratePart)}
+		hos.des = &desk{now: pla.now, core: scheduler.New(scheduler.Config{
+			Self: hos.epoch, Repeats: scheduler.Repeats{Ratio: 0.2, Window: 10 * time.Second, Slack: 1000}, LimitSlack: 1000,
+		})}
+		hos.des.handle(scheduler.EnginesChanged{Engines: all})
+		pla.hosts = append(pla.hosts, hos)
+	}
+	pla.divide(1, 0)
+	return pla
+}
+
+// divide has hosts be so many groups, each decided for by one of them.
+func (pla *ratePlay) divide(groups, turn int) {
+	for num, hos := range pla.hosts {
+		former := hos.decider
+		group := num % groups
+		size := len(pla.hosts)/groups + ordinalOf(group < len(pla.hosts)%groups)
+		hos.decider = pla.hosts[group+groups*(turn%size)]
+		if former != nil && former != hos.decider {
+			pla.take(former, former.des.core.Handle(pla.now, scheduler.GatewayLost{Gateway: hos.epoch}))
+		}
+	}
+	for _, hos := range pla.hosts {
+		served := 0
+		for _, other := range pla.hosts {
+			served += ordinalOf(other.decider == hos)
+		}
+		sha := scheduler.ShareChanged{Parts: float64(len(pla.hosts)) / float64(max(1, served)), Hosts: len(pla.hosts), Elsewhere: served == 0}
+		pla.take(hos, hos.des.core.Handle(pla.now, sha))
+		for _, not := range hos.heard.Current(pla.now) {
+			pla.tell(hos, not)
+		}
+	}
+	for rid, run := range pla.runs {
+		// Those who wait ask again.
+		delete(pla.runs, rid)
+		pla.ask(run)
+	}
+}
+
+func ordinalOf(holds bool) int {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
+func (pla *ratePlay) in(wait time.Duration, what func()) {
+	heap.Push(&pla.queue, crashEvent{at: pla.now.Add(wait), what: what})
+}
+
+func (pla *ratePlay) exponential(mean time.Duration) time.Duration {
+	return time.Duration(pla.random.ExpFloat64() * float64(mean))
+}
+
+func (pla *ratePlay) run() rateResult {
+	start := pla.now
+	pla.judgedFrom = start.Add(rateNamedAt + rateGrace)
+	pla.in(0, pla.arrive)
+	pla.in(0, pla.tick)
+	pla.in(0, pla.lend)
+	pla.in(rateNamedAt, func() {
+		for _, eng := range pla.engines[:len(pla.cfg.rates)] {
+			eng.named = true
+		}
+	})
+	for turn, cha := range pla.cfg.changes {
+		pla.in(cha.at, func() { pla.divide(cha.groups, turn+1) })
+	}
+	end := start.Add(pla.cfg.length)
+	for len(pla.queue) > 0 {
+		evt := heap.Pop(&pla.queue).(crashEvent)
+		if evt.at.After(end) {
+			break
+		}
+		pla.now = evt.at
+		evt.what()
+	}
+	pla.result.used = 1
+	for _, eng := range pla.engines[:len(pla.cfg.rates)] {
+		pla.judge(eng, end)
+	}
+	return pla.result
+}
+
+// judge holds what reached an engine against its rate.
+func (pla *ratePlay) judge(eng *rateEngine, until time.Time) {
+	counted := slices.DeleteFunc(slices.Clone(eng.arrivals), func(at time.Time) bool { return at.Before(pla.judgedFrom) })
+	allowed := rateFactor*eng.rate*rateWindow.Seconds() + rateSlack
+	first := 0
+	for last, at := range counted {
+		for at.Sub(counted[first]) >= rateWindow {
+			first++
+		}
+		pla.result.worst = max(pla.result.worst, float64(last-first+1)/allowed)
+	}
+	if eng.rate > 0 {
+		pla.result.used = min(pla.result.used, float64(eng.all)/(eng.rate*until.Sub(pla.judgedFrom).Seconds()))
+	}
+}
+
+func (pla *ratePlay) tick() {
+	for _, hos := range pla.hosts {
+		if hos.decider == hos {
+			pla.take(hos, hos.des.core.Handle(pla.now, scheduler.Tick{}))
+		}
+	}
+	pla.in(rateTick, pla.tick)
+}
+
+func (pla *ratePlay) arrive() {
+	pla.in(pla.exponential(time.Duration(float64(time.Second)/pla.cfg.load)), pla.arrive)
+	hos := pla.hosts[pla.random.IntN(len(pla.hosts))]
+	if pla.random.Float64() < pla.cfg.favored {
+		hos = pla.hosts[len(pla.hosts)-1]
+	}
+	pla.result.sent++
+	pla.ask(&rateRun{host: hos, started: pla.now})
+}
+
+func (pla *ratePlay) ask(run *rateRun) {
+	pla.sent++
+	former := run.reserve
+	run.reserve = plain(fmt.Sprintf("q%09d", pla.sent))
+	run.reserve.Exclude, run.reserve.Again = former.Exclude, run.tries > 0
+	run.reserve.Aim = rateAim
+	pla.runs[run.reserve.ID] = run
+	pla.in(rateTrip, func() {
+		if pla.runs[run.reserve.ID] == run {
+			dec := run.host.decider
+			pla.take(dec, dec.des.core.Handle(pla.now, scheduler.Received{From: run.host.epoch, Message: run.reserve}))
+		}
+	})
+}
+
+func (pla *ratePlay) take(dec *rateHost, sends []scheduler.Send) {
+	for _, snd := range sends {
+		run := pla.runs[idOf(snd.Message)]
+		gra, isGrant := snd.Message.(reservation.Grant)
+		if run == nil {
+			if isGrant {
+				pla.release(dec, dec, reservation.Release{ID: gra.ID, Engine: gra.Engine})
+			}
+			continue
+		}
+		delete(pla.runs, idOf(snd.Message))
+		if !isGrant {
+			pla.result.refused++
+			continue
+		}
+		at := pla.now.Add(rateTrip)
+		connecting := rateTrip
+		if pla.random.Float64() < slowChance {
+			connecting += time.Duration(pla.random.Float64() * float64(time.Second))
+		}
+		pla.in(connecting, func() { pla.send(dec, run, gra, at) })
+	}
+}
+
+// send has the host look once more, and send the request.
+func (pla *ratePlay) send(dec *rateHost, run *rateRun, gra reservation.Grant, granted time.Time) {
+	num := slices.IndexFunc(pla.engines, func(eng *rateEngine) bool { return eng.ID.Name == gra.Engine })
+	eng := pla.engines[num]
+	if !pla.maySend(run.host, eng, gra, granted) {
+		pla.release(dec, run.host, reservation.Release{ID: run.reserve.ID, Engine: gra.Engine})
+		run.tries++
+		if pla.cfg.way != rateByGrant {
+			// Nobody else knows why it was sent back.
+			run.reserve.Exclude = append(run.reserve.Exclude, gra.Engine)
+		}
+		if pla.now.Sub(run.started) > rateAim || run.tries > 8 {
+			pla.result.refused++
+			return
+		}
+		pla.ask(run)
+		return
+	}
+	if told, knows := eng.told[run.host]; knows && pla.now.Sub(told) >= rateTold {
+		eng.arrivals = append(eng.arrivals, pla.now)
+	}
+	if pla.now.After(pla.judgedFrom) {
+		eng.all++
+	}
+	sent := pla.now
+	took := rateTrip + pla.exponential(rateWork)
+	pla.in(took, func() {
+		pla.result.served++
+		pla.result.waited += sent.Sub(run.started)
+		// What a host says of an engine goes before the end of the request that told so.
+		not := pla.hear(run.host, eng, sent)
+		pla.in(rateTrip, func() {
+			if not.Word != nil {
+				pla.tell(run.host, not)
+			}
+			pla.release(dec, run.host, reservation.Release{ID: run.reserve.ID, Engine: gra.Engine, Dispatched: true, Answered: true, Total: took})
+		})
+	})
+}
+
+func (pla *ratePlay) release(dec, from *rateHost, rel reservation.Release) {
+	pla.take(dec, dec.des.core.Handle(pla.now, scheduler.Received{From: from.epoch, Message: rel}))
+}
+
+// hear takes what an answer says of its engine, and returns it.
+func (pla *ratePlay) hear(hos *rateHost, eng *rateEngine, sent time.Time) fleet.Notice {
+	not := fleet.Notice{Run: eng.ID}
+	switch {
+	case eng.named:
+		not.Word = fleet.RateLimit{PerSecond: eng.rate}
+		if _, knows := eng.told[hos]; !knows {
+			eng.told[hos] = pla.now
+		}
+	case hos.heard.EndsLimit(eng.ID, sent):
+		not.Word = fleet.Unlimited{}
+	}
+	hos.heard.Take(pla.now, not)
+	return not
+}
+
+func (pla *ratePlay) tell(hos *rateHost, not fleet.Notice) {
+	if pla.cfg.way != rateByGrant {
+		return
+	}
+	for _, to := range []*rateHost{hos, hos.decider} {
+		pla.take(to, to.des.core.Handle(pla.now, scheduler.Received{From: hos.epoch, Message: reservation.EngineNotice{Notice: not}}))
+	}
+}
+
+func (pla *ratePlay) maySend(hos *rateHost, eng *rateEngine, gra reservation.Grant, granted time.Time) bool {
+	lim, holds := hos.heard.Limit(eng.ID)
+	if !holds || pla.cfg.way == rateIgnored {
+		return true
+	}
+	if pla.cfg.way == rateByGrant {
+		if gra.Paced && pla.now.Sub(granted) < grantHolds {
+			return true
+		}
+		pla.tell(hos, fleet.Notice{Run: eng.ID, Word: lim.RateLimit})
+		return false
+	}
+	return pla.part(hos, eng).take(pla.now, lim.PerSecond)
+}
+
+func (pla *ratePlay) part(hos *rateHost, eng *rateEngine) *ratePart {
+	prt := hos.buckets[eng.ID.Name]
+	if prt == nil {
+		prt = &ratePart{share: 1 / float64(len(pla.hosts)), filled: pla.now}
+		hos.buckets[eng.ID.Name] = prt
+	}
+	return prt
+}
+
+func (prt *ratePart) fill(now time.Time) {
+	rate := max(0.5, prt.perSecond) * prt.share
+	prt.tokens = min(1+rate/2, prt.tokens+now.Sub(prt.filled).Seconds()*rate)
+	prt.filled = now
+}
+
+func (prt *ratePart) take(now time.Time, perSecond float64) bool {
+	prt.fill(now)
+	prt.perSecond = perSecond
+	prt.wanted++
+	if prt.tokens < 1 {
+		return false
+	}
+	prt.tokens--
+	return true
+}
+
+// lend has each group's host that decides lend its part of the rates by what was asked for.
+func (pla *ratePlay) lend() {
+	pla.in(rateLease, pla.lend)
+	if pla.cfg.way != rateByLease {
+		return
+	}
+	for _, eng := range pla.engines[:len(pla.cfg.rates)] {
+		wanted, members := make(map[*rateHost]int), make(map[*rateHost]int)
+		for _, hos := range pla.hosts {
+			wanted[hos.decider] += pla.part(hos, eng).wanted
+			members[hos.decider]++
+		}
+		for _, hos := range pla.hosts {
+			prt, whole := pla.part(hos, eng), float64(members[hos.decider])/float64(len(pla.hosts))
+			prt.fill(pla.now)
+			prt.share = whole / float64(members[hos.decider])
+			if wanted[hos.decider] > 0 {
+				prt.share = whole * float64(prt.wanted) / float64(wanted[hos.decider])
+			}
+			prt.wanted = 0
+		}
+	}
+}
+
+// Over all hosts together, however they are divided and whoever decides, an engine gets in no
+// window more than the users allow.
+func TestEngineGetsNoMoreThanItsRateHoweverHostsAreDivided(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		cfg := ratePlayConfig{
+			seed: rapid.Uint64().Draw(rt, "seed"), way: rateByGrant, engines: rapid.IntRange(1, 6).Draw(rt, "engines"), hosts: rapid.IntRange(1, 12).Draw(rt, "hosts"),
+			load: rapid.Float64Range(5, 150).Draw(rt, "load"), length: 15 * time.Second,
+		}
+		for range rapid.IntRange(1, cfg.engines).Draw(rt, "limited") {
+			cfg.rates = append(cfg.rates, rapid.Float64Range(0, 12).Draw(rt, "rate"))
+		}
+		for range rapid.IntRange(0, 4).Draw(rt, "changes") {
+			cfg.changes = append(cfg.changes, rateChange{
+				at: time.Duration(rapid.IntRange(1000, 14000).Draw(rt, "at")) * time.Millisecond, groups: rapid.IntRange(1, min(4, cfg.hosts)).Draw(rt, "groups"),
+			})
+		}
+		if res := newRatePlay(cfg).run(); res.worst > 1 {
+			rt.Fatalf("%+v", res)
+		}
+	})
+}
+
+// While somebody waits an engine gets what it takes, and its callers are served.
+func TestRateIsUsedWhileSomebodyWaits(t *testing.T) {
+	for seed := range uint64(3) {
+		for _, hosts := range []int{1, 7, 40} {
+			res := newRatePlay(ratePlayConfig{
+				seed: seed, way: rateByGrant, engines: 4, hosts: hosts, rates: []float64{10, 4, 1.5, 0.5}, load: 150, favored: 0.5, length: 30 * time.Second,
+			}).run()
+			assert.Assert(t, res.worst <= 1 && res.used >= 0.8, "%+v", res)
+		}
+	}
+}
+
+// BenchmarkWaysOfPacing prints what each way gives: the largest part of what the users allow
+// that an engine got in some window, the least part of its rate that an engine got, the
+// requests refused, and what those waited who were served.
+func BenchmarkWaysOfPacing(b *testing.B) {
+	ways := map[rateWay]string{rateIgnored: "ignored", rateByParts: "parts", rateByLease: "lease", rateByGrant: "grant"}
+	for _, size := range []struct{ engines, hosts int }{{4, 4}, {18, 7}, {140, 300}} {
+		for _, kind := range []struct {
+			name    string
+			limited float64
+			load    float64
+			favored float64
+			changes []rateChange
+		}{
+			{"third", 0.3, 0.5, 0, nil},
+			{"all", 1, 1, 0, nil},
+			{"all-favored", 1, 1, 0.7, nil},
+			{"all-lost", 1, 1, 0, []rateChange{{8 * time.Second, 1}, {9 * time.Second, 1}, {10 * time.Second, 1}, {16 * time.Second, 1}}},
+			{"all-divided", 1, 1, 0, []rateChange{{8 * time.Second, 3}, {14 * time.Second, 1}, {20 * time.Second, 2}, {24 * time.Second, 1}}},
+		} {
+			for way, name := range ways {
+				b.Run(fmt.Sprintf("%d/%s/%s", size.engines, kind.name, name), func(b *testing.B) {
+					sum := sumOfRatePlays(b, way, size.engines, size.hosts, kind.limited, kind.load, kind.favored, kind.changes)
+					b.ReportMetric(sum.worst, "worst")
+					b.ReportMetric(sum.used, "used")
+					b.ReportMetric(100*float64(sum.refused)/float64(sum.sent), "refused%")
+					b.ReportMetric(1000*sum.waited.Seconds()/float64(max(1, sum.served)), "ms-waited")
+				})
+			}
+		}
+	}
+}
+
+func sumOfRatePlays(b *testing.B, way rateWay, engines, hosts int, limited, load, favored float64, changes []rateChange) rateResult {
+	b.Helper()
+	sum := rateResult{used: 1}
+	for b.Loop() {
+		for seed := range uint64(3) {
+			cfg := ratePlayConfig{seed: seed, way: way, engines: engines, hosts: hosts, favored: favored, changes: changes, length: 30 * time.Second}
+			usual := load * float64(engines) * 6 / rateWork.Seconds() / 6
+			for num := range max(1, int(limited*float64(engines))) {
+				cfg.rates = append(cfg.rates, []float64{10, 4, 1.5, 0.5}[num%4])
+			}
+			if limited == 1 {
+				// Twice what they all take.
+				usual = 2 * 4 * float64(engines)
+			}
+			cfg.load = usual
+			res := newRatePlay(cfg).run()
+			sum.sent += res.sent
+			sum.served += res.served
+			sum.refused += res.refused
+			sum.waited += res.waited
+			sum.worst = max(sum.worst, res.worst)
+			sum.used = min(sum.used, res.used)
+		}
+	}
+	return sum
+}
