feat: one list of engines' headers; what nobody reads is counted and told by name

Cause: twice an engine's new word went by unread, and no line said so. Any other is passed on, counted by name (32 names) and told once a service (128 lines). The rate that an engine names means all hosts together and doesn't go on to callers, as its wish for a pause doesn't. Tests of grants that aren't within a rate. Measured: go test ./platform and the named tests of ./entry pass.

--- a/call/call.go
+++ b/call/call.go
@@ -86,4 +86,6 @@
 	HasRate    bool
 	Rate       float64
 	UnreadRate string
+	// Unknown are the names of headers that nobody reads, in no order.
+	Unknown []string
 }
--- a/entry/barred_test.go
+++ b/entry/barred_test.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -95,6 +97,54 @@
 	assert.Assert(t, log.lines-before <= 4, log.lines-before)
 }
 
+// A header that nobody reads is told once a service, and counted by name; names that engines
+// make up don't fill the memory.
+func TestUnknownHeadersAreToldOnceAndBounded(t *testing.T) {
+	var log lineCounter
+	hos := barredHost(t, &log)
+	before := log.lines
+	end := upstream.Endpoint{Engine: fleet.EngineID{Name: "e1"}}
+	for range 1000 {
+		hos.notices.take(upstream.Heard{Endpoint: end, Head: call.AnswerHead{Unknown: []string{"Server-Mood"}}})
+	}
+	assert.Equal(t, log.lines-before, 1)
+	for num := range 1000 {
+		hos.notices.take(upstream.Heard{Endpoint: end, Head: call.AnswerHead{Unknown: []string{fmt.Sprint("X-", num)}}})
+	}
+	assert.Assert(t, log.lines-before <= maxUnknownLines)
+	text := string(hos.figures.text(nil))
+	assert.Assert(t, strings.Contains(text, "UnknownHeaders.Server-Mood 1000\n"), text)
+	assert.Assert(t, strings.Contains(text, "UnknownHeaders.Others "), text)
+}
+
+// A grant of an engine that has named a rate to this host is used while it is fresh, and only
+// if who decided knew of the rate. It goes back otherwise, and those who decide are told.
+func TestGrantThatIsNotWithinTheRateIsSentBack(t *testing.T) {
+	hos := barredHost(t, io.Discard)
+	run := fleet.EngineID{Name: "e1"}
+	hos.belief.Store(&belief{engines: map[string]fleet.Engine{"e1": {ID: run}}})
+	now := hos.clock.Now()
+	assert.NilError(t, hos.maySend(run, grant{at: now}))
+	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: run}, Head: call.AnswerHead{HasRate: true, Rate: 2}})
+	assert.NilError(t, hos.maySend(run, grant{paced: true, at: now}))
+	for _, grt := range []grant{{at: now}, {paced: true, at: now.Add(-time.Second)}} {
+		var unpaced *UnpacedError
+		assert.Assert(t, errors.As(hos.maySend(run, grt), &unpaced))
+		exc := &exchange{host: hos, route: route.Route{Public: true}, deadline: now.Add(time.Minute), grant: grt}
+		assert.Assert(t, unwanted(exc.mayStillSend(run)))
+		_, pro := exc.granted("e1", request.ID{Unique: "r1"})
+		assert.Assert(t, pro != nil && pro.sentBack && exc.again && exc.attempts == 0)
+	}
+	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: run}, Sent: now, Stray: true})
+	assert.Assert(t, hos.maySend(run, grant{at: now}) != nil, "an answer to another request may be older")
+	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: run}, Sent: now.Add(-time.Second)})
+	assert.Assert(t, hos.maySend(run, grant{at: now}) != nil, "sent before it was named")
+	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: run}, Sent: now.Add(time.Second), Head: call.AnswerHead{UnreadRate: "few"}})
+	assert.Assert(t, hos.maySend(run, grant{at: now}) != nil, "what can't be read ends nothing")
+	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: run}, Sent: now.Add(time.Hour)})
+	assert.NilError(t, hos.maySend(run, grant{at: now}))
+}
+
 // A coordinator that hasn't heard it yet may grant what an engine has told this host alone.
 // The grant goes back, and costs the request nothing.
 func TestGrantOfAnEngineThatWantsNothingIsSentBack(t *testing.T) {
@@ -121,6 +171,7 @@
 	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: fleet.EngineID{Name: "e1"}}, Head: call.AnswerHead{Draining: true}})
 	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: fleet.EngineID{Name: "e2"}}, Head: call.AnswerHead{Backoff: time.Hour}})
 	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: fleet.EngineID{Name: "e3"}}, Head: call.AnswerHead{Backoff: time.Nanosecond}})
+	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: fleet.EngineID{Name: "e4"}}, Head: call.AnswerHead{HasRate: true, Rate: 2}})
 	que := peer.NewQueue()
 	hos.desk.linkUp(&link{member: fleet.Member{Name: "h2", Epoch: 7}, queue: que, cancel: func() {}})
 	var told []string
@@ -130,7 +181,7 @@
 		}
 	}
 	slices.Sort(told)
-	assert.DeepEqual(t, told, []string{"e1 Draining", "e2 Backoff"})
+	assert.DeepEqual(t, told, []string{"e1 Draining", "e2 Backoff", "e4 RateLimit"})
 }
 
 // Seen: one caller's request ended eight engines, while all three hosts were in session.
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -26,14 +26,17 @@
 	// of a word that can't be read.
 	loggedAt     map[fleet.EngineID]time.Time
 	unreadableAt time.Time
+	// unknown are the words that nobody reads.
+	unknown *unknownHeaders
 }
 
 func newNotices(hos *Host) *notices {
-	return &notices{host: hos, heard: fleet.NewNotices(), loggedAt: make(map[fleet.EngineID]time.Time)}
+	return &notices{host: hos, heard: fleet.NewNotices(), loggedAt: make(map[fleet.EngineID]time.Time), unknown: newUnknownHeaders(hos)}
 }
 
 // take notes what the head of an answer says of its engine, and tells those who decide.
 func (ntc *notices) take(hrd upstream.Heard) {
+	ntc.unknown.take(hrd)
 	if hrd.Head.UnreadBackoff != "" || hrd.Head.UnreadRate != "" {
 		ntc.noteUnread(hrd)
 	}
