test: engines of the soak name rates; guards of rates are removed one after another

Change: the soak's engines name rates (0 to 3 a second) from the start, some end them; what reaches them is held against the users' bounds, by hosts that they had told and that weren't disturbed since. Mutations of thirteen guards of rates.

--- a/entry/barred_test.go
+++ b/entry/barred_test.go
@@ -135,7 +135,7 @@
 		_, pro := exc.granted("e1", request.ID{Unique: "r1"})
 		assert.Assert(t, pro != nil && pro.sentBack && exc.again && exc.attempts == 0)
 	}
-	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: run}, Sent: now, Stray: true})
+	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: run}, Sent: now.Add(time.Hour), Stray: true})
 	assert.Assert(t, hos.maySend(run, grant{at: now}) != nil, "an answer to another request may be older")
 	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: run}, Sent: now.Add(-time.Second)})
 	assert.Assert(t, hos.maySend(run, grant{at: now}) != nil, "sent before it was named")
--- a/entry/rates_test.go
+++ b/entry/rates_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -70,3 +71,55 @@
 	worst := worstOfTold(engines[0], sys.Hosts)
 	assert.Check(t, worst <= allowedIn(perSecond), "%d requests in some %s", worst, rateWindow)
 }
+
+// A rate is no failure: an engine that turns away what goes beyond it isn't set aside, and is
+// asked again as soon as its rate allows it.
+func TestEngineThatTurnsAwayByItsRateIsNotSetAside(t *testing.T) {
+	engines := plainEngines(1)
+	sys := startPatient(t, 1, engines)
+	engines[0].Limit(50)
+	engines[0].Trouble(upstreamtest.TurnAway, 4)
+	num := 0
+	sys.Until("it serves again", func() bool {
+		num++
+		sendPlain(t, sys, sys.Hosts[0], "unsafe", num)
+		for _, svc := range sys.Hosts[0].Dump().Scheduler.Services {
+			for _, eng := range svc.Engines {
+				assert.Equal(t, eng.AsideFor, "", "%+v", eng)
+			}
+		}
+		return len(engines[0].Runs()) > 0
+	})
+}
+
+// All engines name rates: who can't be served in its time hears at once that its request has
+// not run, and when to come back; callers are served in full when the rates end.
+func TestCallersHearAtOnceWhereAllEnginesNameRates(t *testing.T) {
+	engines := plainEngines(2)
+	sys := startPatient(t, 2, engines)
+	for _, eng := range engines {
+		eng.Limit(0)
+	}
+	refused := 0
+	for num := range 10 {
+		for _, hos := range sys.Hosts {
+			ans := sendPlain(t, sys, hos, "unsafe", num)
+			if ans.Status == http.StatusOK {
+				continue
+			}
+			refused++
+			assert.Equal(t, ans.Status, http.StatusServiceUnavailable, ans.Body)
+			assert.Assert(t, strings.Contains(ans.Body, "EnginesLimited"), ans.Body)
+			assert.Assert(t, ans.Header.Get("Retry-After") != "")
+		}
+	}
+	assert.Assert(t, refused >= 14, refused)
+	for _, eng := range engines {
+		eng.Unlimit()
+	}
+	num := 10
+	sys.Until("all are served", func() bool {
+		num++
+		return sendPlain(t, sys, sys.Hosts[0], "unsafe", num).Status == http.StatusOK && sendPlain(t, sys, sys.Hosts[1], "unsafe", num).Status == http.StatusOK && num > 100
+	})
+}
--- a/scheduler/rate_test.go
+++ b/scheduler/rate_test.go
@@ -62,6 +62,7 @@
 	des.says(peer, "a", limitedTo(4))
 	des.after(time.Hour)
 	assert.Equal(t, des.countOf("a", 4, 50, 0), 3)
+	des.after(time.Hour)
 	des.handle(scheduler.ShareChanged{Parts: 7, Hosts: 7, Elsewhere: true})
 	des.after(time.Hour)
 	assert.Equal(t, des.countOf("a", 4, 50, 0), 0, "another decides")
@@ -93,6 +94,7 @@
 	assert.Equal(t, engineOf(des.reserve(plain("before")), "before"), "a")
 	des.after(time.Millisecond)
 	des.says(peer, "a", limitedTo(1))
+	des.after(time.Millisecond)
 	des.handle(scheduler.Received{From: peer, Message: reservation.Adopt{ID: id("inherited"), Engine: "a", Service: "plain"}})
 	des.release(answered("before"))
 	des.release(answered("inherited"))
@@ -102,7 +104,7 @@
 }
 
 // A grant that isn't sent costs nothing, one that is turned away does.
-func TestGrantThatIsSentBackSpendsNothing(t *testing.T) {
+func TestGrantWithinARateThatIsSentBackSpendsNothing(t *testing.T) {
 	des := newDesk(plainEngine("a", 100))
 	des.says(peer, "a", limitedTo(1))
 	des.after(time.Second)
@@ -115,7 +117,7 @@
 }
 
 // Only an answer tells that an engine which takes nothing takes something again.
-func TestEngineThatTakesNothingIsAskedNowAndThen(t *testing.T) {
+func TestEngineWithARateOfNothingIsAskedNowAndThen(t *testing.T) {
 	des := newDesk(plainEngine("a", 6), plainEngine("b", 0))
 	des.says(peer, "a", limitedTo(0))
 	assert.Equal(t, des.countOf("a", 0, 2010, 5*time.Millisecond), 5, "in ten seconds")
@@ -190,3 +192,13 @@
 		})
 	}
 }
+
+// After a pause an engine gets what its rate allows, and no more for the pause.
+func TestRateHoldsAfterAPause(t *testing.T) {
+	des := newDesk(plainEngine("a", 100))
+	des.says(peer, "a", limitedTo(4))
+	des.says(peer, "a", fleet.Pause{Left: 2 * time.Second})
+	assert.Equal(t, des.countOf("a", 4, 19, 100*time.Millisecond), 0)
+	des.after(time.Second)
+	assert.Equal(t, des.countOf("a", 4, 50, 0), 3)
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -70,6 +70,8 @@
 	random *rand.Rand
 	// words decides what engines say of themselves, by itself: the faults of a seed stay.
 	words *rand.Rand
+	// rates decides which rates they name, by itself too.
+	rates *rand.Rand
 	store netip.AddrPort
 	hosts []*host
 	// engines are all that ever ran; entered are those with an entry.
@@ -102,6 +104,8 @@
 	// saysLeaves says that its answers tell of its leave, pauses that it turns requests away.
 	saysLeaves bool
 	pauses     bool
+	// rate is what its answers name; nil for none.
+	rate *float64
 }
 
 // hasEnded reports whether the engine's process has ended.
@@ -124,9 +128,15 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	sent := sys.visit(ctx, cfg.Seed)
 	culprit := sys.endEngines(ctx, cfg.Seed)
+	for range perService {
+		sys.engineNamesRate()
+	}
 	for range steps {
 		sys.fault()
 		sys.engineSays()
+		if sys.rates.IntN(3) == 0 {
+			sys.engineNamesRate()
+		}
 		sys.replaceEnded()
 		sys.wait(time.Duration(float64(stepMean) * sys.random.ExpFloat64()))
 	}
@@ -148,7 +158,7 @@
 
 func start(t *testing.T, cfg Config) *system {
 	t.Helper()
-	sys := &system{t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(cfg.Seed, 1)), words: rand.New(rand.NewPCG(cfg.Seed, 55)), revoked: make(map[string]time.Time)}
+	sys := &system{t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(cfg.Seed, 1)), words: rand.New(rand.NewPCG(cfg.Seed, 55)), rates: rand.New(rand.NewPCG(cfg.Seed, 89)), revoked: make(map[string]time.Time)}
 	_, sys.store = processtest.Standin(t, sys.dir, "store", "platform")
 	for idx := range perService {
 		sys.addEngine(fmt.Sprintf("m%d", idx), entrytest.Model)
--- a/soak/words.go
+++ b/soak/words.go
@@ -36,12 +36,12 @@
 	}
 	if sys.words.IntN(4) == 0 {
 		eng.saysLeaves = true
-		sys.word(eng, upstreamtest.Word{Leaves: true})
+		sys.word(eng, upstreamtest.Word{Leaves: true, Rate: eng.rate})
 		sys.addEngine(fmt.Sprintf("%s-%d", eng.id, len(sys.engines)), eng.service)
 		return
 	}
 	eng.pauses = true
-	sys.word(eng, upstreamtest.Word{Pause: time.Second + time.Duration(sys.words.Int64N(int64(maxPause-time.Second)))})
+	sys.word(eng, upstreamtest.Word{Rate: eng.rate, Pause: time.Second + time.Duration(sys.words.Int64N(int64(maxPause-time.Second)))})
 }
 
 // endPauses has all engines serve again.
@@ -55,7 +55,7 @@
 
 func (sys *system) endPause(eng *engine) {
 	eng.pauses = false
-	sys.word(eng, upstreamtest.Word{})
+	sys.word(eng, upstreamtest.Word{Rate: eng.rate})
 }
 
 func (sys *system) word(eng *engine, word upstreamtest.Word) {
@@ -83,7 +83,7 @@
 		}
 		by := make(map[netip.AddrPort][]upstreamtest.Arrival)
 		for _, arr := range read[upstreamtest.Arrival](sys, eng, upstreamtest.PathArrivals) {
-			if arr.Leaves || arr.Pause > 0 {
+			if arr.Leaves || arr.Pause > 0 || arr.Rate != nil {
 				words++
 			}
 			if att, known := attempts[arr.ID]; known {
@@ -95,6 +95,7 @@
 			sys.checkLeave(eng, hos, arrivals, attempts)
 			sys.checkPauses(eng, hos, arrivals)
 		}
+		sys.checkRates(eng, by, attempts)
 	}
 	sys.t.Logf("%d answers in which engines spoke of themselves", words)
 }
--- a/tools/mutate/mutations.go
+++ b/tools/mutate/mutations.go
@@ -10,14 +10,69 @@
 // words are the tests of what engines say of themselves.
 var words = []string{"./entry", "./scheduler", "./fleet", "-run", "Notice|Pause|Word|WantsNothing|Leaves|WaitsForAConnection|AsksAgain|Told|WhoGivesIt|SessionThatOpens"}
 
+// rates are those of the rates that engines name.
+var rates = []string{"./entry", "./scheduler", "./fleet", "-run", "Rate"}
+
 var mutations = []mutation{
+	{
+		"Rate: an engine is granted what it takes", "scheduler/rate.go",
+		"	return pac.tokens >= 1\n", "	return true\n", rates,
+	},
+	{
+		"Rate: nothing is saved up while another core decides", "scheduler/rate.go",
+		"		pac.tokens = min(0, pac.tokens)\n", "", rates,
+	},
+	{
+		"Rate: a core keeps to its share", "scheduler/rate.go",
+		"	return 1 / cor.parts\n", "	return 1\n", rates,
+	},
+	{
+		"Rate: an older answer doesn't end it", "scheduler/rate.go",
+		"!rnn.inherited && rnn.given.After(pac.namedAt)", "!rnn.inherited", rates,
+	},
+	{
+		"Rate: an inherited run's answer doesn't end it", "scheduler/rate.go",
+		"!rnn.inherited && rnn.given.After(pac.namedAt)", "rnn.given.After(pac.namedAt)", rates,
+	},
+	{
+		"Rate: a grant that isn't sent costs nothing", "scheduler/core.go",
+		"		ene.pacing.giveBack(rnn.gateway)\n", "", rates,
+	},
+	{
+		"Rate: who can't be granted hears at once", "scheduler/line.go",
+		"han == handleUsual && cor.refuseSpent(", "false && cor.refuseSpent(", rates,
+	},
+	{
+		"Rate: a host sends back what isn't within it", "entry/barred.go",
+		"	return hos.unpaced(run, grt)\n", "	return nil\n", rates,
+	},
+	{
+		"Rate: a host sends back what was granted long ago", "entry/barred.go",
+		"grt.paced && age < grantHolds", "grt.paced && age < time.Hour", rates,
+	},
+	{
+		"Rate: an answer to another request doesn't end it", "entry/notices.go",
+		"	case !hrd.Stray && ntc.heard", "	case ntc.heard", rates,
+	},
+	{
+		"Rate: an answer to what was sent before doesn't end it", "fleet/notices.go",
+		"	return known && sent.After(lim.At)\n", "	return known && (true || sent.After(lim.At))\n", rates,
+	},
+	{
+		"Rate: what can't be read ends nothing", "entry/notices.go",
+		"	case hrd.Head.UnreadRate != \"\":\n", "	case false:\n", rates,
+	},
+	{
+		"Rate: being turned away by it is no failure", "entry/attempt.go",
+		" || ans.Head.HasRate\n", "\n", rates,
+	},
 	{
 		"Word: a host looks at a grant's engine again", "entry/reserve.go",
-		"		if err := hos.barred(eng.ID); err != nil {", "		if err := hos.barred(eng.ID); false && err != nil {", words,
+		"		if err := hos.maySend(eng.ID, exc.grant); err != nil {", "		if err := hos.maySend(eng.ID, exc.grant); false && err != nil {", words,
 	},
 	{
 		"Word: a host looks again right before it sends", "entry/attempt.go",
-		"		return hos.barred(run)\n", "		return nil\n", words,
+		"		return hos.maySend(run, exc.grant)\n", "		return nil\n", words,
 	},
 	{
 		"Word: it is its speaker's", "entry/notices.go",
