--- a/entry/changes.go
+++ b/entry/changes.go
@@ -7,7 +7,7 @@
 )
 
 // maxNamed bounds the names in the line of an update: after a loss of all hosts each
-// host reads some hundred entries, and a line each were 60,000 in 0.2 s with 295 hosts.
+// host of hundreds reads hundreds of entries, and a line each would be the whole log.
 const maxNamed = 12
 
 // changeList is what one update changed of the hosts, for one line of the log.
--- a/entry/elect.go
+++ b/entry/elect.go
@@ -14,9 +14,7 @@
 // steadyTime is for how long, at least, a host that was chosen decides, and at most twice
 // as long, while it is reached: long enough for the words of who leads, which take a few
 // milliseconds, to have come to rest, and drawn by each host so that no two change in
-// step. Without it they chase one another round hosts that have started at once: on one
-// play in forty of a day on which six hosts are killed twice, they made 13,000 changes a
-// second until its end, for twice the processor time, and its worth was 0.19 and not 0.55.
+// step. Without it they chase one another round hosts that have started at once, without end.
 const steadyTime = 100 * time.Millisecond
 
 // elect makes the host that is to decide the coordinator; the mutex is held.
@@ -78,9 +76,8 @@
 }
 
 // appoint tells both coordinators which of them decides for this host. Without it a
-// coordinator could go only by who asks: with 300 hosts, after seconds without
-// traffic, it took all of them for lost, kept to a 300th of the limits, and refused 3
-// in 4 tokens of the first second that followed.
+// coordinator could go only by who asks, and after seconds without traffic would take all
+// hosts for lost and keep to its own part of the limits alone.
 func (des *desk) appoint(former, chosen request.Epoch) {
 	if former != des.host.epoch {
 		des.tell(former, reservation.Appoint{})
--- a/entry/leader.go
+++ b/entry/leader.go
@@ -10,9 +10,9 @@
 // A host leads while it decides for more than half of all hosts. Whoever reaches it, or
 // reaches one that does, has it decide, whichever hosts come first in the order: when a
 // host that was lost or cut off comes back, nothing changes. Each change has all hosts
-// tell what they run, to a coordinator that has learned nothing yet; on a day of two
-// cuts that cost 0.1 of the credit of four seconds. Where none leads, as after the loss
-// of all, the first in the order is chosen, and soon leads.
+// tell what they run, to a coordinator that has learned nothing yet, and costs callers.
+// Where none leads, as after the loss of all, the first in the order is chosen, and soon
+// leads.
 
 // choose returns the host that is to decide for this one: the one that leads, or the
 // first candidate that is reached.
--- a/entry/lease.go
+++ b/entry/lease.go
@@ -23,9 +23,8 @@
 	// awaitSize bounds how long a host that starts waits to learn of the fleet before it
 	// enters: a first reading takes some milliseconds.
 	awaitSize = 150 * time.Millisecond
-	// fleetRenewals is how many renewals a second all hosts make together. Each second
-	// for each of 295 hosts they were 44 in 100 of the calls of a calm day, and 0.024 of
-	// its worth.
+	// fleetRenewals is how many renewals a second all hosts make together: with hundreds of
+	// hosts they would be most calls of a calm day.
 	fleetRenewals = 30
 	// minLeaseRetry and maxLeaseRetry bound the pause after a call that failed: the
 	// first soon, since the lease runs on, the later ones seldom, since a store that
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -22,8 +22,8 @@
 	// each answer is a call, and a bound of seconds leaves room for it.
 	gatherPause = 100 * time.Millisecond
 	// startGather is the same in a host's first moments, which startSettles bounds:
-	// hosts that start together decide alone until they know one another, and 0.4 s
-	// of that cost more than the calls that a longer pause saves.
+	// hosts that start together decide alone until they know one another, which costs
+	// more than the calls that a longer pause saves.
 	startGather  = 50 * time.Millisecond
 	startSettles = 1500 * time.Millisecond
 	// minRetry and maxRetry bound the pause before the store is asked again: each
@@ -198,8 +198,7 @@
 
 // servesOthers reports whether the store certainly serves other hosts while this one has
 // lost it. Entries lapse in an outage although their owners live, and are kept for that;
-// where only this host is cut off, what is gone has left, and kept engines got requests for
-// 8.8 s after that. Others know of an outage within followAge, which is less than lapseHold.
+// where only this host is cut off, what is gone has left, and mustn't get requests. Others know of an outage within followAge, which is less than lapseHold.
 func (obs *observer) servesOthers(now time.Time) bool {
 	return now.Sub(obs.peersTold) <= peersGap && now.Sub(obs.peersKnow) > lapseHold
 }
--- a/entry/readers.go
+++ b/entry/readers.go
@@ -21,7 +21,7 @@
 )
 
 // readers chooses through which host of its failure domain a host reads the store.
-// Without a next one, each of 48 followers reads the store by itself while the first is
+// Without a next one, each follower would read the store by itself while the first is
 // lost, or turned away by the store.
 type readers struct {
 	own request.Epoch
--- a/entry/source.go
+++ b/entry/source.go
@@ -42,8 +42,8 @@
 	// followed failed it.
 	directFor = 2 * time.Second
 	// startDirect is the same in a host's first moments and once a lost store is back:
-	// the one to follow is seldom ready then and soon is, and each host of a fleet of 78
-	// made 20 to 30 calls within two seconds, half of the calls of a whole day.
+	// the one to follow is seldom ready then and soon is, and a whole fleet that reads by
+	// itself meanwhile is most of a day's calls.
 	startDirect = 300 * time.Millisecond
 	// followRetry is the pause before a host that has nothing to pass on yet is asked
 	// again, and followPatience for how long that goes on: hosts that start together do
@@ -194,8 +194,8 @@
 }
 
 // followed returns the host to read through, if there is one. A host that finds others
-// when it starts has callers too, and doesn't wait until one of those is ready: hosts
-// whose power came back a tenth of a second after its own held it up for 0.2 s.
+// when it starts has callers too, and doesn't wait until one of those is ready, which may
+// have started just after it.
 func (obs *observer) followed(now time.Time) (fleet.Member, bool) {
 	if obs.host.confirmed.Load() == neverConfirmed && !obs.paused || !obs.host.knowsPeers() {
 		return fleet.Member{}, false
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -14,8 +14,8 @@
 	cfg   Config
 	cases map[call.Digest]*Case
 	// doubts are ends of which it isn't known whether the engine's or the connection's.
-	// doubted counts them by request: 1,000 that were gone through for each of 1,024 that
-	// wait cost 18 ms an event, and a host that decides for 295 fell behind for seconds.
+	// doubted counts them by request: going through all for each of those who wait would
+	// have a host that decides for hundreds fall behind.
 	doubts  map[doubtKey]doubt
 	doubted map[call.Digest]int
 	// cleared is when requests were cleared here lately.
--- a/quarantine/source.go
+++ b/quarantine/source.go
@@ -57,8 +57,8 @@
 	sourceFor = 10 * time.Minute
 	// endCost is for how long an engine that ended is away, endShare the part of the
 	// engines' time that a restricted source may take: after each end its requests pause for
-	// as long as that asks for, 8 s with 18 engines, a quarter of a second with 650. A
-	// twentieth had 12 engines of 18 end in 40 s in place of 8, and served nobody better.
+	// as long as that asks for, some seconds with few engines, a moment with hundreds. A
+	// larger part ends more engines and serves nobody better.
 	endCost  = 3 * time.Second
 	endShare = 0.02
 	// answersToTrust is how many of a restricted source's requests must be answered in a
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -113,9 +113,8 @@
 
 // turnedBadAt is the bound of the running ratio, which begins anew with each answer that
 // makes it less than nothing. It finds versions that turn bad after thousands of good
-// answers, which the ratio of all answers forgets too slowly: with 650 engines after 7 bad
-// ones in place of 121, with 60 after 9 in place of 16 (BenchmarkWays). It is higher than
-// Wald's, as it is looked at thousands of times.
+// answers, which the ratio of all answers forgets too slowly, the more so with many engines
+// (BenchmarkWays). It is higher than Wald's, as it is looked at thousands of times.
 const turnedBadAt = 11.0
 
 // lately is the time over which the former version's answers count as given at the same
--- a/scheduler/apart.go
+++ b/scheduler/apart.go
@@ -23,10 +23,9 @@
 	// endedFor is for how long an engine that ended isn't taken for an idle one: its entry
 	// outlasts it by three heartbeats.
 	endedFor = 10 * time.Second
-	// goneFor is for how long an engine that ended gets nothing. Four of six ended at once
-	// refused 40 of 40 other requests within a tenth of a second, each after three tries at
-	// them; engines are back after some seconds, and one that was taken for ended by
-	// mistake is in use again after this.
+	// goneFor is for how long an engine that ended gets nothing: it refuses connections, and a
+	// request that meets three such engines is refused. Engines are back after some seconds,
+	// and one that was taken for ended by mistake is in use again after this.
 	goneFor = 2 * time.Second
 )
 
--- a/scheduler/line.go
+++ b/scheduler/line.go
@@ -21,9 +21,8 @@
 	// usualAt is the version of what is known against requests at which nothing was against
 	// this one, by one more, so that 0 is none.
 	usualAt uint64
-	// late says that its caller has tried before and can't be served in time any
-	// more. In the worst seconds of overload a third of what was granted came too late
-	// for its callers' aim, while others that could be in time were refused.
+	// late says that its caller has tried before and can't be served in time any more. In
+	// overload these would take the places of others that could be.
 	late bool
 	// paced says that an engine would have been its own but for the rate that it has named.
 	paced bool
--- a/scheduler/notice.go
+++ b/scheduler/notice.go
@@ -22,13 +22,13 @@
 // say; docs/design/engines-own-word.md has the figures.
 const (
 	// PauseProbing has one request of the others at a time find out whether the engine
-	// serves them: at once, and later each time that it asks again. The one that is kept.
+	// serves them: at once, and later each time that it asks again.
 	PauseProbing PauseScope = iota
-	// PauseAll has all gateways keep away, for a while. Where engines turn away one request
-	// in twenty it serves half as many as PauseProbing.
+	// PauseAll has all gateways keep away, for a while: an engine that turns away a part of
+	// what it gets is out of use most of the time.
 	PauseAll
-	// PauseAsked has the others go on as if nothing had been said. Where engines turn all
-	// away, and with many gateways, tens of times as many requests are turned away.
+	// PauseAsked has the others go on as if nothing had been said: with many gateways an
+	// engine that turns all away does so to each of them.
 	PauseAsked
 )
 
@@ -43,8 +43,7 @@
 	// between two ways from a gateway to here.
 	toldAgain = 200 * time.Millisecond
 	// minBackoffSpread and maxBackoffSpread are how long after a pause's end those come back
-	// who were refused until then, so that they don't come in step: an engine of four slots
-	// and 60 ms takes some thirty in that.
+	// who were refused until then, so that they don't come in step.
 	minBackoffSpread = 100 * time.Millisecond
 	maxBackoffSpread = 500 * time.Millisecond
 )
@@ -230,9 +229,8 @@
 }
 
 // closings are until when a service's engines may not be granted, by what they have said. It
-// is found once and kept until one says more: where all 650 pause, and 4,096 requests of 300
-// gateways wait for their end, a look took 4.8 ms without that
-// (BenchmarkManyWaitingUnderPauses).
+// is found once and kept until one says more: thousands of requests of hundreds of gateways
+// may wait for the end of hundreds of pauses (BenchmarkManyWaitingUnderPauses).
 type closings struct {
 	// open says that some engine has said nothing, looked that this is known.
 	open   bool
--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -82,8 +82,8 @@
 }
 
 // handlingOf returns how a request that waits is dealt with. Hundreds wait in overload, and
-// are looked at with each that begins or ends: it looks anew only where more is known.
-// 1,024 that wait cost 10 us so, and 94 us if each were looked up (BenchmarkManyWaiting).
+// are looked at with each that begins or ends: it looks anew only where more is known
+// (BenchmarkManyWaiting).
 func (cor *Core) handlingOf(now time.Time, wai *waiter) handling {
 	current := cor.quarantine.Version() + 1
 	if wai.usualAt == current {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -138,8 +138,7 @@
 	Spent         int
 }
 
-// The figures of the policy. Those from trials are named in
-// docs/developer/platform.md with the runs that chose them.
+// The figures of the policy.
 const (
 	// waitShare is the part of a request's aim that it may wait for an engine:
 	// a refusal within a quarter still leaves its caller time to come back.
@@ -151,10 +150,10 @@
 	// so long, and a burst lasts about as long.
 	overloadMemory = 4 * time.Second
 	// beyondSlots is how many requests an engine is given beyond its slots, so
-	// that a slot that falls free has work at once; from trials.
+	// that a slot that falls free has work at once.
 	beyondSlots = 2
 	// unreadLimit is how much prompt, in the engine's own time, may be unread at
-	// an engine before it gets more; from trials.
+	// an engine before it gets more.
 	unreadLimit = 200 * time.Millisecond
 	// assumedWork is the time of a request to a plain service nothing is known of.
 	assumedWork = 30 * time.Millisecond
@@ -167,17 +166,15 @@
 	// differ a hundredfold, so it is slow.
 	stayGain = 0.05
 	// hintSpread is by how many doublings callers' guesses of an answer's length
-	// are off, as a standard deviation; measured on twelve days.
+	// are off, as a standard deviation.
 	hintSpread = 0.72
 	// finishCost is what a stream that certainly misses its deadline counts in the
 	// choice, beside the time to the first token. It keeps long answers off engines
-	// too slow for them: of 11,000 requests on a calm day with 60 engines 13 were cut
-	// without it, and none with it.
+	// too slow for them, where they would be cut.
 	finishCost = 1000 * time.Millisecond
 	// lateShare is how many times its aim a late first event may take: callers leave
 	// after four times, and predictions are off by a fifth. It keeps prompts that are
-	// too long for any engine, about one in a hundred, from being lost at a slow one:
-	// 0.01 to 0.02 of the credit of days with trouble.
+	// too long for any engine from being lost at a slow one.
 	lateShare = 3.0
 	// loadCost is what an engine full to its slots counts in the choice, beside
 	// the time to the first token: all its streams slow down with each more.
