fix: the end of an engine's rate reaches the hosts that hadn't heard it themselves

Seen in a play of many hosts, before anybody else could: after the rates of all engines had ended, a fifth of the requests were still refused ten seconds later. One host's answer showed the end, who decides lifted the rate, and the other hosts sent its grants back as beyond a rate that they remembered, told it again, and so brought it back. Cause: evidence of the end stayed with who decides; the others went by what they had heard themselves, however old. Change: a grant says whether who decided knew of no rate, paced it, or knew that the rate has ended. It had handled all that a host told before it asked, so a host that asked after it last heard the rate believes the end.

--- a/entry/barred.go
+++ b/entry/barred.go
@@ -50,9 +50,9 @@
 
 // grant is what a request was granted its engine by.
 type grant struct {
-	// paced says that it is within the rate that the engine has named, as far as who decided
-	// knew of one.
-	paced bool
+	// rate is what who decided knew of the engine's rate, when it was asked and had granted it.
+	rate  reservation.GrantRate
+	asked time.Time
 	at    time.Time
 }
 
@@ -65,33 +65,38 @@
 type UnpacedError struct {
 	Run       fleet.EngineID
 	PerSecond float64
-	// Paced says that it was once, Age how long ago.
-	Paced bool
-	Age   time.Duration
+	// Rate is what who decided knew of that, Age how long ago it was granted.
+	Rate reservation.GrantRate
+	Age  time.Duration
 }
 
 // Error names the engine, its rate and the grant's age.
 func (uer *UnpacedError) Error() string {
 	why := "who decided doesn't know of it"
-	if uer.Paced {
+	if uer.Rate == reservation.GrantRatePaced {
 		why = "granted " + uer.Age.String() + " ago"
 	}
 	return fmt.Sprintf("engine %s takes %g requests a second: %s", uer.Run, uer.PerSecond, why)
 }
 
 // unpaced returns an *UnpacedError for an engine that has named a rate to this host, unless
-// the grant is within it. Those who decide are told again.
+// the grant is within it, or who decided knew that it has ended since. Those who decide are
+// told again.
 func (hos *Host) unpaced(run fleet.EngineID, grt grant) error {
 	lim, holds := hos.notices.limit(run)
 	if !holds {
 		return nil
 	}
 	age := hos.clock.Since(grt.at)
-	if grt.paced && age < grantHolds {
+	switch {
+	case grt.rate == reservation.GrantRatePaced && age < grantHolds:
+		return nil
+	case grt.rate == reservation.GrantRateEnded && grt.asked.After(lim.At):
+		hos.notices.endLimit(run, grt.asked)
 		return nil
 	}
-	hos.desk.tellNotice(fleet.Notice{Run: run, Word: lim})
-	return &UnpacedError{Run: run, PerSecond: lim.PerSecond, Paced: grt.paced, Age: age}
+	hos.desk.tellNotice(fleet.Notice{Run: run, Word: lim.RateLimit})
+	return &UnpacedError{Run: run, PerSecond: lim.PerSecond, Rate: grt.rate, Age: age}
 }
 
 // maySend returns a *BarredError or an *UnpacedError for an engine that by its own word
--- a/entry/barred_test.go
+++ b/entry/barred_test.go
@@ -126,8 +126,10 @@
 	now := hos.clock.Now()
 	assert.NilError(t, hos.maySend(run, grant{at: now}))
 	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: run}, Head: call.AnswerHead{HasRate: true, Rate: 2}})
-	assert.NilError(t, hos.maySend(run, grant{paced: true, at: now}))
-	for _, grt := range []grant{{at: now}, {paced: true, at: now.Add(-time.Second)}} {
+	assert.NilError(t, hos.maySend(run, grant{rate: reservation.GrantRatePaced, at: now}))
+	for _, grt := range []grant{
+		{at: now}, {rate: reservation.GrantRatePaced, at: now.Add(-time.Second)}, {rate: reservation.GrantRateEnded, asked: now.Add(-time.Second), at: now},
+	} {
 		var unpaced *UnpacedError
 		assert.Assert(t, errors.As(hos.maySend(run, grt), &unpaced))
 		exc := &exchange{host: hos, route: route.Route{Public: true}, deadline: now.Add(time.Minute), grant: grt}
@@ -145,6 +147,18 @@
 	assert.NilError(t, hos.maySend(run, grant{at: now}))
 }
 
+// Another host's answer has shown that the rate is over: who decides knows, and this host with
+// the next grant that it asks for.
+func TestRateEndsWithTheGrantOfWhoKnowsItsEnd(t *testing.T) {
+	hos := barredHost(t, io.Discard)
+	run := fleet.EngineID{Name: "e1"}
+	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: run}, Head: call.AnswerHead{HasRate: true, Rate: 2}})
+	now := hos.clock.Now()
+	assert.Assert(t, hos.maySend(run, grant{at: now}) != nil)
+	assert.NilError(t, hos.maySend(run, grant{rate: reservation.GrantRateEnded, asked: now.Add(time.Millisecond), at: now}))
+	assert.NilError(t, hos.maySend(run, grant{at: now}), "it has ended for this host")
+}
+
 // A coordinator that hasn't heard it yet may grant what an engine has told this host alone.
 // The grant goes back, and costs the request nothing.
 func TestGrantOfAnEngineThatWantsNothingIsSentBack(t *testing.T) {
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -176,11 +176,24 @@
 }
 
 // limit returns the rate that an engine has named to this host, and whether it holds.
-func (ntc *notices) limit(run fleet.EngineID) (fleet.RateLimit, bool) {
+func (ntc *notices) limit(run fleet.EngineID) (fleet.NamedLimit, bool) {
 	ntc.mutex.Lock()
 	defer ntc.mutex.Unlock()
-	lim, holds := ntc.heard.Limit(run)
-	return lim.RateLimit, holds
+	return ntc.heard.Limit(run)
+}
+
+// endLimit ends a rate that another host's answer has shown to be over, unless it was named
+// since who decided was asked.
+func (ntc *notices) endLimit(run fleet.EngineID, asked time.Time) {
+	now := ntc.host.clock.Now()
+	ntc.mutex.Lock()
+	defer ntc.mutex.Unlock()
+	if !ntc.heard.EndsLimit(run, asked) {
+		return
+	}
+	former, _ := ntc.heard.Limit(run)
+	ntc.heard.Take(now, fleet.Notice{Run: run, Word: fleet.Unlimited{}})
+	ntc.host.log.Info().Stringer("Engine", run).Float64("FormerPerSecond", former.PerSecond).Dur("FormerAge", now.Sub(former.At)).Msg("rate of an engine has ended, as who decides knows")
 }
 
 // current returns all that holds now.
--- a/entry/reserve.go
+++ b/entry/reserve.go
@@ -70,7 +70,7 @@
 
 func (exc *exchange) reserveOnce(ctx context.Context) (fleet.Engine, *problem) {
 	hos := exc.host
-	asked := time.Now()
+	asked, askedAt := time.Now(), hos.clock.Now()
 	res := reservation.Reserve{
 		ID:      request.ID{Prefix: request.Prefix{Epoch: hos.epoch}, Unique: exc.request.ID},
 		Service: exc.service, Rank: exc.rank, Urgency: max(0, exc.route.Rank), Account: exc.account.Name,
@@ -92,7 +92,7 @@
 	if dec.refusal != nil {
 		return fleet.Engine{}, exc.refusal(*dec.refusal)
 	}
-	exc.grant = grant{paced: dec.grant.Paced, at: hos.clock.Now()}
+	exc.grant = grant{rate: dec.grant.Rate, asked: askedAt, at: hos.clock.Now()}
 	return exc.granted(dec.grant.Engine, res.ID)
 }
 
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -61,7 +61,7 @@
 		env.Message = &peerpb.Envelope_Reserve{Reserve: reserveToWire(msg)}
 	case reservation.Grant:
 		env.Message = &peerpb.Envelope_Grant{Grant: &peerpb.Grant{
-			Id: idToWire(msg.ID), Ballot: ballotToWire(msg.Ballot), Engine: msg.Engine, Paced: msg.Paced,
+			Id: idToWire(msg.ID), Ballot: ballotToWire(msg.Ballot), Engine: msg.Engine, Rate: uint32(msg.Rate),
 		}}
 	case reservation.Refuse:
 		env.Message = &peerpb.Envelope_Refuse{Refuse: &peerpb.Refuse{
@@ -243,9 +243,11 @@
 }
 
 func grantFromWire(wgr *peerpb.Grant) reservation.Grant {
-	return reservation.Grant{
-		ID: idFromWire(wgr.GetId()), Ballot: ballotFromWire(wgr.GetBallot(), wgr.GetId()), Engine: wgr.GetEngine(), Paced: wgr.GetPaced(),
+	gra := reservation.Grant{ID: idFromWire(wgr.GetId()), Ballot: ballotFromWire(wgr.GetBallot(), wgr.GetId()), Engine: wgr.GetEngine()}
+	if rate := wgr.GetRate(); rate <= uint32(reservation.GrantRateEnded) {
+		gra.Rate = reservation.GrantRate(rate)
 	}
+	return gra
 }
 
 func refuseFromWire(wre *peerpb.Refuse) reservation.Refuse {
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -92,11 +92,25 @@
 	ID     request.ID
 	Ballot request.Ballot
 	Engine string
-	// Paced says that it is within the rate that the engine has named; false where the
-	// coordinator knows of none.
-	Paced bool
+	// Rate is what the coordinator knew of a rate that the engine has named.
+	Rate GrantRate
 }
 
+// GrantRate is what a coordinator knew, when it granted an engine, of a rate that the engine
+// has named.
+type GrantRate uint8
+
+// What a coordinator may know. It takes what a gateway tells it in order: it had heard all
+// that the gateway told before it asked.
+const (
+	// GrantRateUnknown says that it has heard of none.
+	GrantRateUnknown GrantRate = iota
+	// GrantRatePaced says that the grant is within it.
+	GrantRatePaced
+	// GrantRateEnded says that an answer without one came after all that named one.
+	GrantRateEnded
+)
+
 // Reason says why a coordinator doesn't keep a reservation.
 type Reason uint8
 
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -48,8 +48,10 @@
 	endedAt time.Time
 	// said is what it has said of itself in answers; nil for nothing.
 	said *said
-	// pacing keeps what it is granted to the rate that it has named; nil for none.
-	pacing *pacing
+	// pacing keeps what it is granted to the rate that it has named; nil for none. rateEnded
+	// says that it had named one, and an answer without came after all that did.
+	pacing    *pacing
+	rateEnded bool
 }
 
 // run is a request that an engine was given.
--- a/scheduler/rate.go
+++ b/scheduler/rate.go
@@ -127,6 +127,7 @@
 // limitRate takes the rate that an engine has named. What it was granted before counts for
 // all that it could have saved up.
 func (cor *Core) limitRate(now time.Time, ene *engine, lim fleet.RateLimit) {
+	ene.rateEnded = false
 	if ene.pacing == nil {
 		ene.pacing = &pacing{share: cor.rateShare(), filled: now}
 		cor.service(ene.Service).paced++
@@ -137,11 +138,24 @@
 // unlimit ends an engine's rate.
 func (cor *Core) unlimit(ene *engine) {
 	if ene.pacing != nil {
-		ene.pacing = nil
+		ene.pacing, ene.rateEnded = nil, true
 		cor.service(ene.Service).paced--
 	}
 }
 
+// grantRate returns what a gateway is told of the engine's rate with a grant: of its end by
+// one gateway's answer the others hear so.
+func (ene *engine) grantRate() reservation.GrantRate {
+	switch {
+	case ene.pacing != nil:
+		return reservation.GrantRatePaced
+	case ene.rateEnded:
+		return reservation.GrantRateEnded
+	default:
+		return reservation.GrantRateUnknown
+	}
+}
+
 // shareRates divides the rates anew.
 func (cor *Core) shareRates(now time.Time) {
 	for _, ene := range cor.engines {
--- a/scheduler/rate_sim_test.go
+++ b/scheduler/rate_sim_test.go
@@ -43,6 +43,7 @@
 	// What the users allow: from some time after a rate was first named, in each window so
 	// many times what it allows and so many more, by hosts that were told some time before.
 	rateGrace  = 3 * time.Second
+	rateEnded  = 3 * time.Second
 	rateTold   = 500 * time.Millisecond
 	rateWindow = 4 * time.Second
 	rateFactor = 1.5
@@ -67,6 +68,7 @@
 	result  rateResult
 	// judgedFrom is from when on engines are held against their rates.
 	judgedFrom time.Time
+	endsAt     time.Time
 }
 
 type ratePlayConfig struct {
@@ -80,6 +82,8 @@
 	load    float64
 	favored float64
 	length  time.Duration
+	// endsAt is when engines name their rates no more; 0 for never.
+	endsAt time.Duration
 	// changes are when hosts are divided anew, the first into how many groups.
 	changes []rateChange
 }
@@ -92,6 +96,8 @@
 
 type rateResult struct {
 	sent, served, refused int
+	// refusedLater are those refused from rateEnded after the rates' end on.
+	refusedLater int
 	// worst is the largest part of what is allowed that an engine got in some window, used the
 	// least part of its rate, over the time for which it was named.
 	worst float64
@@ -132,7 +138,9 @@
 	reserve reservation.Reserve
 	host    *rateHost
 	started time.Time
-	tries   int
+	// asked is when it was last asked for.
+	asked time.Time
+	tries int
 }
 
 func newRatePlay(cfg ratePlayConfig) *ratePlay {
@@ -213,6 +221,14 @@
 			eng.named = true
 		}
 	})
+	if pla.cfg.endsAt > 0 {
+		pla.endsAt = start.Add(pla.cfg.endsAt)
+		pla.in(pla.cfg.endsAt, func() {
+			for _, eng := range pla.engines {
+				eng.named = false
+			}
+		})
+	}
 	for turn, cha := range pla.cfg.changes {
 		pla.in(cha.at, func() { pla.divide(cha.groups, turn+1) })
 	}
@@ -273,6 +289,7 @@
 	run.reserve = plain(fmt.Sprintf("q%09d", pla.sent))
 	run.reserve.Exclude, run.reserve.Again = former.Exclude, run.tries > 0
 	run.reserve.Aim = rateAim
+	run.asked = pla.now
 	pla.runs[run.reserve.ID] = run
 	pla.in(rateTrip, func() {
 		if pla.runs[run.reserve.ID] == run {
@@ -294,7 +311,7 @@
 		}
 		delete(pla.runs, idOf(snd.Message))
 		if !isGrant {
-			pla.result.refused++
+			pla.refuse()
 			continue
 		}
 		at := pla.now.Add(rateTrip)
@@ -306,11 +323,18 @@
 	}
 }
 
+func (pla *ratePlay) refuse() {
+	pla.result.refused++
+	if !pla.endsAt.IsZero() && pla.now.Sub(pla.endsAt) >= rateEnded {
+		pla.result.refusedLater++
+	}
+}
+
 // send has the host look once more, and send the request.
 func (pla *ratePlay) send(dec *rateHost, run *rateRun, gra reservation.Grant, granted time.Time) {
 	num := slices.IndexFunc(pla.engines, func(eng *rateEngine) bool { return eng.ID.Name == gra.Engine })
 	eng := pla.engines[num]
-	if !pla.maySend(run.host, eng, gra, granted) {
+	if !pla.maySend(run.host, eng, gra, run.asked, granted) {
 		pla.release(dec, run.host, reservation.Release{ID: run.reserve.ID, Engine: gra.Engine})
 		run.tries++
 		if pla.cfg.way != rateByGrant {
@@ -318,7 +342,7 @@
 			run.reserve.Exclude = append(run.reserve.Exclude, gra.Engine)
 		}
 		if pla.now.Sub(run.started) > rateAim || run.tries > 8 {
-			pla.result.refused++
+			pla.refuse()
 			return
 		}
 		pla.ask(run)
@@ -375,13 +399,17 @@
 	}
 }
 
-func (pla *ratePlay) maySend(hos *rateHost, eng *rateEngine, gra reservation.Grant, granted time.Time) bool {
+func (pla *ratePlay) maySend(hos *rateHost, eng *rateEngine, gra reservation.Grant, asked, granted time.Time) bool {
 	lim, holds := hos.heard.Limit(eng.ID)
 	if !holds || pla.cfg.way == rateIgnored {
 		return true
 	}
 	if pla.cfg.way == rateByGrant {
-		if gra.Paced && pla.now.Sub(granted) < grantHolds {
+		if gra.Rate == reservation.GrantRatePaced && pla.now.Sub(granted) < grantHolds {
+			return true
+		}
+		if gra.Rate == reservation.GrantRateEnded && asked.After(lim.At) {
+			hos.heard.Take(pla.now, fleet.Notice{Run: eng.ID, Word: fleet.Unlimited{}})
 			return true
 		}
 		pla.tell(hos, fleet.Notice{Run: eng.ID, Word: lim.RateLimit})
@@ -474,6 +502,18 @@
 	}
 }
 
+// When rates end, also rates of nothing, callers are served in full soon after.
+func TestFullServiceIsBackSoonAfterRatesEnd(t *testing.T) {
+	for seed := range uint64(5) {
+		for _, hosts := range []int{1, 7, 40} {
+			res := newRatePlay(ratePlayConfig{
+				seed: seed, way: rateByGrant, engines: 4, hosts: hosts, rates: []float64{0, 0, 0.5, 1.5}, load: 120, length: 20 * time.Second, endsAt: 10 * time.Second,
+			}).run()
+			assert.Assert(t, res.refused > 0 && res.refusedLater == 0, "%+v", res)
+		}
+	}
+}
+
 // BenchmarkWaysOfPacing prints what each way gives: the largest part of what the users allow
 // that an engine got in some window, the least part of its rate that an engine got, the
 // requests refused, and what those waited who were served.
--- a/tools/mutate/mutations.go
+++ b/tools/mutate/mutations.go
@@ -48,7 +48,15 @@
 	},
 	{
 		"Rate: a host sends back what was granted long ago", "entry/barred.go",
-		"grt.paced && age < grantHolds", "grt.paced && age < time.Hour", rates,
+		"GrantRatePaced && age < grantHolds", "GrantRatePaced && age < time.Hour", rates,
+	},
+	{
+		"Rate: its end is told with grants", "scheduler/rate.go",
+		"	case ene.rateEnded:\n		return reservation.GrantRateEnded\n", "", rates,
+	},
+	{
+		"Rate: its end is believed of who had heard that it was named", "entry/barred.go",
+		" && grt.asked.After(lim.At):", ":", rates,
 	},
 	{
 		"Rate: an answer to another request doesn't end it", "entry/notices.go",
