perf: an engine with a rate leaves its few places to who needs them; decisions tell of rates

Cause: where nobody waits the choice took an engine with a rate like any other, so that requests that are served as well elsewhere spent its tokens; and the line of a decision didn't tell what it knew of rates, so that no story said that a request waited for one. Change: such an engine counts 40 ms more; the line has Paced, WaitedForRate, PerSecond, Spent.

--- a/entry/desk.go
+++ b/entry/desk.go
@@ -191,6 +191,12 @@
 		evt = evt.Str("Request", msg.ID.Unique).Stringer("Reason", msg.Reason).Dur("RetryAfter", msg.RetryAfter)
 	}
 	inp := snd.Inputs
+	if inp.Paced > 0 {
+		evt = evt.Int("Paced", inp.Paced).Bool("WaitedForRate", inp.WaitedForRate)
+	}
+	if inp.PerSecond > 0 || inp.Spent > 0 {
+		evt = evt.Float64("PerSecond", inp.PerSecond).Int("Spent", inp.Spent)
+	}
 	evt.Stringer("Gateway", snd.To).Dur("Waited", inp.Waited).Int("Waiting", inp.Waiting).Int("Engines", inp.Engines).Int("Aside", inp.Aside).Bool("AsideUsed", inp.AsideUsed).
 		Int("Running", inp.Running).Dur("Unread", inp.Unread).Dur("Expected", inp.Expected).Msg("decision")
 }
--- a/entry/rates_test.go
+++ b/entry/rates_test.go
@@ -114,6 +114,7 @@
 		}
 	}
 	assert.Assert(t, refused >= 14, refused)
+	assert.Assert(t, strings.Contains(sys.Log(), `"Paced":2,"WaitedForRate":true`), "the log tells why")
 	for _, eng := range engines {
 		eng.Unlimit()
 	}
--- a/scheduler/rate_test.go
+++ b/scheduler/rate_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lynxwell.dev/lynxwell/call"
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/reservation"
@@ -202,3 +203,48 @@
 	des.after(time.Second)
 	assert.Equal(t, des.countOf("a", 4, 50, 0), 3)
 }
+
+// The few places of an engine with a rate go to who finds its prompt in that engine's memory,
+// while others are served elsewhere.
+func TestPlacesWithinARateGoToWhosePromptIsThere(t *testing.T) {
+	des := newDesk(modelEngine("a"), modelEngine("b"))
+	part := []call.Part{{ID: 7, Tokens: 6000}}
+	long := func(name string) reservation.Reserve {
+		res := prompt(name, 6100)
+		res.Parts = part
+		return res
+	}
+	assert.Equal(t, engineOf(des.reserve(long("first")), "first"), "a")
+	des.says(peer, "a", limitedTo(2))
+	des.release(reservation.Release{ID: id("first"), Dispatched: true, Total: time.Millisecond})
+	des.after(time.Second)
+	there := 0
+	for num := range 200 {
+		des.after(50 * time.Millisecond)
+		name := fmt.Sprint("r", num)
+		res := prompt(name, 200)
+		if num%20 == 0 {
+			res = long(name)
+		}
+		engine := engineOf(des.reserve(res), name)
+		if engine == "a" {
+			there += ordinalOf(num%20 == 0)
+			des.says(peer, "a", limitedTo(2))
+		}
+		des.release(reservation.Release{ID: id(name), Dispatched: true, Answered: true, Total: 10 * time.Millisecond})
+	}
+	assert.Assert(t, there >= 9, "%d of 10", there)
+}
+
+// A rate is the word of one run: the next one of the same name, or at its address, is free.
+func TestRateIsOfOneRun(t *testing.T) {
+	des := newDesk(plainEngine("a", 100))
+	des.says(peer, "a", limitedTo(1))
+	assert.Equal(t, des.countOf("a", 1, 5, 0), 0)
+	later := plainEngine("a", 100)
+	later.ID = fleet.NewEngineID("a", time.UnixMilli(9))
+	des.handle(scheduler.EnginesChanged{Engines: []fleet.Engine{later}})
+	assert.Equal(t, engineOf(des.reserve(plain("free")), "free"), later.ID.String())
+	des.says(peer, "a", limitedTo(1))
+	assert.Equal(t, engineOf(des.reserve(plain("late word")), "late word"), later.ID.String(), "of the former run")
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -182,6 +182,9 @@
 	// crossCost is what an engine in another failure domain counts, for the way
 	// and the bytes.
 	crossCost = 40 * time.Millisecond
+	// rateCost is what an engine that has named a rate counts: its few places are for who has
+	// a prompt in its memory, or no other engine.
+	rateCost = 40 * time.Millisecond
 	// minRetryShare and maxRetryShare are the parts of its time left after which a
 	// refused caller comes back: overload and used-up limits last some seconds,
 	// callers wait a third of their time at most, and they must not return in step.
