fix: the rate of an engine whose entry has gone ends by itself

Cause: an answer that came after its engine's entry had gone counted one engine less with a rate for the whole service, so that those who wait weren't told at once that all that are left name one. Change: only an engine that is listed is counted. Measured: TestRateOfAnEngineThatIsGoneEndsWithoutTheOthers fails before (no reason), passes now; go test ./platform ./scheduler and the tests of rates in ./entry pass.

--- a/entry/barred.go
+++ b/entry/barred.go
@@ -72,9 +72,13 @@
 
 // Error names the engine, its rate and the grant's age.
 func (uer *UnpacedError) Error() string {
-	why := "who decided doesn't know of it"
-	if uer.Rate == reservation.GrantRatePaced {
+	why := "who decided didn't know of it"
+	switch uer.Rate {
+	case reservation.GrantRatePaced:
 		why = "granted " + uer.Age.String() + " ago"
+	case reservation.GrantRateEnded:
+		why = "named again since who decided was asked"
+	case reservation.GrantRateUnknown:
 	}
 	return fmt.Sprintf("engine %s takes %g requests a second: %s", uer.Run, uer.PerSecond, why)
 }
--- a/scheduler/rate.go
+++ b/scheduler/rate.go
@@ -69,7 +69,7 @@
 func (pac *pacing) divide(now time.Time, share float64) {
 	pac.fill(now)
 	if pac.share == 0 || share == 0 {
-		pac.tokens = min(0, pac.tokens)
+		pac.tokens = 0
 	}
 	pac.share = share
 }
@@ -135,10 +135,13 @@
 	ene.pacing.name(now, lim.PerSecond)
 }
 
-// unlimit ends an engine's rate.
+// unlimit ends an engine's rate. Its entry may have gone before the answer came that shows it.
 func (cor *Core) unlimit(ene *engine) {
-	if ene.pacing != nil {
-		ene.pacing, ene.rateEnded = nil, true
+	if ene.pacing == nil {
+		return
+	}
+	ene.pacing, ene.rateEnded = nil, true
+	if cor.engines[ene.ID] == ene {
 		cor.service(ene.Service).paced--
 	}
 }
--- a/scheduler/rate_test.go
+++ b/scheduler/rate_test.go
@@ -248,3 +248,16 @@
 	des.says(peer, "a", limitedTo(1))
 	assert.Equal(t, engineOf(des.reserve(plain("late word")), "late word"), later.ID.String(), "of the former run")
 }
+
+// An engine whose entry has gone still answers; what that tells doesn't count for the others.
+func TestRateOfAnEngineThatIsGoneEndsWithoutTheOthers(t *testing.T) {
+	des := newDesk(plainEngine("a", 100), plainEngine("b", 100))
+	des.says(peer, "a", limitedTo(1))
+	des.says(peer, "b", limitedTo(1))
+	des.after(time.Second)
+	assert.Equal(t, engineOf(des.reserve(plain("r")), "r"), "a")
+	des.handle(scheduler.EnginesChanged{Engines: []fleet.Engine{plainEngine("b", 100)}})
+	des.release(answered("r"))
+	assert.Equal(t, engineOf(des.reserve(plain("s")), "s"), "b")
+	assert.Equal(t, reasonOf(des.reserve(plain("t")), "t"), reservation.ReasonRate, "all that are left name a rate")
+}
--- a/tools/mutate/mutations.go
+++ b/tools/mutate/mutations.go
@@ -20,7 +20,7 @@
 	},
 	{
 		"Rate: nothing is saved up while another core decides", "scheduler/rate.go",
-		"		pac.tokens = min(0, pac.tokens)\n", "", rates,
+		"		pac.tokens = 0\n", "", rates,
 	},
 	{
 		"Rate: a core keeps to its share", "scheduler/rate.go",
