--- a/call/call.go
+++ b/call/call.go
@@ -86,6 +86,10 @@
 	HasRate    bool
 	Rate       float64
 	UnreadRate string
+	// Cold is for how much longer the engine is cold; 0 for one that doesn't say so. UnreadCold
+	// is the beginning of such a word that can't be taken.
+	Cold       time.Duration
+	UnreadCold string
 	// Unknown are the names of headers that nobody reads, in no order.
 	Unknown []string
 }
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -58,7 +58,7 @@
 		newCheckCmd(),
 		newStoryCmd(),
 		newLossesCmd(),
-		newRolloutCmd(), newHeldCmd(),
+		newRolloutCmd(), newHeldCmd(), newEvacuationCmd(),
 		newLoadCmd(),
 		newStandinCmd(),
 		newBenchCmd(),
--- /dev/null
+++ b/cmd/evacuationcmd_test.go
@@ -0,0 +1,62 @@
+package cmd
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lynxwell.dev/lynxwell/entry"
+	"lynxwell.dev/lynxwell/evacuation"
+	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/scheduler"
+)
+
+// hostEmptying answers as a host that decides for all while domain d1 is emptied, in each of
+// the states in turn.
+func hostEmptying(t *testing.T, told ...string) netip.AddrPort {
+	t.Helper()
+	asked := 0
+	srv := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, _ *http.Request) {
+		now := told[min(asked, len(told)-1)]
+		asked++
+		evd := evacuation.Dump{Domain: "d1", Order: 7, State: "Ordered", Told: now, Running: 2}
+		if now == "" {
+			evd.Missing = []string{"00000000000000aa"}
+		}
+		cold := scheduler.EngineDump{ID: fleet.EngineID{Name: "e1"}, ColdFor: "2s", Rate: &scheduler.RateDump{PerSecond: 8, Own: 4}}
+		_ = json.NewEncoder(wri).Encode(entry.Dump{
+			Host: "host-1", Own: true, Evacuations: []evacuation.Dump{evd},
+			Scheduler: scheduler.Dump{Services: []scheduler.ServiceDump{{Name: "menus", Engines: []scheduler.EngineDump{cold, {}}}}},
+		})
+	}))
+	t.Cleanup(srv.Close)
+	return netip.MustParseAddrPort(srv.Listener.Addr().String())
+}
+
+func TestEvacuationTellsWhatItWaitsFor(t *testing.T) {
+	com := newEvacuationCmd()
+	com.opts.entry = hostEmptying(t, "")
+	var out bytes.Buffer
+	assert.NilError(t, com.run(t.Context(), streams{out: &out}))
+	for _, want := range []string{"d1: Ordered (order 7)", "2 running", "waits for 1 hosts, epochs 00000000000000aa", "e1 of menus is cold for 2s: 8 requests a second at most, 4 granted here"} {
+		assert.Assert(t, strings.Contains(out.String(), want), out.String())
+	}
+	com.opts.domain = "d2"
+	assert.ErrorContains(t, com.run(t.Context(), streams{out: &out}), "no order to empty d2")
+	com.opts.entry = netip.AddrPort{}
+	assert.ErrorContains(t, com.run(t.Context(), streams{out: &out}), "--entry")
+}
+
+func TestEvacuationIsWatchedUntilItIsEmpty(t *testing.T) {
+	com := newEvacuationCmd()
+	com.opts.entry, com.opts.watch = hostEmptying(t, "Closed", "Empty"), true
+	var out bytes.Buffer
+	assert.NilError(t, com.run(t.Context(), streams{out: &out}))
+	assert.Equal(t, strings.Count(out.String(), "d1: "), 2)
+}
--- a/entry/barred.go
+++ b/entry/barred.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"lynxwell.dev/lynxwell/evacuation"
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/reservation"
 )
@@ -52,6 +53,8 @@
 type grant struct {
 	// rate is what who decided knew of the engine's rate, when it was asked and had granted it.
 	rate  reservation.GrantRate
+	// cold says that who decided knew the engine to be cold.
+	cold  bool
 	asked time.Time
 	at    time.Time
 }
@@ -103,18 +106,29 @@
 	return &UnpacedError{Run: run, PerSecond: lim.PerSecond, Rate: grt.rate, Age: age}
 }
 
-// maySend returns a *BarredError or an *UnpacedError for an engine that by its own word
-// doesn't take a request now.
-func (hos *Host) maySend(run fleet.EngineID, grt grant) error {
-	if err := hos.barred(run); err != nil {
+// maySend returns a *BarredError or an *UnpacedError for an engine that doesn't take a request
+// now, by its own word or since it is cold, and an *EvacuatedError where its failure domain is
+// being emptied.
+func (hos *Host) maySend(eng fleet.Engine, grt grant) error {
+	if err := hos.barred(eng.ID); err != nil {
 		return err
 	}
-	return hos.unpaced(run, grt)
+	if err := hos.unpaced(eng.ID, grt); err != nil {
+		return err
+	}
+	if err := hos.tooCold(eng, grt); err != nil {
+		return err
+	}
+	if eng.Emptied {
+		return &EvacuatedError{Order: evacuation.Order{Domain: eng.Domain}}
+	}
+	return nil
 }
 
-// unwanted reports whether an engine's own word kept a request from being sent.
+// unwanted reports whether a request wasn't sent since its engine is to get none of it now.
 func unwanted(err error) bool {
 	var barred *BarredError
 	var unpaced *UnpacedError
-	return errors.As(err, &barred) || errors.As(err, &unpaced)
+	var evacuated *EvacuatedError
+	return errors.As(err, &barred) || errors.As(err, &unpaced) || errors.As(err, &evacuated)
 }
--- a/entry/barred_test.go
+++ b/entry/barred_test.go
@@ -67,14 +67,14 @@
 	hos := barredHost(t, io.Discard)
 	run := fleet.EngineID{Name: "e1"}
 	exc := &exchange{host: hos, route: route.Route{Public: true}, deadline: hos.clock.Now().Add(time.Minute)}
-	assert.NilError(t, exc.mayStillSend(run))
+	assert.NilError(t, exc.mayStillSend(fleet.Engine{ID: run}))
 	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: run}, Head: call.AnswerHead{Backoff: time.Hour}})
-	err := exc.mayStillSend(run)
+	err := exc.mayStillSend(fleet.Engine{ID: run})
 	var barred *BarredError
 	assert.Assert(t, errors.As(err, &barred), "%v", err)
 	_, isPause := barred.Notice.Word.(fleet.Pause)
 	assert.Assert(t, isPause, "%v", barred)
-	assert.NilError(t, exc.mayStillSend(fleet.EngineID{Name: "e2"}))
+	assert.NilError(t, exc.mayStillSend(fleet.Engine{ID: fleet.EngineID{Name: "e2"}}))
 }
 
 // lineCounter counts the lines of a log.
@@ -124,27 +124,27 @@
 	run := fleet.EngineID{Name: "e1"}
 	hos.belief.Store(&belief{engines: map[string]fleet.Engine{"e1": {ID: run}}})
 	now := hos.clock.Now()
-	assert.NilError(t, hos.maySend(run, grant{at: now}))
+	assert.NilError(t, hos.maySend(fleet.Engine{ID: run}, grant{at: now}))
 	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: run}, Head: call.AnswerHead{HasRate: true, Rate: 2}})
-	assert.NilError(t, hos.maySend(run, grant{rate: reservation.GrantRatePaced, at: now}))
+	assert.NilError(t, hos.maySend(fleet.Engine{ID: run}, grant{rate: reservation.GrantRatePaced, at: now}))
 	for _, grt := range []grant{
 		{at: now}, {rate: reservation.GrantRatePaced, at: now.Add(-time.Second)}, {rate: reservation.GrantRateEnded, asked: now.Add(-time.Second), at: now},
 	} {
 		var unpaced *UnpacedError
-		assert.Assert(t, errors.As(hos.maySend(run, grt), &unpaced))
+		assert.Assert(t, errors.As(hos.maySend(fleet.Engine{ID: run}, grt), &unpaced))
 		exc := &exchange{host: hos, route: route.Route{Public: true}, deadline: now.Add(time.Minute), grant: grt}
-		assert.Assert(t, unwanted(exc.mayStillSend(run)))
+		assert.Assert(t, unwanted(exc.mayStillSend(fleet.Engine{ID: run})))
 		_, pro := exc.granted("e1", request.ID{Unique: "r1"})
 		assert.Assert(t, pro != nil && pro.sentBack && exc.again && exc.attempts == 0)
 	}
 	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: run}, Sent: now.Add(time.Hour), Stray: true})
-	assert.Assert(t, hos.maySend(run, grant{at: now}) != nil, "an answer to another request may be older")
+	assert.Assert(t, hos.maySend(fleet.Engine{ID: run}, grant{at: now}) != nil, "an answer to another request may be older")
 	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: run}, Sent: now.Add(-time.Second)})
-	assert.Assert(t, hos.maySend(run, grant{at: now}) != nil, "sent before it was named")
+	assert.Assert(t, hos.maySend(fleet.Engine{ID: run}, grant{at: now}) != nil, "sent before it was named")
 	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: run}, Sent: now.Add(time.Second), Head: call.AnswerHead{UnreadRate: "few"}})
-	assert.Assert(t, hos.maySend(run, grant{at: now}) != nil, "what can't be read ends nothing")
+	assert.Assert(t, hos.maySend(fleet.Engine{ID: run}, grant{at: now}) != nil, "what can't be read ends nothing")
 	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: run}, Sent: now.Add(time.Hour)})
-	assert.NilError(t, hos.maySend(run, grant{at: now}))
+	assert.NilError(t, hos.maySend(fleet.Engine{ID: run}, grant{at: now}))
 }
 
 // Another host's answer has shown that the rate is over: who decides knows, and this host with
@@ -154,9 +154,9 @@
 	run := fleet.EngineID{Name: "e1"}
 	hos.notices.take(upstream.Heard{Endpoint: upstream.Endpoint{Engine: run}, Head: call.AnswerHead{HasRate: true, Rate: 2}})
 	now := hos.clock.Now()
-	assert.Assert(t, hos.maySend(run, grant{at: now}) != nil)
-	assert.NilError(t, hos.maySend(run, grant{rate: reservation.GrantRateEnded, asked: now.Add(time.Millisecond), at: now}))
-	assert.NilError(t, hos.maySend(run, grant{at: now}), "it has ended for this host")
+	assert.Assert(t, hos.maySend(fleet.Engine{ID: run}, grant{at: now}) != nil)
+	assert.NilError(t, hos.maySend(fleet.Engine{ID: run}, grant{rate: reservation.GrantRateEnded, asked: now.Add(time.Millisecond), at: now}))
+	assert.NilError(t, hos.maySend(fleet.Engine{ID: run}, grant{at: now}), "it has ended for this host")
 }
 
 // A coordinator that hasn't heard it yet may grant what an engine has told this host alone.
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -61,6 +61,7 @@
 	causeDeadline   cause = "Deadline"
 	causeCallerLeft cause = "CallerLeft"
 	causeHeld       cause = "Held"
+	causeNoRegion   cause = "NoRegion"
 )
 
 // problem is a final answer of the host's own.
@@ -82,6 +83,8 @@
 	route   route.Route
 	service string
 	account route.Account
+	// regions are those in which the request may be served; none for all.
+	regions []string
 	rank    int
 	started time.Time
 	// deadline is when the request must have its final answer.
@@ -165,6 +168,11 @@
 	if pro := exc.authenticate(bel.table); pro != nil {
 		return pro
 	}
+	sco := rou.Scope(exc.account)
+	if sco.Bounded && len(sco.Regions) == 0 {
+		return &problem{status: http.StatusServiceUnavailable, cause: causeNoRegion, detail: "the route and the client account allow no region in common"}
+	}
+	exc.regions = sco.Regions
 	exc.rank = rou.Rank
 	if exc.account.Rank != nil {
 		exc.rank = *exc.account.Rank
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -48,7 +48,7 @@
 	}
 	known, found := exc.host.belief.Load().engine(eng.ID)
 	_, leaves := exc.host.notices.bar(eng.ID).(fleet.Leaving)
-	if !found || known.Draining || leaves {
+	if !found || known.Closed() || leaves {
 		return endingNone
 	}
 	if known.ID.Follows(eng.ID) {
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"lynxwell.dev/lynxwell/evacuation"
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/pace"
 	"lynxwell.dev/lynxwell/peer"
@@ -65,6 +66,8 @@
 	toldAbsent []request.Epoch
 	// absent are the hosts that the active coordinator doesn't reach.
 	absent atomic.Pointer[map[request.Epoch]bool]
+	// evacuations is what is known of failure domains that are being emptied.
+	evacuations *evacuation.Board
 	// survey is what the hosts have recorded of the engines' speed.
 	survey pace.Survey
 }
@@ -126,6 +129,8 @@
 		holds:     make(map[request.ID]*reservation.Adopt),
 		spent:     make(map[string]*spending),
 		presence:  fleet.NewPresence(hos.epoch),
+
+		evacuations: evacuation.New(),
 	}
 }
 
@@ -135,6 +140,7 @@
 		Self:       hos.epoch,
 		Repeats:    scheduler.Repeats{Ratio: bou.RepeatRatio, Window: bou.RepeatWindow(), Slack: bou.RepeatSlack},
 		LimitSlack: bou.LimitSlack, LimitWindow: bou.LimitWindow(), LimitOvershoot: bou.LimitOvershoot,
+		Regions:  hos.set.Regions,
 		Rollouts: rollout.Config{Self: hos.epoch.String(), Share: bou.ExposureShare, Slack: bou.ExposureSlack},
 	}
 }
@@ -195,7 +201,7 @@
 		evt = evt.Int("Paced", inp.Paced).Bool("WaitedForRate", inp.WaitedForRate)
 	}
 	if inp.PerSecond > 0 || inp.Spent > 0 {
-		evt = evt.Float64("PerSecond", inp.PerSecond).Int("Spent", inp.Spent)
+		evt = evt.Float64("PerSecond", inp.PerSecond).Int("Spent", inp.Spent).Bool("Cold", inp.Cold)
 	}
 	evt.Stringer("Gateway", snd.To).Dur("Waited", inp.Waited).Int("Waiting", inp.Waiting).Int("Engines", inp.Engines).Int("Aside", inp.Aside).Bool("AsideUsed", inp.AsideUsed).
 		Int("Running", inp.Running).Dur("Unread", inp.Unread).Dur("Expected", inp.Expected).Msg("decision")
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -3,9 +3,11 @@
 import (
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"lynxwell.dev/lynxwell/platform"
+	"lynxwell.dev/lynxwell/route"
 )
 
 // keepAddresses is how long callers may keep an answer with addresses; some keep
@@ -40,7 +42,7 @@
 			return
 		}
 		hos.awaitBegun(req.Context())
-		addresses := hos.addresses(hos.clock.Now())
+		addresses := hos.addresses(hos.clock.Now(), platform.DecodeAddressesQuery(req))
 		if len(addresses) == 0 {
 			http.Error(wri, "no host takes requests", http.StatusServiceUnavailable)
 			return
@@ -56,22 +58,52 @@
 	})
 }
 
-// addresses returns where callers are sent: to all hosts that have an entry, but for
-// those that the coordinator doesn't reach. A host that leaves, or whose knowledge is
-// too old to act on, names only others: they may know better, and an old answer serves
-// callers better than none.
-func (hos *Host) addresses(now time.Time) []netip.AddrPort {
+// addresses returns where a caller is sent: to the hosts of its region, or of those that may
+// hold its requests, that have an entry, but for those that the coordinator doesn't reach. A
+// host that leaves, or whose knowledge is too old to act on, names only others: they may know
+// better, and an old answer serves callers better than none.
+func (hos *Host) addresses(now time.Time, query platform.AddressesQuery) []netip.AddrPort {
 	bel := hos.belief.Load()
 	if bel.table == nil {
 		return nil
 	}
 	takes := !hos.draining.Load() && hos.trusted(now)
-	var addresses []netip.AddrPort
+	byRegion := make(map[string][]netip.AddrPort)
+	var all []netip.AddrPort
 	for _, mem := range bel.members {
 		if mem.Epoch == hos.epoch && !takes || hos.desk.isAbsent(mem.Epoch) {
 			continue
 		}
-		addresses = append(addresses, mem.CallerAddress)
+		region := hos.set.Regions[mem.Domain]
+		byRegion[region] = append(byRegion[region], mem.CallerAddress)
+		all = append(all, mem.CallerAddress)
 	}
-	return addresses
+	sco := bel.table.HostRegions(query.Host)
+	for _, regions := range regionsInOrder(sco, query.Region) {
+		if found := inRegions(byRegion, regions); len(found) > 0 {
+			return found
+		}
+	}
+	if sco.Bounded {
+		return nil
+	}
+	return all
+}
+
+// regionsInOrder returns the regions whose hosts a caller is to use, the best first: its own
+// where requests to the host name may be held there, then the others where they may be. Its own
+// comes last where they may not: no other host holds what that one does.
+func regionsInOrder(sco route.Scope, own string) [][]string {
+	if !sco.Bounded || slices.Contains(sco.Regions, own) {
+		return [][]string{{own}, sco.Regions}
+	}
+	return [][]string{sco.Regions, {own}}
+}
+
+func inRegions(byRegion map[string][]netip.AddrPort, regions []string) []netip.AddrPort {
+	var found []netip.AddrPort
+	for _, region := range regions {
+		found = append(found, byRegion[region]...)
+	}
+	return found
 }
--- a/entry/dump.go
+++ b/entry/dump.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"lynxwell.dev/lynxwell/evacuation"
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/scheduler"
 )
@@ -38,6 +39,8 @@
 	Held      int
 	Tasks     []string
 	Scheduler scheduler.Dump
+	// Evacuations are the failure domains that are being emptied.
+	Evacuations []evacuation.Dump `json:",omitempty"`
 }
 
 // NoticeDump is what an engine has said of itself to this host.
@@ -91,6 +94,10 @@
 	}
 	dum.Waiting, dum.Held = len(des.tickets), len(des.holds)
 	dum.Scheduler = des.core.Dump(now)
+	if des.inCharge() {
+		des.evacuations.SetHosts(des.senders())
+	}
+	dum.Evacuations = des.evacuations.Dump(des.core.RunningIn)
 }
 
 func (hos *Host) serveDump(wri http.ResponseWriter, _ *http.Request) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -74,6 +74,8 @@
 	clock    *clock.Clock
 	upstream *upstream.Client
 	notices  *notices
+	// evacuations keeps requests from failure domains that are being emptied.
+	evacuations *evacuations
 	peers    *peer.Client
 	tasks    *task.Group
 	servers  []*http.Server
@@ -90,6 +92,8 @@
 	secrets *secrets
 	// rolloutNews wakes the keeper of roll-outs.
 	rolloutNews chan struct{}
+	// evacuationNews wakes the keeper of evacuations.
+	evacuationNews chan struct{}
 	// woken brings the length of a suspension.
 	woken chan time.Duration
 	// heldNews wakes the keeper of held requests; heldRevision is the store's of what lies
@@ -168,6 +172,7 @@
 		wanted:      make(chan struct{}),
 		leaseDoubt:  make(chan struct{}, 1),
 		rolloutNews: make(chan struct{}, 1),
+		evacuationNews: make(chan struct{}, 1),
 		heldNews:    make(chan struct{}, 1),
 		woken:       make(chan time.Duration, 1),
 		done:        make(chan struct{}),
@@ -181,6 +186,7 @@
 	hos.secrets = newSecrets(hos)
 	hos.tasks = task.NewGroup(hos.log)
 	hos.notices = newNotices(hos)
+	hos.evacuations = newEvacuations(hos)
 	hos.upstream = upstream.NewClient(upstream.ClientConfig{
 		Decode: platform.DecodeAnswer, Now: hos.clock.Now, Heard: hos.notices.take,
 		Dialed: func() { hos.figures.dialed.Inc(1) },
@@ -332,6 +338,7 @@
 	hos.tasks.Run("settings", func() error { return hos.followSettings(ctx) })
 	hos.tasks.Run("secret", func() error { return hos.keepSecret(ctx) })
 	hos.tasks.Run("rollouts", func() error { return hos.keepRollouts(ctx) })
+	hos.tasks.Run("evacuations", func() error { return hos.keepEvacuations(ctx) })
 	hos.tasks.Run("held", func() error { return hos.keepHeld(ctx) })
 	hos.tasks.Run("survey", func() error { return hos.keepSurvey(ctx) })
 	hos.tasks.Run("housekeeping", func() error { return hos.keepHouse(ctx) })
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -37,7 +37,7 @@
 // take notes what the head of an answer says of its engine, and tells those who decide.
 func (ntc *notices) take(hrd upstream.Heard) {
 	ntc.unknown.take(hrd)
-	if hrd.Head.UnreadBackoff != "" || hrd.Head.UnreadRate != "" {
+	if hrd.Head.UnreadBackoff != "" || hrd.Head.UnreadRate != "" || hrd.Head.UnreadCold != "" {
 		ntc.noteUnread(hrd)
 	}
 	now := ntc.host.clock.Now()
@@ -64,7 +64,7 @@
 // last named tells which answers came after it.
 func isToldAgain(word fleet.Word) bool {
 	switch word.(type) {
-	case fleet.Pause, fleet.RateLimit:
+	case fleet.Pause, fleet.RateLimit, fleet.Cold:
 		return true
 	default:
 		return false
@@ -90,6 +90,9 @@
 	if head.Backoff > 0 {
 		all = append(all, fleet.Notice{Run: hrd.Engine, Word: fleet.Pause{Left: head.Backoff}})
 	}
+	if head.Cold > 0 {
+		all = append(all, fleet.Notice{Run: hrd.Engine, Word: fleet.Cold{Left: head.Cold}})
+	}
 	if word := ntc.limitIn(hrd); word != nil {
 		all = append(all, fleet.Notice{Run: hrd.Engine, Word: word})
 	}
@@ -139,6 +142,8 @@
 		evt = evt.Dur("For", wrd.Left)
 	case fleet.RateLimit:
 		evt = evt.Float64("PerSecond", wrd.PerSecond)
+	case fleet.Cold:
+		evt = evt.Dur("For", wrd.Left)
 	}
 	if limited {
 		evt = evt.Float64("FormerPerSecond", former.PerSecond).Dur("FormerAge", now.Sub(former.At))
@@ -164,6 +169,9 @@
 	if hrd.Head.UnreadRate != "" {
 		evt = evt.Str("Rate", hrd.Head.UnreadRate)
 	}
+	if hrd.Head.UnreadCold != "" {
+		evt = evt.Str("Cold", hrd.Head.UnreadCold)
+	}
 	evt.Msg("what an engine says of itself is not taken as it stands")
 }
 
@@ -175,6 +183,14 @@
 	return ntc.heard.Bar(now, run)
 }
 
+// coldFor returns for how much longer an engine is cold by its own word to this host.
+func (ntc *notices) coldFor(run fleet.EngineID) time.Duration {
+	now := ntc.host.clock.Now()
+	ntc.mutex.Lock()
+	defer ntc.mutex.Unlock()
+	return ntc.heard.ColdFor(now, run)
+}
+
 // limit returns the rate that an engine has named to this host, and whether it holds.
 func (ntc *notices) limit(run fleet.EngineID) (fleet.NamedLimit, bool) {
 	ntc.mutex.Lock()
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"lynxwell.dev/lynxwell/evacuation"
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/request"
@@ -55,6 +56,13 @@
 	refused *refusals
 	// rollouts is what the store holds of roll-outs.
 	rollouts rollouts
+	// evacuations is what the store holds of failure domains that are being emptied, by their
+	// names, evacuationsChanged is set until that is in force. reopened are those whose order
+	// was taken back since, unknownDomains the orders that were named for what they are.
+	evacuations        map[string]evacuation.Standing
+	evacuationsChanged bool
+	reopened           []string
+	unknownDomains     map[evacuation.Order]bool
 	// changed is what the update that is being taken changes of the hosts.
 	changed changeList
 	// paused says that a host that found no other has waited for some.
@@ -83,7 +91,8 @@
 func newObserver(hos *Host) *observer {
 	return &observer{
 		host: hos, directory: fleet.NewDirectory(), readers: newReaders(hos.epoch), whole: true,
-		refused: newRefusals(hos.log, hos.figures.refused),
+		refused:     newRefusals(hos.log, hos.figures.refused),
+		evacuations: make(map[string]evacuation.Standing), unknownDomains: make(map[evacuation.Order]bool),
 	}
 }
 
@@ -117,7 +126,7 @@
 func (obs *observer) apply(upd update) {
 	obs.whole = false
 	if upd.whole {
-		obs.replace(upd.values)
+		obs.replace(upd.values, upd.changes.Revision)
 		obs.host.mirror.replace(upd.values, max(obs.revision, upd.changes.Revision), upd.confirmed)
 	} else {
 		obs.changed = changeList{}
@@ -203,13 +212,14 @@
 	return now.Sub(obs.peersTold) <= peersGap && now.Sub(obs.peersKnow) > lapseHold
 }
 
-// replace takes a whole reading.
-func (obs *observer) replace(values []store.Value) {
+// replace takes a whole reading of a revision.
+func (obs *observer) replace(values []store.Value, rev store.Revision) {
 	var engines []fleet.Engine
 	var members []fleet.Member
 	var refused []string
 	obs.loseRing()
 	obs.loseHeld()
+	obs.replaceEvacuations(values, rev)
 	for _, val := range values {
 		switch kind, name := platform.KindOf(val.Key); kind {
 		case platform.KeyConfiguration:
@@ -236,6 +246,10 @@
 			obs.takeLedger(name, val)
 		case platform.KeyHolds:
 			obs.takeHeld(val)
+		case platform.KeyEvacuation:
+			obs.takeEvacuation(val)
+		case platform.KeyEvacuationState:
+			obs.takeEvacuationState(name, val)
 		case platform.KeyOther:
 		}
 	}
@@ -301,6 +315,10 @@
 		obs.takeLedger(name, cha.Value)
 	case platform.KeyHolds:
 		obs.takeHeld(cha.Value)
+	case platform.KeyEvacuation:
+		obs.takeEvacuation(cha.Value)
+	case platform.KeyEvacuationState:
+		obs.takeEvacuationState(name, cha.Value)
 	case platform.KeyOther:
 	}
 }
@@ -326,6 +344,10 @@
 		obs.loseRing()
 	case platform.KeyHolds:
 		obs.loseHeld()
+	case platform.KeyEvacuation:
+		obs.endEvacuation(name, cha.Revision)
+	case platform.KeyEvacuationState:
+		obs.setEvacuation(name, func(std *evacuation.Standing) { std.Told = evacuation.Told{} })
 	case platform.KeyConfiguration, platform.KeySurvey, platform.KeyOrder, platform.KeyOther:
 	}
 }
@@ -336,8 +358,8 @@
 }
 
 func (obs *observer) noteEngine(eng fleet.Engine, rev store.Revision) {
-	newer := obs.directory.SetEngine(eng)
-	obs.host.log.Info().Stringer("Engine", eng.ID).Str("Service", eng.Service).Str("Version", eng.Version).Stringer("Address", eng.Address).Bool("Draining", eng.Draining).
+	newer := obs.directory.SetEngine(obs.host.clock.Now(), eng)
+	obs.host.log.Info().Stringer("Engine", eng.ID).Str("Service", eng.Service).Str("Version", eng.Version).Stringer("Address", eng.Address).Bool("Draining", eng.Draining).Dur("ColdFor", eng.ColdFor).
 		Uint64("Sequence", eng.Sequence).Bool("Newer", newer).Uint64("Revision", uint64(rev)).Msg("engine entry")
 }
 
@@ -362,6 +384,7 @@
 		obs.host.log.Debug().Err(err).Uint64("Version", con.Version).Msg("configuration has a field that is passed over")
 	}
 	obs.table = tab
+	obs.checkRegions(tab, val)
 	for _, acc := range con.Accounts {
 		obs.host.log.Debug().Str("Account", acc.Name).Float64("Rate", acc.Rate).Float64("Burst", acc.Burst).Bool("ByTokens", acc.ByTokens).
 			Interface("Rank", acc.Rank).Int("Keys", len(acc.Keys)).Uint64("Version", con.Version).Msg("client account")
@@ -372,7 +395,9 @@
 
 // publish makes what the observer knows the host's belief.
 func (obs *observer) publish() {
+	obs.publishEvacuations(obs.host.clock.Now(), obs.table)
 	engines := obs.directory.Engines()
+	obs.markEmptied(engines)
 	bel := &belief{table: obs.table, engines: make(map[string]fleet.Engine, len(engines)), members: obs.directory.Members()}
 	for _, eng := range engines {
 		bel.engines[eng.ID.Name] = eng
@@ -406,7 +431,7 @@
 func (obs *observer) gauge(bel *belief) {
 	ready := int64(0)
 	for _, eng := range bel.engines {
-		if !eng.Draining {
+		if !eng.Closed() {
 			ready++
 		}
 	}
--- a/entry/presence_test.go
+++ b/entry/presence_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"lynxwell.dev/lynxwell/peer"
+	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/reservation"
 	"lynxwell.dev/lynxwell/route"
 )
@@ -26,18 +27,18 @@
 	assert.NilError(t, err)
 	hos.belief.Store(&belief{table: tab, members: members})
 	now := time.Now()
-	assert.Equal(t, len(hos.addresses(now)), hosts-1, "all others")
+	assert.Equal(t, len(hos.addresses(now, platform.AddressesQuery{})), hosts-1, "all others")
 	for _, ses := range sessions[:lost] {
 		hos.desk.SessionLost(ses)
 	}
 	hos.desk.tellAbsent(now)
-	assert.Equal(t, len(hos.addresses(now)), hosts-1, "a session may be opened again")
+	assert.Equal(t, len(hos.addresses(now, platform.AddressesQuery{})), hosts-1, "a session may be opened again")
 	hos.desk.tellAbsent(now.Add(time.Second))
-	assert.Equal(t, len(hos.addresses(now)), hosts-1-lost)
+	assert.Equal(t, len(hos.addresses(now, platform.AddressesQuery{})), hosts-1-lost)
 	// A host that has another decide goes by that one's word.
 	hos.desk.links[1] = &link{queue: peer.NewQueue()}
 	hos.desk.decided(1, reservation.Leader{Host: 1})
-	assert.Equal(t, len(hos.addresses(now)), hosts-1)
+	assert.Equal(t, len(hos.addresses(now, platform.AddressesQuery{})), hosts-1)
 	hos.desk.decided(1, reservation.Absent{Hosts: hos.desk.toldAbsent[:lost/2]})
-	assert.Equal(t, len(hos.addresses(now)), hosts-1-lost/2)
+	assert.Equal(t, len(hos.addresses(now, platform.AddressesQuery{})), hosts-1-lost/2)
 }
--- a/entry/reserve.go
+++ b/entry/reserve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -78,7 +79,7 @@
 		Remaining: exc.remaining(), Domain: hos.set.Domain, Aim: exc.aim(exc.host.clock.Now()), Age: exc.callerAge,
 		Route: exc.route.Name, Repeatable: exc.route.Repeatable(),
 		Cost: exc.account.Cost(exc.request.Tokens()), Attempt: exc.attempts, Exclude: exc.exclude, Parts: exc.request.Parts,
-		Digest: exc.digest, Again: exc.again,
+		Digest: exc.digest, Again: exc.again, Regions: exc.regions,
 	}
 	if exc.route.Kind != route.KindStreaming {
 		res.PromptTokens = 0
@@ -92,10 +93,15 @@
 	if dec.refusal != nil {
 		return fleet.Engine{}, exc.refusal(*dec.refusal)
 	}
-	exc.grant = grant{rate: dec.grant.Rate, asked: askedAt, at: hos.clock.Now()}
+	exc.grant = grant{rate: dec.grant.Rate, cold: dec.grant.Cold, asked: askedAt, at: hos.clock.Now()}
 	return exc.granted(dec.grant.Engine, res.ID)
 }
 
+// allows reports whether the request may be served at an engine, by its region.
+func (exc *exchange) allows(eng fleet.Engine) bool {
+	return len(exc.regions) == 0 || slices.Contains(exc.regions, exc.host.set.Regions[eng.Domain])
+}
+
 // answerTokens returns the caller's guess of the answer's length, by which it is
 // predicted when its slot falls free; of one that has begun the rest isn't known.
 func (exc *exchange) answerTokens() int {
@@ -147,13 +153,15 @@
 	case !known || eng.Draining:
 		// The coordinator may have lost the store, and not know yet.
 		pro = exc.notRun(causeEngineGone, "engine is gone or leaves")
+	case !exc.allows(eng):
+		pro = exc.notRun(causeEngineGone, "engine is in a region where the request may not be served")
 	case exc.account.Name != "":
 		if _, holds := bel.table.Account(exc.request.Key); !holds {
 			pro = &problem{status: http.StatusUnauthorized, cause: causeUnknownKey, detail: "the key was taken away"}
 		}
 	}
 	if pro == nil {
-		if err := hos.maySend(eng.ID, exc.grant); err != nil {
+		if err := hos.maySend(eng, exc.grant); err != nil {
 			exc.sendBack(err)
 			pro = exc.notRun(causeBarred, err.Error())
 			pro.sentBack = true
@@ -184,6 +192,8 @@
 		pro.cause, pro.detail = causeBarred, "all engines that are left have asked for a pause, or leave"
 	case reservation.ReasonRate:
 		pro.cause, pro.detail = causeRate, "all engines that are left have named the rate that they take, and others were before"
+	case reservation.ReasonRegion:
+		pro.cause, pro.detail = causeNoRegion, "no engine is in the regions that the route and the client account allow"
 	case reservation.ReasonHeld:
 		return heldProblem(ref)
 	}
--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -137,6 +137,7 @@
 	delete(des.unreached, lin.member.Epoch)
 	des.tellCases(lin.member.Epoch)
 	des.tellNotices(lin.member)
+	des.tellEmptyingTo(lin.member.Epoch)
 	des.elect()
 	des.tellLeader()
 }
@@ -203,6 +204,10 @@
 			des.appointed(inb, app.Decides)
 			return
 		}
+		if emp, isEmptying := rec.Message.(reservation.Emptying); isEmptying {
+			des.takeEmptying(inb.gateway, emp)
+			return
+		}
 		des.step(scheduler.Received{From: inb.gateway, Message: rec.Message})
 	}
 }
--- a/entrytest/entrytest.go
+++ b/entrytest/entrytest.go
@@ -66,6 +66,8 @@
 	Bounds settings.Bounds
 	// OneDomain puts all hosts into one failure domain.
 	OneDomain bool
+	// Regions are the regions of failure domains; nil for one region.
+	Regions map[string]string
 	// StoredSecret has the hosts know one another by a secret in the store, and not by
 	// PeerKey.
 	StoredSecret bool
@@ -222,7 +224,7 @@
 		peerKey = ""
 	}
 	data, err := json.Marshal(settings.Entry{
-		Name: fmt.Sprintf("host-%d", idx), Domain: domain,
+		Name: fmt.Sprintf("host-%d", idx), Domain: domain, Regions: cfg.Regions,
 		CallerAddress: embedded.NextAddress(), ReadyAddress: embedded.NextAddress(), DirectoryAddress: embedded.NextAddress(),
 		PeerAddress: embedded.NextAddress(), MetricsAddress: metrics,
 		StoreAddress: sys.storeAddress(one),
@@ -314,7 +316,12 @@
 
 // Addresses asks a host where callers are to go.
 func (sys *System) Addresses(hos *Host) []string {
-	ans := sys.get("http://" + hos.Settings.DirectoryAddress.String() + "/resolve?name=" + HostName + "&region=r&zone=d0")
+	return sys.AddressesFor(hos, "r")
+}
+
+// AddressesFor asks a host where callers in a region are to go.
+func (sys *System) AddressesFor(hos *Host, region string) []string {
+	ans := sys.get("http://" + hos.Settings.DirectoryAddress.String() + "/resolve?name=" + HostName + "&region=" + region + "&zone=d0")
 	var body struct {
 		Addresses []string `json:"addresses"`
 	}
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -50,7 +50,7 @@
 		}
 	}
 	for _, eng := range engines {
-		dir.SetEngine(eng)
+		dir.SetEngine(now, eng)
 	}
 	for _, mem := range members {
 		dir.SetMember(mem)
@@ -60,7 +60,7 @@
 // SetEngine takes an engine's entry, and reports whether it is newer than what is known.
 // One that tells no start although the engine did isn't the engine's own: whoever stood
 // there is lost. Where its entry had gone, any of the same run is newer.
-func (dir *Directory) SetEngine(eng Engine) bool {
+func (dir *Directory) SetEngine(now time.Time, eng Engine) bool {
 	name := eng.ID.Name
 	former, known := dir.engines[name]
 	if known && eng.ID.Born.IsZero() && !former.ID.Born.IsZero() {
@@ -70,11 +70,47 @@
 	if known && (former.ID.Follows(eng.ID) || !dir.missingEngines[name] && !eng.Supersedes(former)) {
 		return false
 	}
+	eng.ColdUntil = coldUntil(now, eng, former)
 	dir.engines[name] = eng
 	delete(dir.missingEngines, name)
 	return true
 }
 
+// coldUntil returns until when an engine is cold by its newest entry. An entry that was read
+// before and is read again tells nothing new: it would keep the engine cold without end.
+func coldUntil(now time.Time, eng, former Engine) time.Time {
+	if eng.ID != former.ID {
+		return coldFrom(now, eng.ColdFor)
+	}
+	until := former.ColdUntil
+	if told := coldFrom(now, eng.ColdFor); eng.Sequence != former.Sequence && told.After(until) {
+		until = told
+	}
+	return until
+}
+
+func coldFrom(now time.Time, left time.Duration) time.Time {
+	if left <= 0 {
+		return time.Time{}
+	}
+	return now.Add(left)
+}
+
+// Chill takes the engines of a failure domain to be cold until a time at least: those that had
+// nothing to do for a while may be, and their entries tell so later than they are used again.
+// coldFor returns for how long engines of a service are cold, 0 for those that never are.
+func (dir *Directory) Chill(now time.Time, domain string, coldFor func(service string) time.Duration) {
+	for name, eng := range dir.engines {
+		if eng.Domain != domain {
+			continue
+		}
+		if until := coldFrom(now, coldFor(eng.Service)); until.After(eng.ColdUntil) {
+			eng.ColdUntil = until
+			dir.engines[name] = eng
+		}
+	}
+}
+
 // RemoveEngine takes an engine's entry away, at once or when the hold is over.
 func (dir *Directory) RemoveEngine(now time.Time, name string) {
 	if _, known := dir.engines[name]; known && now.Before(dir.heldUntil) {
--- a/fleet/directory_test.go
+++ b/fleet/directory_test.go
@@ -12,8 +12,8 @@
 func TestEntriesThatLapseInAnOutageAreKeptForAWhile(t *testing.T) {
 	now := time.Unix(100, 0)
 	dir := fleet.NewDirectory()
-	dir.SetEngine(fleet.Engine{ID: fleet.EngineID{Name: "a"}})
-	dir.SetEngine(fleet.Engine{ID: fleet.EngineID{Name: "b"}})
+	dir.SetEngine(now, fleet.Engine{ID: fleet.EngineID{Name: "a"}})
+	dir.SetEngine(now, fleet.Engine{ID: fleet.EngineID{Name: "b"}})
 	dir.SetMember(fleet.Member{Name: "h", Epoch: 1})
 	dir.Hold(now.Add(2 * time.Second))
 	dir.Replace(now, nil, nil)
@@ -21,7 +21,7 @@
 	assert.Equal(t, len(dir.Members()), 1)
 	assert.Equal(t, len(dir.Current()), 0)
 	assert.Assert(t, dir.Missing("h") && !dir.Missing("other"))
-	dir.SetEngine(fleet.Engine{ID: fleet.EngineID{Name: "a"}, Slots: 3})
+	dir.SetEngine(now, fleet.Engine{ID: fleet.EngineID{Name: "a"}, Slots: 3})
 	assert.Assert(t, !dir.Settle(now.Add(time.Second)))
 	assert.Assert(t, dir.Settle(now.Add(2*time.Second)))
 	assert.Equal(t, len(dir.Engines()), 1)
@@ -32,7 +32,7 @@
 func TestOnACalmDayRemovalsCountAtOnce(t *testing.T) {
 	now := time.Unix(100, 0)
 	dir := fleet.NewDirectory()
-	dir.SetEngine(fleet.Engine{ID: fleet.EngineID{Name: "a"}})
+	dir.SetEngine(now, fleet.Engine{ID: fleet.EngineID{Name: "a"}})
 	dir.RemoveEngine(now, "a")
 	dir.RemoveEngine(now, "never known")
 	assert.Equal(t, len(dir.Engines()), 0)
--- a/fleet/engine.go
+++ b/fleet/engine.go
@@ -87,12 +87,23 @@
 	Slots int
 	// Draining engines get no new work.
 	Draining bool
-	// ColdFor is how much longer the engine is slow from its start.
+	// Emptied says that operators have the engine's failure domain emptied: it gets no new
+	// work either, until they take that back.
+	Emptied bool
+	// ColdFor is for how much longer the engine was cold when it wrote its entry. While it is,
+	// it takes few requests a second, and falls over under many more.
 	ColdFor time.Duration
+	// ColdUntil is until when it is taken to be cold, by this host's clock.
+	ColdUntil time.Time
 	// Sequence counts what this run of the engine has told of itself.
 	Sequence uint64
 }
 
+// Closed reports whether the engine gets no new work, by its own wish or by operators'.
+func (eng Engine) Closed() bool {
+	return eng.Draining || eng.Emptied
+}
+
 // Supersedes reports whether what this entry tells is newer than another one of the same
 // engine: entries may arrive late, after those that were written behind them. A start
 // that isn't known any more, where it was, doesn't come from the engine.
--- a/fleet/engine_test.go
+++ b/fleet/engine_test.go
@@ -52,8 +52,8 @@
 	} {
 		t.Run(tst.name, func(t *testing.T) {
 			dir := fleet.NewDirectory()
-			assert.Assert(t, dir.SetEngine(tst.known))
-			assert.Equal(t, dir.SetEngine(tst.next), tst.newer)
+			assert.Assert(t, dir.SetEngine(time.Unix(100, 0), tst.known))
+			assert.Equal(t, dir.SetEngine(time.Unix(100, 0), tst.next), tst.newer)
 			want := tst.known
 			if tst.newer {
 				want = tst.next
@@ -68,11 +68,11 @@
 // writer's.
 func TestEntryWithoutAStartIsNotTheEngines(t *testing.T) {
 	dir := fleet.NewDirectory()
-	dir.SetEngine(engineAt(1000, 4))
-	dir.SetEngine(fleet.Engine{ID: fleet.EngineID{Name: "other"}})
-	assert.Assert(t, !dir.SetEngine(engineAt(0, 5)))
+	dir.SetEngine(time.Unix(100, 0), engineAt(1000, 4))
+	dir.SetEngine(time.Unix(100, 0), fleet.Engine{ID: fleet.EngineID{Name: "other"}})
+	assert.Assert(t, !dir.SetEngine(time.Unix(100, 0), engineAt(0, 5)))
 	assert.Equal(t, len(dir.Engines()), 1)
-	assert.Assert(t, dir.SetEngine(engineAt(1000, 5)))
+	assert.Assert(t, dir.SetEngine(time.Unix(100, 0), engineAt(1000, 5)))
 	assert.Equal(t, len(dir.Engines()), 2)
 }
 
@@ -80,16 +80,16 @@
 func TestLateEntryDoesNotBringBackWhatLapsed(t *testing.T) {
 	now := time.Unix(100, 0)
 	dir := fleet.NewDirectory()
-	dir.SetEngine(engineAt(2000, 1))
+	dir.SetEngine(time.Unix(100, 0), engineAt(2000, 1))
 	dir.Hold(now.Add(time.Second))
 	dir.RemoveEngine(now, "e")
-	assert.Assert(t, !dir.SetEngine(engineAt(1000, 7)))
-	assert.Assert(t, dir.SetEngine(engineAt(2000, 0)), "the run enters again")
+	assert.Assert(t, !dir.SetEngine(time.Unix(100, 0), engineAt(1000, 7)))
+	assert.Assert(t, dir.SetEngine(time.Unix(100, 0), engineAt(2000, 0)), "the run enters again")
 	dir.RemoveEngine(now, "e")
-	assert.Assert(t, !dir.SetEngine(engineAt(1000, 7)))
+	assert.Assert(t, !dir.SetEngine(time.Unix(100, 0), engineAt(1000, 7)))
 	assert.Assert(t, dir.Settle(now.Add(time.Second)))
 	assert.Equal(t, len(dir.Engines()), 0)
-	assert.Assert(t, dir.SetEngine(engineAt(3000, 1)))
+	assert.Assert(t, dir.SetEngine(time.Unix(100, 0), engineAt(3000, 1)))
 }
 
 // In whichever order entries of runs arrive, the last one known is the latest run's
@@ -103,10 +103,36 @@
 			if idx == 0 || eng.Supersedes(newest) {
 				newest = eng
 			}
-			dir.SetEngine(eng)
+			dir.SetEngine(time.Unix(100, 0), eng)
 		}
 		if got := dir.Engines()[0]; got.ID != newest.ID || got.Sequence != newest.Sequence {
 			rt.Fatalf("known %v %d, newest %v %d", got.ID, got.Sequence, newest.ID, newest.Sequence)
 		}
 	})
 }
+
+// An entry tells for how much longer its engine is cold when it is written: read again it tells
+// nothing new, and a later one of the same run doesn't make it warm sooner.
+func TestEntryThatIsReadAgainKeepsNoEngineCold(t *testing.T) {
+	now := time.Unix(100, 0)
+	cold := engineAt(1000, 1)
+	cold.ColdFor = 3 * time.Second
+	dir := fleet.NewDirectory()
+	dir.SetEngine(now, cold)
+	assert.Equal(t, dir.Engines()[0].ColdUntil, now.Add(3*time.Second))
+	later := now.Add(2 * time.Second)
+	dir.Replace(later, []fleet.Engine{cold}, nil)
+	assert.Equal(t, dir.Engines()[0].ColdUntil, now.Add(3*time.Second), "the same entry")
+	warm := engineAt(1000, 2)
+	dir.SetEngine(later, warm)
+	assert.Equal(t, dir.Engines()[0].ColdUntil, now.Add(3*time.Second))
+	cold.Sequence = 3
+	dir.SetEngine(later, cold)
+	assert.Equal(t, dir.Engines()[0].ColdUntil, later.Add(3*time.Second), "cold again")
+	dir.SetEngine(later, engineAt(2000, 1))
+	assert.Assert(t, dir.Engines()[0].ColdUntil.IsZero(), "another run, that is warm")
+	dir.Chill(later, "", func(string) time.Duration { return time.Minute })
+	assert.Equal(t, dir.Engines()[0].ColdUntil, later.Add(time.Minute))
+	dir.Chill(later, "elsewhere", func(string) time.Duration { return time.Hour })
+	assert.Equal(t, dir.Engines()[0].ColdUntil, later.Add(time.Minute))
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	dir := fleet.NewDirectory()
-//	dir.SetEngine(eng)
+//	dir.SetEngine(now, eng)
 //	dir.RemoveEngine(now, name)
 //	for _, eng := range dir.Engines() { ... }
 //	mem, found := dir.Coordinator(reachable)
--- a/fleet/notices.go
+++ b/fleet/notices.go
@@ -22,6 +22,8 @@
 	pauses map[EngineID]time.Time
 	// limits are the rates that runs take.
 	limits map[EngineID]NamedLimit
+	// cold is until when runs have said to be cold.
+	cold map[EngineID]time.Time
 	// listed is when each run with a notice was last listed.
 	listed map[EngineID]time.Time
 }
@@ -36,7 +38,7 @@
 func NewNotices() *Notices {
 	return &Notices{
 		gone: make(map[EngineID]Word), pauses: make(map[EngineID]time.Time),
-		limits: make(map[EngineID]NamedLimit), listed: make(map[EngineID]time.Time),
+		limits: make(map[EngineID]NamedLimit), cold: make(map[EngineID]time.Time), listed: make(map[EngineID]time.Time),
 	}
 }
 
@@ -63,6 +65,12 @@
 		former, known := ntc.limits[not.Run]
 		ntc.limits[not.Run] = NamedLimit{RateLimit: wrd, At: now}
 		return !known || former.RateLimit != wrd
+	case Cold:
+		former := ntc.cold[not.Run]
+		if until := now.Add(wrd.Left); until.After(former) {
+			ntc.cold[not.Run] = until
+		}
+		return !now.Before(former)
 	case Unlimited:
 		_, known := ntc.limits[not.Run]
 		delete(ntc.limits, not.Run)
@@ -84,6 +92,11 @@
 	return nil
 }
 
+// ColdFor returns for how much longer a run is cold by its own word.
+func (ntc *Notices) ColdFor(now time.Time, run EngineID) time.Duration {
+	return max(0, ntc.cold[run].Sub(now))
+}
+
 // Limit returns the rate that a run last named, and whether it holds.
 func (ntc *Notices) Limit(run EngineID) (NamedLimit, bool) {
 	lim, holds := ntc.limits[run]
@@ -107,19 +120,24 @@
 		if lim, holds := ntc.Limit(run); holds {
 			current = append(current, Notice{Run: run, Word: lim.RateLimit})
 		}
+		if left := ntc.ColdFor(now, run); left > 0 {
+			current = append(current, Notice{Run: run, Word: Cold{Left: left}})
+		}
 	}
 	return current
 }
 
 // Forget drops what has lapsed, and the notices of runs that aren't listed any more.
 func (ntc *Notices) Forget(now time.Time, isListed func(EngineID) bool) {
-	maps.DeleteFunc(ntc.pauses, func(_ EngineID, until time.Time) bool { return !now.Before(until) })
+	lapsed := func(_ EngineID, until time.Time) bool { return !now.Before(until) }
+	maps.DeleteFunc(ntc.pauses, lapsed)
+	maps.DeleteFunc(ntc.cold, lapsed)
 	for run, last := range ntc.listed {
 		_, gone := ntc.gone[run]
 		_, pauses := ntc.pauses[run]
 		_, limited := ntc.limits[run]
 		switch {
-		case !gone && !pauses && !limited:
+		case !gone && !pauses && !limited && ntc.ColdFor(now, run) == 0:
 			delete(ntc.listed, run)
 		case isListed(run):
 			ntc.listed[run] = now
--- a/fleet/word.go
+++ b/fleet/word.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Word is what an engine says of itself in an answer to a host: Leaving, Replaced, Pause,
-// RateLimit or Unlimited.
+// RateLimit, Unlimited or Cold.
 type Word interface {
 	// String returns the word's name.
 	String() string
@@ -33,11 +33,19 @@
 // Unlimited is said by an answer without a rate, where one was named before.
 type Unlimited struct{}
 
+// Cold is the word of an engine that isn't warm yet, or not any more. It is also told by a host
+// that knows so from the engine's entry, to one that grants it as if it were warm.
+type Cold struct {
+	// Left is for how much longer.
+	Left time.Duration
+}
+
 func (Leaving) isWord()   {}
 func (Replaced) isWord()  {}
 func (Pause) isWord()     {}
 func (RateLimit) isWord() {}
 func (Unlimited) isWord() {}
+func (Cold) isWord()      {}
 
 // String returns the word's name.
 func (Leaving) String() string { return "Draining" }
@@ -54,6 +62,9 @@
 // String returns the word's name.
 func (Unlimited) String() string { return "Unlimited" }
 
+// String returns the word's name.
+func (Cold) String() string { return "Cold" }
+
 // Notice is what a run of an engine has said of itself in an answer.
 type Notice struct {
 	Run  EngineID
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -61,7 +61,7 @@
 		env.Message = &peerpb.Envelope_Reserve{Reserve: reserveToWire(msg)}
 	case reservation.Grant:
 		env.Message = &peerpb.Envelope_Grant{Grant: &peerpb.Grant{
-			Id: idToWire(msg.ID), Ballot: ballotToWire(msg.Ballot), Engine: msg.Engine, Rate: uint32(msg.Rate),
+			Id: idToWire(msg.ID), Ballot: ballotToWire(msg.Ballot), Engine: msg.Engine, Rate: uint32(msg.Rate), Cold: msg.Cold,
 		}}
 	case reservation.Refuse:
 		env.Message = &peerpb.Envelope_Refuse{Refuse: &peerpb.Refuse{
@@ -94,6 +94,8 @@
 		env.Message = &peerpb.Envelope_CaseReport{CaseReport: reportToWire(msg.Report)}
 	case reservation.EngineNotice:
 		env.Message = &peerpb.Envelope_EngineNotice{EngineNotice: noticeToWire(msg)}
+	case reservation.Emptying:
+		env.Message = &peerpb.Envelope_Emptying{Emptying: emptyingToWire(msg)}
 	case reservation.Progress:
 		env.Message = &peerpb.Envelope_Progress{Progress: &peerpb.Progress{
 			Id: idToWire(msg.ID), FirstTokenUs: msg.FirstToken.Microseconds(),
@@ -129,7 +131,7 @@
 		Domain: msg.Domain, AimUs: msg.Aim.Microseconds(), AgeUs: msg.Age.Microseconds(), Route: msg.Route, Repeatable: msg.Repeatable,
 		Cost: msg.Cost, Attempt: uint32(msg.Attempt),
 		Exclude: msg.Exclude, Parts: partsToWire(msg.Parts),
-		Urgency: uint32(msg.Urgency), AnswerTokens: uint32(msg.AnswerTokens), Digest: msg.Digest[:], Again: msg.Again,
+		Urgency: uint32(msg.Urgency), AnswerTokens: uint32(msg.AnswerTokens), Digest: msg.Digest[:], Again: msg.Again, Regions: msg.Regions,
 	}
 }
 
@@ -213,6 +215,8 @@
 		return endedFromWire(wms.EngineEnded)
 	case *peerpb.Envelope_EngineNotice:
 		return noticeFromWire(wms.EngineNotice)
+	case *peerpb.Envelope_Emptying:
+		return emptyingFromWire(wms.Emptying)
 	case *peerpb.Envelope_CaseReport:
 		return reservation.CaseReport{Report: reportFromWire(wms.CaseReport)}
 	default:
@@ -238,12 +242,12 @@
 		Domain: wre.GetDomain(), Aim: fromMicros(wre.GetAimUs()), Age: fromMicros(wre.GetAgeUs()), Route: wre.GetRoute(), Repeatable: wre.GetRepeatable(),
 		Cost: wre.GetCost(), Attempt: int(wre.GetAttempt()),
 		Exclude: wre.GetExclude(), Parts: partsFromWire(wre.GetParts()),
-		Urgency: int(wre.GetUrgency()), AnswerTokens: int(wre.GetAnswerTokens()), Digest: digestFromWire(wre.GetDigest()), Again: wre.GetAgain(),
+		Urgency: int(wre.GetUrgency()), AnswerTokens: int(wre.GetAnswerTokens()), Digest: digestFromWire(wre.GetDigest()), Again: wre.GetAgain(), Regions: wre.GetRegions(),
 	}
 }
 
 func grantFromWire(wgr *peerpb.Grant) reservation.Grant {
-	gra := reservation.Grant{ID: idFromWire(wgr.GetId()), Ballot: ballotFromWire(wgr.GetBallot(), wgr.GetId()), Engine: wgr.GetEngine()}
+	gra := reservation.Grant{ID: idFromWire(wgr.GetId()), Ballot: ballotFromWire(wgr.GetBallot(), wgr.GetId()), Engine: wgr.GetEngine(), Cold: wgr.GetCold()}
 	if rate := wgr.GetRate(); rate <= uint32(reservation.GrantRateEnded) {
 		gra.Rate = reservation.GrantRate(rate)
 	}
--- a/peer/convertcase.go
+++ b/peer/convertcase.go
@@ -2,6 +2,7 @@
 
 import (
 	"lynxwell.dev/lynxwell/call"
+	"lynxwell.dev/lynxwell/evacuation"
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/peer/peerpb"
 	"lynxwell.dev/lynxwell/quarantine"
@@ -33,6 +34,7 @@
 	wordPause
 	wordRateLimit
 	wordUnlimited
+	wordCold
 )
 
 func noticeToWire(msg reservation.EngineNotice) *peerpb.EngineNotice {
@@ -48,6 +50,8 @@
 		wno.Word, wno.PerSecond = wordRateLimit, wrd.PerSecond
 	case fleet.Unlimited:
 		wno.Word = wordUnlimited
+	case fleet.Cold:
+		wno.Word, wno.LeftUs = wordCold, wrd.Left.Microseconds()
 	}
 	return wno
 }
@@ -66,10 +70,28 @@
 		not.Word = fleet.RateLimit{PerSecond: wno.GetPerSecond()}
 	case wordUnlimited:
 		not.Word = fleet.Unlimited{}
+	case wordCold:
+		not.Word = fleet.Cold{Left: fromMicros(wno.GetLeftUs())}
 	}
 	return reservation.EngineNotice{Notice: not}
 }
 
+func emptyingToWire(msg reservation.Emptying) *peerpb.Emptying {
+	wem := &peerpb.Emptying{}
+	for _, ord := range msg.Orders {
+		wem.Orders = append(wem.Orders, &peerpb.Emptying_Order{Domain: ord.Domain, Revision: ord.Revision})
+	}
+	return wem
+}
+
+func emptyingFromWire(wem *peerpb.Emptying) reservation.Emptying {
+	var msg reservation.Emptying
+	for _, ord := range wem.GetOrders() {
+		msg.Orders = append(msg.Orders, evacuation.Order{Domain: ord.GetDomain(), Revision: ord.GetRevision()})
+	}
+	return msg
+}
+
 func endedToWire(msg reservation.EngineEnded) *peerpb.EngineEnded {
 	return &peerpb.EngineEnded{
 		Id: idToWire(msg.ID), Subject: subjectToWire(msg.Subject), Engine: msg.Engine, Uncertain: msg.Uncertain, Alone: msg.Alone, RanUs: msg.Ran.Microseconds(),
--- a/platformtest/memory.go
+++ b/platformtest/memory.go
@@ -308,6 +308,18 @@
 	return nil
 }
 
+// Peek returns the value of a key whatever is wrong with the store.
+func (mem *Memory) Peek(key string) store.Value {
+	mem.mutex.Lock()
+	defer mem.mutex.Unlock()
+	mem.lapse()
+	val, known := mem.values[key]
+	if !known {
+		return store.Value{Key: key}
+	}
+	return val
+}
+
 func (mem *Memory) write(wri store.Write) {
 	if wri.Delete {
 		mem.remove(wri.Key)
--- a/platformtest/server.go
+++ b/platformtest/server.go
@@ -23,6 +23,8 @@
 	PathHost = "/standin/hosts"
 	// PathPut takes a store.Write by POST, as operators and engines make it.
 	PathPut = "/standin/put"
+	// PathValue answers GET with the store.Value of the key in the query, as operators read it.
+	PathValue = "/standin/value"
 	// PathCompact has the store forget its history.
 	PathCompact = "/standin/compact"
 )
@@ -126,6 +128,9 @@
 		}
 		reply(wri, http.StatusOK, struct{}{})
 	}).Methods(http.MethodPost)
+	rou.HandleFunc(PathValue, func(wri http.ResponseWriter, req *http.Request) {
+		reply(wri, http.StatusOK, srv.memory.Peek(req.URL.Query().Get("key")))
+	}).Methods(http.MethodGet)
 	rou.HandleFunc(PathCompact, func(wri http.ResponseWriter, _ *http.Request) {
 		srv.memory.Compact()
 		reply(wri, http.StatusOK, struct{}{})
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -77,6 +77,8 @@
 	Parts []call.Part
 	// Digest is the same for the same request under another id; zero for none.
 	Digest call.Digest
+	// Regions are those in which the request may be served; none for all.
+	Regions []string
 	// Again says that the request was granted before and not sent: it has its place in the
 	// line, and in the budget of repeats, already.
 	Again bool
@@ -94,6 +96,8 @@
 	Engine string
 	// Rate is what the coordinator knew of a rate that the engine has named.
 	Rate GrantRate
+	// Cold says that it knew the engine to be cold, and granted it within what it bears.
+	Cold bool
 }
 
 // GrantRate is what a coordinator knew, when it granted an engine, of a rate that the engine
@@ -147,11 +151,13 @@
 	// ReasonRate says that all engines that are left have named the rate that they take, and
 	// those before the request get all of it in its time.
 	ReasonRate
+	// ReasonRegion says that no engine of the service is in a region that is allowed.
+	ReasonRegion
 )
 
 // String returns the reason's name.
 func (rea Reason) String() string {
-	names := [...]string{"None", "Full", "Moved", "Expired", "Closed", "Fenced", "Forgotten", "NotGranter", "Overload", "Limit", "Budget", "NoEngine", "Held", "Backoff", "Rate"}
+	names := [...]string{"None", "Full", "Moved", "Expired", "Closed", "Fenced", "Forgotten", "NotGranter", "Overload", "Limit", "Budget", "NoEngine", "Held", "Backoff", "Rate", "Region"}
 	if int(rea) >= len(names) {
 		return "Invalid"
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -77,6 +77,8 @@
 	Sticky bool
 	// Resumable streams may go on at another engine after the last event.
 	Resumable bool
+	// Regions are those in which requests may be served and held; none for all.
+	Regions []string
 }
 
 // Repeatable reports whether a request may run again after it may have run.
@@ -112,6 +114,10 @@
 	MaxConnections int
 	// Model is set for services of language-model engines.
 	Model *Model
+	// ColdFor is for how long an engine is cold after its start, and ColdRate how many requests
+	// a second it bears meanwhile; 0 where that is no matter.
+	ColdFor  time.Duration
+	ColdRate float64
 }
 
 // Model is what operators say of the engines of a service.
@@ -139,6 +145,8 @@
 	ByTokens bool
 	// PlainTokens is what a request counts that tells no tokens.
 	PlainTokens int
+	// Regions are those in which its requests may be served and held; none for all.
+	Regions []string
 }
 
 // Cost returns how many units of the account's limit a request takes; tokens is
--- a/route/table.go
+++ b/route/table.go
@@ -95,9 +95,17 @@
 }
 
 func fieldError(idx int, list, field, reason string) error {
-	return &FieldError{Field: fmt.Sprintf("%s[%d].%s", list, idx, field), Reason: reason}
+	return &FieldError{Field: listField(idx, list, field), Reason: reason}
 }
 
+func listField(idx int, list, field string) string {
+	return fmt.Sprintf("%s[%d].%s", list, idx, field)
+}
+
+func routeField(idx int, field string) string { return listField(idx, "Routes", field) }
+
+func accountField(idx int, field string) string { return listField(idx, "Accounts", field) }
+
 // Configuration returns what the table was made from.
 func (tab *Table) Configuration() Configuration {
 	return tab.configuration
@@ -111,10 +119,7 @@
 // Match returns the route with the longest prefix of the path under the host
 // name, which may carry a port.
 func (tab *Table) Match(host, path string) (Route, bool) {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	for _, rou := range tab.byHost[strings.ToLower(host)] {
+	for _, rou := range tab.routesOf(host) {
 		if strings.HasPrefix(path, rou.PathPrefix) {
 			return rou, true
 		}
@@ -122,6 +127,14 @@
 	return Route{}, false
 }
 
+// routesOf returns the routes of a host name, which may carry a port.
+func (tab *Table) routesOf(host string) []Route {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return tab.byHost[strings.ToLower(host)]
+}
+
 // HasAccounts reports whether requests need keys at all.
 func (tab *Table) HasAccounts() bool {
 	return len(tab.configuration.Accounts) > 0
--- a/scheduler/apart.go
+++ b/scheduler/apart.go
@@ -35,7 +35,7 @@
 	if len(svc.engines) < minToSetApart {
 		return cor.choose(now, svc, wai)
 	}
-	open := svc.openTo(now, wai)
+	open := cor.openTo(now, svc, wai)
 	apart := 0
 	var free, calmest *engine
 	for _, ene := range open {
@@ -85,13 +85,14 @@
 
 // openTo returns the engines at which a request may run alone: no others' trials, none
 // that it was at before, and none that is taken to have ended.
-func (svc *service) openTo(now time.Time, wai *waiter) []*engine {
+func (cor *Core) openTo(now time.Time, svc *service, wai *waiter) []*engine {
 	acc := svc.access(now, wai.reserve)
 	acc.trial = nil
 	aside := svc.asideAllowed(now)
+	pla := cor.placesFor(wai.gateway, wai.reserve)
 	var open []*engine
 	for _, ene := range svc.engines {
-		barred := ene.Draining || ene.barredFor(now, wai.gateway) || (acc.restricted && !acc.allows(ene)) || slices.Contains(wai.reserve.Exclude, ene.name)
+		barred := !pla.allow(ene) || ene.Closed() || ene.barredFor(now, wai.gateway) || (acc.restricted && !acc.allows(ene)) || slices.Contains(wai.reserve.Exclude, ene.name)
 		if barred || ene.endedLately(now) || (aside && !ene.health.usable(now)) {
 			continue
 		}
--- a/scheduler/dump.go
+++ b/scheduler/dump.go
@@ -62,15 +62,19 @@
 	Says      string `json:",omitempty"`
 	PausedFor string `json:",omitempty"`
 	Asked     int    `json:",omitempty"`
-	// Rate is what it takes of all hosts together; nil where it has named none.
-	Rate *RateDump `json:",omitempty"`
+	// Emptied says that operators have its failure domain emptied.
+	Emptied bool `json:",omitempty"`
+	// Rate is what it takes of all hosts together; nil where nothing bounds it. ColdFor is for
+	// how much longer it is cold; empty for not.
+	Rate    *RateDump `json:",omitempty"`
+	ColdFor string    `json:",omitempty"`
 	// CachedTokens are taken to be in its cache.
 	CachedTokens int
 }
 
-// RateDump is the rate that an engine has named.
+// RateDump is the rate that an engine has named, or bears while it is cold.
 type RateDump struct {
-	// PerSecond is what it has named, Own what this core grants of it.
+	// PerSecond is the lower of the two, Own what this core grants of it.
 	PerSecond float64
 	Own       float64
 	// Tokens are the requests that may be granted now, Spent those that were within four
@@ -126,16 +130,19 @@
 func (ene *engine) dump(now time.Time) EngineDump {
 	pro := ene.model.Profile()
 	dum := EngineDump{
-		ID: ene.ID, Version: ene.Version, Running: len(ene.running), Slots: ene.Slots, Draining: ene.Draining, Unread: ene.unreadTime(now).String(),
+		ID: ene.ID, Version: ene.Version, Running: len(ene.running), Slots: ene.Slots, Draining: ene.Draining, Emptied: ene.Emptied, Unread: ene.unreadTime(now).String(),
 		Read: pro.Read, Event: pro.Event, Weight: pro.Weight,
 		Work: ene.work.String(), CachedTokens: ene.partTokens,
 	}
 	if ene.said != nil {
 		dum.Says, dum.PausedFor, dum.Asked = ene.said.String(), max(0, ene.said.sharedUntil.Sub(now)).String(), len(ene.said.asked)
 	}
-	if ene.pacing != nil {
+	if ene.pacing != nil && ene.pacing.holds(now) {
 		dum.Rate = ene.pacing.dump(now)
 	}
+	if ene.isCold(now) {
+		dum.ColdFor = ene.pacing.coldUntil.Sub(now).String()
+	}
 	if ene.health.aside > 0 {
 		dum.AsideFor = max(0, ene.health.until.Sub(now)).String()
 	}
@@ -145,7 +152,7 @@
 func (pac *pacing) dump(now time.Time) *RateDump {
 	pac.fill(now)
 	pac.forgetSpent(now)
-	dum := &RateDump{PerSecond: pac.perSecond, Own: pac.rate(), Tokens: pac.tokens, Spent: make(map[string]int)}
+	dum := &RateDump{PerSecond: pac.limit(now), Own: pac.rate(now), Tokens: pac.tokens, Spent: make(map[string]int)}
 	for _, spe := range pac.spent {
 		dum.Spent[spe.gateway.String()]++
 	}
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -48,8 +48,9 @@
 	endedAt time.Time
 	// said is what it has said of itself in answers; nil for nothing.
 	said *said
-	// pacing keeps what it is granted to the rate that it has named; nil for none. rateEnded
-	// says that it had named one, and an answer without came after all that did.
+	// pacing keeps what it is granted to the rate that it has named, and to what it bears while
+	// it is cold; nil for neither. rateEnded says that it had named one, and an answer without
+	// came after all that did.
 	pacing    *pacing
 	rateEnded bool
 }
@@ -78,6 +79,9 @@
 	// it some time ago.
 	paced     bool
 	inherited bool
+	// cold says that the engine was cold when it got the run: how long that takes tells
+	// nothing of a warm one.
+	cold bool
 	// route and repeatable are the request's, where this scheduler granted it; loaded says
 	// that its engine had as much to do as others.
 	route      string
@@ -128,7 +132,7 @@
 
 // begin notes that the engine got a run.
 func (ene *engine) begin(now time.Time, rnn *run, answerTokens int) {
-	rnn.given = now
+	rnn.given, rnn.cold = now, ene.isCold(now)
 	rnn.ends = now.Add(ene.lasting(rnn, answerTokens))
 	if !rnn.unread || rnn.tokens == 0 {
 		return
@@ -252,13 +256,16 @@
 // learnRead takes in how long a prompt that waited for nothing took to its first
 // event.
 func (ene *engine) learnRead(rnn *run, took time.Duration) {
-	if !rnn.queued {
+	if !rnn.queued && !rnn.cold {
 		ene.model.ObserveRead(rnn.tokens, took)
 	}
 }
 
 // learnWork takes the measured time of a request without a prompt.
-func (ene *engine) learnWork(took time.Duration) {
+func (ene *engine) learnWork(rnn *run, took time.Duration) {
+	if rnn.cold {
+		return
+	}
 	ene.work += time.Duration(workGain * float64(took-ene.work))
 }
 
--- a/scheduler/line.go
+++ b/scheduler/line.go
@@ -31,7 +31,7 @@
 func (cor *Core) reserve(now time.Time, from request.Epoch, res reservation.Reserve) {
 	svc := cor.service(res.Service)
 	cor.asked[from] = now
-	if cor.heldBack(now, from, res, svc) {
+	if cor.heldBack(now, from, res, svc) || cor.refuseOutside(now, from, res, svc) {
 		return
 	}
 	if res.Attempt == 0 {
@@ -125,6 +125,7 @@
 		return
 	}
 	svc.forgetSaid(now)
+	cor.warm(now, svc)
 	kept := svc.waiting[:0]
 	alw := svc.allowance(now)
 	var lin line
@@ -144,8 +145,8 @@
 			cor.giveBack(wai.reserve.Account, cor.costOf(wai.reserve))
 			cor.refuse(wai.gateway, wai.reserve, reservation.ReasonOverload, svc.inputsOf(now, wai))
 		default:
-			if len(wai.reserve.Exclude) == 0 && han == handleUsual {
-				lin.note(now, svc, wai.gateway)
+			if len(wai.reserve.Exclude)+len(wai.reserve.Regions) == 0 && han == handleUsual {
+				lin.note(now, svc, wai.gateway, len(cor.closed[wai.gateway]) > 0)
 			}
 			kept = append(kept, wai)
 		}
@@ -171,8 +172,9 @@
 // line is what one look through those who wait has found of places. Thousands may wait, so
 // what holds for all requests of a gateway is found once.
 type line struct {
-	// full says that a usual request found no engine; fullFor the same of gateways that
-	// engines have asked for a pause, whose requests may find none where others do.
+	// full says that a usual request found no engine; fullFor the same of gateways that engines
+	// have asked for a pause, or that send nothing to some failure domain: their requests may
+	// find none where others do.
 	full    bool
 	fullFor map[request.Epoch]bool
 }
@@ -182,12 +184,13 @@
 	return lin.full || lin.fullFor[gateway]
 }
 
-// note takes that a usual request found no engine.
-func (lin *line) note(now time.Time, svc *service, gateway request.Epoch) {
+// note takes that a usual request found no engine; bounded says that some are closed to its
+// gateway that may be open to others.
+func (lin *line) note(now time.Time, svc *service, gateway request.Epoch, bounded bool) {
 	if lin.isFull(gateway) {
 		return
 	}
-	if svc.said == 0 || !svc.hasAsked(now, gateway) {
+	if !bounded && (svc.said == 0 || !svc.hasAsked(now, gateway)) {
 		lin.full = true
 		return
 	}
--- a/scheduler/notice.go
+++ b/scheduler/notice.go
@@ -80,7 +80,9 @@
 	case fleet.RateLimit:
 		cor.limitRate(now, ene, wrd)
 	case fleet.Unlimited:
-		cor.unlimit(ene)
+		cor.unlimit(now, ene)
+	case fleet.Cold:
+		cor.chill(now, ene, now.Add(wrd.Left))
 	}
 	cor.serveEngine(now, ene)
 }
@@ -179,12 +181,12 @@
 
 // leaving reports whether the engine leaves, by its entry or by its own word.
 func (ene *engine) leaving() bool {
-	return ene.Draining || ene.said != nil && ene.said.leaves
+	return ene.Closed() || ene.said != nil && ene.said.leaves
 }
 
 // silenced reports whether the engine is granted to nobody now.
 func (ene *engine) silenced(now time.Time) bool {
-	return ene.Draining || ene.said != nil && ene.said.barsAll(now)
+	return ene.Closed() || ene.said != nil && ene.said.barsAll(now)
 }
 
 // noteProbe has the run find out whether an engine serves again that asked for a pause.
@@ -266,7 +268,7 @@
 	clo := &svc.closings
 	if !clo.looked {
 		clo.looked = true
-		clo.open = slices.ContainsFunc(svc.engines, func(ene *engine) bool { return !ene.Draining && ene.said == nil })
+		clo.open = slices.ContainsFunc(svc.engines, func(ene *engine) bool { return !ene.Closed() && ene.said == nil })
 		clo.by = make(map[request.Epoch]closing)
 	}
 	if clo.open {
@@ -283,7 +285,7 @@
 func (svc *service) closing(gateway request.Epoch, exclude []string) closing {
 	clo := closing{holds: true}
 	for _, ene := range svc.engines {
-		if ene.Draining || slices.Contains(exclude, ene.name) {
+		if ene.Closed() || slices.Contains(exclude, ene.name) {
 			continue
 		}
 		if ene.said == nil {
--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -195,6 +195,7 @@
 	ene := cor.engines[fleet.ParseEngineID(obs.Engine)]
 	if ene != nil && !ene.ended {
 		ene.ended, ene.endedAt = true, now
+		cor.chillEnded(now, ene)
 		cor.service(ene.Service).mark(now.Add(goneFor))
 		if !cor.explained(ene) {
 			cor.noteUnexplained(now, ene)
--- a/scheduler/rate.go
+++ b/scheduler/rate.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"lynxwell.dev/lynxwell/fleet"
@@ -8,10 +9,11 @@
 	"lynxwell.dev/lynxwell/reservation"
 )
 
-// An engine in need names the most requests a second that it takes from all hosts together.
-// Who decides keeps the sum: a token for each grant, at that rate, in this core's share of it.
-// A core that decides for nobody has no share, so that one that takes over begins with
-// nothing saved up, whatever the former one gave out in its last seconds.
+// An engine in need names the most requests a second that it takes from all hosts together, and
+// one that is cold bears no more than its operators say. Who decides keeps the sum: a token for
+// each grant, at the lower of the two rates, in this core's share of it. A core that decides for
+// nobody has no share, so that one that takes over begins with nothing saved up, whatever the
+// former one gave out in its last seconds.
 
 const (
 	// minRate is what an engine is asked at the least, in requests a second, also one that
@@ -20,16 +22,24 @@
 	// maxSaved is how long an engine's tokens are saved up, beside one request: requests come
 	// unevenly, and what isn't saved is lost to those who wait.
 	maxSaved = 500 * time.Millisecond
+	// coldSaved is the same for an engine that is cold: it bears half as many again as come in a
+	// second, and a grant may be used a quarter of a second later.
+	coldSaved = 200 * time.Millisecond
 	// spentWindow is for how long grants are remembered for the dump, maxSpent how many.
 	spentWindow = 4 * time.Second
 	maxSpent    = 128
 )
 
-// pacing keeps what an engine is granted to the rate that it has named.
+// pacing keeps what an engine is granted to the rate that it has named, and to what it bears
+// while it is cold.
 type pacing struct {
+	// named says that it has named a rate, perSecond, and last did at namedAt.
+	named     bool
 	perSecond float64
-	// namedAt is when it was last told to have named it.
-	namedAt time.Time
+	namedAt   time.Time
+	// coldUntil is until when it is cold, coldRate what it bears meanwhile, in requests a second.
+	coldUntil time.Time
+	coldRate  float64
 	// share is this core's part of the rate; 0 while it decides for nobody.
 	share float64
 	// tokens are what may be granted now, filled when they were last counted.
@@ -45,24 +55,63 @@
 	at      time.Time
 }
 
-// rate returns this core's part of what the engine is asked, in requests a second.
-func (pac *pacing) rate() float64 {
-	return pac.share * max(minRate, pac.perSecond)
+// isCold reports whether the engine is cold.
+func (pac *pacing) isCold(now time.Time) bool {
+	return now.Before(pac.coldUntil)
+}
+
+// holds reports whether anything bounds what the engine is granted.
+func (pac *pacing) holds(now time.Time) bool {
+	return pac.named || pac.isCold(now)
+}
+
+// limit returns what the engine takes of all hosts, in requests a second.
+func (pac *pacing) limit(now time.Time) float64 {
+	limit := math.Inf(1)
+	if pac.named {
+		limit = max(minRate, pac.perSecond)
+	}
+	if pac.isCold(now) {
+		limit = min(limit, pac.coldRate)
+	}
+	return limit
+}
+
+// rate returns this core's part of that.
+func (pac *pacing) rate(now time.Time) float64 {
+	if pac.share == 0 || !pac.holds(now) {
+		return 0
+	}
+	return pac.share * pac.limit(now)
 }
 
 func (pac *pacing) fill(now time.Time) {
-	most := 1 + pac.rate()*maxSaved.Seconds()
+	rate := pac.rate(now)
 	if now.After(pac.filled) {
-		pac.tokens += now.Sub(pac.filled).Seconds() * pac.rate()
+		pac.tokens += now.Sub(pac.filled).Seconds() * rate
 		pac.filled = now
 	}
-	pac.tokens = min(pac.tokens, most)
+	pac.tokens = min(pac.tokens, 1+rate*pac.saved(now).Seconds())
+}
+
+// saved returns for how long tokens are saved up.
+func (pac *pacing) saved(now time.Time) time.Duration {
+	if pac.isCold(now) {
+		return coldSaved
+	}
+	return maxSaved
 }
 
 // name takes the rate that the engine has named now.
 func (pac *pacing) name(now time.Time, perSecond float64) {
 	pac.fill(now)
-	pac.perSecond, pac.namedAt = perSecond, now
+	pac.named, pac.perSecond, pac.namedAt = true, perSecond, now
+}
+
+// chill takes the engine to be cold until a time.
+func (pac *pacing) chill(now, until time.Time, perSecond float64) {
+	pac.fill(now)
+	pac.coldUntil, pac.coldRate = until, perSecond
 }
 
 // divide takes this core's new share; one that had none has nothing saved up.
@@ -76,7 +125,7 @@
 
 // admits reports whether a request may be granted now.
 func (pac *pacing) admits(now time.Time) bool {
-	if pac == nil {
+	if pac == nil || !pac.holds(now) {
 		return true
 	}
 	pac.fill(now)
@@ -128,19 +177,33 @@
 // all that it could have saved up.
 func (cor *Core) limitRate(now time.Time, ene *engine, lim fleet.RateLimit) {
 	ene.rateEnded = false
+	cor.pace(now, ene).name(now, lim.PerSecond)
+}
+
+// pace returns the engine's pacing, a new one where it has none.
+func (cor *Core) pace(now time.Time, ene *engine) *pacing {
 	if ene.pacing == nil {
 		ene.pacing = &pacing{share: cor.rateShare(), filled: now}
 		cor.service(ene.Service).paced++
 	}
-	ene.pacing.name(now, lim.PerSecond)
+	return ene.pacing
 }
 
 // unlimit ends an engine's rate. Its entry may have gone before the answer came that shows it.
-func (cor *Core) unlimit(ene *engine) {
-	if ene.pacing == nil {
+func (cor *Core) unlimit(now time.Time, ene *engine) {
+	if ene.pacing == nil || !ene.pacing.named {
+		return
+	}
+	ene.pacing.named, ene.rateEnded = false, true
+	cor.dropPacing(now, ene)
+}
+
+// dropPacing forgets the engine's pacing if nothing bounds what it is granted any more.
+func (cor *Core) dropPacing(now time.Time, ene *engine) {
+	if ene.pacing == nil || ene.pacing.holds(now) {
 		return
 	}
-	ene.pacing, ene.rateEnded = nil, true
+	ene.pacing = nil
 	if cor.engines[ene.ID] == ene {
 		cor.service(ene.Service).paced--
 	}
@@ -150,7 +213,7 @@
 // one gateway's answer the others hear so.
 func (ene *engine) grantRate() reservation.GrantRate {
 	switch {
-	case ene.pacing != nil:
+	case ene.pacing != nil && ene.pacing.named:
 		return reservation.GrantRatePaced
 	case ene.rateEnded:
 		return reservation.GrantRateEnded
@@ -171,15 +234,15 @@
 // noteUnlimited takes an answer: had it named a rate, its gateway would have told that first.
 // So it ends one that was named before its request was granted. Of a run that another core
 // granted it isn't known when it was answered.
-func (cor *Core) noteUnlimited(rnn *run) {
+func (cor *Core) noteUnlimited(now time.Time, rnn *run) {
 	pac := rnn.engine.pacing
 	if pac != nil && !rnn.inherited && rnn.given.After(pac.namedAt) {
-		cor.unlimit(rnn.engine)
+		cor.unlimit(now, rnn.engine)
 	}
 }
 
 // allowance is what those who wait for a service may hope for while all of its engines that
-// are in use have named a rate.
+// are in use have named a rate, or are cold.
 type allowance struct {
 	// holds is false where some engine has named none.
 	holds bool
@@ -197,12 +260,12 @@
 	for _, ene := range svc.engines {
 		switch {
 		case ene.leaving():
-		case ene.pacing == nil:
+		case ene.pacing == nil || !ene.pacing.holds(now):
 			return allowance{}
 		default:
 			ene.pacing.fill(now)
 			alw.tokens += ene.pacing.tokens
-			alw.perSecond += ene.pacing.rate()
+			alw.perSecond += ene.pacing.rate(now)
 		}
 	}
 	alw.holds = alw.perSecond > 0
--- a/scheduler/rate_sim_test.go
+++ b/scheduler/rate_sim_test.go
@@ -82,6 +82,10 @@
 	endsAt time.Duration
 	// changes are when hosts are divided anew, the first into how many groups.
 	changes []rateChange
+	// cold are when the first engines go cold, for coldLength, in which each bears coldRate;
+	// hosts know up to coldKnown later.
+	cold     []time.Duration
+	coldRate float64
 }
 
 // rateChange has hosts be so many groups from a time on, led by the next hosts in turn.
@@ -100,6 +104,9 @@
 	used  float64
 	// waited is what those waited who were served.
 	waited time.Duration
+	// coldWorst is the largest part of what a cold engine bears that it got within a second, of
+	// hosts that knew.
+	coldWorst float64
 }
 
 type rateEngine struct {
@@ -111,6 +118,9 @@
 	all      int
 	// told is when it first named its rate to a host.
 	told map[*rateHost]time.Time
+	// coldUntil is until when it is cold, coldArrivals are by hosts that knew.
+	coldUntil    time.Time
+	coldArrivals []time.Time
 }
 
 type rateHost struct {
@@ -120,6 +130,8 @@
 	decider *rateHost
 	// buckets are the host's own parts, by the engine.
 	buckets map[string]*ratePart
+	// cold is until when it takes engines to be cold.
+	cold map[string]time.Time
 }
 
 // ratePart is a host's part of an engine's rate.
@@ -151,10 +163,11 @@
 		all = append(all, eng.Engine)
 	}
 	for num := range cfg.hosts {
-		hos := &rateHost{epoch: request.Epoch(num + 10), heard: fleet.NewNotices(), buckets: make(map[string]*ratePart)}
+		hos := &rateHost{epoch: request.Epoch(num + 10), heard: fleet.NewNotices(), buckets: make(map[string]*ratePart), cold: make(map[string]time.Time)}
 		hos.des = &desk{now: pla.now, core: scheduler.New(scheduler.Config{
 			Self: hos.epoch, Repeats: scheduler.Repeats{Ratio: 0.2, Window: 10 * time.Second, Slack: 1000}, LimitSlack: 1000,
 		})}
+		hos.des.handle(scheduler.ConfigurationChanged{Table: coldTable(cfg.coldRate)})
 		hos.des.handle(scheduler.EnginesChanged{Engines: all})
 		pla.hosts = append(pla.hosts, hos)
 	}
@@ -225,6 +238,9 @@
 			}
 		})
 	}
+	for num, at := range pla.cfg.cold {
+		pla.in(at, func() { pla.chill(pla.engines[num]) })
+	}
 	for turn, cha := range pla.cfg.changes {
 		pla.in(cha.at, func() { pla.divide(cha.groups, turn+1) })
 	}
@@ -241,6 +257,9 @@
 	for _, eng := range pla.engines[:len(pla.cfg.rates)] {
 		pla.judge(eng, end)
 	}
+	for _, eng := range pla.engines[:len(pla.cfg.cold)] {
+		pla.judgeCold(eng)
+	}
 	return pla.result
 }
 
@@ -347,6 +366,9 @@
 	if told, knows := eng.told[run.host]; knows && pla.now.Sub(told) >= rateTold {
 		eng.arrivals = append(eng.arrivals, pla.now)
 	}
+	if pla.now.Before(eng.coldUntil) && pla.now.Before(run.host.cold[eng.ID.Name]) {
+		eng.coldArrivals = append(eng.coldArrivals, pla.now)
+	}
 	if pla.now.After(pla.judgedFrom) {
 		eng.all++
 	}
@@ -396,6 +418,10 @@
 }
 
 func (pla *ratePlay) maySend(hos *rateHost, eng *rateEngine, gra reservation.Grant, asked, granted time.Time) bool {
+	if left := hos.cold[eng.ID.Name].Sub(pla.now); left > 0 && (!gra.Cold || pla.now.Sub(granted) >= coldHolds) {
+		pla.tell(hos, fleet.Notice{Run: eng.ID, Word: fleet.Cold{Left: left}})
+		return false
+	}
 	lim, holds := hos.heard.Limit(eng.ID)
 	if !holds || pla.cfg.way == rateIgnored {
 		return true
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -53,6 +53,8 @@
 	Rollouts rollout.Config
 	// Pauses says who keeps away from an engine that has asked for a pause.
 	Pauses PauseScope
+	// Regions are the regions of failure domains.
+	Regions map[string]string
 	// Quarantine says when requests are held back that end engines.
 	Quarantine quarantine.Config
 }
@@ -94,6 +96,12 @@
 // SurveyRead brings what the hosts have recorded of the engines' speed.
 type SurveyRead struct{ Survey pace.Survey }
 
+// DomainsClosed says to which failure domains a gateway sends nothing, all of them each time.
+type DomainsClosed struct {
+	Gateway request.Epoch
+	Domains []string
+}
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -104,6 +112,7 @@
 func (GrantedElsewhere) isEvent()     {}
 func (ShareChanged) isEvent()         {}
 func (SurveyRead) isEvent()           {}
+func (DomainsClosed) isEvent()        {}
 func (Tick) isEvent()                 {}
 
 // Send is a message to a gateway.
@@ -129,13 +138,15 @@
 	Engines   int
 	Aside     int
 	AsideUsed bool
-	// Paced is how many of them have named a rate, WaitedForRate says that the request could
-	// have been granted one of these but for that. PerSecond is the rate of the engine that
-	// was granted, Spent how many it was granted within four seconds before; 0 without one.
+	// Paced is how many of them have named a rate or are cold, WaitedForRate says that the
+	// request could have been granted one of these but for that. PerSecond is the rate of the
+	// engine that was granted, Spent how many it was granted within four seconds before; 0
+	// without one. Cold says that it is cold.
 	Paced         int
 	WaitedForRate bool
 	PerSecond     float64
 	Spent         int
+	Cold          bool
 }
 
 // The figures of the policy.
@@ -182,8 +193,11 @@
 	// crossCost is what an engine in another failure domain counts, for the way
 	// and the bytes.
 	crossCost = 40 * time.Millisecond
-	// rateCost is what an engine that has named a rate counts: its few places are for who has
-	// a prompt in its memory, or no other engine.
+	// regionCost is the same for one in another region: tens of milliseconds each way, and
+	// bytes on the narrowest links there are.
+	regionCost = 120 * time.Millisecond
+	// rateCost is what an engine that has named a rate, or is cold, counts: its few places are
+	// for who has a prompt in its memory, or no other engine.
 	rateCost = 40 * time.Millisecond
 	// minRetryShare and maxRetryShare are the parts of its time left after which a
 	// refused caller comes back: overload and used-up limits last some seconds,
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -17,6 +17,9 @@
 	Name string
 	// Domain is the host's failure domain.
 	Domain string
+	// Regions are the regions of all failure domains, the host's own among them; empty where
+	// there is one region.
+	Regions map[string]string
 	// CallerAddress is where callers send requests.
 	CallerAddress netip.AddrPort
 	// ReadyAddress is where the platform asks whether the host takes requests.
@@ -119,6 +122,11 @@
 	return time.Duration(value * float64(time.Second))
 }
 
+// Region returns the host's own region; empty where it isn't told.
+func (ent Entry) Region() string {
+	return ent.Regions[ent.Domain]
+}
+
 // LoadEntry reads and checks the settings file. It returns a
 // *format.FieldError that names the field.
 func LoadEntry(file string) (Entry, error) {
@@ -169,6 +177,7 @@
 	return firstFailed(file, append([]fieldCheck{
 		{ent.Name != "", "Name", "want a host name"},
 		{ent.Domain != "", "Domain", "want a failure domain"},
+		{len(ent.Regions) == 0 || ent.Region() != "", "Regions", "want the region of the host's own failure domain, or none at all"},
 		{usable(ent.CallerAddress), "CallerAddress", wantAddress},
 		{usable(ent.ReadyAddress), "ReadyAddress", wantAddress},
 		{usable(ent.DirectoryAddress), "DirectoryAddress", wantAddress},
--- a/soak/check.go
+++ b/soak/check.go
@@ -115,6 +115,7 @@
 		}
 	}
 	sys.checkWords(sent)
+	sys.checkPlaces()
 	sys.t.Logf("%d engines ended under one caller's request", ended)
 	if ended > maxEnded {
 		sys.t.Errorf("one caller's request ended %d engines", ended)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -70,8 +70,16 @@
 	random *rand.Rand
 	// words decides what engines say of themselves, by itself: the faults of a seed stay.
 	words *rand.Rand
-	// rates decides which rates they name, by itself too.
-	rates *rand.Rand
+	// rates decides which rates they name, by itself too, places when a failure domain is
+	// emptied and used again.
+	rates  *rand.Rand
+	places *rand.Rand
+	// ordered is when the order was given that holds, zero for none; toldOpen says that
+	// operators have read since that the domain is closed, emptied are the times for which
+	// they had.
+	ordered  time.Time
+	toldOpen bool
+	emptied  []emptying
 	store netip.AddrPort
 	hosts []*host
 	// engines are all that ever ran; entered are those with an entry.
@@ -95,7 +103,10 @@
 type engine struct {
 	id      string
 	service string
+	domain  string
 	address netip.AddrPort
+	// sequence counts what it has told in its entry.
+	sequence uint64
 	// leftAt is when its entry was taken away or began to drain; zero before.
 	leftAt time.Time
 	// ended is closed when its process has ended, replaced says that another is in its place.
@@ -137,12 +148,15 @@
 		if sys.rates.IntN(3) == 0 {
 			sys.engineNamesRate()
 		}
+		sys.placesChange()
 		sys.replaceEnded()
 		sys.wait(time.Duration(float64(stepMean) * sys.random.ExpFloat64()))
 	}
 	sys.heal()
 	sys.endPauses()
 	sys.wait(settleTime)
+	sys.takeBack()
+	sys.wait(settleTime)
 	cancel()
 	<-culprit
 	sys.replaceEnded()
@@ -153,12 +167,22 @@
 
 // wait lets time pass: faults need their time to work.
 func (sys *system) wait(dur time.Duration) {
-	<-time.After(min(dur, 4*stepMean+settleTime))
+	end := time.After(min(dur, 4*stepMean+settleTime))
+	tick := time.NewTicker(toldInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			sys.noteTold()
+		case <-end:
+			return
+		}
+	}
 }
 
 func start(t *testing.T, cfg Config) *system {
 	t.Helper()
-	sys := &system{t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(cfg.Seed, 1)), words: rand.New(rand.NewPCG(cfg.Seed, 55)), rates: rand.New(rand.NewPCG(cfg.Seed, 89)), revoked: make(map[string]time.Time)}
+	sys := &system{t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(cfg.Seed, 1)), words: rand.New(rand.NewPCG(cfg.Seed, 55)), rates: rand.New(rand.NewPCG(cfg.Seed, 89)), places: rand.New(rand.NewPCG(cfg.Seed, 144)), revoked: make(map[string]time.Time)}
 	_, sys.store = processtest.Standin(t, sys.dir, "store", "platform")
 	for idx := range perService {
 		sys.addEngine(fmt.Sprintf("m%d", idx), entrytest.Model)
@@ -195,17 +219,32 @@
 		args = append(args, "--events", fmt.Sprint(events), "--step", "20ms", "--crash-body", entrytest.CrashBody)
 	}
 	pro, adr := processtest.Standin(sys.t, sys.dir, "engine-"+id, args...)
-	eng := &engine{id: id, service: service, address: adr, ended: make(chan struct{})}
+	eng := &engine{id: id, service: service, domain: usedDomain, address: adr, ended: make(chan struct{})}
+	if len(sys.engines)%3 == 0 {
+		eng.domain = emptiedDomain
+	}
 	go func() {
 		pro.Wait()
 		close(eng.ended)
 	}()
 	sys.engines = append(sys.engines, eng)
+	if sys.version > 0 {
+		// It starts while traffic flows.
+		sys.chill(eng)
+		return
+	}
 	sys.enter(eng, false)
 }
 
 func (sys *system) enter(eng *engine, draining bool) {
-	entry := entrytest.EngineEntry(entrytest.EngineState{Service: eng.service, Address: eng.address.String(), Slots: slots, Draining: draining})
+	sys.enterCold(eng, draining, 0)
+}
+
+func (sys *system) enterCold(eng *engine, draining bool, cold time.Duration) {
+	eng.sequence++
+	entry := entrytest.EngineEntry(entrytest.EngineState{
+		Service: eng.service, Address: eng.address.String(), Slots: slots, Draining: draining, Domain: eng.domain, Cold: cold, Sequence: eng.sequence,
+	})
 	sys.put(store.Write{Key: entrytest.EngineKey(eng.id), Blind: true, Data: entry})
 }
 
@@ -218,7 +257,7 @@
 func (sys *system) configure() {
 	sys.t.Helper()
 	sys.version += 1 + sys.random.Uint64N(3)
-	con := entrytest.Configuration{Version: sys.version, Keys: sys.keys}
+	con := entrytest.Configuration{Version: sys.version, Keys: sys.keys, ColdFor: coldFor, ColdRate: coldRate}
 	sys.put(store.Write{Key: entrytest.ConfigurationKey, Blind: true, Data: []byte(con.JSON())})
 }
 
--- a/tools/mutate/mutations.go
+++ b/tools/mutate/mutations.go
@@ -13,7 +13,82 @@
 // rates are those of the rates that engines name.
 var rates = []string{"./entry", "./scheduler", "./fleet", "-run", "Rate"}
 
+// places are the tests of failure domains that are emptied, of cold engines and of regions.
+var places = []string{"./evacuation", "./entry", "./scheduler", "./fleet", "./route", "-run", "Emptied|Emptying|Order|Domain|Cold|Warm|Region|Told|Allowed|Callers|Chill|HostKeeps|HostThatStarts"}
+
 var mutations = []mutation{
+	{
+		"Place: a host keeps to an order right before it sends", "evacuation/gate.go",
+		"	if _, closed := gat.orders[domain]; closed {\n		return false\n	}\n	gat.writing", "	gat.writing", places,
+	},
+	{
+		"Place: an order is told once all hosts keep to it", "evacuation/board.go",
+		"len(brd.hosts) == 0 || len(brd.missing(ord)) > 0", "len(brd.hosts) == 0", places,
+	},
+	{
+		"Place: a host keeps to an order once nothing of its own is on its way", "evacuation/gate.go",
+		"		if gat.writing[domain] == 0 {\n", "		if true {\n", places,
+	},
+	{
+		"Place: what was told of a former order isn't told of this one", "evacuation/board.go",
+		"std.Told.Revision > 0 && std.Told.Order == std.Order.Revision {\n		return", "std.Told.Revision > 0 {\n		return", places,
+	},
+	{
+		"Place: two that tell don't tell twice", "evacuation/board.go",
+		"Expect: std.Told.Revision}", "}", places,
+	},
+	{
+		"Place: an emptied engine is granted to nobody", "fleet/engine.go",
+		"return eng.Draining || eng.Emptied", "return eng.Draining", places,
+	},
+	{
+		"Place: a gateway that keeps to an order is granted nothing there", "scheduler/place.go",
+		"	if pla.closed[ene.Domain] {\n		return false\n	}\n", "", places,
+	},
+	{
+		"Place: a reading without the order takes it back", "entry/evacuations.go",
+		"		if !given[domain] {\n", "		if false {\n", places,
+	},
+	{
+		"Place: a cold engine is granted what it bears", "scheduler/cold.go",
+		"	cor.pace(now, ene).chill(now, until, rate)\n", "	cor.pace(now, ene)\n", places,
+	},
+	{
+		"Place: a host sends back what isn't paced for a cold engine", "scheduler/rate_sim_test.go",
+		"left > 0 && (!gra.Cold ||", "left > 0 && (false && !gra.Cold ||", places,
+	},
+	{
+		"Place: a host holds grants against its own knowledge of cold engines", "entry/cold.go",
+		"	if left <= 0 {\n		return nil\n	}\n	age", "	if true {\n		return nil\n	}\n	age", places,
+	},
+	{
+		"Place: a grant of a cold engine is used while it is fresh", "entry/cold.go",
+		"grt.cold && age < coldGrantHolds", "grt.cold", places,
+	},
+	{
+		"Place: an entry that is read again doesn't keep an engine cold", "fleet/directory.go",
+		"eng.Sequence != former.Sequence && told.After(until)", "told.After(until)", places,
+	},
+	{
+		"Place: engines of a domain that is used again are taken to be cold", "entry/evacuations.go",
+		"		obs.directory.Chill(now, domain, coldFor(tab))\n", "", places,
+	},
+	{
+		"Place: an engine that ended is cold when it is back", "scheduler/quarantine.go",
+		"		cor.chillEnded(now, ene)\n", "", places,
+	},
+	{
+		"Place: a request runs in the regions that are allowed", "scheduler/place.go",
+		"	return len(pla.regions) == 0 || slices.Contains", "	return true || slices.Contains", places,
+	},
+	{
+		"Place: the account's regions bind beside the route's", "route/region.go",
+		"Regions: common(rou.Regions, acc.Regions)}", "Regions: rou.Regions}", places,
+	},
+	{
+		"Place: callers are sent where their requests may be held", "entry/directory.go",
+		"	if !sco.Bounded || slices.Contains(sco.Regions, own) {", "	if true {", places,
+	},
 	{
 		"Rate: an engine is granted what it takes", "scheduler/rate.go",
 		"	return pac.tokens >= 1\n", "	return true\n", rates,
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -271,10 +271,16 @@
 		req.ContentLength = int64(len(cal.Body))
 	}
 	sent := exc.client.cfg.Now()
+	write := func() error {
+		if cal.Written != nil {
+			defer cal.Written()
+		}
+		return req.Write(exc.connection)
+	}
 	if len(cal.Body) > smallBodyBytes {
-		go func() { exc.written <- req.Write(exc.connection) }()
+		go func() { exc.written <- write() }()
 	} else {
-		err := req.Write(exc.connection)
+		err := write()
 		exc.written <- err
 		if err != nil && len(cal.Body) == 0 {
 			return nil, err
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -89,6 +89,9 @@
 	// Check is asked right before anything is written, since what allowed the call may have
 	// lapsed while a connection was made; nil for nobody. What it returns ends the call.
 	Check func() error
+	// Written is called once after Check allowed the call, when its request is written or never
+	// will be; nil for nobody.
+	Written func()
 }
 
 // NotSentError reports a call of which nothing left this host.
--- a/upstreamtest/engine.go
+++ b/upstreamtest/engine.go
@@ -72,6 +72,8 @@
 	Step    time.Duration
 	// Version is that of its software; empty stands for "v1".
 	Version string
+	// Domain is its failure domain; empty stands for "d0".
+	Domain string
 	// FailEvery has each so many-th answer be a failure, and SlowEvery take a long time; 0
 	// for none.
 	FailEvery int
@@ -115,6 +117,10 @@
 	// rate is what all answers name as the most requests a second; nil for nothing.
 	rate     *float64
 	arrivals []Arrival
+	// coldRate is what the engine bears until coldUntil; fallen says that it got more.
+	coldRate  float64
+	coldUntil time.Time
+	fallen    bool
 }
 
 // NewEngine returns a sound engine.
@@ -136,6 +142,14 @@
 	return eng.cfg.Version
 }
 
+// Domain returns the engine's failure domain.
+func (eng *Engine) Domain() string {
+	if eng.cfg.Domain == "" {
+		return "d0"
+	}
+	return eng.cfg.Domain
+}
+
 // Slots returns how many requests run at a time.
 func (eng *Engine) Slots() int { return max(1, eng.cfg.Slots) }
 
--- a/upstreamtest/switch.go
+++ b/upstreamtest/switch.go
@@ -16,6 +16,8 @@
 	PathArrivals = "/standin/arrivals"
 	// PathWord takes a Word by POST.
 	PathWord = "/standin/word"
+	// PathCold takes a Cold by POST.
+	PathCold = "/standin/cold"
 )
 
 // Switch is the body of PathTrouble.
@@ -49,6 +51,13 @@
 			eng.Clear()
 		}
 		eng.Trouble(swi.Trouble, swi.Times)
+	case PathCold:
+		var col Cold
+		if err := json.NewDecoder(req.Body).Decode(&col); err != nil {
+			http.Error(wri, err.Error(), http.StatusBadRequest)
+			return true
+		}
+		eng.Chill(col)
 	case PathWord:
 		var word Word
 		if err := json.NewDecoder(req.Body).Decode(&word); err != nil {
--- a/upstreamtest/word.go
+++ b/upstreamtest/word.go
@@ -22,6 +22,8 @@
 	Pause  time.Duration
 	// Rate is the rate that the answer named; nil for none.
 	Rate *float64
+	// Fell says that the engine fell over under it, or had before.
+	Fell bool
 }
 
 // Leave has the engine say in all its answers that it leaves; it serves on.
@@ -67,6 +69,10 @@
 	defer eng.mutex.Unlock()
 	arr := Arrival{ID: id, At: time.Now(), Leaves: eng.leaves, Pause: eng.pause, Rate: eng.rate}
 	eng.arrivals = append(eng.arrivals, arr)
+	if !eng.bears(arr.At) {
+		eng.arrivals[len(eng.arrivals)-1].Fell = true
+		panic(http.ErrAbortHandler)
+	}
 	return arr
 }
 
@@ -107,3 +113,46 @@
 	}
 	return lines
 }
+
+// The bound under which a cold engine stands: so many times the rate that it bears, and so many
+// requests more, in one second.
+const (
+	coldWindow = time.Second
+	coldFactor = 1.5
+	coldSlack  = 5
+)
+
+// Cold is how an engine is cold: the body of PathCold.
+type Cold struct {
+	// PerSecond is how many requests a second it bears, For for how long it is cold.
+	PerSecond float64
+	For       time.Duration
+}
+
+// Chill has the engine be cold: it falls over, and serves nothing any more, once more requests
+// reach it within a second than it bears.
+func (eng *Engine) Chill(col Cold) {
+	eng.mutex.Lock()
+	defer eng.mutex.Unlock()
+	eng.coldRate, eng.coldUntil = col.PerSecond, time.Now().Add(col.For)
+}
+
+// Fallen reports whether the engine fell over while it was cold.
+func (eng *Engine) Fallen() bool {
+	eng.mutex.Lock()
+	defer eng.mutex.Unlock()
+	return eng.fallen
+}
+
+// bears reports whether the engine stands the newest arrival; the mutex is held.
+func (eng *Engine) bears(now time.Time) bool {
+	if eng.fallen || !now.Before(eng.coldUntil) {
+		return !eng.fallen
+	}
+	count := 0
+	for num := len(eng.arrivals) - 1; num >= 0 && now.Sub(eng.arrivals[num].At) < coldWindow; num-- {
+		count++
+	}
+	eng.fallen = float64(count) > coldFactor*eng.coldRate+coldSlack
+	return !eng.fallen
+}
