feat: keys of the store and fields of configurations that nobody reads are told by name

Cause: an order to empty a failure domain and the regions of routes came and nothing named them; only unknown headers of engines' answers were told.

`check` names all unknown fields, not the first.

--- a/cmd/checkcmd.go
+++ b/cmd/checkcmd.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"github.com/integrii/flaggy"
@@ -63,8 +65,11 @@
 	if _, err := route.NewTable(con); err != nil {
 		return errors.Wrap(err, name)
 	}
-	if err := platform.UnknownFields(data); err != nil {
-		fmt.Fprintf(str.out, "%s: passed over: %v\n", name, err)
+	unread := platform.UnreadFields(data)
+	for _, field := range slices.Sorted(maps.Keys(unread)) {
+		if unread[field] {
+			fmt.Fprintf(str.out, "%s: passed over: unknown field %q\n", name, field)
+		}
 	}
 	fmt.Fprintf(str.out, "%s: version %d is fit for use: %d routes, %d services, %d client accounts\n",
 		name, con.Version, len(con.Routes), len(con.Services), len(con.Accounts))
--- a/entry/barred.go
+++ b/entry/barred.go
@@ -52,7 +52,7 @@
 // grant is what a request was granted its engine by.
 type grant struct {
 	// rate is what who decided knew of the engine's rate, when it was asked and had granted it.
-	rate  reservation.GrantRate
+	rate reservation.GrantRate
 	// cold says that who decided knew the engine to be cold.
 	cold  bool
 	asked time.Time
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -76,9 +76,9 @@
 	notices  *notices
 	// evacuations keeps requests from failure domains that are being emptied.
 	evacuations *evacuations
-	peers    *peer.Client
-	tasks    *task.Group
-	servers  []*http.Server
+	peers       *peer.Client
+	tasks       *task.Group
+	servers     []*http.Server
 
 	// belief is what requests are decided by.
 	belief atomic.Pointer[belief]
@@ -163,19 +163,19 @@
 	}
 	hos := &Host{
 		cfg: cfg, set: cfg.Settings, epoch: epoch, store: store.NewRecorder(cfg.Store),
-		log:         cfg.Log.With().Str("Host", cfg.Settings.Name).Logger(),
-		figures:     newFigures(cfg.LinesDropped),
-		ages:        newAges(),
-		leaving:     make(chan struct{}),
-		begun:       make(chan struct{}),
-		listed:      make(chan struct{}),
-		wanted:      make(chan struct{}),
-		leaseDoubt:  make(chan struct{}, 1),
-		rolloutNews: make(chan struct{}, 1),
+		log:            cfg.Log.With().Str("Host", cfg.Settings.Name).Logger(),
+		figures:        newFigures(cfg.LinesDropped),
+		ages:           newAges(),
+		leaving:        make(chan struct{}),
+		begun:          make(chan struct{}),
+		listed:         make(chan struct{}),
+		wanted:         make(chan struct{}),
+		leaseDoubt:     make(chan struct{}, 1),
+		rolloutNews:    make(chan struct{}, 1),
 		evacuationNews: make(chan struct{}, 1),
-		heldNews:    make(chan struct{}, 1),
-		woken:       make(chan time.Duration, 1),
-		done:        make(chan struct{}),
+		heldNews:       make(chan struct{}, 1),
+		woken:          make(chan time.Duration, 1),
+		done:           make(chan struct{}),
 	}
 	hos.clock = clock.New(clock.Config{Source: cfg.Clock, Suspended: hos.noteSuspended, Failed: hos.noteClockFailed})
 	hos.started = hos.clock.Now()
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -54,6 +54,8 @@
 	whole bool
 	// refused are the keys whose values can't be used.
 	refused *refusals
+	// unread are the keys and fields that nobody reads.
+	unread *unread
 	// rollouts is what the store holds of roll-outs.
 	rollouts rollouts
 	// evacuations is what the store holds of failure domains that are being emptied, by their
@@ -91,7 +93,7 @@
 func newObserver(hos *Host) *observer {
 	return &observer{
 		host: hos, directory: fleet.NewDirectory(), readers: newReaders(hos.epoch), whole: true,
-		refused:     newRefusals(hos.log, hos.figures.refused),
+		refused: newRefusals(hos.log, hos.figures.refused), unread: newUnread(hos),
 		evacuations: make(map[string]evacuation.Standing), unknownDomains: make(map[evacuation.Order]bool),
 	}
 }
@@ -251,6 +253,7 @@
 		case platform.KeyEvacuationState:
 			obs.takeEvacuationState(name, val)
 		case platform.KeyOther:
+			obs.unread.takeKey(val)
 		}
 	}
 	obs.directory.Replace(obs.host.clock.Now(), engines, members)
@@ -320,6 +323,7 @@
 	case platform.KeyEvacuationState:
 		obs.takeEvacuationState(name, cha.Value)
 	case platform.KeyOther:
+		obs.unread.takeKey(cha.Value)
 	}
 }
 
@@ -380,9 +384,7 @@
 		return
 	}
 	obs.refused.accept(val.Key)
-	if err := platform.UnknownFields(val.Data); err != nil {
-		obs.host.log.Debug().Err(err).Uint64("Version", con.Version).Msg("configuration has a field that is passed over")
-	}
+	obs.unread.takeConfiguration(val)
 	obs.table = tab
 	obs.checkRegions(tab, val)
 	for _, acc := range con.Accounts {
--- a/entry/unknown.go
+++ b/entry/unknown.go
@@ -15,12 +15,30 @@
 	maxNameBytes = 64
 )
 
+// boundedNames are names that others make up, no more than a few.
+type boundedNames struct {
+	names map[string]bool
+}
+
+// counted returns by which name something is counted.
+func (bon *boundedNames) counted(name string) string {
+	name = name[:min(len(name), maxNameBytes)]
+	if !bon.names[name] && len(bon.names) >= maxUnknownNames {
+		return "Others"
+	}
+	if bon.names == nil {
+		bon.names = make(map[string]bool)
+	}
+	bon.names[name] = true
+	return name
+}
+
 // unknownHeaders are the headers of engines' answers that this program doesn't know. A new
 // word of engines is seen by them on the day on which it first comes.
 type unknownHeaders struct {
 	host  *Host
 	mutex sync.Mutex
-	names map[string]bool
+	names boundedNames
 	told  map[unknownHeader]bool
 }
 
@@ -31,13 +49,13 @@
 }
 
 func newUnknownHeaders(hos *Host) *unknownHeaders {
-	return &unknownHeaders{host: hos, names: make(map[string]bool), told: make(map[unknownHeader]bool)}
+	return &unknownHeaders{host: hos, told: make(map[unknownHeader]bool)}
 }
 
 // take counts the headers of an answer that nobody reads, and tells of each once a service.
 func (unk *unknownHeaders) take(hrd upstream.Heard) {
 	for _, name := range hrd.Head.Unknown {
-		unk.host.figures.count("UnknownHeaders." + unk.counted(name[:min(len(name), maxNameBytes)]))
+		unk.host.figures.count("UnknownHeaders." + unk.counted(name))
 		unk.tell(hrd, name[:min(len(name), maxNameBytes)])
 	}
 }
@@ -46,11 +64,7 @@
 func (unk *unknownHeaders) counted(name string) string {
 	unk.mutex.Lock()
 	defer unk.mutex.Unlock()
-	if !unk.names[name] && len(unk.names) >= maxUnknownNames {
-		return "Others"
-	}
-	unk.names[name] = true
-	return name
+	return unk.names.counted(name)
 }
 
 func (unk *unknownHeaders) tell(hrd upstream.Heard, name string) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -80,8 +80,8 @@
 	ordered  time.Time
 	toldOpen bool
 	emptied  []emptying
-	store netip.AddrPort
-	hosts []*host
+	store    netip.AddrPort
+	hosts    []*host
 	// engines are all that ever ran; entered are those with an entry.
 	engines []*engine
 	version uint64
