--- a/cmd/evacuationcmd.go
+++ b/cmd/evacuationcmd.go
@@ -100,11 +100,10 @@
 // printEvacuation prints one failure domain: how far it is, and what it waits for.
 func printEvacuation(out io.Writer, evd evacuation.Dump, dum entry.Dump) error {
 	var text strings.Builder
-	switch {
-	case evd.Order == 0:
+	if evd.Order == 0 {
 		fmt.Fprintf(&text, "%s: taken back\n", evd.Domain)
-	default:
-		fmt.Fprintf(&text, "%s: %s (order %d), told %s, %d running\n", evd.Domain, evd.State, evd.Order, orNone(evd.Told), evd.Running)
+	} else {
+		fmt.Fprintf(&text, "%s: %s (order %d), told %q, %d running\n", evd.Domain, evd.State, evd.Order, evd.Told, evd.Running)
 	}
 	if len(evd.Missing) > 0 && dum.Own {
 		fmt.Fprintf(&text, "  waits for %d hosts, epochs %s\n", len(evd.Missing), strings.Join(evd.Missing, " "))
--- a/evacuation/board_test.go
+++ b/evacuation/board_test.go
@@ -83,7 +83,9 @@
 func TestHostKeepsToAnOrderOnceNothingIsOnItsWay(t *testing.T) {
 	gat := evacuation.NewGate()
 	order := evacuation.Order{Domain: domain, Revision: 7}
-	assert.Assert(t, gat.Enter(domain) && gat.Enter(domain) && gat.Enter("d2"))
+	for _, to := range []string{domain, domain, "d2"} {
+		assert.Assert(t, gat.Enter(to))
+	}
 	assert.Assert(t, gat.Set([]evacuation.Order{order}))
 	assert.Assert(t, !gat.Set([]evacuation.Order{order}))
 	assert.Assert(t, !gat.Enter(domain) && gat.Enter("d2"))
