--- a/tools/mutate/mutations.go
+++ b/tools/mutate/mutations.go
@@ -67,7 +67,7 @@
 	},
 	{
 		"Place: engines of a domain that is used again are taken to be cold", "entry/evacuations.go",
-		"		obs.directory.Chill(now, domain, coldFor(tab))\n", "", places,
+		"coldFor(tab))\n", "coldFor(nil))\n", places,
 	},
 	{
 		"Place: an engine that ended is cold when it is back", "scheduler/quarantine.go",
