--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -227,5 +227,6 @@
 	inb := des.inbound[session]
 	delete(des.inbound, session)
 	des.presence.Lost(des.host.clock.Now(), inb.gateway)
+	des.evacuations.Forget(inb.gateway)
 	des.step(scheduler.GatewayLost{Gateway: inb.gateway})
 }
--- a/evacuation/board.go
+++ b/evacuation/board.go
@@ -61,7 +61,7 @@
 	brd.kept[host] = kept
 }
 
-// Forget notes that a host can't tell any more what it keeps to. It may have begun anew.
+// Forget drops what a host has said: its session is gone, and it says so again with the next one.
 func (brd *Board) Forget(host request.Epoch) {
 	delete(brd.kept, host)
 }
