--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,16 +17,12 @@
 
 import (
 	"context"
-	"log"
-	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"lynxwell.dev/lynxwell/clock"
@@ -34,11 +30,9 @@
 	"lynxwell.dev/lynxwell/peer"
 	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/request"
-	"lynxwell.dev/lynxwell/route"
 	"lynxwell.dev/lynxwell/settings"
 	"lynxwell.dev/lynxwell/store"
 	"lynxwell.dev/lynxwell/task"
-	"lynxwell.dev/lynxwell/transport"
 	"lynxwell.dev/lynxwell/upstream"
 )
 
@@ -124,34 +118,6 @@
 	done chan struct{}
 }
 
-// belief is what the host takes to be the case; it is never changed, only
-// replaced.
-type belief struct {
-	// table is nil until a configuration is known.
-	table *route.Table
-	// engines are by their names.
-	engines map[string]fleet.Engine
-	members []fleet.Member
-}
-
-// engine returns the engine that a grant names. Where the coordinator or this host knows
-// a later run of it than the other, the request goes to the later one: nothing of the
-// former is left, and what listens there turns away what is meant for another engine. So
-// no request is refused for what the store hasn't told everybody yet.
-func (bel *belief) engine(granted fleet.EngineID) (fleet.Engine, bool) {
-	eng, known := bel.engines[granted.Name]
-	if known && granted.Follows(eng.ID) {
-		eng.ID, eng.Draining = granted, false
-	}
-	return eng, known
-}
-
-// lists reports whether the run is listed.
-func (bel *belief) lists(run fleet.EngineID) bool {
-	eng, known := bel.engines[run.Name]
-	return known && eng.ID == run
-}
-
 // New returns a host; Start has it work.
 func New(cfg Config) (*Host, error) {
 	if cfg.LinesDropped == nil {
@@ -196,9 +162,6 @@
 	return hos, nil
 }
 
-// neverConfirmed is long before any time since the start.
-const neverConfirmed = -int64(time.Hour)
-
 // peerTiming has a lost host noticed well before callers give up: its sessions
 // are busy, and a heartbeat missed three times is no chance.
 var peerTiming = peer.Timing{Heartbeat: 200 * time.Millisecond, Timeout: 700 * time.Millisecond}
@@ -220,61 +183,6 @@
 	}
 }
 
-// confirm notes that the belief was current at the given time. Where that comes
-// from another host it may be older than what is known.
-func (hos *Host) confirm(at time.Time) {
-	if at.IsZero() {
-		return
-	}
-	since := int64(at.Sub(hos.started))
-	if since > hos.confirmed.Load() {
-		hos.confirmed.Store(since)
-	}
-}
-
-// age returns how long ago the belief was last known to be current.
-func (hos *Host) age(now time.Time) time.Duration {
-	return now.Sub(hos.started) - time.Duration(hos.confirmed.Load())
-}
-
-// trustShare is the part of the revocation bound for which an unconfirmed
-// configuration is acted on. A key that was taken away since it was confirmed
-// must not be served past the whole bound; the rest is for a request on its way
-// and for a host that is slow.
-const trustShare = 0.8
-
-// trust is how old the belief may be to act on it.
-func (hos *Host) trust() time.Duration {
-	return time.Duration(trustShare * float64(hos.bounds.Load().Revoke()))
-}
-
-// trusted reports whether requests with keys may be decided by what the host
-// believes. Where revocation is strict, that ends with the belief's age. Else it
-// is enough that it once was current: the newest configuration that a host knows
-// serves callers better than none while the store is away, engines that have
-// left turn its requests away by their ids, and limits are kept by the hosts
-// among one another.
-func (hos *Host) trusted(now time.Time) bool {
-	if hos.confirmed.Load() == neverConfirmed {
-		return false
-	}
-	return !hos.bounds.Load().RevocationIsStrict.Or(true) || hos.age(now) < hos.trust()
-}
-
-// ready reports whether the host takes requests, and if not, why.
-func (hos *Host) ready(now time.Time) (bool, string) {
-	switch {
-	case hos.draining.Load():
-		return false, "Draining"
-	case hos.belief.Load().table == nil:
-		return false, "NoConfiguration"
-	case !hos.trusted(now):
-		return false, "StaleConfiguration"
-	default:
-		return true, ""
-	}
-}
-
 // startGrace is for how long after its start a host lets requests wait for the
 // first configuration: a small host among many that start at once has it after
 // half a second, and callers go elsewhere after a second without a sign.
@@ -351,56 +259,6 @@
 	return nil
 }
 
-// listener is one address that the host serves.
-type listener struct {
-	name    string
-	address netip.AddrPort
-	server  *http.Server
-	// serve serves in another way than the server itself; nil for that.
-	serve func(net.Listener, *http.Server) error
-}
-
-func (lis listener) serveOn(open net.Listener) error {
-	if lis.serve != nil {
-		return lis.serve(open, lis.server)
-	}
-	return lis.server.Serve(open)
-}
-
-// metricsListener names the one address that a host can do without.
-const metricsListener = "MetricsAddress"
-
-// liveness ends connections of callers and hosts that went silent for good: by
-// then a caller of a stream has left, and an engine would work for nobody.
-var liveness = transport.Liveness{Limit: 2500 * time.Millisecond}
-
-func (hos *Host) serve(ctx context.Context) error {
-	peers := peer.NewServer(peer.ServerConfig{Sessions: hos.desk, Mirror: hos.mirror, Security: hos.security(), Timing: peerTiming})
-	peerServer := peers.HTTPServer()
-	peerServer.ErrorLog = log.New(serverErrors{log: hos.log}, "", 0)
-	all := []listener{
-		{name: "CallerAddress", address: hos.set.CallerAddress, server: hos.callerServer()},
-		{name: "ReadyAddress", address: hos.set.ReadyAddress, server: plainServer(hos.readyHandler())},
-		{name: "DirectoryAddress", address: hos.set.DirectoryAddress, server: plainServer(hos.directoryHandler())},
-		{name: "PeerAddress", address: hos.set.PeerAddress, server: peerServer, serve: peers.Serve},
-		{name: metricsListener, address: hos.set.MetricsAddress, server: plainServer(hos.metricsHandler())},
-	}
-	for _, one := range all {
-		lis, err := liveness.Listen(ctx, one.address)
-		if err != nil && one.name == metricsListener {
-			// Callers need no figures: a host without them is better than none.
-			hos.log.Warn().Err(err).Msg("no figures are told, their address can't be used")
-			continue
-		}
-		if err != nil {
-			return errors.Wrap(err, one.name)
-		}
-		hos.servers = append(hos.servers, one.server)
-		hos.tasks.Run(one.name, func() error { return task.Served(one.serveOn(lis)) })
-	}
-	return nil
-}
-
 // Stop ends the host at once: requests in flight are cut.
 func (hos *Host) Stop() {
 	hos.cancel()
