--- a/tools/mutate/mutations.go
+++ b/tools/mutate/mutations.go
@@ -115,7 +115,7 @@
 	},
 	{
 		"Rate: a host sends back what isn't within it", "entry/barred.go",
-		"	return hos.unpaced(run, grt)\n", "	return nil\n", rates,
+		"	if err := hos.unpaced(eng.ID, grt); err != nil {\n		return err\n	}\n", "", rates,
 	},
 	{
 		"Rate: a host sends back what was granted long ago", "entry/barred.go",
@@ -147,11 +147,11 @@
 	},
 	{
 		"Word: a host looks at a grant's engine again", "entry/reserve.go",
-		"		if err := hos.maySend(eng.ID, exc.grant); err != nil {", "		if err := hos.maySend(eng.ID, exc.grant); false && err != nil {", words,
+		"		if err := hos.maySend(eng, exc.grant); err != nil {", "		if err := hos.maySend(eng, exc.grant); false && err != nil {", words,
 	},
 	{
 		"Word: a host looks again right before it sends", "entry/attempt.go",
-		"		return hos.maySend(run, exc.grant)\n", "		return nil\n", words,
+		"	if err := hos.maySend(eng, exc.grant); err != nil {\n		return err\n	}\n	return hos.evac", "	return hos.evac", words,
 	},
 	{
 		"Word: it is its speaker's", "entry/notices.go",
