perf: thousands that wait for one region look at its engines once

Cause: a look through those who wait remembered that no engine is free only for requests that may run anywhere; each of those bound to regions went through all engines. Change: it is remembered by the regions too. Also, a warm engine's cold rate isn't looked up at each change of the engines.

--- a/scheduler/cold.go
+++ b/scheduler/cold.go
@@ -17,8 +17,11 @@
 // chill takes an engine to be cold until a time. It does nothing where operators name no rate
 // that a cold engine of the service bears.
 func (cor *Core) chill(now time.Time, ene *engine, until time.Time) {
+	if !until.After(now) || ene.pacing != nil && !until.After(ene.pacing.coldUntil) {
+		return
+	}
 	rate, _ := cor.coldOf(ene.Service)
-	if rate <= 0 || !until.After(now) || ene.pacing != nil && !until.After(ene.pacing.coldUntil) {
+	if rate <= 0 {
 		return
 	}
 	cor.pace(now, ene).chill(now, until, rate)
--- a/scheduler/line.go
+++ b/scheduler/line.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"hash/fnv"
 	"slices"
+	"strings"
 	"time"
 
 	"lynxwell.dev/lynxwell/request"
@@ -21,6 +22,8 @@
 	// usualAt is the version of what is known against requests at which nothing was against
 	// this one, by one more, so that 0 is none.
 	usualAt uint64
+	// scope stands for the regions in which it may run; empty for anywhere.
+	scope string
 	// late says that its caller has tried before and can't be served in time any more. In
 	// overload these would take the places of others that could be.
 	late bool
@@ -47,7 +50,7 @@
 		return
 	}
 	svc.arrivals++
-	wai := &waiter{reserve: res, gateway: from, number: svc.arrivals, since: now}
+	wai := &waiter{reserve: res, gateway: from, number: svc.arrivals, since: now, scope: strings.Join(res.Regions, " ")}
 	wai.late = res.Attempt == 0 && res.Age > res.Aim
 	wai.until = now.Add(waitTime(res))
 	place, _ := slices.BinarySearchFunc(svc.waiting, wai, compareWaiters)
@@ -135,7 +138,7 @@
 		case han == handleHeld:
 			cor.giveBack(wai.reserve.Account, cor.costOf(wai.reserve))
 			cor.heldBack(now, wai.gateway, wai.reserve, svc)
-		case (han == handleAlone || han == handleGuarded || !lin.isFull(wai.gateway)) && cor.grant(now, svc, wai, han):
+		case (han == handleAlone || han == handleGuarded || !lin.isFull(wai)) && cor.grant(now, svc, wai, han):
 		case cor.refuseClosed(now, svc, wai):
 		case han == handleUsual && cor.refuseSpent(now, svc, wai, alw, len(kept)):
 		case !now.Before(wai.until):
@@ -145,8 +148,8 @@
 			cor.giveBack(wai.reserve.Account, cor.costOf(wai.reserve))
 			cor.refuse(wai.gateway, wai.reserve, reservation.ReasonOverload, svc.inputsOf(now, wai))
 		default:
-			if len(wai.reserve.Exclude)+len(wai.reserve.Regions) == 0 && han == handleUsual {
-				lin.note(now, svc, wai.gateway, len(cor.closed[wai.gateway]) > 0)
+			if len(wai.reserve.Exclude) == 0 && han == handleUsual {
+				lin.note(now, svc, wai, len(cor.closed[wai.gateway]) > 0)
 			}
 			kept = append(kept, wai)
 		}
@@ -177,25 +180,34 @@
 	// find none where others do.
 	full    bool
 	fullFor map[request.Epoch]bool
+	// fullIn says the same of those that may run in some regions only, by these.
+	fullIn map[string]bool
 }
 
-// isFull reports whether a gateway's usual requests find no engine.
-func (lin *line) isFull(gateway request.Epoch) bool {
-	return lin.full || lin.fullFor[gateway]
+// isFull reports whether usual requests like this one find no engine.
+func (lin *line) isFull(wai *waiter) bool {
+	return lin.full || lin.fullFor[wai.gateway] || wai.scope != "" && lin.fullIn[wai.scope]
 }
 
 // note takes that a usual request found no engine; bounded says that some are closed to its
 // gateway that may be open to others.
-func (lin *line) note(now time.Time, svc *service, gateway request.Epoch, bounded bool) {
-	if lin.isFull(gateway) {
+func (lin *line) note(now time.Time, svc *service, wai *waiter, bounded bool) {
+	if lin.isFull(wai) {
 		return
 	}
-	if !bounded && (svc.said == 0 || !svc.hasAsked(now, gateway)) {
+	others := !bounded && (svc.said == 0 || !svc.hasAsked(now, wai.gateway))
+	switch {
+	case others && wai.scope == "":
 		lin.full = true
-		return
-	}
-	if lin.fullFor == nil {
-		lin.fullFor = make(map[request.Epoch]bool)
+	case others:
+		if lin.fullIn == nil {
+			lin.fullIn = make(map[string]bool)
+		}
+		lin.fullIn[wai.scope] = true
+	case wai.scope == "":
+		if lin.fullFor == nil {
+			lin.fullFor = make(map[request.Epoch]bool)
+		}
+		lin.fullFor[wai.gateway] = true
 	}
-	lin.fullFor[gateway] = true
 }
--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -117,3 +117,33 @@
 		assert.Equal(t, engineOf(des.reserve(plain(name)), name), "b")
 	}
 }
+
+// BenchmarkManyWaitingForARegion has thousands of requests that may run in one region wait for
+// its engines, all of whose places are taken, and lets time pass.
+func BenchmarkManyWaitingForARegion(b *testing.B) {
+	for _, regions := range [][]string{nil, {"south"}} {
+		b.Run(fmt.Sprint(len(regions), "named"), func(b *testing.B) {
+			var engines []fleet.Engine
+			for num := range 650 {
+				eng := engineIn("d2", fmt.Sprintf("e%03d", num))
+				eng.Slots = 0
+				engines = append(engines, eng)
+			}
+			des := regional(engines...)
+			long := func(name string) reservation.Reserve {
+				res := within(name, regions...)
+				res.Aim, res.Remaining = time.Hour, time.Hour
+				return res
+			}
+			for num := range 650 * 2 {
+				des.reserve(long(fmt.Sprint("run-", num)))
+			}
+			for num := range 4096 {
+				des.reserveFrom(request.Epoch(100+num%300), long(fmt.Sprint("wait-", num)))
+			}
+			for b.Loop() {
+				des.after(time.Microsecond)
+			}
+		})
+	}
+}
