test: the soak takes only what an engine answered for its word

Its logs: m0 hung on the earlier request (no answer: context deadline exceeded after 1,984 ms), the host gave its caller 504 of its own, and the check took any status for the engine's answer having passed. The stand-in notes arrivals of which no head of an answer left it (hung, lost, given up before the first event); leave and rate are held from answers alone. What an engine did answer is held as strictly as before.

--- a/soak/rates.go
+++ b/soak/rates.go
@@ -77,7 +77,7 @@
 			after = append(after, arr)
 		}
 		att := attempts[arr.ID]
-		if told.IsZero() && arr.Rate != nil && att.Status != 0 && att.Err == nil {
+		if told.IsZero() && arr.Rate != nil && !arr.Silent && att.Status != 0 && att.Err == nil {
 			told = att.Sent.Add(att.Took)
 		}
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,6 +25,7 @@
 	96013: "the soak's own: it told an engine of its trouble in the moment in which a caller's request ended that engine",
 	96042: "the same, of a word",
 	91033: "an engine that had left got requests for 8.8 s by the one host whose way to the store was silent: it kept what others told it was gone",
+	71015: "the soak's own: an engine that hung had told nothing, and the host's 504 was taken for its answer that it leaves",
 }
 
 // openSeeds are seeds that failed once for what isn't mended, with what was seen.
--- a/soak/words.go
+++ b/soak/words.go
@@ -103,7 +103,7 @@
 func (sys *system) checkLeave(eng *engine, hos *host, arrivals []upstreamtest.Arrival, attempts map[string]visitor.Attempt) {
 	for _, first := range arrivals {
 		att := attempts[first.ID]
-		if !first.Leaves || att.Status == 0 || att.Err != nil {
+		if !first.Leaves || first.Silent || att.Status == 0 || att.Err != nil {
 			continue
 		}
 		passedOn := att.Sent.Add(att.Took)
--- a/upstreamtest/engine.go
+++ b/upstreamtest/engine.go
@@ -306,6 +306,7 @@
 		wri.Header().Set("Response-Signature", "signed-"+id)
 	}
 	if trb == Slow && !wait(req, slowTime) {
+		eng.noteSilent(id)
 		eng.noteLeft()
 		return
 	}
@@ -313,9 +314,11 @@
 	case Error:
 		wri.WriteHeader(http.StatusInternalServerError)
 	case Hang:
+		eng.noteSilent(id)
 		<-req.Context().Done()
 		eng.noteLeft()
 	case Lose:
+		eng.noteSilent(id)
 		panic(http.ErrAbortHandler)
 	case Extra, StrayFirst, Unframed, UnframedReset:
 		eng.raw(wri, id, trb)
@@ -367,6 +370,7 @@
 	first, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	wri.Header().Set("Content-Type", "text/event-stream")
 	if !wait(req, time.Duration(tokens)*eng.cfg.Reading) {
+		eng.noteSilent(id)
 		eng.noteLeft()
 		return
 	}
--- a/upstreamtest/word.go
+++ b/upstreamtest/word.go
@@ -22,6 +22,8 @@
 	Pause  time.Duration
 	// Rate is the rate that the answer named; nil for none.
 	Rate *float64
+	// Silent says that no head of an answer left the engine, so that it told nothing.
+	Silent bool
 	// Fell says that the engine fell over under it, or had before.
 	Fell bool
 }
@@ -76,6 +78,18 @@
 	return arr
 }
 
+// noteSilent notes that the newest request with an id gets no answer.
+func (eng *Engine) noteSilent(id string) {
+	eng.mutex.Lock()
+	defer eng.mutex.Unlock()
+	for num := len(eng.arrivals) - 1; num >= 0; num-- {
+		if eng.arrivals[num].ID == id {
+			eng.arrivals[num].Silent = true
+			return
+		}
+	}
+}
+
 // speak writes what the engine says of itself into an answer's head, and reports whether it
 // has turned the request away with it.
 func (eng *Engine) speak(wri http.ResponseWriter, req *http.Request) bool {
