--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/request"
@@ -147,3 +149,51 @@
 		})
 	}
 }
+
+// Whatever engines there are, whichever domains are emptied, as far as this core or a gateway
+// knows, and whoever asks and comes back: no request is granted an engine outside its regions
+// or in a domain that is closed to it, and what could run somewhere is granted or waits.
+func TestNothingIsGrantedOutsideItsPlaces(t *testing.T) {
+	domains := []string{"d0", "d1", "d2", "elsewhere"}
+	regions := map[string]string{"d0": "north", "d1": "north", "d2": "south"}
+	rapid.Check(t, func(rt *rapid.T) {
+		des := regional()
+		engines := make(map[string]fleet.Engine)
+		closed := make(map[request.Epoch]map[string]bool)
+		for num := range rapid.IntRange(5, 80).Draw(rt, "steps") {
+			gateway := request.Epoch(rapid.IntRange(100, 103).Draw(rt, "gateway"))
+			switch rapid.IntRange(0, 5).Draw(rt, "event") {
+			case 0:
+				var all []fleet.Engine
+				clear(engines)
+				for idx := range rapid.IntRange(0, 6).Draw(rt, "engines") {
+					eng := engineIn(rapid.SampledFrom(domains).Draw(rt, "domain"), fmt.Sprint("e", num, "-", idx))
+					eng.Slots, eng.Emptied = rapid.IntRange(1, 3).Draw(rt, "slots"), rapid.IntRange(0, 3).Draw(rt, "emptied") == 0
+					engines[eng.ID.Name] = eng
+					all = append(all, eng)
+				}
+				des.handle(scheduler.EnginesChanged{Engines: all})
+			case 1:
+				named := rapid.SliceOfNDistinct(rapid.SampledFrom(domains), 0, 2, rapid.ID[string]).Draw(rt, "closed")
+				closed[gateway] = make(map[string]bool)
+				for _, domain := range named {
+					closed[gateway][domain] = true
+				}
+				des.handle(scheduler.DomainsClosed{Gateway: gateway, Domains: named})
+			case 2:
+				delete(closed, gateway)
+				des.handle(scheduler.GatewayLost{Gateway: gateway})
+			default:
+				res := within(fmt.Sprint("r", num), rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"north", "south", "west"}), 0, 2, rapid.ID[string]).Draw(rt, "regions")...)
+				engine, _ := decisionOn(des.reserveFrom(gateway, res), res.ID.Unique)
+				eng := engines[engine]
+				if engine == "" {
+					continue
+				}
+				if eng.Emptied || closed[gateway][eng.Domain] || len(res.Regions) > 0 && !slices.Contains(res.Regions, regions[eng.Domain]) {
+					rt.Fatalf("%v was granted %+v, closed to it %v", res.Regions, eng, closed[gateway])
+				}
+			}
+		}
+	})
+}
--- a/tools/mutate/mutations.go
+++ b/tools/mutate/mutations.go
@@ -14,7 +14,7 @@
 var rates = []string{"./entry", "./scheduler", "./fleet", "-run", "Rate"}
 
 // places are the tests of failure domains that are emptied, of cold engines and of regions.
-var places = []string{"./evacuation", "./entry", "./scheduler", "./fleet", "./route", "-run", "Emptied|Emptying|Order|Domain|Cold|Warm|Region|Told|Allowed|Callers|Chill|HostKeeps|HostThatStarts"}
+var places = []string{"./evacuation", "./entry", "./scheduler", "./fleet", "./route", "-run", "Emptied|Emptying|Order|Domain|Cold|Warm|Region|Told|Allowed|Callers|Chill|HostKeeps|HostThatStarts|Outside"}
 
 var mutations = []mutation{
 	{
