fix(quarantine): count the crash of an engine once, however late the reports of it arrive

Cause: a crash that several hosts reported was told apart from a second crash of the same run by the time at which a report arrived, less the time for which its request had run. A report that was delayed for longer than that counted as another crash.

Why it works: an observation is another crash only if its request is known to have begun after this host knew of the earlier one: its own core granted it, or its own gateway sent it. The run time is no longer sent. What is still counted for certain: TestSecondCrashOfRunIsCounted; the others learn it from the case reports.

--- a/entry/crash.go
+++ b/entry/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/quarantine"
@@ -83,7 +82,7 @@
 		ID: att.release.ID, Unconfirmed: att.crash == crashUnconfirmed,
 		Observation: quarantine.Observation{
 			Subject: quarantine.Subject{Digest: exc.digest, Service: exc.service, Account: exc.account.Name, Route: exc.route.Name},
-			Engine:  eng.ID.String(), RunTime: time.Since(att.started),
+			Engine:  eng.ID.String(), Began: att.startedAt,
 		},
 	})
 }
--- a/peer/convertengine.go
+++ b/peer/convertengine.go
@@ -95,14 +95,14 @@
 
 func crashToWire(msg reservation.EngineCrashed) *peerpb.EngineEnded {
 	return &peerpb.EngineEnded{
-		Id: idToWire(msg.ID), Subject: subjectToWire(msg.Subject), Engine: msg.Engine, Uncertain: msg.Unconfirmed, Alone: msg.Exclusive, RanUs: msg.RunTime.Microseconds(),
+		Id: idToWire(msg.ID), Subject: subjectToWire(msg.Subject), Engine: msg.Engine, Uncertain: msg.Unconfirmed, Alone: msg.Exclusive,
 	}
 }
 
 func crashFromWire(wcr *peerpb.EngineEnded) reservation.EngineCrashed {
 	return reservation.EngineCrashed{
 		ID: idFromWire(wcr.GetId()), Unconfirmed: wcr.GetUncertain(),
-		Observation: quarantine.Observation{Subject: subjectFromWire(wcr.GetSubject()), Engine: wcr.GetEngine(), Exclusive: wcr.GetAlone(), RunTime: fromMicros(wcr.GetRanUs())},
+		Observation: quarantine.Observation{Subject: subjectFromWire(wcr.GetSubject()), Engine: wcr.GetEngine(), Exclusive: wcr.GetAlone()},
 	}
 }
 
--- a/quarantine/doubt.go
+++ b/quarantine/doubt.go
@@ -63,9 +63,7 @@
 			reg.removeUnconfirmed(key)
 		case !registered:
 			reg.removeUnconfirmed(key)
-			obs := ucr.observation
-			obs.RunTime += now.Sub(ucr.since)
-			confirmed = append(confirmed, obs)
+			confirmed = append(confirmed, ucr.observation)
 		}
 	}
 	return confirmed
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -134,8 +134,9 @@
 	// Exclusive reports whether the engine ran nothing else, or whether the request was that of a
 	// restricted traffic source and was granted the engine less than NewRequestAge before.
 	Exclusive bool
-	// RunTime is how long the engine had been running the request.
-	RunTime time.Duration
+	// Began is when the request was granted or sent, by the clock of the host that records the
+	// crash; zero if that host doesn't know.
+	Began time.Time
 }
 
 // Crash is the crash of an engine while it ran the request of a case.
@@ -183,16 +184,16 @@
 }
 
 // addCrash records a crash and reports whether the case has changed. The same crash of an engine
-// run may be reported by several hosts, each of which had a request with this digest there.
-// If the request began to run after a recorded crash of the run was detected, the observation is
-// another crash.
+// run may be reported by several hosts, each of which had a request with this digest there, and a
+// report may arrive at any time after another one. Only if the request is known to have begun after a
+// recorded crash of the run was detected here, the observation is another crash.
 func (cas *Case) addCrash(now time.Time, obs Observation) bool {
 	cra := Crash{Engine: obs.Engine, Alone: obs.Exclusive, seenAt: now}
 	for idx, known := range cas.Crashes {
 		if known.Engine != obs.Engine {
 			continue
 		}
-		if !known.seenAt.Before(now.Add(-obs.RunTime)) {
+		if !known.seenAt.Before(obs.Began) {
 			cas.Crashes[idx].Alone = known.Alone || obs.Exclusive
 			return cas.Crashes[idx].Alone != known.Alone
 		}
--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -184,9 +184,13 @@
 // applyCrash records a gateway's report that an engine crashed while it ran a request.
 func (cor *Core) applyCrash(now time.Time, msg reservation.EngineCrashed) {
 	obs := msg.Observation
-	if rnn := cor.runs[msg.ID]; rnn != nil && rnn.engine.name == obs.Engine {
+	rnn := cor.runs[msg.ID]
+	if rnn != nil && rnn.engine.name == obs.Engine {
 		obs.Exclusive = rnn.exclusive || rnn.restricted && now.Sub(rnn.grantedAt) < quarantine.NewRequestAge
 	}
+	if rnn != nil && rnn.ownGrant {
+		obs.Began = rnn.grantedAt
+	}
 	if msg.Unconfirmed {
 		cor.quarantine.RecordUnconfirmedCrash(now, obs)
 		return
--- a/scheduler/quarantine_test.go
+++ b/scheduler/quarantine_test.go
@@ -10,6 +10,7 @@
 	"lynxwell.dev/lynxwell/call"
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/quarantine"
+	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/reservation"
 	"lynxwell.dev/lynxwell/scheduler"
 )
@@ -265,3 +266,36 @@
 		ID: res.ID, Observation: quarantine.Observation{Subject: res.Subject(), Engine: "e01"}, Unconfirmed: true,
 	}})
 }
+
+// Guards against a false hold: one crash of an engine counted twice, since the report of one host
+// arrived later after that of another host than the request had run. A popular request was held at
+// its second crash. Only a request that this core granted after it knew of the crash, or that its own
+// host sent after that, was part of another crash.
+func TestDelayedReportOfCrashCountsOnce(t *testing.T) {
+	for name, from := range map[string]request.Epoch{"from a gateway": peerEpoch, "from the own gateway": ownEpoch} {
+		t.Run(name, func(t *testing.T) {
+			har := newHarness(newModelEngines(6)...)
+			res := sameRequest("popular", "one")
+			har.handle(scheduler.Received{From: peerEpoch, Message: reservation.CaseReport{Report: quarantine.Report{Subject: res.Subject(), Crashes: []quarantine.Crash{{Engine: "e01"}}}}})
+			har.now = har.now.Add(330 * time.Millisecond)
+			obs := quarantine.Observation{Subject: res.Subject(), Engine: "e01"}
+			if from == ownEpoch {
+				obs.Began = har.now.Add(-350 * time.Millisecond)
+			}
+			har.handle(scheduler.Received{From: from, Message: reservation.EngineCrashed{ID: res.ID, Observation: obs}})
+			assert.Equal(t, len(har.core.CaseReports(har.now, quarantine.LevelWatched, 1)[0].Crashes), 1)
+		})
+	}
+}
+
+// An engine that restarts and crashes once more before the store shows its new run has crashed twice.
+func TestSecondCrashOfRunIsCounted(t *testing.T) {
+	har := newHarness(newModelEngines(1)...)
+	for num := range 2 {
+		res := sameRequest("poison", fmt.Sprint(num))
+		engine := grantedEngine(append(har.reserve(res), har.advance(3*time.Second)...), fmt.Sprint(num))
+		assert.Equal(t, engine, "e00")
+		har.reportCrash(res, engine)
+	}
+	assert.Equal(t, len(har.core.CaseReports(har.now, quarantine.LevelWatched, 1)[0].Crashes), 2)
+}
