fix(quarantine): an engine that lives on after it cut an answer off has not crashed

What callers saw: 502 Held for an hour, at each host, for a request that crashed nothing: engines cut its answer off, lived on, and were deregistered as planned within ten seconds.

Cause: the end of a connection is an unconfirmed crash, and the deletion of the engine's entry within ten seconds confirmed it. Nothing weighed against that: neither a probe that found the address listening, nor answers of the same run to requests that were sent later.

Why it works: the gateway that saw the connection end probes the engine again a quarter of a second later, when a process that was ending has ended, and reports the result to all schedulers that were told of the possible crash. Refused: a crash, known up to three seconds sooner than by the list. Listens: the deletion of the entry is planned, unless a run under the same name replaced the engine that may have started before the probe. A check that is running is awaited for two seconds; a gateway that is lost leaves the list to decide, as before. Besides, an answer to a request that was granted later shows each scheduler that the engine lived. The same holds for entries that lapse while the store is away, that are missing from a stale read or that another writer overwrote.

A late confirmation keeps what the scheduler knew when it was reported, so that an exclusive run still holds a poison request at once (TestExclusiveCrashThatIsConfirmedLaterHoldsRequest).

--- a/entry/crash.go
+++ b/entry/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/quarantine"
@@ -78,13 +79,23 @@
 		return
 	}
 	exc.host.metrics.count("EngineEnds." + att.crash.String())
-	exc.host.broker.reportEngineCrash(reservation.EngineCrashed{
+	msg := reservation.EngineCrashed{
 		ID: att.release.ID, Unconfirmed: att.crash == crashUnconfirmed,
 		Observation: quarantine.Observation{
 			Subject: quarantine.Subject{Digest: exc.digest, Service: exc.service, Account: exc.account.Name, Route: exc.route.Name},
 			Engine:  eng.ID.String(), Began: att.startedAt,
 		},
-	})
+	}
+	if !msg.Unconfirmed {
+		exc.host.broker.reportEngineCrash(msg)
+		return
+	}
+	msg.Check = quarantine.CheckRunning
+	exc.host.broker.reportEngineCrash(msg)
+	msg.Check = quarantine.CheckNone
+	if !exc.host.crashChecks.add(crashCheck{report: msg, engine: eng, endedAt: time.Now()}) {
+		exc.host.broker.reportEngineCrash(msg)
+	}
 }
 
 // heldProblem returns the final answer for a held request. Its status does not promise that the
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -63,8 +63,10 @@
 	clientWaits *waitEstimator
 	// departures are the times at which engines were deregistered.
 	departures *departures
-	broker     *broker
-	mirror     *mirror
+	// crashChecks checks whether engines live that have ended a connection.
+	crashChecks *crashChecks
+	broker      *broker
+	mirror      *mirror
 	// clock is the time by which leases and other time-limited rights expire. It counts
 	// suspensions.
 	clock    *clock.Clock
@@ -162,6 +164,7 @@
 	})
 	hos.peers = peer.NewClient(peer.ClientConfig{Security: hos.security(), Timing: peerTiming, Self: hos.Header})
 	hos.broker = newBroker(hos)
+	hos.crashChecks = newCrashChecks(hos)
 	return hos, nil
 }
 
@@ -247,6 +250,7 @@
 	hos.tasks.Run("lease", func() error { return hos.maintainLease(ctx) })
 	hos.tasks.Run("sessions", func() error { return hos.broker.maintainSessions(ctx) })
 	hos.tasks.Run("takeover", func() error { return hos.broker.watchCoordinator(ctx) })
+	hos.tasks.Run("crash checks", func() error { return hos.crashChecks.run(ctx) })
 	hos.tasks.Run("presence", func() error { return hos.broker.maintainPresence(ctx) })
 	hos.tasks.Run("settings", func() error { return hos.watchSettings(ctx) })
 	hos.tasks.Run("secret", func() error { return hos.maintainSecrets(ctx) })
--- a/peer/convertengine.go
+++ b/peer/convertengine.go
@@ -93,16 +93,47 @@
 	return msg
 }
 
+// The wire numbers of the states of a check.
+const (
+	checkRunning uint32 = iota + 1
+	checkAlive
+)
+
+func checkToWire(che quarantine.Check) uint32 {
+	switch che {
+	case quarantine.CheckRunning:
+		return checkRunning
+	case quarantine.CheckAlive:
+		return checkAlive
+	case quarantine.CheckNone:
+		return 0
+	default:
+		return 0
+	}
+}
+
+// checkFromWire returns CheckNone for a number that this version doesn't know.
+func checkFromWire(number uint32) quarantine.Check {
+	switch number {
+	case checkRunning:
+		return quarantine.CheckRunning
+	case checkAlive:
+		return quarantine.CheckAlive
+	default:
+		return quarantine.CheckNone
+	}
+}
+
 func crashToWire(msg reservation.EngineCrashed) *peerpb.EngineEnded {
 	return &peerpb.EngineEnded{
-		Id: idToWire(msg.ID), Subject: subjectToWire(msg.Subject), Engine: msg.Engine, Uncertain: msg.Unconfirmed, Alone: msg.Exclusive,
+		Id: idToWire(msg.ID), Subject: subjectToWire(msg.Subject), Engine: msg.Engine, Uncertain: msg.Unconfirmed, Alone: msg.Exclusive, Check: checkToWire(msg.Check),
 	}
 }
 
 func crashFromWire(wcr *peerpb.EngineEnded) reservation.EngineCrashed {
 	return reservation.EngineCrashed{
 		ID: idFromWire(wcr.GetId()), Unconfirmed: wcr.GetUncertain(),
-		Observation: quarantine.Observation{Subject: subjectFromWire(wcr.GetSubject()), Engine: wcr.GetEngine(), Exclusive: wcr.GetAlone()},
+		Observation: quarantine.Observation{Subject: subjectFromWire(wcr.GetSubject()), Engine: wcr.GetEngine(), Exclusive: wcr.GetAlone(), Check: checkFromWire(wcr.GetCheck())},
 	}
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -137,6 +137,8 @@
 	// Began is when the request was granted or sent, by the clock of the host that records the
 	// crash; zero if that host doesn't know.
 	Began time.Time
+	// Check is the state of the gateway's check of an unconfirmed crash.
+	Check Check
 }
 
 // Crash is the crash of an engine while it ran the request of a case.
--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -15,10 +15,13 @@
 	cfg   Config
 	cases map[call.Digest]*Case
 	// unconfirmed holds the unconfirmed crashes, which may have been only broken connections.
-	// unconfirmedCounts counts them by request: searching them all for each waiting request
-	// would make a host that schedules hundreds of requests fall behind.
-	unconfirmed       map[unconfirmedKey]unconfirmedCrash
-	unconfirmedCounts map[call.Digest]int
+	// unconfirmedCounts and unconfirmedByEngine count them by request and by engine run, and
+	// aliveCounts those by request whose engine run lived on: searching them all for each waiting
+	// request or answer would make a host that schedules hundreds of requests fall behind.
+	unconfirmed         map[unconfirmedKey]unconfirmedCrash
+	unconfirmedCounts   map[call.Digest]int
+	unconfirmedByEngine map[string]int
+	aliveCounts         map[call.Digest]int
 	// cleared is when each request was cleared on this host, for clearedTTL.
 	cleared   map[call.Digest]time.Time
 	sources   map[TrafficSource]*sourceState
@@ -36,7 +39,8 @@
 	cfg.HoldAt = cmp.Or(cfg.HoldAt, defaultHoldAt)
 	cfg.HoldExclusiveAt = cmp.Or(cfg.HoldExclusiveAt, defaultHoldExclusiveAt)
 	return &Registry{
-		cfg: cfg, cases: make(map[call.Digest]*Case), unconfirmed: make(map[unconfirmedKey]unconfirmedCrash), unconfirmedCounts: make(map[call.Digest]int), cleared: make(map[call.Digest]time.Time),
+		cfg: cfg, cases: make(map[call.Digest]*Case), unconfirmed: make(map[unconfirmedKey]unconfirmedCrash), unconfirmedCounts: make(map[call.Digest]int),
+		unconfirmedByEngine: make(map[string]int), aliveCounts: make(map[call.Digest]int), cleared: make(map[call.Digest]time.Time),
 		sources: make(map[TrafficSource]*sourceState), stored: make(map[call.Digest]storedHold),
 	}
 }
@@ -57,7 +61,7 @@
 	if cas := reg.cases[dig]; cas != nil {
 		return cas.level(now, reg.cfg)
 	}
-	if reg.unconfirmedCounts[dig] > 0 {
+	if reg.unconfirmedCounts[dig] > reg.aliveCounts[dig] {
 		return LevelWatched
 	}
 	return LevelClear
@@ -79,6 +83,7 @@
 		return
 	}
 	reg.prune(now)
+	reg.removeUnconfirmed(unconfirmedKey{digest: obs.Digest, engine: obs.Engine})
 	reg.version++
 	delete(reg.cleared, obs.Digest)
 	cas := reg.cases[obs.Digest]
--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -172,6 +172,7 @@
 		return
 	}
 	cor.quarantine.RecordAnswer(now, rnn.subject.Digest)
+	cor.recordLife(rnn)
 	if rnn.restricted && cor.quarantine.RecordExclusiveAnswer(rnn.subject.TrafficSource()) {
 		cor.sourceChanges = append(cor.sourceChanges, SourceChange{Source: rnn.subject.TrafficSource()})
 	}
@@ -181,6 +182,14 @@
 	}
 }
 
+// recordLife records that the run's engine has answered, which shows that it lived when this core granted
+// the run.
+func (cor *Core) recordLife(rnn *run) {
+	if rnn.ownGrant {
+		cor.quarantine.RecordLife(rnn.engine.name, rnn.grantedAt)
+	}
+}
+
 // applyCrash records a gateway's report that an engine crashed while it ran a request.
 func (cor *Core) applyCrash(now time.Time, msg reservation.EngineCrashed) {
 	obs := msg.Observation
@@ -193,8 +202,14 @@
 	}
 	if msg.Unconfirmed {
 		cor.quarantine.RecordUnconfirmedCrash(now, obs)
+		if cor.engines[fleet.ParseEngineID(obs.Engine)] == nil {
+			cor.settleUnconfirmed(now)
+		}
 		return
 	}
+	if rnn == nil {
+		obs = cor.quarantine.Unconfirmed(obs)
+	}
 	cor.recordCrash(now, obs)
 }
 
@@ -205,7 +220,8 @@
 		ene.crashed, ene.crashedAt = true, now
 		cor.markCrashedCold(now, ene)
 		cor.service(ene.Service).extendExclusions(now.Add(crashHoldOff))
-		if !cor.hasKnownCause(ene) {
+		// The requests that ran at a crash that was confirmed later aren't known any more.
+		if obs.Check == quarantine.CheckNone && !cor.hasKnownCause(ene) {
 			cor.recordUnexplainedCrash(now, ene)
 		}
 	}
--- a/scheduler/quarantine_test.go
+++ b/scheduler/quarantine_test.go
@@ -299,3 +299,51 @@
 	}
 	assert.Equal(t, len(har.core.CaseReports(har.now, quarantine.LevelWatched, 1)[0].Crashes), 2)
 }
+
+// An engine cuts off an answer and then answers a request that it was granted later: it has not crashed,
+// although its entry is deleted within ten seconds and no gateway has checked it.
+func TestEngineThatAnswersLaterHasNotCrashed(t *testing.T) {
+	for name, answers := range map[string]func(har *harness, res reservation.Reserve){
+		"no answer": func(*harness, reservation.Reserve) {},
+		"first token": func(har *harness, res reservation.Reserve) {
+			har.handle(scheduler.Received{From: peerEpoch, Message: reservation.Progress{ID: res.ID, FirstToken: time.Millisecond}})
+		},
+		"complete answer": (*harness).answerInFull,
+	} {
+		t.Run(name, func(t *testing.T) {
+			engines := newModelEngines(1)
+			har := newHarness(engines...)
+			cut, later := sameRequest("cut", "cut"), sameRequest("later", "later")
+			har.reserve(cut)
+			har.handle(scheduler.Received{From: peerEpoch, Message: reservation.EngineCrashed{
+				ID: cut.ID, Observation: quarantine.Observation{Subject: cut.Subject(), Engine: "e00"}, Unconfirmed: true,
+			}})
+			har.release(reservation.Release{ID: cut.ID, Engine: "e00", Dispatched: true, Failed: true})
+			har.now = har.now.Add(time.Second)
+			assert.Equal(t, grantedEngine(har.reserve(later), "later"), "e00")
+			answers(har, later)
+			har.handle(scheduler.EnginesChanged{})
+			assert.Equal(t, har.core.HasCase(cut.Digest), name == "no answer")
+		})
+	}
+}
+
+// The gateway of a poison request that ran exclusively confirms the crash after it has released the
+// engine. The request is held then.
+func TestExclusiveCrashThatIsConfirmedLaterHoldsRequest(t *testing.T) {
+	har := newHarness(newModelEngines(6)...)
+	for num := range 2 {
+		name := fmt.Sprint("poison-", num)
+		har.reportCrash(sameRequest("poison", name), grantedEngine(har.reserve(sameRequest("poison", name)), name))
+	}
+	last := sameRequest("poison", "last")
+	engine := grantedEngine(har.reserve(last), "last")
+	msg := reservation.EngineCrashed{ID: last.ID, Observation: quarantine.Observation{Subject: last.Subject(), Engine: engine, Check: quarantine.CheckRunning}, Unconfirmed: true}
+	har.handle(scheduler.Received{From: peerEpoch, Message: msg})
+	har.release(reservation.Release{ID: last.ID, Engine: engine, Dispatched: true, Failed: true})
+	msg.Unconfirmed, msg.Check = false, quarantine.CheckNone
+	har.handle(scheduler.Received{From: peerEpoch, Message: msg})
+	assert.Equal(t, refusalReason(har.reserve(sameRequest("poison", "next")), "next"), reservation.ReasonHeld)
+	rep := har.core.CaseReports(har.now, quarantine.LevelHeld, 1)[0]
+	assert.Assert(t, rep.Crashes[2].Alone)
+}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -61,6 +61,7 @@
 	if rnn == nil || !rnn.prefillPending {
 		return
 	}
+	cor.recordLife(rnn)
 	rnn.engine.learnPrefill(rnn, pro.FirstToken)
 	rnn.engine.finishPrefill(now, rnn)
 	rnn.engine.health.recordSuccess()
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -176,6 +176,15 @@
 	ProbeRefused
 )
 
+// String returns the result's name in the log and in the names of counters.
+func (pro Probe) String() string {
+	names := [...]string{"Unknown", "Listens", "Refused"}
+	if int(pro) >= len(names) {
+		return "Invalid"
+	}
+	return names[pro]
+}
+
 // Probe reports whether the endpoint accepts connections. Concurrent probes of one address
 // share one connection attempt: when an engine crashes, all calls to it fail and probe its address
 // at the same time.
