fix(entry): a coordinator that can't write to the store asks to be replaced

What callers and operators saw: while a host that coordinates was partitioned from the store, the state of an ordered evacuation wasn't published for up to half a minute (known red: TestEvacuationReachesHosts WithoutStore). The states and ledgers of roll-outs and the list of held requests weren't written either.

Cause: only the coordinator writes these. A host that is cut off from the store keeps its sessions and schedules with what it reads from its peers, so it stayed the coordinator until its lease expired, 3 s in a small fleet, but 30 s for a lease that was granted before it knew other hosts, or in a fleet of 300.

Evidence: the logs of the test that fails: host-1 registers first (LeaseTime 30000), becomes the coordinator and is then cut off; its writes of the state fail with EOF once a second until the test ends, while host-0 reaches the store.

The next candidate takes over as from a slow coordinator. Looked for elsewhere: held requests and roll-outs go the same way; measurements are no duty that can't wait.

TestEvacuationIsPublishedWithoutCoordinatorsStore cuts off, or throttles, whichever host coordinates: both failed before (not published within 10 s).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -63,6 +63,8 @@
 	clientWaits *waitEstimator
 	// departures are the times at which engines were deregistered.
 	departures *departures
+	// coordinatorWrites makes the writes that only the coordinator makes.
+	coordinatorWrites *coordinatorWrites
 	// crashChecks checks whether engines live that have ended a connection.
 	crashChecks *crashChecks
 	broker      *broker
@@ -165,6 +167,7 @@
 	hos.peers = peer.NewClient(peer.ClientConfig{Security: hos.security(), Timing: peerTiming, Self: hos.Header})
 	hos.broker = newBroker(hos)
 	hos.crashChecks = newCrashChecks(hos)
+	hos.coordinatorWrites = &coordinatorWrites{host: hos}
 	return hos, nil
 }
 
--- a/entry/evacuations.go
+++ b/entry/evacuations.go
@@ -316,7 +316,7 @@
 		put.Data, err = platform.EncodeEvacuationState(wri.State, wri.Order)
 	}
 	if err == nil {
-		rev, err = hos.store.Put(ctx, put)
+		rev, err = hos.coordinatorWrites.put(ctx, put)
 	}
 	evt := hos.log.Info().Str("Domain", wri.Domain).Uint64("Order", wri.Order).Stringer("State", wri.State).Bool("TakenBack", wri.Delete).
 		Uint64("Expected", wri.Expect).Uint64("Revision", uint64(rev))
--- a/entry/evacuations_test.go
+++ b/entry/evacuations_test.go
@@ -78,6 +78,26 @@
 	assert.Equal(t, len(evacuated.Arrivals()), before)
 }
 
+// A coordinator that is cut off from the store asks to be replaced, and the next one publishes the state.
+// Guards against a coordinator that keeps its sessions and its lease, whose writes fail for half a minute.
+func TestEvacuationIsPublishedWithoutCoordinatorsStore(t *testing.T) {
+	for name, lose := range map[string]func(*entrytest.Host){
+		"cut off":   func(hos *entrytest.Host) { hos.SetStoreCut(true) },
+		"throttled": func(hos *entrytest.Host) { hos.SetStoreThrottled(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			sys := startWithLongRevocation(t, 3, []*upstreamtest.Engine{engineInDomain("d0", "remaining"), engineInDomain(evacuatedDomain, "evacuated")})
+			var first *entrytest.Host
+			sys.WaitUntil("one host coordinates", func() bool { first = coordinator(sys); return first != nil })
+			lose(first)
+			sys.Evacuate(evacuatedDomain, "{}")
+			sys.WaitUntil("the state is published", func() bool { return isPublished(sys) })
+			sys.WaitUntil("another host coordinates", func() bool { next := coordinator(sys); return next != nil && next != first })
+			sendAll(t, sys, 0, 5)
+		})
+	}
+}
+
 // Running requests finish. Until then the published state of the evacuation is closed, after that
 // empty.
 func TestRunningRequestsFinishInEvacuatedDomain(t *testing.T) {
--- a/entry/held.go
+++ b/entry/held.go
@@ -96,7 +96,7 @@
 	expect := store.Revision(hos.heldRevision.Load())
 	var rev store.Revision
 	if err == nil {
-		rev, err = hos.store.Put(ctx, store.Write{Key: platform.HoldsKey(), Data: data, Expect: expect})
+		rev, err = hos.coordinatorWrites.put(ctx, store.Write{Key: platform.HoldsKey(), Data: data, Expect: expect})
 	}
 	if err != nil {
 		hos.log.Warn().Err(err).Int("Held", len(holds)).Uint64("Expected", uint64(expect)).Msg("writing held requests failed")
--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -163,7 +163,7 @@
 	key, data, err := encodeRollout(wri)
 	var rev store.Revision
 	if err == nil {
-		rev, err = hos.store.Put(ctx, store.Write{Key: key, Data: data, Expect: store.Revision(wri.Expect)})
+		rev, err = hos.coordinatorWrites.put(ctx, store.Write{Key: key, Data: data, Expect: store.Revision(wri.Expect)})
 	}
 	evt := hos.log.Info().Str("Service", wri.Service).Str("Key", key).Uint64("Expected", wri.Expect).Uint64("Revision", uint64(rev))
 	if wri.Ledger != nil {
--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -215,6 +215,10 @@
 			bro.slowReports.Record(bro.host.clock.Now(), inb.gateway, slow.Host, slow.Slow)
 			return
 		}
+		if _, isResignation := rec.Message.(reservation.Resignation); isResignation {
+			bro.applyResignation(inb.gateway)
+			return
+		}
 		bro.handleLocked(scheduler.Received{From: inb.gateway, Message: rec.Message})
 	}
 }
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -67,8 +67,13 @@
 		return
 	}
 	bro.host.log.Warn().Stringer("Coordinator", slow).Int("Reports", reports).Int("Hosts", hosts).Msg("replacing a coordinator that decides too slowly")
+	bro.replace(slow)
+}
+
+// replace replaces a coordinator by this host, and tells all gateways; the mutex must be held.
+func (bro *broker) replace(former request.Epoch) {
 	bro.host.metrics.count("Coordinator.Replaced")
-	bro.depose(now, slow)
+	bro.depose(bro.host.clock.Now(), former)
 	for _, inb := range bro.inbound {
 		bro.sendLeader(inb)
 	}
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -91,6 +91,8 @@
 		env.Message = &peerpb.Envelope_Absent{Absent: &peerpb.Absent{Hosts: epochsToWire(msg.Hosts)}}
 	case reservation.Leader:
 		env.Message = &peerpb.Envelope_Leader{Leader: &peerpb.Leader{Host: uint64(msg.Host), Deposed: uint64(msg.Deposed)}}
+	case reservation.Resignation:
+		env.Message = &peerpb.Envelope_Resignation{Resignation: &peerpb.Resignation{}}
 	case reservation.CoordinatorSlow:
 		env.Message = &peerpb.Envelope_CoordinatorSlow{CoordinatorSlow: &peerpb.CoordinatorSlow{Host: uint64(msg.Host), Slow: msg.Slow}}
 	case reservation.EngineCrashed:
@@ -209,6 +211,8 @@
 		return reservation.UnreachableHosts{Hosts: epochsFromWire(wms.Absent.GetHosts())}
 	case *peerpb.Envelope_Leader:
 		return reservation.Leader{Host: request.Epoch(wms.Leader.GetHost()), Deposed: request.Epoch(wms.Leader.GetDeposed())}
+	case *peerpb.Envelope_Resignation:
+		return reservation.Resignation{}
 	case *peerpb.Envelope_CoordinatorSlow:
 		return reservation.CoordinatorSlow{Host: request.Epoch(wms.CoordinatorSlow.GetHost()), Slow: wms.CoordinatorSlow.GetSlow()}
 	case *peerpb.Envelope_Progress:
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -327,6 +327,9 @@
 	Slow bool
 }
 
+// Resignation asks the next candidate to replace the sender as the coordinator.
+type Resignation struct{}
+
 // UnreachableHosts sends a gateway the complete list of hosts that the coordinator can't reach.
 // Clients aren't directed to them, although their entries in the store haven't expired yet.
 type UnreachableHosts struct {
@@ -401,6 +404,7 @@
 func (UnreachableHosts) isMessage() {}
 func (Leader) isMessage()           {}
 func (CoordinatorSlow) isMessage()  {}
+func (Resignation) isMessage()      {}
 
 func (EngineCrashed) isMessage() {}
 func (CaseReport) isMessage()    {}
