test: mutations for late and unconfirmed crashes and for resignations; a red soak keeps its logs

The mutation "an engine that was found alive hasn't crashed, over hosts" wasn't detected at first: TestCutAnswersOfDeregisteredEnginesDoNotHoldRequest ended before the checks did. It awaits them now, and deletes the entries both before and after the check.

--- a/entry/crashcheck_test.go
+++ b/entry/crashcheck_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -15,21 +16,25 @@
 // deregistered as planned: each deletion of an entry within ten seconds counted as a crash, although the
 // engine had answered other requests meanwhile. The request got 502 Held from the fourth attempt on.
 func TestCutAnswersOfDeregisteredEnginesDoNotHoldRequest(t *testing.T) {
-	for _, others := range []int{0, 5} {
-		t.Run(fmt.Sprint("other requests: ", others), func(t *testing.T) {
+	for name, deletedAtOnce := range map[string]bool{"deleted at once": true, "deleted after the check": false} {
+		t.Run(name, func(t *testing.T) {
 			engine := plainEngine("p0")
 			sys := start(t, 4, []*upstreamtest.Engine{engine})
 			for num := range 3 {
 				engine.InjectFault(upstreamtest.DropAnswer, 1)
 				ans := sendSame(t, sys, num, fmt.Sprint("cut-", num))
 				assert.Assert(t, ans.Status != http.StatusOK, "the engine cuts the answer off")
-				sendOthers(t, sys, engine.ID(), others)
+				if !deletedAtOnce {
+					sendOthers(t, sys, engine.ID(), 5)
+					waitForChecks(sys, num+1)
+				}
 				next := plainEngine(fmt.Sprint("p", num+1))
 				sys.AddEngines(next)
 				sys.RemoveEngine(engine.ID())
 				sys.WaitUntil("every host knows the next engine only", func() bool { return knowOnly(sys, next.ID()) })
 				engine = next
 			}
+			waitForChecks(sys, 3)
 			for num := range sys.Hosts {
 				ans := sendSame(t, sys, num, fmt.Sprint("last-", num))
 				assert.Equal(t, ans.Status, http.StatusOK, ans.Body)
@@ -38,6 +43,13 @@
 	}
 }
 
+// waitForChecks waits until the hosts have made a number of checks in all.
+func waitForChecks(sys *entrytest.System, count int) {
+	sys.WaitUntil("the engines are checked", func() bool {
+		return strings.Count(sys.Log(), "engine checked after it ended a connection") == count
+	})
+}
+
 // sendSame sends the request that all attempts of the test have in common, to one of the hosts.
 func sendSame(t *testing.T, sys *entrytest.System, num int, id string) entrytest.Answer {
 	t.Helper()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -14,6 +14,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -21,7 +22,9 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -210,16 +213,35 @@
 	return sys
 }
 
-// saveLogs copies the logs of a failed run into the directory that LYNXWELL_SOAK_LOGS names.
+// saveLogs copies the logs of a failed run into a new directory, named after the seed and the commit, in
+// the one that LYNXWELL_SOAK_LOGS names, or else in the system's directory for temporary files.
 func (sys *system) saveLogs() {
-	root := os.Getenv("LYNXWELL_SOAK_LOGS")
-	if !sys.t.Failed() || root == "" {
+	if !sys.t.Failed() {
 		return
 	}
-	target := filepath.Join(root, filepath.Base(sys.t.Name()))
-	if err := os.CopyFS(target, os.DirFS(sys.dir)); err != nil {
+	root := cmp.Or(os.Getenv("LYNXWELL_SOAK_LOGS"), filepath.Join(os.TempDir(), "lynxwell-soak"))
+	err := os.MkdirAll(root, 0o700)
+	var target string
+	if err == nil {
+		target, err = os.MkdirTemp(root, filepath.Base(sys.t.Name())+"-"+sys.commit()+"-")
+	}
+	if err == nil {
+		err = os.CopyFS(target, os.DirFS(sys.dir))
+	}
+	if err != nil {
 		sys.t.Log("cannot copy the logs of the run:", err)
+		return
+	}
+	sys.t.Log("logs of the run:", target)
+}
+
+// commit returns the abbreviated commit of the checkout, or a placeholder outside of one.
+func (sys *system) commit() string {
+	out, err := exec.CommandContext(context.WithoutCancel(sys.t.Context()), "git", "rev-parse", "--short", "HEAD").Output()
+	if err != nil {
+		return "no-commit"
 	}
+	return strings.TrimSpace(string(out))
 }
 
 func (sys *system) addEngine(id, service string) {
--- a/tools/mutate/mutations.go
+++ b/tools/mutate/mutations.go
@@ -29,10 +29,59 @@
 // shares selects the tests of shares of client accounts.
 var shares = []string{"./fairqueue", "./scheduler", "-run", "Account|Burst|Charged|Grant|Share"}
 
+// crashes selects the tests of engine crashes that hosts report late or that aren't confirmed.
+var crashes = []string{"./quarantine", "./scheduler", "-run", "Delayed|Check|Later|LiveEngine|Second|NewCoordinator"}
+
+// cutAnswers selects the tests of engines that cut answers off and live on.
+var cutAnswers = []string{"./entry", "-run", "CutAnswers"}
+
+// resignations selects the tests of coordinators that can't write to the store.
+var resignations = []string{"./takeover", "./entry", "-run", "EvacuationIsPublishedWithout|WritesFail"}
+
 // turns selects the tests of predicted turns.
 var turns = []string{"./turn", "./scheduler", "-run", "Predictions|Calendar|Refused|WhenTold|AtOnce"}
 
 var mutations = []mutation{
+	{
+		"Crash: a delayed report counts once", "quarantine/quarantine.go",
+		"if !known.seenAt.Before(obs.Began) {", "if !known.seenAt.Before(now) {", crashes,
+	},
+	{
+		"Crash: a second crash of a run is counted", "quarantine/quarantine.go",
+		"if !known.seenAt.Before(obs.Began) {", "if true {", crashes,
+	},
+	{
+		"Crash: an engine that was found alive hasn't crashed", "quarantine/unconfirmed.go",
+		"case ucr.observation.Check == CheckAlive && (", "case false && (", crashes,
+	},
+	{
+		"Crash: the same, over hosts", "entry/crashcheck.go",
+		"		msg.Check = quarantine.CheckAlive", "		msg.Check = quarantine.CheckNone", cutAnswers,
+	},
+	{
+		"Crash: a running check is awaited", "quarantine/unconfirmed.go",
+		"case registered || ucr.isBeingChecked(now):", "case registered:", crashes,
+	},
+	{
+		"Crash: a later answer shows that the engine lived", "quarantine/unconfirmed.go",
+		"if key.engine == engine && ucr.since.Before(sentAt) {", "if false && ucr.since.IsZero() {", crashes,
+	},
+	{
+		"Crash: an earlier answer doesn't", "quarantine/unconfirmed.go",
+		"if key.engine == engine && ucr.since.Before(sentAt) {", "if _ = ucr; key.engine == engine {", crashes,
+	},
+	{
+		"Crash: a late confirmation keeps what was reported", "scheduler/quarantine.go",
+		"		obs = cor.quarantine.Unconfirmed(obs)\n", "", crashes,
+	},
+	{
+		"Resign: a coordinator without the store is replaced", "entry/resign.go",
+		"		cow.host.broker.resign(err)", "", resignations,
+	},
+	{
+		"Resign: a successful write ends a series of failures", "takeover/writes.go",
+		"{ *wri = Writes{} }", "{}", resignations,
+	},
 	{
 		"Overload: a pass ends when no engine has room", "scheduler/serve.go",
 		"	if pss.scan.full && !pss.exhaustive {", "	if false {", overload,
