fix(scheduler): suspected requests never run beside one another

Cause: a request that was part of two crashes runs exclusively, but not where a service has fewer than three engines: there it runs beside any others, also beside another suspected request. At the third crash both are held, although one of them caused all three.

The poison request and the popular one were both at m2 and m0 when these crashed. Their entries were deleted one by one; at 59.650 host-0 knew two engines, one of them down, and granted both suspected requests m1, in the same millisecond (decisions with Engines 2, Running 3 and 4). m1 crashed at 59.680: both Held, with engines m2, m0, m1.

Why it works: an engine that runs a suspected request is not granted another one, whatever the number of engines. On a service with one engine left it waits for its turn, at most as long as any request, and requests without crashes don't wait for it. The poison request alone is held then.

TestSuspectedRequestsRunApartOnFewEngines failed before (both granted e00).

--- a/scheduler/apart.go
+++ b/scheduler/apart.go
@@ -143,6 +143,16 @@
 // runsExclusively reports whether the engine runs a suspect request exclusively.
 func (ene *engine) runsExclusively() bool { return ene.exclusiveRuns > 0 }
 
+// runsSuspected reports whether the engine runs a request that was suspected when it was granted.
+func (ene *engine) runsSuspected() bool {
+	for _, rnn := range ene.running {
+		if rnn.suspected {
+			return true
+		}
+	}
+	return false
+}
+
 // runsWatched reports whether the engine runs a request that was involved in a crash.
 func (ene *engine) runsWatched() bool {
 	for _, rnn := range ene.running {
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -104,10 +104,11 @@
 	route      string
 	repeatable bool
 	loaded     bool
-	// subject identifies the request in the quarantine. exclusive is set if it is suspected and
-	// has the engine for itself, restricted if its traffic source is restricted and only such
+	// subject identifies the request in the quarantine. suspected is set if it was suspected when it was
+	// granted, exclusive if it then has the engine for itself, restricted if its traffic source is restricted and only such
 	// requests run beside it, watched if it was involved in a crash before.
 	subject    quarantine.Subject
+	suspected  bool
 	exclusive  bool
 	restricted bool
 	watched    bool
--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -80,6 +80,11 @@
 	}
 }
 
+// isSuspected reports whether a request is suspected: it was part of several crashes.
+func (cor *Core) isSuspected(now time.Time, dig call.Digest) bool {
+	return !cor.quarantine.IsEmpty() && cor.quarantine.Level(now, dig) >= quarantine.LevelSuspected
+}
+
 // cachedHandling returns how a waiting request is treated. It caches the normal result until the
 // quarantine changes, since it is called for hundreds of waiting requests whenever a run starts
 // or ends (BenchmarkManyWaiting).
--- a/scheduler/quarantine_test.go
+++ b/scheduler/quarantine_test.go
@@ -347,3 +347,22 @@
 	rep := har.core.CaseReports(har.now, quarantine.LevelHeld, 1)[0]
 	assert.Assert(t, rep.Crashes[2].Alone)
 }
+
+// Guards against a false hold where too few engines are left to isolate one: a popular request that had
+// run beside two crashes was granted the engine that ran the poison request, and was held with it at the
+// third crash. Suspected requests run beside others there, but never beside one another.
+func TestSuspectedRequestsRunApartOnFewEngines(t *testing.T) {
+	har := newHarness(newModelEngines(1)...)
+	for _, name := range []string{"poison", "popular"} {
+		har.handle(scheduler.Received{From: peerEpoch, Message: reservation.CaseReport{Report: quarantine.Report{
+			Subject: sameRequest(name, name).Subject(), Crashes: []quarantine.Crash{{Engine: "x"}, {Engine: "y"}},
+		}}})
+	}
+	poison, popular := sameRequest("poison", "poison"), sameRequest("popular", "popular")
+	assert.Equal(t, grantedEngine(har.reserve(poison), "poison"), "e00")
+	assert.Equal(t, grantedEngine(har.reserve(popular), "popular"), "", "the engine runs another suspected request")
+	assert.Equal(t, grantedEngine(har.reserve(sameRequest("other", "other")), "other"), "e00", "a request without crashes doesn't wait")
+	har.reportCrash(poison, "e00")
+	assert.Equal(t, refusalReason(har.reserve(sameRequest("poison", "again")), "again"), reservation.ReasonHeld)
+	assert.Equal(t, len(har.core.CaseReports(har.now, quarantine.LevelHeld, 2)), 1, "the popular request isn't held")
+}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -29,7 +29,7 @@
 	rnn := &run{
 		engine: best, gateway: wai.gateway, account: res.Account, cost: cor.costOf(res), tokens: tokens, prefillPending: true,
 		expected: can.firstEvent, queued: !best.hasSlot(),
-		subject: res.Subject(), exclusive: han == handleExclusive && best.isIsolated(now), restricted: han == handleRestricted && best.isIsolated(now), watched: cor.quarantine.Crashes(res.Digest) > 0,
+		subject: res.Subject(), suspected: cor.isSuspected(now, res.Digest), exclusive: han == handleExclusive && best.isIsolated(now), restricted: han == handleRestricted && best.isIsolated(now), watched: cor.quarantine.Crashes(res.Digest) > 0,
 	}
 	cor.recordStart(rnn)
 	ent := cor.entry(svc, wai)
@@ -125,7 +125,7 @@
 	if ene == nil || cor.runs[ado.ID] != nil {
 		return
 	}
-	rnn := &run{engine: ene, gateway: from, account: ado.Account, cost: ado.Cost, tokens: ado.PromptTokens, prefillPending: ado.PendingPrefill, subject: ado.Subject(), inherited: inherited}
+	rnn := &run{engine: ene, gateway: from, account: ado.Account, cost: ado.Cost, tokens: ado.PromptTokens, prefillPending: ado.PendingPrefill, subject: ado.Subject(), suspected: cor.isSuspected(now, ado.Digest), inherited: inherited}
 	rnn.share, rnn.work = cor.shareOf(fairqueue.Class{Rank: ado.Rank, Urgency: ado.Urgency}, ado.Account, ado.Client), ado.Work
 	cor.service(ene.Service).queue.Charge(rnn.share, rnn.work)
 	cor.recordStart(rnn)
--- a/tools/mutate/mutations.go
+++ b/tools/mutate/mutations.go
@@ -30,7 +30,7 @@
 var shares = []string{"./fairqueue", "./scheduler", "-run", "Account|Burst|Charged|Grant|Share"}
 
 // crashes selects the tests of engine crashes that hosts report late or that aren't confirmed.
-var crashes = []string{"./quarantine", "./scheduler", "-run", "Delayed|Check|Later|LiveEngine|Second|NewCoordinator"}
+var crashes = []string{"./quarantine", "./scheduler", "-run", "Delayed|Check|Later|LiveEngine|Second|NewCoordinator|RunApart"}
 
 // cutAnswers selects the tests of engines that cut answers off and live on.
 var cutAnswers = []string{"./entry", "-run", "CutAnswers"}
@@ -74,6 +74,10 @@
 		"Crash: a late confirmation keeps what was reported", "scheduler/quarantine.go",
 		"		obs = cor.quarantine.Unconfirmed(obs)\n", "", crashes,
 	},
+	{
+		"Crash: suspected requests run apart on few engines", "scheduler/choose.go",
+		"if sea.suspected && ene.runsSuspected() {", "if false && ene.runsSuspected() {", crashes,
+	},
 	{
 		"Resign: a coordinator without the store is replaced", "entry/resign.go",
 		"		cow.host.broker.resign(err)", "", resignations,
