--- a/soak/faults.go
+++ b/soak/faults.go
@@ -147,7 +147,7 @@
 			sys.control(eng, upstreamtest.PathFault, upstreamtest.FaultRequest{Clear: true})
 		}
 	}
-	sys.restartEnded()
+	sys.checkRunning()
 	for _, hos := range sys.hosts {
 		hos.Resume()
 		if hos.down {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -104,8 +104,6 @@
 	storeLink *processtest.Link
 	file      string
 	down      bool
-	// logStart is the length of the log when the latest process was started.
-	logStart int
 	// disturbances holds the times at which the host was killed, stopped, started, frozen or resumed.
 	disturbances []time.Time
 }
@@ -346,7 +344,6 @@
 	assert.NilError(sys.t, err)
 	assert.NilError(sys.t, os.WriteFile(hos.file, data, 0o600))
 	hos.recordDisturbance()
-	hos.logStart = logLength(hos.Process)
 	hos.Process = processtest.Run(sys.t, sys.dir, hos.set.Name, "entry", "--settings", hos.file)
 	hos.down = false
 }
