feat(entry): metrics of failed dials, and a log line with the reporting host of each ejected engine

With EngineDials.RESULT and EngineEjections hosts that reach no engine can be told from engines that fail. No decision changes.

--- a/entry/desk.go
+++ b/entry/desk.go
@@ -185,6 +185,7 @@
 		bro.deliver(snd)
 	}
 	bro.publishQuarantineChanges()
+	bro.logEjections()
 	bro.scheduleTick()
 }
 
@@ -247,6 +248,15 @@
 		Int("Running", inp.Running).Dur("Unread", inp.PendingPrefill).Dur("Expected", inp.Expected).Msg("decision")
 }
 
+// logEjections logs the engines that this host's scheduler has ejected, with the gateways that reported
+// the failures.
+func (bro *broker) logEjections() {
+	for _, eje := range bro.core.Ejections() {
+		bro.host.metrics.count("EngineEjections")
+		bro.host.log.Info().Stringer("Engine", eje.Engine).Stringer("Gateway", eje.Gateway).Dur("For", eje.For).Msg("engine ejected")
+	}
+}
+
 // applyMessage applies a coordinator's message; the mutex must be held.
 func (bro *broker) applyMessage(by request.Epoch, msg reservation.Message) {
 	switch msg := msg.(type) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -162,7 +162,8 @@
 	hos.evacuations = newEvacuations(hos)
 	hos.upstream = upstream.NewClient(upstream.ClientConfig{
 		Decode: platform.DecodeAnswer, Now: hos.clock.Now, HeadReceived: hos.notices.apply,
-		Dialed: func() { hos.metrics.dialed.Inc(1) },
+		Dialed:     func() { hos.metrics.dialed.Inc(1) },
+		DialFailed: func(res upstream.DialResult) { hos.metrics.count("EngineDials." + res.String()) },
 	})
 	hos.peers = peer.NewClient(peer.ClientConfig{Security: hos.security(), Timing: peerTiming, Self: hos.Header})
 	hos.broker = newBroker(hos)
--- a/scheduler/choose_test.go
+++ b/scheduler/choose_test.go
@@ -197,6 +197,19 @@
 	assert.Equal(t, probes, 1, "a single request probes the ejected engine")
 }
 
+func TestEjectionNamesReportingGateway(t *testing.T) {
+	har := newHarness(plainEngine("a", 8))
+	for _, name := range []string{"r1", "r2"} {
+		har.reserve(plainReservation(name))
+		har.release(reservation.Release{ID: requestID(name), Failed: true})
+	}
+	ejections := har.core.Ejections()
+	assert.Equal(t, len(ejections), 1)
+	assert.Equal(t, ejections[0].Engine.Name, "a")
+	assert.Equal(t, ejections[0].Gateway, peerEpoch)
+	assert.Equal(t, len(har.core.Ejections()), 0, "each ejection is returned once")
+}
+
 func TestOnlyEngineIsNeverEjected(t *testing.T) {
 	har := newHarness(plainEngine("a", 8))
 	for idx := range 10 {
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 	"time"
+
+	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/request"
 )
 
 const (
@@ -89,6 +92,29 @@
 	return count
 }
 
+// Ejection is an engine that was ejected, and the gateway whose report was the last that led to it.
+type Ejection struct {
+	Engine  fleet.EngineID
+	Gateway request.Epoch
+	For     time.Duration
+}
+
+// Ejections returns the ejections since the last call.
+func (cor *Core) Ejections() []Ejection {
+	found := cor.ejections
+	cor.ejections = nil
+	return found
+}
+
+// recordFailure records a failure of an engine that a gateway has reported.
+func (cor *Core) recordFailure(now time.Time, ene *engine, gateway request.Epoch) {
+	before := ene.health.ejectedUntil
+	cor.service(ene.Service).recordFailure(now, ene)
+	if ene.health.ejectedUntil.After(before) {
+		cor.ejections = append(cor.ejections, Ejection{Engine: ene.ID, Gateway: gateway, For: ene.health.ejectedFor})
+	}
+}
+
 // recordFailure records a failure of an engine.
 func (svc *service) recordFailure(now time.Time, ene *engine) {
 	ene.health.recordFailure(now)
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -50,6 +50,9 @@
 	if cfg.HeadReceived == nil {
 		cfg.HeadReceived = func(HeadReceived) {}
 	}
+	if cfg.DialFailed == nil {
+		cfg.DialFailed = func(DialResult) {}
+	}
 	return &Client{cfg: cfg, idle: make(map[Endpoint][]*connection), busy: make(map[*connection]struct{})}
 }
 
@@ -122,6 +125,7 @@
 func (cli *Client) dial(ctx context.Context, end Endpoint) (*connection, error) {
 	opened, err := liveness.Dialer(cli.cfg.DialTimeout).DialContext(ctx, "tcp", end.Address.String())
 	if err != nil {
+		cli.cfg.DialFailed(dialResult(ctx, err))
 		return nil, err
 	}
 	if cli.cfg.Dialed != nil {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -34,6 +34,8 @@
 	Now func() time.Time
 	// Dialed, if not nil, is called for each new connection.
 	Dialed func()
+	// DialFailed, if not nil, is called with the result of each dial that opened no connection.
+	DialFailed func(DialResult)
 	// HeadReceived, if not nil, is called with the head of each answer of an engine before
 	// any of the answer is passed on. This includes answers that belong to another request, but
 	// not informational answers (status 1xx).
