--- a/entry/entry.go
+++ b/entry/entry.go
@@ -40,6 +40,8 @@
 	Settings settings.Entry
 	Log      zerolog.Logger
 	Store    store.Store
+	// EngineDialer opens the connections to engines and backend servers; nil for the default one.
+	EngineDialer upstream.Dialer
 	// LinesDropped returns how many log lines were dropped because their reader was too slow; nil
 	// if none ever are.
 	LinesDropped func() int64
@@ -161,7 +163,7 @@
 	hos.notices = newNotices(hos)
 	hos.evacuations = newEvacuations(hos)
 	hos.upstream = upstream.NewClient(upstream.ClientConfig{
-		Decode: platform.DecodeAnswer, Now: hos.clock.Now, HeadReceived: hos.notices.apply,
+		Dialer: cfg.EngineDialer, Decode: platform.DecodeAnswer, Now: hos.clock.Now, HeadReceived: hos.notices.apply,
 		Dialed:     func() { hos.metrics.dialed.Inc(1) },
 		DialFailed: func(res upstream.DialResult) { hos.metrics.count("EngineDials." + res.String()) },
 	})
--- a/entrytest/entrytest.go
+++ b/entrytest/entrytest.go
@@ -95,6 +95,8 @@
 	storeThrottled atomic.Bool
 	// Clock is the source of the host's clocks if Config.Suspendable is set.
 	Clock *clocktest.Source
+	// EnginePath is the host's path to all engines, which a test may cut.
+	EnginePath *upstreamtest.Path
 }
 
 // SetStoreThrottled sets whether the store answers the host's calls with 429 Too Many Requests.
@@ -207,7 +209,7 @@
 
 func (sys *System) startHost(idx int, cfg Config) {
 	sys.t.Helper()
-	host := &Host{}
+	host := &Host{EnginePath: upstreamtest.NewPath()}
 	domain := fmt.Sprintf("d%d", idx)
 	if cfg.OneDomain {
 		domain = "d0"
@@ -239,7 +241,7 @@
 		source = host.Clock
 	}
 	hos, err := entry.New(entry.Config{
-		Clock: source, Settings: set, Log: zerolog.New(sys.log).With().Timestamp().Logger(),
+		Clock: source, EngineDialer: host.EnginePath, Settings: set, Log: zerolog.New(sys.log).With().Timestamp().Logger(),
 		Store: platform.NewClient(platform.ClientConfig{Address: set.StoreAddress}),
 	})
 	assert.NilError(sys.t, err)
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -44,6 +44,9 @@
 	if cfg.DialTimeout == 0 {
 		cfg.DialTimeout = defaultDialTimeout
 	}
+	if cfg.Dialer == nil {
+		cfg.Dialer = liveness.Dialer(cfg.DialTimeout)
+	}
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
@@ -123,7 +126,9 @@
 }
 
 func (cli *Client) dial(ctx context.Context, end Endpoint) (*connection, error) {
-	opened, err := liveness.Dialer(cli.cfg.DialTimeout).DialContext(ctx, "tcp", end.Address.String())
+	dialCtx, cancel := context.WithTimeout(ctx, cli.cfg.DialTimeout)
+	defer cancel()
+	opened, err := cli.cfg.Dialer.DialContext(dialCtx, "tcp", end.Address.String())
 	if err != nil {
 		cli.cfg.DialFailed(dialResult(ctx, err))
 		return nil, err
@@ -196,7 +201,7 @@
 	found, _, _ := cli.probes.Do(end.Address.String(), func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 		defer cancel()
-		con, err := liveness.Dialer(probeTimeout).DialContext(ctx, "tcp", end.Address.String())
+		con, err := cli.cfg.Dialer.DialContext(ctx, "tcp", end.Address.String())
 		switch {
 		case err == nil:
 			closeQuietly(con)
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -89,11 +89,11 @@
 
 // control calls a function with the connection's file descriptor and returns its error.
 func (con *connection) control(call func(fd uintptr) error) error {
-	tcp, isTCP := con.Conn.(*net.TCPConn)
-	if !isTCP {
+	socket, isSocket := con.Conn.(syscall.Conn)
+	if !isSocket {
 		return syscall.EAGAIN
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return err
 	}
--- a/upstream/dial.go
+++ b/upstream/dial.go
@@ -8,6 +8,11 @@
 	"github.com/cockroachdb/errors"
 )
 
+// Dialer opens connections to engines and backend servers.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // DialResult is why a dial opened no connection.
 type DialResult uint8
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -26,6 +26,8 @@
 
 // ClientConfig configures a Client.
 type ClientConfig struct {
+	// Dialer opens the connections; nil means TCP with the package's time limits for dead peers.
+	Dialer Dialer
 	// DialTimeout bounds connection establishment; 0 means 1 s.
 	DialTimeout time.Duration
 	// Decode decodes an answer's head.
