fix(entry): a host that reaches no engine forwards through other hosts and condemns nothing

Cause: a host knew one way to an engine, its own. Each request waited up to three times for a dial and was refused, its grants were lost to the others, and its failures counted against the engines: up to 15 of 22 ejected, popular requests held. Change: a connection that fails or is slow makes the host check whether any other engine accepts one. If none does, its requests go through another host, which first reserves a connection, checks key, draining, signals and evacuation by its own knowledge, and sends at most once. Failures count only from a host that reaches other engines; a refused probe counts only around an accepted one. Before: TestHostsCutFromEnginesServe 0 of 2 and 0 of 50 answered at cut hosts, TestCutHostCondemnsNoRequest 502 Held. After: all pass.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -121,6 +121,10 @@
 	// longestPause is the longest time between two events sent to the client.
 	longestPause time.Duration
 	engine       string
+	// forwarder is the host through which the most recent attempt was sent; empty if it was sent directly.
+	forwarder string
+	// forwardedAt is when that host was sent the request.
+	forwardedAt time.Time
 	// grant is the most recent grant; it is for the engine named engine.
 	grant grant
 	// decidedBy is the epoch of the host that made the most recent decision. decisionWait is the
@@ -326,6 +330,9 @@
 	if exc.eventCount > 0 {
 		evt = evt.Int("Events", exc.eventCount).Int64("LastEvent", exc.lastEventID).Dur("Pause", exc.longestPause)
 	}
+	if exc.forwarder != "" {
+		evt = evt.Str("ForwardedBy", exc.forwarder)
+	}
 	if cau == causeAnswered {
 		evt = evt.Str("Timely", string(exc.timeliness()))
 	}
--- a/entry/crash.go
+++ b/entry/crash.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/peer"
 	"lynxwell.dev/lynxwell/quarantine"
 	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/reservation"
@@ -43,7 +46,7 @@
 // failure it still listens or does not respond. An engine that stops as planned has signaled that
 // it is draining, or has been deregistered, before its connections end.
 func (exc *exchange) detectCrash(ctx context.Context, eng fleet.Engine, att attempt) crashState {
-	if att.outcome != outcomeLost || att.cause == causeClientDisconnected || ctx.Err() != nil || !upstream.EndedByPeer(att.err) {
+	if att.outcome != outcomeLost || att.cause == causeClientDisconnected || ctx.Err() != nil || !endedByEngine(att) {
 		return crashNone
 	}
 	known, found := exc.host.snapshot.Load().engine(eng.ID)
@@ -57,12 +60,32 @@
 	if known.ID.Follows(eng.ID) {
 		return crashConfirmed
 	}
-	if exc.host.upstream.Probe(ctx, upstream.Endpoint{Address: eng.Address, Engine: eng.ID}) == upstream.ProbeRefused {
+	if exc.probe(ctx, eng, att) == upstream.ProbeRefused {
 		return crashConfirmed
 	}
 	return crashUnconfirmed
 }
 
+// endedByEngine reports whether the engine ended the connection of an attempt, as far as is known: not if
+// this host has lost its paths to all engines.
+func endedByEngine(att attempt) bool {
+	var fer *peer.ForwardError
+	if errors.As(att.err, &fer) {
+		return fer.EndedByEngine
+	}
+	return !att.pathLost && upstream.EndedByPeer(att.err)
+}
+
+// probe reports whether the engine of an attempt still accepts connections, as the host found that sent the
+// request to it.
+func (exc *exchange) probe(ctx context.Context, eng fleet.Engine, att attempt) upstream.Probe {
+	var fer *peer.ForwardError
+	if errors.As(att.err, &fer) {
+		return fer.Check
+	}
+	return exc.host.probeEngine(ctx, eng)
+}
+
 // crashOfDeregistered determines whether an engine that is no longer registered may have crashed: its
 // entry was deleted so shortly before that it can't have been a planned stop.
 func (exc *exchange) crashOfDeregistered(eng fleet.Engine) crashState {
--- a/entry/crashcheck.go
+++ b/entry/crashcheck.go
@@ -94,7 +94,7 @@
 		return upstream.ProbeListens
 	}
 	now := time.Now()
-	result := che.host.upstream.Probe(ctx, upstream.Endpoint{Address: chk.engine.Address, Engine: chk.engine.ID})
+	result := che.host.probeEngine(ctx, chk.engine)
 	if result == upstream.ProbeListens {
 		maps.DeleteFunc(che.aliveAt, func(_ fleet.EngineID, at time.Time) bool { return now.Sub(at) > maxCrashCheckAge })
 		che.aliveAt[chk.engine.ID] = now
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -75,6 +75,9 @@
 	// suspensions.
 	clock    *clock.Clock
 	upstream *upstream.Client
+	// paths tracks whether this host reaches engines. forwards counts the requests that it forwards for others.
+	paths    *paths
+	forwards *inFlight
 	notices  *notices
 	// evacuations keeps requests out of failure domains that are being evacuated.
 	evacuations *evacuations
@@ -170,6 +173,8 @@
 	hos.peers = peer.NewClient(peer.ClientConfig{Security: hos.security(), Timing: peerTiming, Self: hos.Header})
 	hos.broker = newBroker(hos)
 	hos.crashChecks = newCrashChecks(hos)
+	hos.paths = newPaths(hos)
+	hos.forwards = newInFlight()
 	hos.coordinatorWrites = &coordinatorWrites{host: hos}
 	return hos, nil
 }
@@ -256,6 +261,7 @@
 	hos.tasks.Run("lease", func() error { return hos.maintainLease(ctx) })
 	hos.tasks.Run("sessions", func() error { return hos.broker.maintainSessions(ctx) })
 	hos.tasks.Run("takeover", func() error { return hos.broker.watchCoordinator(ctx) })
+	hos.tasks.Run("paths", func() error { return hos.paths.run(ctx) })
 	hos.tasks.Run("crash checks", func() error { return hos.crashChecks.run(ctx) })
 	hos.tasks.Run("presence", func() error { return hos.broker.maintainPresence(ctx) })
 	hos.tasks.Run("settings", func() error { return hos.watchSettings(ctx) })
@@ -339,6 +345,9 @@
 	case <-ctx.Done():
 	}
 	err := hos.servers[0].Shutdown(ctx)
+	if err == nil {
+		err = hos.forwards.wait(ctx)
+	}
 	if err != nil {
 		hos.log.Warn().Err(err).Msg("planned stop did not finish, cutting requests in flight")
 	}
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -262,9 +262,7 @@
 
 func grantFromWire(wgr *peerpb.Grant) reservation.Grant {
 	gra := reservation.Grant{ID: idFromWire(wgr.GetId()), Ballot: ballotFromWire(wgr.GetBallot(), wgr.GetId()), Engine: wgr.GetEngine(), Cold: wgr.GetCold(), Waited: fromMicros(wgr.GetWaitedUs()), Work: fromMicros(wgr.GetWorkUs())}
-	if rate := wgr.GetRate(); rate <= uint32(reservation.GrantRateUnlimited) {
-		gra.Rate = reservation.GrantRate(rate)
-	}
+	gra.Rate = grantRateFromWire(wgr.GetRate())
 	return gra
 }
 
@@ -345,3 +343,10 @@
 	}
 	return ans
 }
+
+func grantRateFromWire(rate uint32) reservation.GrantRate {
+	if rate > uint32(reservation.GrantRateUnlimited) {
+		return reservation.GrantRateUnknown
+	}
+	return reservation.GrantRate(rate)
+}
--- a/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/peer/peerpb/peerpbconnect/peer.connect.go
@@ -50,6 +50,10 @@
 	PeerServiceProbeProcedure = "/lynxwell.peer.v1.PeerService/Probe"
 	// PeerServiceFollowProcedure is the fully-qualified name of the PeerService's Follow RPC.
 	PeerServiceFollowProcedure = "/lynxwell.peer.v1.PeerService/Follow"
+	// PeerServiceForwardProcedure is the fully-qualified name of the PeerService's Forward RPC.
+	PeerServiceForwardProcedure = "/lynxwell.peer.v1.PeerService/Forward"
+	// PeerServiceCheckEngineProcedure is the fully-qualified name of the PeerService's CheckEngine RPC.
+	PeerServiceCheckEngineProcedure = "/lynxwell.peer.v1.PeerService/CheckEngine"
 )
 
 // PeerServiceClient is a client for the lynxwell.peer.v1.PeerService service.
@@ -66,6 +70,11 @@
 	// Follow waits for store changes that the host has received, and returns
 	// them with their age.
 	Follow(context.Context, *connect.Request[peerpb.FollowRequest]) (*connect.Response[peerpb.FollowResponse], error)
+	// Forward sends a request to an engine for a host that can't reach the
+	// engines itself.
+	Forward(context.Context) *connect.BidiStreamForClient[peerpb.ForwardFrame, peerpb.ForwardFrame]
+	// CheckEngine checks for such a host whether an engine accepts connections.
+	CheckEngine(context.Context, *connect.Request[peerpb.CheckEngineRequest]) (*connect.Response[peerpb.CheckEngineResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the lynxwell.peer.v1.PeerService service. By
@@ -127,19 +136,33 @@
 			connect.WithSchema(peerServiceMethods.ByName("Follow")),
 			connect.WithClientOptions(opts...),
 		),
+		forward: connect.NewClient[peerpb.ForwardFrame, peerpb.ForwardFrame](
+			httpClient,
+			baseURL+PeerServiceForwardProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Forward")),
+			connect.WithClientOptions(opts...),
+		),
+		checkEngine: connect.NewClient[peerpb.CheckEngineRequest, peerpb.CheckEngineResponse](
+			httpClient,
+			baseURL+PeerServiceCheckEngineProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("CheckEngine")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	session    *connect.Client[peerpb.Frame, peerpb.Frame]
-	fence      *connect.Client[peerpb.FenceRequest, peerpb.FenceResponse]
-	vouch      *connect.Client[peerpb.VouchRequest, peerpb.VouchResponse]
-	unvouch    *connect.Client[peerpb.UnvouchRequest, peerpb.UnvouchResponse]
-	handover   *connect.Client[peerpb.HandoverRequest, peerpb.HandoverResponse]
-	fetchState *connect.Client[peerpb.FetchStateRequest, peerpb.FetchStateResponse]
-	probe      *connect.Client[peerpb.ProbeRequest, peerpb.ProbeResponse]
-	follow     *connect.Client[peerpb.FollowRequest, peerpb.FollowResponse]
+	session     *connect.Client[peerpb.Frame, peerpb.Frame]
+	fence       *connect.Client[peerpb.FenceRequest, peerpb.FenceResponse]
+	vouch       *connect.Client[peerpb.VouchRequest, peerpb.VouchResponse]
+	unvouch     *connect.Client[peerpb.UnvouchRequest, peerpb.UnvouchResponse]
+	handover    *connect.Client[peerpb.HandoverRequest, peerpb.HandoverResponse]
+	fetchState  *connect.Client[peerpb.FetchStateRequest, peerpb.FetchStateResponse]
+	probe       *connect.Client[peerpb.ProbeRequest, peerpb.ProbeResponse]
+	follow      *connect.Client[peerpb.FollowRequest, peerpb.FollowResponse]
+	forward     *connect.Client[peerpb.ForwardFrame, peerpb.ForwardFrame]
+	checkEngine *connect.Client[peerpb.CheckEngineRequest, peerpb.CheckEngineResponse]
 }
 
 // Session calls lynxwell.peer.v1.PeerService.Session.
@@ -182,6 +205,16 @@
 	return c.follow.CallUnary(ctx, req)
 }
 
+// Forward calls lynxwell.peer.v1.PeerService.Forward.
+func (c *peerServiceClient) Forward(ctx context.Context) *connect.BidiStreamForClient[peerpb.ForwardFrame, peerpb.ForwardFrame] {
+	return c.forward.CallBidiStream(ctx)
+}
+
+// CheckEngine calls lynxwell.peer.v1.PeerService.CheckEngine.
+func (c *peerServiceClient) CheckEngine(ctx context.Context, req *connect.Request[peerpb.CheckEngineRequest]) (*connect.Response[peerpb.CheckEngineResponse], error) {
+	return c.checkEngine.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the lynxwell.peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Session is a stream of messages between a gateway and a coordinator.
@@ -196,6 +229,11 @@
 	// Follow waits for store changes that the host has received, and returns
 	// them with their age.
 	Follow(context.Context, *connect.Request[peerpb.FollowRequest]) (*connect.Response[peerpb.FollowResponse], error)
+	// Forward sends a request to an engine for a host that can't reach the
+	// engines itself.
+	Forward(context.Context, *connect.BidiStream[peerpb.ForwardFrame, peerpb.ForwardFrame]) error
+	// CheckEngine checks for such a host whether an engine accepts connections.
+	CheckEngine(context.Context, *connect.Request[peerpb.CheckEngineRequest]) (*connect.Response[peerpb.CheckEngineResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -253,6 +291,18 @@
 		connect.WithSchema(peerServiceMethods.ByName("Follow")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceForwardHandler := connect.NewBidiStreamHandler(
+		PeerServiceForwardProcedure,
+		svc.Forward,
+		connect.WithSchema(peerServiceMethods.ByName("Forward")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerServiceCheckEngineHandler := connect.NewUnaryHandler(
+		PeerServiceCheckEngineProcedure,
+		svc.CheckEngine,
+		connect.WithSchema(peerServiceMethods.ByName("CheckEngine")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lynxwell.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceSessionProcedure:
@@ -271,6 +321,10 @@
 			peerServiceProbeHandler.ServeHTTP(w, r)
 		case PeerServiceFollowProcedure:
 			peerServiceFollowHandler.ServeHTTP(w, r)
+		case PeerServiceForwardProcedure:
+			peerServiceForwardHandler.ServeHTTP(w, r)
+		case PeerServiceCheckEngineProcedure:
+			peerServiceCheckEngineHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -311,3 +365,11 @@
 func (UnimplementedPeerServiceHandler) Follow(context.Context, *connect.Request[peerpb.FollowRequest]) (*connect.Response[peerpb.FollowResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lynxwell.peer.v1.PeerService.Follow is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) Forward(context.Context, *connect.BidiStream[peerpb.ForwardFrame, peerpb.ForwardFrame]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("lynxwell.peer.v1.PeerService.Forward is not implemented"))
+}
+
+func (UnimplementedPeerServiceHandler) CheckEngine(context.Context, *connect.Request[peerpb.CheckEngineRequest]) (*connect.Response[peerpb.CheckEngineResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lynxwell.peer.v1.PeerService.CheckEngine is not implemented"))
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -52,9 +52,11 @@
 	Backend  Backend
 	Sessions Sessions
 	// Mirror handles Follow; nil disables Follow.
-	Mirror   Mirror
-	Security Security
-	Timing   Timing
+	Mirror Mirror
+	// Forwarder handles Forward and CheckEngine; nil disables them.
+	Forwarder Forwarder
+	Security  Security
+	Timing    Timing
 }
 
 // Server serves the RPCs and sessions of the other hosts.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -139,26 +139,63 @@
 	return newConnection(opened, end), nil
 }
 
+// Connect returns a connection to the endpoint for one call: an idle one, or a new one. The error is a
+// *NotSentError.
+func (cli *Client) Connect(ctx context.Context, end Endpoint) (*Connected, error) {
+	if con := cli.takeIdle(end); con != nil {
+		return &Connected{client: cli, connection: con}, nil
+	}
+	con, err := cli.dial(ctx, end)
+	if err != nil {
+		return nil, &NotSentError{Address: end.Address, Cause: err}
+	}
+	return &Connected{client: cli, connection: con}, nil
+}
+
+// DialIdle opens a new connection to the endpoint and keeps it for a later call. The error is a
+// *NotSentError.
+func (cli *Client) DialIdle(ctx context.Context, end Endpoint) error {
+	con, err := cli.dial(ctx, end)
+	if err != nil {
+		return &NotSentError{Address: end.Address, Cause: err}
+	}
+	(&Connected{client: cli, connection: con}).Release()
+	return nil
+}
+
+// Connected is a connection that is reserved for one call. Either Do or Release must be called.
+type Connected struct {
+	client     *Client
+	connection *connection
+}
+
+// Release returns the connection unused.
+func (cnd *Connected) Release() {
+	if cnd.connection.retireAt.IsZero() {
+		cnd.connection.retireAt = cnd.client.cfg.Now().Add(defaultIdleLimit)
+	}
+	cnd.client.putIdle(cnd.connection)
+}
+
 // Do sends the call and returns the answer as soon as its head has arrived; the body is
 // read from Answer.Body. Until the answer is closed, cancelling ctx aborts the call. The error
 // is a *NotSentError if the call failed before writing began, so that no byte was sent, and a
 // *BrokenError otherwise.
 func (cli *Client) Do(ctx context.Context, cal Call) (*Answer, error) {
-	con := cli.takeIdle(cal.Endpoint)
-	if con == nil {
-		var err error
-		if con, err = cli.dial(ctx, cal.Endpoint); err != nil {
-			return nil, &NotSentError{Address: cal.Address, Cause: err}
-		}
+	cnd, err := cli.Connect(ctx, cal.Endpoint)
+	if err != nil {
+		return nil, err
 	}
+	return cnd.Do(ctx, cal)
+}
+
+// Do sends the call on the reserved connection, as Client.Do does.
+func (cnd *Connected) Do(ctx context.Context, cal Call) (*Answer, error) {
 	if err := cal.allowed(); err != nil {
-		// Nothing was written, so the next call can use this connection.
-		if con.retireAt.IsZero() {
-			con.retireAt = cli.cfg.Now().Add(defaultIdleLimit)
-		}
-		cli.putIdle(con)
+		cnd.Release()
 		return nil, &NotSentError{Address: cal.Address, Cause: err}
 	}
+	cli, con := cnd.client, cnd.connection
 	cli.setBusy(con, true)
 	exc := &exchange{client: cli, connection: con, written: make(chan error, 1)}
 	exc.stopAbort = context.AfterFunc(ctx, exc.abort)
@@ -356,6 +393,14 @@
 	exchange   *exchange
 	complete   bool
 	afterStray bool
+	// close replaces the return of the connection for an answer that another host forwards.
+	close func()
+}
+
+// NewForwarded returns an answer that another host forwards. Its body returns io.EOF only if the answer is
+// complete; close is called once, by Answer.Close.
+func NewForwarded(status int, header http.Header, head call.AnswerHead, body io.Reader, closeBody func()) *Answer {
+	return &Answer{Status: status, Header: header, Head: head, Body: body, close: closeBody}
 }
 
 // ReadAll reads the body to its end. It returns an *AnswerTooLargeError if the body is
@@ -381,6 +426,10 @@
 // Close returns the connection to the idle ones if it can be reused, and closes it otherwise. If
 // the answer wasn't read to its end, closing makes most engines stop working on the request.
 func (ans *Answer) Close() {
+	if ans.close != nil {
+		ans.close()
+		return
+	}
 	exc := ans.exchange
 	detached := exc.stopAbort()
 	exc.client.setBusy(exc.connection, false)
