--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -22,6 +22,7 @@
 	"github.com/rs/zerolog"
 
 	"lynxwell.dev/lynxwell/operator"
+	"lynxwell.dev/lynxwell/upstream"
 )
 
 // Version is the program's version.
@@ -50,12 +51,19 @@
 	run(ctx context.Context, str streams) error
 }
 
+// Config holds the dependencies that a test replaces; the zero Config is that of the program.
+type Config struct {
+	// EngineDialer opens the entry command's connections to engines and backend servers; nil for the
+	// default one.
+	EngineDialer upstream.Dialer
+}
+
 // commands returns all commands in the order in which the help lists them.
-func commands() []command {
+func commands(cfg Config) []command {
 	return []command{
 		newDemoCmd(),
 		newServeCmd(),
-		newEntryCmd(),
+		newEntryCmd(cfg.EngineDialer),
 		newCheckCmd(),
 		newStoryCmd(),
 		newLossesCmd(),
@@ -77,8 +85,13 @@
 
 // Run executes the command that the arguments name and returns its exit code.
 func Run(args []string, in io.Reader, out, errOut io.Writer) int {
+	return RunWith(Config{}, args, in, out, errOut)
+}
+
+// RunWith is Run with other dependencies.
+func RunWith(cfg Config, args []string, in io.Reader, out, errOut io.Writer) int {
 	str := streams{in: in, out: out, err: errOut}
-	all := commands()
+	all := commands(cfg)
 	parser := newParser(all)
 	if err := parser.ParseArgs(args); err != nil {
 		fmt.Fprintln(errOut, "lynxwell:", err)
--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -19,6 +19,7 @@
 	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/settings"
 	"lynxwell.dev/lynxwell/store"
+	"lynxwell.dev/lynxwell/upstream"
 )
 
 // logBufferLines is the number of log lines buffered for a slow log reader before the
@@ -27,8 +28,9 @@
 
 // entryCmd implements the entry command, which runs a host on the users' platform.
 type entryCmd struct {
-	sub  *flaggy.Subcommand
-	opts entryOptions
+	sub    *flaggy.Subcommand
+	opts   entryOptions
+	dialer upstream.Dialer
 }
 
 // entryOptions holds the options of the entry command.
@@ -37,8 +39,8 @@
 	check    bool
 }
 
-func newEntryCmd() *entryCmd {
-	com := &entryCmd{sub: newSubcommand("entry", "run one host on the users' platform",
+func newEntryCmd(dialer upstream.Dialer) *entryCmd {
+	com := &entryCmd{dialer: dialer, sub: newSubcommand("entry", "run one host on the users' platform",
 		"    lynxwell entry --settings entry.json\n    lynxwell entry --settings entry.json --check")}
 	com.sub.String(&com.opts.settings, "s", "settings", "settings file, JSON with comments (default: the file named by the platform's environment variable)")
 	com.sub.Bool(&com.opts.check, "c", "check", "validate the settings and exit")
@@ -72,7 +74,7 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
-	return runEntry(ctx, entry.Config{Settings: set, Log: log, SettingsFile: file, Hangups: hangups, LinesDropped: out.dropped.Load})
+	return runEntry(ctx, entry.Config{Settings: set, Log: log, EngineDialer: com.dialer, SettingsFile: file, Hangups: hangups, LinesDropped: out.dropped.Load})
 }
 
 // logWriter is a log writer that never blocks. If the log's reader lags, it drops
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -140,6 +140,7 @@
 // clearFaults clears all faults and restarts the hosts that were stopped.
 func (sys *system) clearFaults() {
 	sys.restoreLinks()
+	sys.restorePaths()
 	sys.post(sys.storeAddress, platformtest.PathFaults, platformtest.Faults{})
 	for _, eng := range sys.engines {
 		// An engine that received few requests may have faults left that it has not applied yet.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -74,12 +74,13 @@
 	dir    string
 	random *rand.Rand
 	// signalRandom selects the signals of engines, rateRandom their rate limits,
-	// evacuationRandom the withdrawals of evacuations, and speedRandom the hosts that are slow. They are separate sources, so that the
-	// faults of a seed, which random selects, do not depend on them.
+	// evacuationRandom the withdrawals of evacuations, speedRandom the hosts that are slow, and pathRandom those that are cut off from
+	// engines. They are separate sources, so that the faults of a seed, which random selects, do not depend on them.
 	signalRandom     *rand.Rand
 	rateRandom       *rand.Rand
 	evacuationRandom *rand.Rand
 	speedRandom      *rand.Rand
+	pathRandom       *rand.Rand
 	// orderedAt is the time of the evacuation order in force, zero for none. inClosedPeriod is
 	// set once the domain has been published as closed under this order. closedPeriods lists all
 	// periods in which the domain was published as closed.
@@ -161,6 +162,7 @@
 		}
 		sys.changeEvacuation()
 		sys.changeSpeed()
+		sys.changePath()
 		sys.replaceCrashed()
 		sys.wait(time.Duration(float64(meanFaultInterval) * sys.random.ExpFloat64()))
 	}
@@ -195,7 +197,7 @@
 
 func start(t *testing.T, cfg Config) *system {
 	t.Helper()
-	sys := &system{t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(cfg.Seed, 1)), signalRandom: rand.New(rand.NewPCG(cfg.Seed, 55)), rateRandom: rand.New(rand.NewPCG(cfg.Seed, 89)), evacuationRandom: rand.New(rand.NewPCG(cfg.Seed, 144)), speedRandom: rand.New(rand.NewPCG(cfg.Seed, 233)), revokedAt: make(map[string]time.Time)}
+	sys := &system{t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(cfg.Seed, 1)), signalRandom: rand.New(rand.NewPCG(cfg.Seed, 55)), rateRandom: rand.New(rand.NewPCG(cfg.Seed, 89)), evacuationRandom: rand.New(rand.NewPCG(cfg.Seed, 144)), speedRandom: rand.New(rand.NewPCG(cfg.Seed, 233)), pathRandom: rand.New(rand.NewPCG(cfg.Seed, 377)), revokedAt: make(map[string]time.Time)}
 	_, sys.storeAddress = processtest.StartFake(t, sys.dir, "store", "platform")
 	for idx := range enginesPerService {
 		sys.addEngine(fmt.Sprintf("m%d", idx), entrytest.Model)
