--- a/entry/observe.go
+++ b/entry/observe.go
@@ -196,7 +196,7 @@
 		return
 	}
 	now := wat.host.clock.Now()
-	wat.host.log.Info().Dur("After", now.Sub(wat.unreachableSince)).Uint64("Revision", uint64(wat.revision)).Msg("store reachable again")
+	wat.host.log.Info().Dur("After", now.Sub(wat.unreachableSince)).Uint64("Revision", uint64(wat.revision)).Uint64("Era", uint64(wat.host.storeEra())).Msg("store reachable again")
 	wat.unreachableSince = time.Time{}
 	wat.nextProbe = time.Time{}
 	// All hosts reach the store again at about the same time, so that the relay is ready soon.
--- a/entry/source.go
+++ b/entry/source.go
@@ -341,9 +341,18 @@
 	changes, err := wat.host.store.Watch(ctx, platform.RootPrefix, wat.revision, wait)
 	var compacted *store.CompactedError
 	if errors.As(err, &compacted) {
-		wat.host.log.Info().Err(err).Msg("store compacted its history, reading all keys")
+		wat.host.log.Info().Err(err).Uint64("Era", uint64(wat.host.storeEra())).Msg("store compacted its history, reading all keys")
 		wat.needsFullRead = true
 		return wat.list(ctx)
 	}
 	return update{changes: changes, confirmed: askedAt}, err
 }
+
+// storeEra returns the era that the store named most recently; 0 if it named none.
+func (hos *Host) storeEra() store.Era {
+	src, known := hos.cfg.Store.(store.EraSource)
+	if !known {
+		return 0
+	}
+	return src.Era()
+}
--- a/platformtest/memory.go
+++ b/platformtest/memory.go
@@ -61,6 +61,8 @@
 	// deleted maps each deleted key to the revision of its deletion.
 	deleted  map[string]store.Revision
 	revision store.Revision
+	// era counts the restorations from a copy.
+	era uint64
 	// compacted is the revision up to which the history has been dropped.
 	compacted store.Revision
 	leases    map[store.LeaseID]*lease
@@ -401,7 +403,7 @@
 	if mem.faults.Down {
 		return store.Changes{}, nil, &store.UnavailableError{Call: "Watch", Cause: errDown}
 	}
-	if after < mem.compacted {
+	if after < mem.compacted || after > mem.revision {
 		return store.Changes{}, nil, &store.CompactedError{After: after}
 	}
 	changes := store.Changes{Revision: mem.revision}
--- a/platformtest/server.go
+++ b/platformtest/server.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,6 +30,9 @@
 	PathValue = "/standin/value"
 	// PathCompact drops the store's history on POST.
 	PathCompact = "/standin/compact"
+	// PathCopy keeps a copy of the content on POST, and PathRestore restores the copy kept last.
+	PathCopy    = "/standin/copy"
+	PathRestore = "/standin/restore"
 )
 
 // HostChange is the body of PathHost.
@@ -79,6 +83,8 @@
 // Server offers a Memory over HTTP by the platform's protocol.
 type Server struct {
 	memory *Memory
+	// kept is the copy that PathRestore restores.
+	kept atomic.Pointer[Copy]
 }
 
 // NewServer returns a server of mem.
@@ -97,9 +103,37 @@
 	rou.HandleFunc("/kv-keep/{lease}", srv.serveRenewal).Methods(http.MethodPost)
 	rou.HandleFunc("/kv-lease-end/{lease}", srv.serveRevocation).Methods(http.MethodDelete)
 	srv.registerControlRoutes(rou)
+	rou.Use(srv.nameEra)
 	return rou
 }
 
+// headerEra names the store's era in all its answers.
+const headerEra = "Store-Era"
+
+// nameEra sets the era of each answer.
+func (srv *Server) nameEra(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		next.ServeHTTP(&eraWriter{ResponseWriter: wri, memory: srv.memory, era: srv.memory.Era()}, req)
+	})
+}
+
+// eraWriter sets the era's header.
+type eraWriter struct {
+	http.ResponseWriter
+	memory *Memory
+	// era is the era in which the call arrived.
+	era uint64
+}
+
+// WriteHeader implements http.ResponseWriter. A call during which the store was restored gets no answer.
+func (erw *eraWriter) WriteHeader(status int) {
+	if erw.memory.Era() != erw.era {
+		panic(http.ErrAbortHandler)
+	}
+	erw.Header().Set(headerEra, strconv.FormatUint(erw.era, 10))
+	erw.ResponseWriter.WriteHeader(status)
+}
+
 func (srv *Server) registerControlRoutes(rou *mux.Router) {
 	rou.HandleFunc(PathFaults, func(wri http.ResponseWriter, req *http.Request) {
 		var fau Faults
@@ -138,6 +172,17 @@
 		srv.memory.Compact()
 		reply(wri, http.StatusOK, struct{}{})
 	}).Methods(http.MethodPost)
+	rou.HandleFunc(PathCopy, func(wri http.ResponseWriter, _ *http.Request) {
+		cop := srv.memory.Copy()
+		srv.kept.Store(&cop)
+		reply(wri, http.StatusOK, struct{}{})
+	}).Methods(http.MethodPost)
+	rou.HandleFunc(PathRestore, func(wri http.ResponseWriter, _ *http.Request) {
+		// The answer is not one of the store's, so its era doesn't matter.
+		if cop := srv.kept.Load(); cop != nil {
+			srv.memory.Restore(*cop)
+		}
+	}).Methods(http.MethodPost)
 	rou.HandleFunc(PathCalls, func(wri http.ResponseWriter, _ *http.Request) {
 		reply(wri, http.StatusOK, srv.memory.Counts())
 	}).Methods(http.MethodGet)
--- a/store/store.go
+++ b/store/store.go
@@ -23,6 +23,15 @@
 // Revision orders all writes of the store; 0 is the revision of a key that doesn't exist.
 type Revision uint64
 
+// Era counts the restorations of the store from a copy. In each era the store has a history of its own.
+type Era uint64
+
+// EraSource is implemented by a Store that knows the store's era.
+type EraSource interface {
+	// Era returns the era that the store named most recently; 0 if it named none.
+	Era() Era
+}
+
 // LeaseID identifies a lease; 0 is no lease.
 type LeaseID uint64
 
