fix(store): a store that comes back from a copy has another history

Requests reached an engine over 3 s after it had said that it leaves (DRAIN). Cause: hosts took a revision for a point in one history. After the copy they kept the larger number: each watch was refused (410) and followed by a listing, without a pause, and what was written until the counter passed the old number was seen by no watch. Change: a revision carries the era that the store names, and so does a lease. A watch or a condition of an earlier era is gone, whichever numbers exist again; a condition that held in another era is uncertain. For five seconds newer knowledge stays in force beside what the copy has; the coordinator writes the hosts' own values again, each host registers again, then all is read once more. The tests of RenewLease that named the lease 1 name LeaseID{Number: 1}.

--- a/entry/changes.go
+++ b/entry/changes.go
@@ -22,7 +22,7 @@
 		return
 	}
 	log.Info().Int("Entered", len(mch.registered)).Strs("EnteredNames", truncateNames(mch.registered)).
-		Int("Gone", len(mch.deregistered)).Strs("GoneNames", truncateNames(mch.deregistered)).Uint64("Revision", uint64(rev)).Msg("hosts changed")
+		Int("Gone", len(mch.deregistered)).Strs("GoneNames", truncateNames(mch.deregistered)).Uint64("Revision", rev.Number()).Msg("hosts changed")
 }
 
 func truncateNames(names []string) []string {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,6 +67,8 @@
 	departures *departures
 	// coordinatorWrites makes the writes that only the coordinator makes.
 	coordinatorWrites *coordinatorWrites
+	// rewrites are the values that a restored store lacks.
+	rewrites *rewrites
 	// crashChecks checks whether engines live that have ended a connection.
 	crashChecks *crashChecks
 	broker      *broker
@@ -174,6 +176,7 @@
 	hos.broker = newBroker(hos)
 	hos.crashChecks = newCrashChecks(hos)
 	hos.paths = newPaths(hos)
+	hos.rewrites = newRewrites(hos)
 	hos.forwards = newInFlight()
 	hos.coordinatorWrites = &coordinatorWrites{host: hos}
 	return hos, nil
@@ -269,6 +272,7 @@
 	hos.tasks.Run("rollouts", func() error { return hos.maintainRollouts(ctx) })
 	hos.tasks.Run("evacuations", func() error { return hos.maintainEvacuations(ctx) })
 	hos.tasks.Run("held", func() error { return hos.maintainHeld(ctx) })
+	hos.tasks.Run("rewrites", func() error { return hos.rewrites.run(ctx) })
 	hos.tasks.Run("survey", func() error { return hos.maintainMeasurements(ctx) })
 	hos.tasks.Run("housekeeping", func() error { return hos.runMaintenance(ctx) })
 	go func() {
--- a/entry/era_test.go
+++ b/entry/era_test.go
@@ -175,3 +175,41 @@
 	sys.WaitForVersion(3)
 	sys.WaitForEngines(1)
 }
+
+// Guards against a roll-out that begins again: the copy lacks the order, which the operator writes again, and the
+// state that ended it, which the hosts write again. A version that was rolled back gets no more requests.
+func TestRolledBackVersionStaysSoAfterRestore(t *testing.T) {
+	faulty := func(cfg *upstreamtest.Config) { cfg.FailEvery = 2 }
+	one, two := versionEngine("new-1", "v2", faulty), versionEngine("new-2", "v2", faulty)
+	sys := startRollout(t, 2, one, two)
+	cop := sys.Store.Copy()
+	tra := startTraffic(t, sys, sys.Hosts)
+	sys.WaitUntil("the roll-out ends", rolloutEnded(sys, entrytest.Plain))
+	received := runCount(one, two)
+	restore(t, sys, cop)
+	sys.OrderRollout(entrytest.Plain, "v2", rolloutPeriod)
+	sys.WaitUntil("the state is written again", rolloutEnded(sys, entrytest.Plain))
+	sent := tra.sent.Load()
+	sys.WaitUntil("more requests are served", func() bool { return tra.sent.Load() > sent+200 })
+	state, _ := sys.RolloutState(entrytest.Plain)
+	assert.Equal(t, state, "rolled_back")
+	assert.Equal(t, runCount(one, two), received)
+}
+
+// Guards against hosts that can't authenticate one another: the copy lacks the secret that they use.
+func TestSecretIsWrittenAgainAfterRestore(t *testing.T) {
+	sys := entrytest.StartWithoutHosts(t, twoOfEach())
+	sys.Configure(entrytest.Configuration{Version: 1})
+	cop := sys.Store.Copy()
+	sys.StartHosts(entrytest.Config{Hosts: 3, StoredSecret: true, OneDomain: true})
+	sys.WaitForReady()
+	secret := sys.Store.Peek("lynxwell/secrets")
+	assert.Assert(t, len(secret.Data) > 0)
+	restore(t, sys, cop)
+	sys.WaitUntil("the secret is written again", func() bool { return sys.Store.Peek("lynxwell/secrets").Revision > 0 })
+	assert.Equal(t, string(sys.Store.Peek("lynxwell/secrets").Data), string(secret.Data))
+	sys.WaitForReady()
+	for idx := range sys.Hosts {
+		assert.Equal(t, sendOne(t, sys, idx, "after").Status, http.StatusOK)
+	}
+}
--- a/entry/evacuations.go
+++ b/entry/evacuations.go
@@ -151,7 +151,7 @@
 	if wat.evacuations[domain].Order.Revision == 0 {
 		return
 	}
-	wat.host.log.Info().Str("Domain", domain).Uint64("Revision", uint64(rev)).Dur("Age", wat.host.snapshotAge(wat.host.clock.Now())).Msg("evacuation order withdrawn")
+	wat.host.log.Info().Str("Domain", domain).Uint64("Revision", rev.Number()).Dur("Age", wat.host.snapshotAge(wat.host.clock.Now())).Msg("evacuation order withdrawn")
 	wat.setEvacuation(domain, func(sst *evacuation.StoredState) { sst.Order.Revision = 0 })
 	wat.withdrawnDomains = append(wat.withdrawnDomains, domain)
 }
@@ -319,7 +319,7 @@
 		rev, err = hos.coordinatorWrites.put(ctx, put)
 	}
 	evt := hos.log.Info().Str("Domain", wri.Domain).Uint64("Order", wri.Order).Stringer("State", wri.State).Bool("TakenBack", wri.Delete).
-		Uint64("Expected", wri.Expect).Uint64("Revision", uint64(rev))
+		Uint64("Expected", wri.Expect).Uint64("Revision", rev.Number())
 	if err != nil {
 		evt.Err(err).Msg("writing the evacuation state failed")
 		return
--- a/entry/held.go
+++ b/entry/held.go
@@ -99,10 +99,10 @@
 		rev, err = hos.coordinatorWrites.put(ctx, store.Write{Key: platform.HoldsKey(), Data: data, Expect: expect})
 	}
 	if err != nil {
-		hos.log.Warn().Err(err).Int("Held", len(holds)).Uint64("Expected", uint64(expect)).Msg("writing held requests failed")
+		hos.log.Warn().Err(err).Int("Held", len(holds)).Uint64("Expected", expect.Number()).Msg("writing held requests failed")
 		return true
 	}
-	hos.log.Info().Int("Held", len(holds)).Uint64("Revision", uint64(rev)).Msg("held requests written")
+	hos.log.Info().Int("Held", len(holds)).Uint64("Revision", rev.Number()).Msg("held requests written")
 	return true
 }
 
--- a/entry/lease.go
+++ b/entry/lease.go
@@ -46,7 +46,7 @@
 	for {
 		var err error
 		hosts := len(hos.snapshot.Load().members)
-		if lease == 0 || hos.entryInvalid.Swap(false) || hos.pastStartup() && needsNewLease(ttl, leaseDuration(hosts)) {
+		if lease.IsZero() || hos.entryInvalid.Swap(false) || hos.pastStartup() && needsNewLease(ttl, leaseDuration(hosts)) {
 			ttl = leaseDuration(hosts)
 			lease, err = hos.register(ctx, ttl)
 		} else {
@@ -57,7 +57,7 @@
 		switch {
 		case errors.As(err, &expired):
 			hos.log.Warn().Err(err).Msg("lease expired")
-			lease, wait = 0, 0
+			lease, wait = store.LeaseID{}, 0
 		case err != nil:
 			hos.log.Debug().Err(err).Msg("renewing the lease or registering the host failed")
 			backoff = min(maxLeaseRetry, max(minLeaseRetry, 2*backoff))
@@ -149,23 +149,23 @@
 func (hos *Host) register(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
 	lease, err := hos.store.GrantLease(ctx, ttl)
 	if err != nil {
-		return 0, err
+		return store.LeaseID{}, err
 	}
 	data, err := platform.EncodeMember(hos.member())
 	if err != nil {
-		return 0, err
+		return store.LeaseID{}, err
 	}
 	rev, err := hos.store.Put(ctx, store.Write{Key: platform.MemberKey(hos.set.Name), Data: data, Lease: lease, Blind: true})
 	if err != nil {
-		return 0, err
+		return store.LeaseID{}, err
 	}
-	hos.log.Info().Uint64("Lease", uint64(lease)).Dur("LeaseTime", ttl).Uint64("Revision", uint64(rev)).Msg("host registered")
+	hos.log.Info().Uint64("Lease", lease.Number).Dur("LeaseTime", ttl).Uint64("Revision", rev.Number()).Msg("host registered")
 	return lease, nil
 }
 
 // deregister removes the host's entry by revoking its lease.
 func (hos *Host) deregister(ctx context.Context, lease store.LeaseID) {
-	if lease == 0 {
+	if lease.IsZero() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
@@ -175,5 +175,5 @@
 		hos.log.Warn().Err(err).Msg("revoking the lease failed, the host entry stays until the lease expires")
 		return
 	}
-	hos.log.Info().Uint64("Lease", uint64(lease)).Msg("host deregistered")
+	hos.log.Info().Uint64("Lease", lease.Number).Msg("host deregistered")
 }
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -9,6 +9,7 @@
 
 	"lynxwell.dev/lynxwell/evacuation"
 	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/reconcile"
 	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/route"
 	"lynxwell.dev/lynxwell/store"
@@ -65,6 +66,11 @@
 	evacuationsChanged bool
 	withdrawnDomains   []string
 	loggedOrders       map[evacuation.Order]bool
+	// knowledge is what has been read of the store. restoredAt is when a restoration of the store was last
+	// noticed, and rereadAt when all keys are read once more after it; both are zero before the first.
+	knowledge  *reconcile.Knowledge
+	restoredAt time.Time
+	rereadAt   time.Time
 	// hostChanges collects what the update that is being applied changes in the list of hosts.
 	hostChanges memberChanges
 	// waitedForHosts is set once this host, which found no other host at its start, has waited for
@@ -96,6 +102,7 @@
 	return &storeWatcher{
 		host: hos, directory: fleet.NewDirectory(), relays: newRelayChooser(hos.epoch), needsFullRead: true,
 		invalidValues: newInvalidValues(hos.log, hos.metrics.invalidValues), unrecognized: newUnrecognizedKeys(hos),
+		knowledge:   reconcile.NewKnowledge(),
 		evacuations: make(map[string]evacuation.StoredState), loggedOrders: make(map[evacuation.Order]bool),
 	}
 }
@@ -111,6 +118,7 @@
 		}
 		wat.storeRecovered()
 		wat.apply(upd)
+		wat.rereadIfDue()
 		if len(upd.changes.Changes) > 0 && !upd.complete {
 			task.Sleep(ctx, wat.batchDelay(wat.host.clock.Now()))
 		}
@@ -130,11 +138,13 @@
 func (wat *storeWatcher) apply(upd update) {
 	wat.needsFullRead = false
 	if upd.complete {
+		upd.values = wat.reconcile(upd.values, upd.changes.Revision)
 		wat.replace(upd.values, upd.changes.Revision)
 		wat.host.mirror.replace(upd.values, max(wat.revision, upd.changes.Revision), upd.confirmed)
 	} else {
 		wat.hostChanges = memberChanges{}
 		for _, cha := range upd.changes.Changes {
+			wat.recordChange(cha)
 			wat.applyChange(cha)
 		}
 		wat.hostChanges.log(wat.host.log, upd.changes.Revision)
@@ -159,7 +169,7 @@
 	if wat.unreachableSince.IsZero() {
 		wat.unreachableSince = now
 		wat.backoff = minStoreRetry
-		wat.host.log.Warn().Err(err).Uint64("Revision", uint64(wat.revision)).Msg("store unreachable")
+		wat.host.log.Warn().Err(err).Uint64("Revision", wat.revision.Number()).Msg("store unreachable")
 	}
 	wat.lastError = err
 	wat.host.metrics.storeFailures.Inc(1)
@@ -196,7 +206,7 @@
 		return
 	}
 	now := wat.host.clock.Now()
-	wat.host.log.Info().Dur("After", now.Sub(wat.unreachableSince)).Uint64("Revision", uint64(wat.revision)).Uint64("Era", uint64(wat.host.storeEra())).Msg("store reachable again")
+	wat.host.log.Info().Dur("After", now.Sub(wat.unreachableSince)).Uint64("Revision", wat.revision.Number()).Uint64("Era", uint64(wat.host.storeEra())).Msg("store reachable again")
 	wat.unreachableSince = time.Time{}
 	wat.nextProbe = time.Time{}
 	// All hosts reach the store again at about the same time, so that the relay is ready soon.
--- a/entry/refused.go
+++ b/entry/refused.go
@@ -47,7 +47,7 @@
 		return
 	}
 	inv.reasons[val.Key] = reason
-	inv.log.Error().Err(err).Str("Key", val.Key).Uint64("Revision", uint64(val.Revision)).Msg(consequence)
+	inv.log.Error().Err(err).Str("Key", val.Key).Uint64("Revision", val.Revision.Number()).Msg(consequence)
 }
 
 // recordValid records that a key holds a valid value, or was deleted.
--- a/entry/regions.go
+++ b/entry/regions.go
@@ -11,7 +11,7 @@
 	for _, err := range tab.RegionConflicts() {
 		wat.host.metrics.count("RoutesWithoutRegion")
 		wat.host.log.Error().Err(err).Str("Field", err.Field).Str("Route", err.Route).Str("Account", err.Account).
-			Uint64("Version", tab.Version()).Uint64("Revision", uint64(val.Revision)).Msg("configuration leaves no region for requests, they are refused")
+			Uint64("Version", tab.Version()).Uint64("Revision", val.Revision.Number()).Msg("configuration leaves no region for requests, they are refused")
 	}
 	known := make(map[string]bool)
 	for _, region := range wat.host.set.Regions {
--- /dev/null
+++ b/entry/restored.go
@@ -0,0 +1,202 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lynxwell.dev/lynxwell/platform"
+	"lynxwell.dev/lynxwell/reconcile"
+	"lynxwell.dev/lynxwell/store"
+	"lynxwell.dev/lynxwell/task"
+)
+
+const (
+	// restoreGrace is how long after a restoration of the store newer knowledge stays in force. Owners write
+	// theirs again within about two seconds, and an entry without an owner ends after three heartbeats.
+	restoreGrace = 5 * time.Second
+	// relayedRestoreSlack is how much later a host that reads through another one reads all keys again.
+	relayedRestoreSlack = time.Second
+	// rewriteTimeout bounds the rewriting of a value that the restored store lacks, and rewriteRetry is the time
+	// after which it is tried again.
+	rewriteTimeout = time.Second
+	rewriteRetry   = 500 * time.Millisecond
+)
+
+// reconcile returns the values that are in force after a complete read. For restoreGrace after a restoration of
+// the store, these are what the read and this host's knowledge together show.
+func (wat *storeWatcher) reconcile(values []store.Value, rev store.Revision) []store.Value {
+	now := wat.host.clock.Now()
+	if wat.revision != 0 && rev.Era() > wat.revision.Era() {
+		wat.recordRestoration(now, rev)
+	}
+	if !wat.inRestoreGrace(now) {
+		wat.knowledge.Replace(values, rev)
+		return values
+	}
+	merged, writes := wat.knowledge.Merge(values, restorePolicy, compareValues)
+	wat.host.rewrites.set(writes)
+	wat.host.log.Info().Int("Read", len(values)).Int("InForce", len(merged)).Int("ToWrite", len(writes)).Uint64("Era", uint64(rev.Era())).
+		Uint64("Revision", rev.Number()).Dur("Age", now.Sub(wat.restoredAt)).Msg("restored store merged with what was known")
+	return merged
+}
+
+// recordRestoration records that the store was restored from a copy: entries that it lacks are held as after an
+// outage, and this host registers again under a lease of the new era.
+func (wat *storeWatcher) recordRestoration(now time.Time, rev store.Revision) {
+	wat.host.metrics.count("StoreRestored")
+	wat.host.log.Warn().Uint64("Era", uint64(rev.Era())).Uint64("Revision", rev.Number()).Uint64("FormerEra", uint64(wat.revision.Era())).
+		Uint64("FormerRevision", wat.revision.Number()).Msg("store was restored from a copy")
+	wat.restoredAt = now
+	wat.rereadAt = now.Add(restoreGrace)
+	if wat.host.mirror.isRelayed() {
+		wat.rereadAt = wat.rereadAt.Add(relayedRestoreSlack)
+	}
+	wat.directory.HoldRemovals(now.Add(expiryHold))
+	wat.host.renewLeaseSoon()
+}
+
+// inRestoreGrace reports whether newer knowledge stays in force after a restoration.
+func (wat *storeWatcher) inRestoreGrace(now time.Time) bool {
+	return now.Before(wat.rereadAt)
+}
+
+// rereadIfDue makes the next update a complete read once the grace after a restoration has ended.
+func (wat *storeWatcher) rereadIfDue() {
+	if wat.rereadAt.IsZero() || wat.inRestoreGrace(wat.host.clock.Now()) {
+		return
+	}
+	wat.rereadAt = time.Time{}
+	wat.needsFullRead = true
+}
+
+// recordChange records a change that was read.
+func (wat *storeWatcher) recordChange(cha store.Change) {
+	wat.host.rewrites.drop(cha.Key)
+	if cha.Deleted {
+		wat.knowledge.Remove(cha.Key, cha.Revision)
+		return
+	}
+	wat.knowledge.Set(cha.Value)
+}
+
+// restorePolicy returns what happens to a key that a restored store lacks or has in an older version.
+func restorePolicy(key string) reconcile.Policy {
+	switch kind, _ := platform.ParseKey(key); kind {
+	case platform.KeyEngine, platform.KeyMember:
+		return reconcile.PolicyOwner
+	case platform.KeyConfiguration, platform.KeyRolloutOrder, platform.KeyEvacuation:
+		return reconcile.PolicyKeep
+	case platform.KeyMeasurements, platform.KeyRing, platform.KeyRolloutState, platform.KeyLedger, platform.KeyHolds, platform.KeyEvacuationState:
+		return reconcile.PolicyRewrite
+	case platform.KeyOther:
+		return reconcile.PolicyListed
+	default:
+		return reconcile.PolicyListed
+	}
+}
+
+// compareValues compares two values of a key by the versions that their writers give them.
+func compareValues(known, listed store.Value) (int, bool) {
+	switch kind, _ := platform.ParseKey(known.Key); kind {
+	case platform.KeyEngine:
+		one, oneErr := platform.DecodeEngine(known)
+		two, twoErr := platform.DecodeEngine(listed)
+		switch {
+		case oneErr != nil || twoErr != nil:
+			return 0, false
+		case one.ID.Follows(two.ID):
+			return 1, true
+		case two.ID.Follows(one.ID):
+			return -1, true
+		}
+		return cmp.Compare(one.Sequence, two.Sequence), true
+	case platform.KeyConfiguration:
+		one, oneErr := platform.DecodeConfiguration(known.Data)
+		two, twoErr := platform.DecodeConfiguration(listed.Data)
+		return cmp.Compare(one.Version, two.Version), oneErr == nil && twoErr == nil
+	default:
+		return 0, false
+	}
+}
+
+// rewrites are the hosts' own values that a restored store lacks, until the coordinator has written them again.
+type rewrites struct {
+	host  *Host
+	mutex sync.Mutex
+	due   map[string]store.Write
+	// wake wakes run.
+	wake chan struct{}
+}
+
+func newRewrites(hos *Host) *rewrites {
+	return &rewrites{host: hos, due: make(map[string]store.Write), wake: make(chan struct{}, 1)}
+}
+
+func (rew *rewrites) set(writes []store.Write) {
+	rew.mutex.Lock()
+	defer rew.mutex.Unlock()
+	clear(rew.due)
+	for _, wri := range writes {
+		rew.due[wri.Key] = wri
+	}
+	select {
+	case rew.wake <- struct{}{}:
+	default:
+	}
+}
+
+// drop drops the rewriting of a key that has been written since.
+func (rew *rewrites) drop(key string) {
+	rew.mutex.Lock()
+	defer rew.mutex.Unlock()
+	delete(rew.due, key)
+}
+
+func (rew *rewrites) list() []store.Write {
+	rew.mutex.Lock()
+	defer rew.mutex.Unlock()
+	var writes []store.Write
+	for _, wri := range rew.due {
+		writes = append(writes, wri)
+	}
+	slices.SortFunc(writes, func(one, two store.Write) int { return cmp.Compare(one.Key, two.Key) })
+	return writes
+}
+
+// run writes what is due while this host is the coordinator, until the context ends.
+func (rew *rewrites) run(ctx context.Context) error {
+	for {
+		select {
+		case <-rew.wake:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		for len(rew.list()) > 0 {
+			if rew.host.broker.coordinates() {
+				rew.writeAll(ctx)
+			}
+			if !task.Sleep(ctx, rewriteRetry) {
+				return ctx.Err()
+			}
+		}
+	}
+}
+
+func (rew *rewrites) writeAll(ctx context.Context) {
+	for _, wri := range rew.list() {
+		callCtx, cancel := context.WithTimeout(ctx, rewriteTimeout)
+		rev, err := rew.host.store.Put(callCtx, wri)
+		cancel()
+		rew.host.log.Info().Err(err).Str("Key", wri.Key).Bool("Delete", wri.Delete).Uint64("Expected", wri.Expect.Number()).
+			Uint64("Era", uint64(rev.Era())).Uint64("Revision", rev.Number()).Msg("value that the restored store lacks written again")
+		var conflict *store.ConflictError
+		if err == nil || errors.As(err, &conflict) {
+			rew.drop(wri.Key)
+		}
+	}
+}
--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -55,11 +55,12 @@
 	if !wat.invalidValues.checkValue(val, err, "roll-out order refused, keeping the previous one") {
 		return
 	}
-	if ord.Revision <= wat.rollouts.stored[ord.Service].Order.Revision {
+	known := wat.rollouts.stored[ord.Service].Order
+	if ord.Revision <= known.Revision || wat.isRewritten(known, ord) {
 		return
 	}
 	if tab := wat.table; tab != nil {
-		if _, known := tab.Service(ord.Service); !known {
+		if _, configured := tab.Service(ord.Service); !configured {
 			wat.host.log.Warn().Str("Service", ord.Service).Uint64("Revision", ord.Revision).Msg("roll-out of a service that isn't configured")
 		}
 	}
@@ -67,6 +68,13 @@
 	wat.rollouts.set(ord.Service, func(sst *rollout.StoredState) { sst.Order = ord })
 }
 
+// isRewritten reports whether an order is the known one, which the operator has written again after the store was
+// restored. It stays the same order, so that its roll-out goes on.
+func (wat *storeWatcher) isRewritten(known, ord rollout.Order) bool {
+	return wat.inRestoreGrace(wat.host.clock.Now()) && store.Revision(known.Revision).Era() < store.Revision(ord.Revision).Era() &&
+		known.Version == ord.Version && known.Period == ord.Period
+}
+
 // applyRolloutState applies the published state of a roll-out.
 func (wat *storeWatcher) applyRolloutState(name string, val store.Value) {
 	sta, version, err := platform.DecodeRolloutState(val)
@@ -165,7 +173,7 @@
 	if err == nil {
 		rev, err = hos.coordinatorWrites.put(ctx, store.Write{Key: key, Data: data, Expect: store.Revision(wri.Expect)})
 	}
-	evt := hos.log.Info().Str("Service", wri.Service).Str("Key", key).Uint64("Expected", wri.Expect).Uint64("Revision", uint64(rev))
+	evt := hos.log.Info().Str("Service", wri.Service).Str("Key", key).Uint64("Expected", wri.Expect).Uint64("Revision", rev.Number())
 	if wri.Ledger != nil {
 		evt = evt.Int("Reserved", wri.Ledger.Reserved).Int("Requests", wri.Ledger.Tally.Requests).Interface("Routes", wri.Ledger.Tally.Routes)
 	} else {
--- a/entry/secret.go
+++ b/entry/secret.go
@@ -113,7 +113,7 @@
 		return
 	}
 	sec.knownOnce.Do(func() { close(sec.known) })
-	wat.host.log.Info().Uint64("Revision", uint64(val.Revision)).Bool("Next", len(rin.Next) > 0).Bool("Former", len(rin.Former) > 0).
+	wat.host.log.Info().Uint64("Revision", val.Revision.Number()).Bool("Next", len(rin.Next) > 0).Bool("Former", len(rin.Former) > 0).
 		Time("Changed", rin.Changed).Msg("secrets in force")
 }
 
@@ -198,8 +198,8 @@
 	case errors.As(err, &conflict):
 		hos.log.Debug().Err(err).Msg("another host wrote secrets first")
 	case err != nil:
-		hos.log.Warn().Err(err).Uint64("Expected", uint64(revision)).Msg("writing secrets failed")
+		hos.log.Warn().Err(err).Uint64("Expected", revision.Number()).Msg("writing secrets failed")
 	default:
-		hos.log.Info().Uint64("Expected", uint64(revision)).Uint64("Revision", uint64(rev)).Bool("Next", len(ring.Next) > 0).Msg("secrets written")
+		hos.log.Info().Uint64("Expected", revision.Number()).Uint64("Revision", rev.Number()).Bool("Next", len(ring.Next) > 0).Msg("secrets written")
 	}
 }
--- a/entry/take.go
+++ b/entry/take.go
@@ -129,7 +129,7 @@
 	switch kind, name := platform.ParseKey(cha.Key); kind {
 	case platform.KeyEngine:
 		wat.host.departures.record(wat.host.clock.Now(), name)
-		wat.host.log.Info().Str("Engine", name).Uint64("Revision", uint64(cha.Revision)).Msg("engine deregistered")
+		wat.host.log.Info().Str("Engine", name).Uint64("Revision", cha.Revision.Number()).Msg("engine deregistered")
 		wat.directory.RemoveEngine(wat.host.clock.Now(), name)
 	case platform.KeyMember:
 		wat.removeMember(name)
@@ -160,7 +160,7 @@
 func (wat *storeWatcher) applyEngine(eng fleet.Engine, rev store.Revision) {
 	newer := wat.directory.SetEngine(wat.host.clock.Now(), eng)
 	wat.host.log.Info().Stringer("Engine", eng.ID).Str("Service", eng.Service).Str("Version", eng.Version).Stringer("Address", eng.Address).Bool("Draining", eng.Draining).Dur("ColdFor", eng.ColdFor).
-		Uint64("Sequence", eng.Sequence).Bool("Newer", newer).Uint64("Revision", uint64(rev)).Msg("engine entry read")
+		Uint64("Sequence", eng.Sequence).Bool("Newer", newer).Uint64("Revision", rev.Number()).Msg("engine entry read")
 }
 
 // applyConfiguration makes a newer configuration the active one. An invalid one is refused as a
@@ -187,6 +187,6 @@
 		wat.host.log.Debug().Str("Account", acc.Name).Float64("Rate", acc.Rate).Float64("Burst", acc.Burst).Bool("ByTokens", acc.ByTokens).
 			Interface("Rank", acc.Rank).Int("Keys", len(acc.Keys)).Uint64("Version", con.Version).Msg("client account configured")
 	}
-	wat.host.log.Info().Uint64("Version", con.Version).Uint64("Revision", uint64(val.Revision)).
+	wat.host.log.Info().Uint64("Version", con.Version).Uint64("Revision", val.Revision.Number()).
 		Int("Routes", len(con.Routes)).Int("Accounts", len(con.Accounts)).Msg("configuration active")
 }
--- a/entry/unread.go
+++ b/entry/unread.go
@@ -32,7 +32,7 @@
 		return
 	}
 	unr.logged[family] = true
-	unr.host.log.Warn().Str("Key", val.Key[:min(len(val.Key), maxNameBytes)]).Uint64("Revision", uint64(val.Revision)).Msg("unrecognized key in the store")
+	unr.host.log.Warn().Str("Key", val.Key[:min(len(val.Key), maxNameBytes)]).Uint64("Revision", val.Revision.Number()).Msg("unrecognized key in the store")
 }
 
 // recordFields counts the unrecognized fields of a configuration, and logs each once. Fields that
@@ -48,6 +48,6 @@
 			continue
 		}
 		unr.logged["field "+field] = true
-		unr.host.log.Warn().Str("Field", field[:min(len(field), maxNameBytes)]).Uint64("Revision", uint64(val.Revision)).Msg("unrecognized field in the configuration")
+		unr.host.log.Warn().Str("Field", field[:min(len(field), maxNameBytes)]).Uint64("Revision", val.Revision.Number()).Msg("unrecognized field in the configuration")
 	}
 }
--- a/evacuation/board.go
+++ b/evacuation/board.go
@@ -116,13 +116,13 @@
 
 // write returns the change to publish for a domain, and whether one is needed.
 func (trk *Tracker) write(sta StoredState, running func(domain string) int) (Write, bool) {
-	wri := Write{Domain: sta.Order.Domain, Order: sta.Order.Revision, Expect: sta.Published.Revision}
+	wri := Write{Domain: sta.Order.Domain, Order: sta.Order.Number(), Expect: sta.Published.Revision}
 	if sta.Order.Revision == 0 {
 		wri.Delete = true
 		return wri, sta.Published.Revision > 0
 	}
 	wri.State = trk.state(sta.Order, running(sta.Order.Domain))
-	if sta.Published.Revision > 0 && sta.Published.Order == sta.Order.Revision {
+	if sta.Published.Revision > 0 && sta.Published.Order == sta.Order.Number() {
 		return wri, wri.State > sta.Published.State
 	}
 	return wri, wri.State > StateOrdered
@@ -147,14 +147,14 @@
 func (trk *Tracker) Dump(running func(domain string) int) []Dump {
 	var dumps []Dump
 	for domain, sta := range trk.states {
-		dum := Dump{Domain: domain, Order: sta.Order.Revision, Running: running(domain)}
+		dum := Dump{Domain: domain, Order: sta.Order.Number(), Running: running(domain)}
 		if sta.Order.Revision > 0 {
 			dum.State = trk.state(sta.Order, dum.Running).String()
 			for _, epo := range trk.missing(sta.Order) {
 				dum.Missing = append(dum.Missing, epo.String())
 			}
 		}
-		if sta.Published.Revision > 0 && sta.Published.Order == sta.Order.Revision {
+		if sta.Published.Revision > 0 && sta.Published.Order == sta.Order.Number() {
 			dum.Told = sta.Published.State.String()
 		}
 		dumps = append(dumps, dum)
--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -16,7 +16,11 @@
 // the time. The types of this package are not safe for concurrent use.
 package evacuation
 
-import "fmt"
+import (
+	"fmt"
+
+	"lynxwell.dev/lynxwell/store"
+)
 
 // Order is an operator's order to evacuate a failure domain: hosts send no requests to the
 // domain's engines until the order is withdrawn.
@@ -27,6 +31,9 @@
 	Revision uint64
 }
 
+// Number returns the store's own number of the order, by which the published state names it.
+func (ord Order) Number() uint64 { return store.Revision(ord.Revision).Number() }
+
 // State is the progress of an evacuation.
 type State uint8
 
@@ -58,7 +65,7 @@
 
 // PublishedState is the state of an evacuation in the store, where operators read it.
 type PublishedState struct {
-	// Order is the revision of the order that the state belongs to.
+	// Order is the store's number of the order that the state belongs to.
 	Order uint64
 	State State
 	// Revision is the revision of the published state in the store; 0 if there is none.
--- a/host/membership.go
+++ b/host/membership.go
@@ -103,14 +103,14 @@
 // renew renews the lease, or requests a new one if there is none or it has expired.
 func (hol *leaseHolder) renew(ctx context.Context) error {
 	sto := hol.host.store
-	if hol.lease != 0 {
+	if !hol.lease.IsZero() {
 		err := sto.RenewLease(ctx, hol.lease)
 		var ler *store.LeaseError
 		if !errors.As(err, &ler) {
 			return err
 		}
 		hol.host.log.Warn().Msg("host's lease expired; requesting a new one")
-		hol.lease, hol.written = 0, nil
+		hol.lease, hol.written = store.LeaseID{}, nil
 	}
 	lease, err := sto.GrantLease(ctx, hol.host.set.Timing.Lease.Std())
 	if err != nil {
--- a/platformtest/contract_test.go
+++ b/platformtest/contract_test.go
@@ -138,7 +138,7 @@
 			_, err := sto.GrantLease(ctx, time.Second)
 			return err
 		},
-		"RenewLease": func(ctx context.Context, sto store.Store) error { return sto.RenewLease(ctx, 1) },
+		"RenewLease": func(ctx context.Context, sto store.Store) error { return sto.RenewLease(ctx, store.LeaseID{Number: 1}) },
 		"Hosts":      func(ctx context.Context, sto store.Store) error { _, err := sto.Hosts(ctx); return err },
 	}
 	for name, call := range calls {
--- a/platformtest/memory.go
+++ b/platformtest/memory.go
@@ -352,7 +352,7 @@
 	if len(wri.Data) > MaxValueBytes {
 		return errors.Newf("value is %d bytes long, limit is %d bytes", len(wri.Data), MaxValueBytes)
 	}
-	if wri.Lease != 0 && mem.leases[wri.Lease] == nil {
+	if !wri.Lease.IsZero() && mem.leases[wri.Lease] == nil {
 		return &store.LeaseError{Lease: wri.Lease}
 	}
 	if actual := mem.values[wri.Key].Revision; !wri.Blind && actual != wri.Expect {
@@ -434,11 +434,11 @@
 // GrantLease implements store.Store.
 func (mem *Memory) GrantLease(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
 	if err := mem.beginCall(ctx, "GrantLease"); err != nil {
-		return 0, err
+		return store.LeaseID{}, err
 	}
 	mem.mutex.Lock()
 	defer mem.mutex.Unlock()
-	mem.lastID++
+	mem.lastID.Number++
 	mem.leases[mem.lastID] = &lease{ttl: ttl, expires: mem.cfg.Now().Add(ttl)}
 	return mem.lastID, mem.loseReply("GrantLease")
 }
--- a/platformtest/server.go
+++ b/platformtest/server.go
@@ -189,7 +189,7 @@
 }
 
 func itemOf(val store.Value) item {
-	return item{Key: val.Key, Value: val.Data, Revision: uint64(val.Revision), Created: uint64(val.Revision), Lease: uint64(val.Lease)}
+	return item{Key: val.Key, Value: val.Data, Revision: uint64(val.Revision), Created: uint64(val.Revision), Lease: val.Lease.Number}
 }
 
 func (srv *Server) serveKey(wri http.ResponseWriter, req *http.Request) {
@@ -279,7 +279,7 @@
 func writeOf(txn transaction) store.Write {
 	var wri store.Write
 	if len(txn.Writes) > 0 {
-		wri = store.Write{Key: txn.Writes[0].Key, Data: txn.Writes[0].Value, Lease: store.LeaseID(txn.Writes[0].Lease)}
+		wri = store.Write{Key: txn.Writes[0].Key, Data: txn.Writes[0].Value, Lease: store.LeaseID{Number: txn.Writes[0].Lease}}
 	} else {
 		wri = store.Write{Key: txn.Remove[0], Delete: true}
 	}
@@ -300,7 +300,7 @@
 		replyError(wri, err)
 		return
 	}
-	reply(wri, http.StatusOK, leaseBody{Lease: uint64(id), TTL: body.TTL})
+	reply(wri, http.StatusOK, leaseBody{Lease: id.Number, TTL: body.TTL})
 }
 
 func (srv *Server) serveRenewal(wri http.ResponseWriter, req *http.Request) {
@@ -314,7 +314,7 @@
 func (srv *Server) leaseCall(wri http.ResponseWriter, req *http.Request, apply func(store.LeaseID) error) {
 	id, err := strconv.ParseUint(mux.Vars(req)["lease"], 10, 64)
 	if err == nil {
-		err = apply(store.LeaseID(id))
+		err = apply(store.LeaseID{Number: id})
 	}
 	if err != nil {
 		replyError(wri, err)
--- a/store/change.go
+++ b/store/change.go
@@ -27,5 +27,5 @@
 
 // Error names the revision of the watch.
 func (cer *CompactedError) Error() string {
-	return fmt.Sprintf("store: changes after revision %d are compacted", cer.After)
+	return fmt.Sprintf("store: changes after revision %d of era %d are compacted", cer.After.Number(), cer.After.Era())
 }
--- a/store/store.go
+++ b/store/store.go
@@ -20,21 +20,6 @@
 	"time"
 )
 
-// Revision orders all writes of the store; 0 is the revision of a key that doesn't exist.
-type Revision uint64
-
-// Era counts the restorations of the store from a copy. In each era the store has a history of its own.
-type Era uint64
-
-// EraSource is implemented by a Store that knows the store's era.
-type EraSource interface {
-	// Era returns the era that the store named most recently; 0 if it named none.
-	Era() Era
-}
-
-// LeaseID identifies a lease; 0 is no lease.
-type LeaseID uint64
-
 // Value is a key with its value.
 type Value struct {
 	Key      string
@@ -114,7 +99,7 @@
 
 // Error names the key and both revisions.
 func (cer *ConflictError) Error() string {
-	return fmt.Sprintf("store: key %q has revision %d, expected %d", cer.Key, cer.Actual, cer.Expect)
+	return fmt.Sprintf("store: key %q has revision %d of era %d, expected %d of era %d", cer.Key, cer.Actual.Number(), cer.Actual.Era(), cer.Expect.Number(), cer.Expect.Era())
 }
 
 // LeaseError reports a lease that has expired.
@@ -124,7 +109,7 @@
 
 // Error names the lease.
 func (ler *LeaseError) Error() string {
-	return fmt.Sprintf("store: lease %d has expired", ler.Lease)
+	return fmt.Sprintf("store: lease %d has expired", ler.Lease.Number)
 }
 
 // RateError reports a call that exceeded the platform's rate limit and had no effect.
--- a/store/wrap.go
+++ b/store/wrap.go
@@ -114,7 +114,7 @@
 
 // GrantLease returns a *ReadOnlyError.
 func (ReadOnly) GrantLease(context.Context, time.Duration) (LeaseID, error) {
-	return 0, &ReadOnlyError{Call: "GrantLease"}
+	return LeaseID{}, &ReadOnlyError{Call: "GrantLease"}
 }
 
 // RenewLease returns a *ReadOnlyError.
