--- a/soak/faults.go
+++ b/soak/faults.go
@@ -117,6 +117,7 @@
 		sys.register(eng, true)
 	} else {
 		sys.put(store.Write{Key: entrytest.EngineKey(eng.id), Delete: true, Blind: true})
+		eng.deleted = true
 	}
 	eng.retiredAt = time.Now()
 	sys.addEngine(fmt.Sprintf("%s-%d", eng.id, len(sys.engines)), eng.service)
--- a/soak/places.go
+++ b/soak/places.go
@@ -83,6 +83,7 @@
 // markCold makes an engine cold for coldFor, in which it survives no more than coldRate, and
 // registers it as cold.
 func (sys *system) markCold(eng *engine) {
+	eng.coldUntil = time.Now().Add(coldFor)
 	sys.control(eng, upstreamtest.PathCold, upstreamtest.Cold{PerSecond: coldRate, For: coldFor})
 	sys.registerCold(eng, false, coldFor)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -74,13 +74,16 @@
 	dir    string
 	random *rand.Rand
 	// signalRandom selects the signals of engines, rateRandom their rate limits,
-	// evacuationRandom the withdrawals of evacuations, speedRandom the hosts that are slow, and pathRandom those that are cut off from
-	// engines. They are separate sources, so that the faults of a seed, which random selects, do not depend on them.
+	// evacuationRandom the withdrawals of evacuations, speedRandom the hosts that are slow, pathRandom those that are cut off from
+	// engines, and restoreRandom the restorations of the store. They are separate sources, so that the faults of a seed, which random selects, do not depend on them.
 	signalRandom     *rand.Rand
 	rateRandom       *rand.Rand
 	evacuationRandom *rand.Rand
 	speedRandom      *rand.Rand
 	pathRandom       *rand.Rand
+	restoreRandom    *rand.Rand
+	// copyKept is set once the store has kept a copy of its content.
+	copyKept bool
 	// orderedAt is the time of the evacuation order in force, zero for none. inClosedPeriod is
 	// set once the domain has been published as closed under this order. closedPeriods lists all
 	// periods in which the domain was published as closed.
@@ -116,8 +119,11 @@
 	address netip.AddrPort
 	// sequence counts the versions of its store entry.
 	sequence uint64
-	// retiredAt is the time at which its entry was deleted or began to drain; zero before.
+	// retiredAt is the time at which its entry was deleted or began to drain; zero before. deleted is set if
+	// the entry was deleted. The engine is cold until coldUntil.
 	retiredAt time.Time
+	deleted   bool
+	coldUntil time.Time
 	// crashed is closed when its process has exited; replaced is set once another engine has been
 	// started in its place.
 	crashed  chan struct{}
@@ -163,6 +169,7 @@
 		sys.changeEvacuation()
 		sys.changeSpeed()
 		sys.changePath()
+		sys.changeStoreContent()
 		sys.replaceCrashed()
 		sys.wait(time.Duration(float64(meanFaultInterval) * sys.random.ExpFloat64()))
 	}
@@ -197,7 +204,7 @@
 
 func start(t *testing.T, cfg Config) *system {
 	t.Helper()
-	sys := &system{t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(cfg.Seed, 1)), signalRandom: rand.New(rand.NewPCG(cfg.Seed, 55)), rateRandom: rand.New(rand.NewPCG(cfg.Seed, 89)), evacuationRandom: rand.New(rand.NewPCG(cfg.Seed, 144)), speedRandom: rand.New(rand.NewPCG(cfg.Seed, 233)), pathRandom: rand.New(rand.NewPCG(cfg.Seed, 377)), revokedAt: make(map[string]time.Time)}
+	sys := &system{t: t, dir: t.TempDir(), random: rand.New(rand.NewPCG(cfg.Seed, 1)), signalRandom: rand.New(rand.NewPCG(cfg.Seed, 55)), rateRandom: rand.New(rand.NewPCG(cfg.Seed, 89)), evacuationRandom: rand.New(rand.NewPCG(cfg.Seed, 144)), speedRandom: rand.New(rand.NewPCG(cfg.Seed, 233)), pathRandom: rand.New(rand.NewPCG(cfg.Seed, 377)), restoreRandom: rand.New(rand.NewPCG(cfg.Seed, 610)), revokedAt: make(map[string]time.Time)}
 	_, sys.storeAddress = processtest.StartFake(t, sys.dir, "store", "platform")
 	for idx := range enginesPerService {
 		sys.addEngine(fmt.Sprintf("m%d", idx), entrytest.Model)
@@ -291,6 +298,12 @@
 func (sys *system) configure() {
 	sys.t.Helper()
 	sys.version += 1 + sys.random.Uint64N(3)
+	sys.writeConfiguration()
+}
+
+// writeConfiguration writes the configuration with the current version and keys to the store.
+func (sys *system) writeConfiguration() {
+	sys.t.Helper()
 	con := entrytest.Configuration{Version: sys.version, Keys: sys.keys, ColdFor: coldFor, ColdRate: coldRate}
 	sys.put(store.Write{Key: entrytest.ConfigurationKey, Blind: true, Data: []byte(con.JSON())})
 }
--- a/tools/mutate/mutations.go
+++ b/tools/mutate/mutations.go
@@ -400,14 +400,17 @@
 	},
 	{
 		"Paths: a host that reaches no engine forwards", "entry/forward.go",
-		"	for _, mem := range hosts {\n		fwd, err :=", "	for _, mem := range hosts[:0] {\n		fwd, err :=", []string{"./entry"},
+		"	for _, mem := range hosts {\n		fwd, err :=", "	for _, mem := range hosts[:0] {\n		fwd, err :=",
+		[]string{"./entry"},
 	},
 	{
 		"Paths: a host that reaches no engine reports no failure of an engine", "entry/forward.go",
-		"	if att.pathLost {\n		att.release.Failed = false", "	if att.pathLost {\n		att.pathLost = false", []string{"./entry"},
+		"	if att.pathLost {\n		att.release.Failed = false", "	if att.pathLost {\n		att.pathLost = false",
+		[]string{"./entry"},
 	},
 	{
 		"Paths: a refused probe counts only beside an accepted connection", "entry/forward.go",
-		"	if hos.paths.verify(ctx, hos.clock.Now(), eng.ID) != egress.PathOpen {\n		return upstream.ProbeUnknown\n	}\n", "", []string{"./entry"},
+		"	if hos.paths.verify(ctx, hos.clock.Now(), eng.ID) != egress.PathOpen {\n		return upstream.ProbeUnknown\n	}\n", "",
+		[]string{"./entry"},
 	},
 }
