--- a/tools/mutate/mutations.go
+++ b/tools/mutate/mutations.go
@@ -413,4 +413,29 @@
 		"	if hos.paths.verify(ctx, hos.clock.Now(), eng.ID) != egress.PathOpen {\n		return upstream.ProbeUnknown\n	}\n", "",
 		[]string{"./entry"},
 	},
+	{
+		"Eras: a watch of an earlier era is gone", "platform/client.go",
+		"ser.Status == http.StatusGone || err == nil && era != after.Era() {", "ser.Status == http.StatusGone {",
+		[]string{"./platform"},
+	},
+	{
+		"Eras: a condition of an earlier era isn't sent", "platform/client.go",
+		"	if !wri.Blind && wri.Expect != 0 && wri.Expect.Era() < known {\n		return 0, &store.ConflictError{Key: wri.Key, Expect: wri.Expect}\n	}\n", "",
+		[]string{"./platform"},
+	},
+	{
+		"Eras: a lease of an earlier era isn't renewed", "platform/client.go",
+		"	if err == nil && era != id.Era {\n		return &store.LeaseError{Lease: id}\n	}\n", "",
+		[]string{"./platform"},
+	},
+	{
+		"Eras: newer knowledge stays in force", "entry/restored.go",
+		"	if !wat.inRestoreGrace(now) {\n", "	if true {\n",
+		[]string{"./entry"},
+	},
+	{
+		"Eras: the coordinator writes the hosts' values again", "entry/restored.go",
+		"			if rew.host.broker.coordinates() {\n", "			if false {\n",
+		[]string{"./entry"},
+	},
 }
