feat(scheduler): engines that say that they are brittle get no request that would wait

Engines with Server-Brittle fall over when they reject more than N requests in a second; the word was read by nobody. While a service's engines say so, none is granted more requests than its slots, and one that has rejected a request gets a pause of a second.

--- a/call/call.go
+++ b/call/call.go
@@ -82,6 +82,11 @@
 	// InvalidBackoff is the beginning of a header value that isn't a valid backoff.
 	Backoff        time.Duration
 	InvalidBackoff string
+	// Brittle is set if the engine falls over when it has to reject more than BrittleLimit requests in a
+	// second. InvalidBrittle is the beginning of a header value that isn't a valid limit.
+	Brittle        bool
+	BrittleLimit   int
+	InvalidBrittle string
 	// HasRate is set if the answer carries a rate limit. Rate is the limit in requests per
 	// second, from all hosts together. InvalidRate is the beginning of an invalid value.
 	HasRate     bool
--- a/entry/notices.go
+++ b/entry/notices.go
@@ -37,7 +37,7 @@
 // apply records the signals in the head of an answer and reports them to the schedulers.
 func (ntc *notices) apply(hrd upstream.HeadReceived) {
 	ntc.unrecognized.record(hrd)
-	if hrd.Head.InvalidBackoff != "" || hrd.Head.InvalidRate != "" || hrd.Head.InvalidCold != "" {
+	if hrd.Head.InvalidBackoff != "" || hrd.Head.InvalidRate != "" || hrd.Head.InvalidCold != "" || hrd.Head.InvalidBrittle != "" {
 		ntc.recordInvalid(hrd)
 	}
 	now := ntc.host.clock.Now()
@@ -94,6 +94,9 @@
 	if head.Cold > 0 {
 		nots = append(nots, fleet.Notice{Run: hrd.Engine, Signal: fleet.Cold{Remaining: head.Cold}})
 	}
+	if head.Brittle {
+		nots = append(nots, fleet.Notice{Run: hrd.Engine, Signal: fleet.Brittle{Limit: head.BrittleLimit}})
+	}
 	if signal := ntc.rateSignal(hrd); signal != nil {
 		nots = append(nots, fleet.Notice{Run: hrd.Engine, Signal: signal})
 	}
@@ -146,6 +149,8 @@
 		evt = evt.Float64("PerSecond", sig.PerSecond)
 	case fleet.Cold:
 		evt = evt.Dur("For", sig.Remaining)
+	case fleet.Brittle:
+		evt = evt.Int("Limit", sig.Limit)
 	}
 	if limited {
 		evt = evt.Float64("FormerPerSecond", prev.PerSecond).Dur("FormerAge", now.Sub(prev.ReceivedAt))
@@ -176,6 +181,9 @@
 	if hrd.Head.InvalidCold != "" {
 		evt = evt.Str("Cold", hrd.Head.InvalidCold)
 	}
+	if hrd.Head.InvalidBrittle != "" {
+		evt = evt.Str("Brittle", hrd.Head.InvalidBrittle)
+	}
 	evt.Msg("answer has an invalid engine signal, ignored or adjusted")
 }
 
--- a/fleet/notices.go
+++ b/fleet/notices.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// BrittleInterval is how often a run's brittleness, which all its answers state, counts as new.
+const BrittleInterval = 250 * time.Millisecond
+
 // unregisteredRetention is how long the notices of an unregistered run are kept. A run whose entry
 // expired in an outage of the store usually registers again within two seconds after the outage,
 // and in the worst case only after as long as the longest outage, half a minute.
@@ -26,6 +29,8 @@
 	limits map[EngineID]ReceivedLimit
 	// coldUntil holds the end of each run's warm-up.
 	coldUntil map[EngineID]time.Time
+	// brittleAt is when each run's brittleness was last reported as new.
+	brittleAt map[EngineID]time.Time
 	// lastSeen holds, for each run with a notice, the later of the time at which it was last
 	// found registered and the time of its latest notice.
 	lastSeen map[EngineID]time.Time
@@ -41,7 +46,7 @@
 func NewNotices() *Notices {
 	return &Notices{
 		final: make(map[EngineID]Signal), backoffUntil: make(map[EngineID]time.Time),
-		limits: make(map[EngineID]ReceivedLimit), coldUntil: make(map[EngineID]time.Time), lastSeen: make(map[EngineID]time.Time),
+		limits: make(map[EngineID]ReceivedLimit), coldUntil: make(map[EngineID]time.Time), brittleAt: make(map[EngineID]time.Time), lastSeen: make(map[EngineID]time.Time),
 	}
 }
 
@@ -75,6 +80,12 @@
 			ntc.coldUntil[not.Run] = until
 		}
 		return !now.Before(prev)
+	case Brittle:
+		isDue := now.Sub(ntc.brittleAt[not.Run]) >= BrittleInterval
+		if isDue {
+			ntc.brittleAt[not.Run] = now
+		}
+		return isDue
 	case Unlimited:
 		_, known := ntc.limits[not.Run]
 		delete(ntc.limits, not.Run)
@@ -138,6 +149,7 @@
 	expired := func(_ EngineID, until time.Time) bool { return !now.Before(until) }
 	maps.DeleteFunc(ntc.backoffUntil, expired)
 	maps.DeleteFunc(ntc.coldUntil, expired)
+	maps.DeleteFunc(ntc.brittleAt, func(_ EngineID, at time.Time) bool { return now.Sub(at) >= BrittleInterval })
 	for run, last := range ntc.lastSeen {
 		_, final := ntc.final[run]
 		_, backoff := ntc.backoffUntil[run]
--- a/fleet/word.go
+++ b/fleet/word.go
@@ -42,12 +42,19 @@
 	Remaining time.Duration
 }
 
+// Brittle means that an engine falls over if it has to reject more requests than the limit within a second. All
+// its answers say so while it lasts.
+type Brittle struct {
+	Limit int
+}
+
 func (Draining) isSignal()  {}
 func (Replaced) isSignal()  {}
 func (Backoff) isSignal()   {}
 func (RateLimit) isSignal() {}
 func (Unlimited) isSignal() {}
 func (Cold) isSignal()      {}
+func (Brittle) isSignal()   {}
 
 // String returns the name of the signal.
 func (Draining) String() string { return "Draining" }
@@ -67,6 +74,9 @@
 // String returns the name of the signal.
 func (Cold) String() string { return "Cold" }
 
+// String returns the name of the signal.
+func (Brittle) String() string { return "Brittle" }
+
 // Notice is a signal together with the engine run that sent it.
 type Notice struct {
 	Run    EngineID
--- a/peer/convertengine.go
+++ b/peer/convertengine.go
@@ -35,6 +35,7 @@
 	signalRateLimit
 	signalUnlimited
 	signalCold
+	signalBrittle
 )
 
 func noticeToWire(msg reservation.EngineNotice) *peerpb.EngineNotice {
@@ -52,6 +53,8 @@
 		wno.Word = signalUnlimited
 	case fleet.Cold:
 		wno.Word, wno.LeftUs = signalCold, sig.Remaining.Microseconds()
+	case fleet.Brittle:
+		wno.Word, wno.PerSecond = signalBrittle, float64(sig.Limit)
 	}
 	return wno
 }
@@ -73,6 +76,8 @@
 		not.Signal = fleet.Unlimited{}
 	case signalCold:
 		not.Signal = fleet.Cold{Remaining: fromMicros(wno.GetLeftUs())}
+	case signalBrittle:
+		not.Signal = fleet.Brittle{Limit: int(wno.GetPerSecond())}
 	}
 	return reservation.EngineNotice{Notice: not}
 }
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -50,6 +50,8 @@
 	cachedTokens  int
 	cacheCapacity int
 	health        health
+	// pausedUntil is the end of the pause of a brittle engine that has rejected a request.
+	pausedUntil time.Time
 	// isolatedUntil is the end of the engine's isolation, exclusiveRuns the number of its
 	// exclusive runs.
 	isolatedUntil time.Time
--- a/scheduler/notice.go
+++ b/scheduler/notice.go
@@ -87,6 +87,8 @@
 		cor.clearRate(now, ene)
 	case fleet.Cold:
 		cor.markCold(now, ene, now.Add(sgn.Remaining))
+	case fleet.Brittle:
+		cor.service(ene.Service).markBrittle(now)
 	}
 	cor.serveEngine(now, ene)
 }
--- a/scheduler/room.go
+++ b/scheduler/room.go
@@ -95,4 +95,9 @@
 }
 
 // hasQueueRoom reports whether the engine may be granted further requests by the number of its runs.
-func (ene *engine) hasQueueRoom() bool { return len(ene.running) < ene.Slots+maxEngineQueue }
+func (ene *engine) hasQueueRoom() bool {
+	if !ene.isListed() {
+		return len(ene.running) < ene.Slots+maxEngineQueue
+	}
+	return len(ene.running) < ene.Slots+ene.service.engineQueue
+}
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -103,6 +103,9 @@
 	case rel.Throttled:
 		ene.health.recordUnknown()
 	case rel.Failed || rel.Rejected:
+		if rel.Rejected {
+			cor.service(ene.Service).pauseBrittle(now, ene)
+		}
 		cor.recordFailure(now, ene, rnn.gateway)
 	case rnn.tokens == 0 && rel.Dispatched && rel.Total > 0:
 		ene.learnServiceTime(rnn, rel.Total)
--- a/tools/mutate/mutations.go
+++ b/tools/mutate/mutations.go
@@ -438,4 +438,9 @@
 		"			if rew.host.broker.coordinates() {\n", "			if false {\n",
 		[]string{"./entry"},
 	},
+	{
+		"Brittle: no request waits at a brittle engine", "scheduler/brittle.go",
+		"	svc.setEngineQueue(0)\n", "",
+		[]string{"./entry"},
+	},
 }
--- a/upstreamtest/engine.go
+++ b/upstreamtest/engine.go
@@ -127,6 +127,8 @@
 	coldRate  float64
 	coldUntil time.Time
 	crashed   bool
+	// brittle is the state of a brittle engine; nil if it isn't brittle.
+	brittle *brittleness
 }
 
 // NewEngine returns an engine without faults other than those of the configuration.
@@ -209,6 +211,7 @@
 			wri.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		eng.announceBrittle(wri)
 		if eng.sendSignals(wri, req) {
 			return
 		}
@@ -256,7 +259,7 @@
 	}
 	callback := eng.onNextRequest
 	eng.onNextRequest = nil
-	return flt, eng.cfg.Slots == 0 || eng.active <= 2*eng.cfg.Slots, callback
+	return flt, eng.admits(), callback
 }
 
 // plannedFault returns the configured fault of the next answer, which simulates a faulty
