--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -59,11 +59,11 @@
 }
 
 // commands returns all commands in the order in which the help lists them.
-func commands(cfg Config) []command {
+func commands(cfg Config, hangups <-chan os.Signal) []command {
 	return []command{
 		newDemoCmd(),
 		newServeCmd(),
-		newEntryCmd(cfg.EngineDialer),
+		newEntryCmd(cfg.EngineDialer, hangups),
 		newCheckCmd(),
 		newStoryCmd(),
 		newLossesCmd(),
@@ -91,7 +91,9 @@
 // RunWith is Run with other dependencies.
 func RunWith(cfg Config, args []string, in io.Reader, out, errOut io.Writer) int {
 	str := streams{in: in, out: out, err: errOut}
-	all := commands(cfg)
+	hangups, stop := receiveHangups(args)
+	defer stop()
+	all := commands(cfg, hangups)
 	parser := newParser(all)
 	if err := parser.ParseArgs(args); err != nil {
 		fmt.Fprintln(errOut, "lynxwell:", err)
@@ -106,6 +108,17 @@
 	return exitUsage
 }
 
+// receiveHangups returns the hangup signals to the entry command. They are received before anything else is
+// done, since a hangup ends a process that doesn't receive it.
+func receiveHangups(args []string) (hangups <-chan os.Signal, stop func()) {
+	if len(args) == 0 || args[0] != nameEntry {
+		return nil, func() {}
+	}
+	received := make(chan os.Signal, 1)
+	signal.Notify(received, syscall.SIGHUP)
+	return received, func() { signal.Stop(received) }
+}
+
 func newParser(all []command) *flaggy.Parser {
 	parser := flaggy.NewParser("lynxwell")
 	parser.Description = "A request scheduler for language-model engines of unequal speed."
--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -5,9 +5,7 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -31,16 +29,21 @@
 	sub    *flaggy.Subcommand
 	opts   entryOptions
 	dialer upstream.Dialer
+	// hangups delivers the signals that reload the settings.
+	hangups <-chan os.Signal
 }
 
+// nameEntry is the name of the entry command.
+const nameEntry = "entry"
+
 // entryOptions holds the options of the entry command.
 type entryOptions struct {
 	settings string
 	check    bool
 }
 
-func newEntryCmd(dialer upstream.Dialer) *entryCmd {
-	com := &entryCmd{dialer: dialer, sub: newSubcommand("entry", "run one host on the users' platform",
+func newEntryCmd(dialer upstream.Dialer, hangups <-chan os.Signal) *entryCmd {
+	com := &entryCmd{dialer: dialer, hangups: hangups, sub: newSubcommand(nameEntry, "run one host on the users' platform",
 		"    lynxwell entry --settings entry.json\n    lynxwell entry --settings entry.json --check")}
 	com.sub.String(&com.opts.settings, "s", "settings", "settings file, JSON with comments (default: the file named by the platform's environment variable)")
 	com.sub.Bool(&com.opts.check, "c", "check", "validate the settings and exit")
@@ -71,10 +74,7 @@
 	if err != nil {
 		return err
 	}
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	return runEntry(ctx, entry.Config{Settings: set, Log: log, EngineDialer: com.dialer, SettingsFile: file, Hangups: hangups, LinesDropped: out.dropped.Load})
+	return runEntry(ctx, entry.Config{Settings: set, Log: log, EngineDialer: com.dialer, SettingsFile: file, Hangups: com.hangups, LinesDropped: out.dropped.Load})
 }
 
 // logWriter is a log writer that never blocks. If the log's reader lags, it drops
