--- a/egress/egress.go
+++ b/egress/egress.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	det := egress.NewDetector()
-//	cha := det.Checked(began, now, egress.Result{Opened: 0, Failed: 3})
+//	changed := det.Checked(began, egress.Result{Opened: 0, Failed: 3})
 //	if det.Lost() {
 //		for _, mem := range cho.Order(now, members, domain) { ... }
 //	}
@@ -63,8 +63,7 @@
 
 // Detector tracks whether a host has lost its paths to all engines.
 type Detector struct {
-	lost      bool
-	lostSince time.Time
+	lost bool
 	// began is when the latest completed check began, path its result.
 	began time.Time
 	path  Path
@@ -80,32 +79,26 @@
 	return det.lost
 }
 
-// LostFor returns how long the paths have been lost.
-func (det *Detector) LostFor(now time.Time) time.Duration {
-	return now.Sub(det.lostSince)
-}
-
 // Checked records the result of a check and reports whether Lost has changed. A check without a result
 // changes nothing.
-func (det *Detector) Checked(began, now time.Time, res Result) bool {
+func (det *Detector) Checked(began time.Time, res Result) bool {
 	if !began.Before(det.began) {
 		det.began, det.path = began, res.Path()
 	}
-	return det.set(now, res.Path())
+	return det.set(res.Path())
 }
 
 // Forwarded records that another host reached an engine that this one could not reach at the same time, and
 // reports whether Lost has changed. It decides where the check had no other engine to try.
-func (det *Detector) Forwarded(now time.Time) bool {
-	return det.path == PathUnknown && det.set(now, PathLost)
+func (det *Detector) Forwarded() bool {
+	return det.path == PathUnknown && det.set(PathLost)
 }
 
-func (det *Detector) set(now time.Time, pth Path) bool {
+func (det *Detector) set(pth Path) bool {
 	if pth == PathUnknown || det.lost == (pth == PathLost) {
 		return false
 	}
 	det.lost = pth == PathLost
-	det.lostSince = now
 	return true
 }
 
--- a/egress/egress_test.go
+++ b/egress/egress_test.go
@@ -32,30 +32,30 @@
 
 func TestDetectorFollowsChecks(t *testing.T) {
 	det := egress.NewDetector()
-	assert.Assert(t, !det.Checked(start, start, egress.Result{Failed: 1}), "a single engine shows nothing")
-	assert.Assert(t, det.Checked(start, start, egress.Result{Failed: 2}))
+	assert.Assert(t, !det.Checked(start, egress.Result{Failed: 1}), "a single engine shows nothing")
+	assert.Assert(t, det.Checked(start, egress.Result{Failed: 2}))
 	assert.Assert(t, det.Lost())
-	assert.Assert(t, !det.Checked(start, start, egress.Result{}), "a check without engines changes nothing")
+	assert.Assert(t, !det.Checked(start, egress.Result{}), "a check without engines changes nothing")
 	assert.Assert(t, det.Lost())
-	assert.Assert(t, det.Checked(start, start, egress.Result{Opened: 1}))
+	assert.Assert(t, det.Checked(start, egress.Result{Opened: 1}))
 	assert.Assert(t, !det.Lost())
 }
 
 // Guards against a single engine that another host reaches counting as failed.
 func TestForwardingDecidesWhereCheckCanNot(t *testing.T) {
 	det := egress.NewDetector()
-	det.Checked(start, start, egress.Result{Failed: 1})
-	assert.Assert(t, det.Forwarded(start))
+	det.Checked(start, egress.Result{Failed: 1})
+	assert.Assert(t, det.Forwarded())
 	assert.Assert(t, det.Lost())
-	det.Checked(start.Add(time.Second), start.Add(time.Second), egress.Result{Opened: 1})
-	assert.Assert(t, !det.Forwarded(start), "an open path isn't lost because another host forwards")
+	det.Checked(start.Add(time.Second), egress.Result{Opened: 1})
+	assert.Assert(t, !det.Forwarded(), "an open path isn't lost because another host forwards")
 }
 
 func TestEarlierCheckIsNoEvidence(t *testing.T) {
 	det := egress.NewDetector()
 	_, known := det.Since(time.Time{})
 	assert.Assert(t, !known, "no check was made")
-	det.Checked(start, start.Add(time.Second), egress.Result{Opened: 1})
+	det.Checked(start, egress.Result{Opened: 1})
 	_, known = det.Since(start.Add(time.Millisecond))
 	assert.Assert(t, !known, "the check began before the failure")
 	pth, known := det.Since(start)
--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -148,8 +148,9 @@
 
 // forwardBody is the body of an answer to a forwarded request. Its errors are of type *peer.ForwardError.
 type forwardBody struct {
-	conn    *forwardConn
-	context context.Context //nolint:containedctx // It is the request's, which the body belongs to.
+	conn *forwardConn
+	// context is the request's, which the body belongs to.
+	context context.Context
 	answer  *upstream.Answer
 	end     func()
 }
--- a/entry/egress.go
+++ b/entry/paths.go
@@ -34,8 +34,9 @@
 	choice   *egress.Choice
 	// checking is closed when the check in progress ends; nil for none.
 	checking chan struct{}
-	// lost wakes run when the paths are lost.
-	lost chan struct{}
+	// lost wakes run when the paths are lost; lostAt is when they were lost last.
+	lost   chan struct{}
+	lostAt time.Time
 }
 
 func newPaths(hos *Host) *paths {
@@ -97,10 +98,9 @@
 func (pat *paths) check(failed fleet.EngineID) {
 	began := pat.host.clock.Now()
 	res := pat.dialOthers(failed)
-	now := pat.host.clock.Now()
 	pat.host.metrics.count("PathChecks." + res.Path().String())
 	pat.mutex.Lock()
-	changed := pat.detector.Checked(began, now, res)
+	changed := pat.detector.Checked(began, res)
 	pat.checking = nil
 	pat.mutex.Unlock()
 	if changed {
@@ -111,9 +111,16 @@
 // announce logs that the paths are lost, or back, and acts on it. Idle connections are dropped when the paths
 // are lost, since they may be silent.
 func (pat *paths) announce(lost bool, res egress.Result) {
+	now := pat.host.clock.Now()
+	pat.mutex.Lock()
+	lostAt := pat.lostAt
+	if lost {
+		pat.lostAt = now
+	}
+	pat.mutex.Unlock()
 	evt := pat.host.log.Warn().Int("Opened", res.Opened).Int("Failed", res.Failed)
 	if !lost {
-		evt.Msg("engines reachable again")
+		evt.Dur("After", now.Sub(lostAt)).Msg("engines reachable again")
 		return
 	}
 	evt.Msg("no engine reachable, forwarding through other hosts")
@@ -193,7 +200,7 @@
 		return
 	}
 	pat.choice.Proven(now, epo)
-	changed := pat.detector.Forwarded(now)
+	changed := pat.detector.Forwarded()
 	pat.mutex.Unlock()
 	if changed {
 		pat.announce(true, egress.Result{})
--- a/peer/forwardclient.go
+++ b/peer/forwardclient.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/peer/peerpb"
@@ -124,7 +125,8 @@
 
 // asForwardError returns the error as a *ForwardError, with the given result if it has none of its own.
 func asForwardError(err error, result ForwardResult) error {
-	if fer, isForward := err.(*ForwardError); isForward { //nolint:errorlint // endFromWire returns it unwrapped.
+	var fer *ForwardError
+	if errors.As(err, &fer) {
 		return fer
 	}
 	return &ForwardError{Result: result, Detail: err.Error()}
