--- a/tools/mutate/mutations.go
+++ b/tools/mutate/mutations.go
@@ -434,7 +434,7 @@
 		[]string{"./entry"},
 	},
 	{
-		"Eras: the coordinator writes the hosts' values again", "entry/restored.go",
+		"Eras: the coordinator writes the hosts' values again", "entry/rewrites.go",
 		"			if rew.host.broker.coordinates() {\n", "			if false {\n",
 		[]string{"./entry"},
 	},
