fix(gateway): send clients back to a connected gateway that has not dispatched its grant yet

Cause, from the logs of a failed run: a host relays a request to the gateway that owns it; that gateway stalls for longer than PeerTimeout (0.5 s in the test), the relay is given up, the fence finds the grant, and the engine does not know the request, because the stalled gateway has not dispatched it yet. That was taken for "undecided" although the gateway was connected again and ran the request a moment later (its own clients got the answer).

Change: a grant that its engine does not know is left to its holder while that gateway is connected; the clients are relayed there.

The new test of the core failed before.

--- a/caller/server.go
+++ b/caller/server.go
@@ -96,6 +96,10 @@
 	sendJSON(wri, http.StatusOK, struct{ Ready bool }{true})
 }
 
+// maxMoves bounds the relays of one request to gateways that have taken it over. Beyond it the
+// client learns that the request has moved, and may return.
+const maxMoves = 4
+
 // submission is a validated request of a client.
 type submission struct {
 	arrived gateway.Arrived
@@ -105,7 +109,9 @@
 	// stream reports whether the client requested the answer as a stream.
 	stream  bool
 	account string
-	log     logFields
+	// moves counts the relays to gateways that have taken the request over.
+	moves int
+	log   logFields
 }
 
 func (srv *Server) serveChat(wri http.ResponseWriter, req *http.Request) {
@@ -189,7 +195,8 @@
 			srv.logEnd(sub, 0, "CallerLeft", "")
 			return
 		}
-		if prg.Final != nil && prg.Final.Cause == gateway.CauseMoved && !out.started && sub.work != nil {
+		if prg.Final != nil && prg.Final.Cause == gateway.CauseMoved && !out.started && sub.work != nil && sub.moves < maxMoves {
+			sub.moves++
 			srv.relayRequest(wri, req, sub, prg.Final.Holder)
 			return
 		}
--- a/gateway/arrive.go
+++ b/gateway/arrive.go
@@ -31,6 +31,7 @@
 		return
 	}
 	ent.callers++
+	ent.relayed = ent.relayed || arr.Relayed
 	ent.abandonedAt = time.Time{}
 	gat.emit(Attach{Client: arr.Client, ID: ent.id})
 	if ent.phase == phaseCloseUnconfirmed {
@@ -61,7 +62,7 @@
 	ent := &entry{
 		id: arr.ID, ballot: bal, spec: arr.Spec, phase: phaseWaiting,
 		arrived: now, deadline: now.Add(arr.Spec.Remaining), reserved: now,
-		callers: 1, refused: make(map[request.Epoch]time.Time),
+		callers: 1, relayed: arr.Relayed, refused: make(map[request.Epoch]time.Time),
 	}
 	gat.table.add(ent)
 	gat.emit(Attach{Client: arr.Client, ID: ent.id})
--- a/gateway/core_test.go
+++ b/gateway/core_test.go
@@ -66,10 +66,15 @@
 }
 
 func (har *harness) arrive(id request.ID) []gateway.Action {
+	return har.handle(har.arrival(id))
+}
+
+// arrival returns the arrival of another client with the request id.
+func (har *harness) arrival(id request.ID) gateway.Arrived {
 	har.callers++
-	return har.handle(gateway.Arrived{Client: har.callers, ID: id, Spec: gateway.Spec{
+	return gateway.Arrived{Client: har.callers, ID: id, Spec: gateway.Spec{
 		Service: "menus", Tier: "Normal", Rank: 10, Account: "care", PromptTokens: 100, MaxTokens: 10, Remaining: time.Minute,
-	}})
+	}}
 }
 
 // find returns the first action of type T.
@@ -322,3 +327,35 @@
 	assert.Equal(t, fin.Final.Cause, gateway.CausePrefixRetired)
 	assert.Equal(t, fin.Final.Outcome, request.NotRun)
 }
+
+// Guards against a false "unknown": a gateway that stalls for a moment holds a grant that it
+// hasn't dispatched yet, so the engine doesn't know the request. A host whose relay to that
+// gateway failed must send its clients there again while the gateway is connected.
+func TestGrantNotDispatchedYetIsLeftToItsConnectedHolder(t *testing.T) {
+	for name, want := range map[string]gateway.Cause{
+		"connected": gateway.CauseMoved, "lost": gateway.CauseUndecided, "sent back": gateway.CauseUndecided,
+	} {
+		t.Run(name, func(t *testing.T) {
+			har := newHarness(t, 4, member(1, "a"), member(2, "b"), member(3, "c"), member(4, "d"))
+			id := har.idOf(4, "one")
+			_, relayed := find[gateway.Relay](har.arrive(id))
+			assert.Assert(t, relayed)
+			arr := har.arrival(id)
+			arr.Relayed = name == "sent back"
+			actions := har.handle(gateway.RelayFailed{To: 4, Arrived: arr})
+			ask, asked := find[gateway.SendFence](actions)
+			assert.Assert(t, asked)
+			_, resumed := find[gateway.Resume](har.handle(gateway.FenceAnswered{Ballot: ask.Fence.Ballot, Answer: reservation.FenceAnswer{
+				ID: id, From: 2, State: reservation.FenceStateGranted, Engine: "engine-1", Ballot: request.Ballot{Holder: 4},
+			}}))
+			assert.Assert(t, resumed)
+			if name == "lost" {
+				har.handle(gateway.PeerLost{Peer: 4})
+			}
+			fin, finished := find[gateway.Finish](har.handle(gateway.EngineDone{ID: id, Result: gateway.Result{Dispatched: true, NotFound: true}}))
+			assert.Assert(t, finished)
+			assert.Equal(t, fin.Final.Cause, want)
+			assert.Equal(t, fin.Final.Holder.Epoch == 4, want == gateway.CauseMoved)
+		})
+	}
+}
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -85,9 +85,18 @@
 	case res.Complete:
 		gat.table.enter(ent, phaseDone)
 	case res.NotFound:
-		gat.undecided(ent)
+		gat.resumeNotFound(ent)
 	default:
 		gat.finish(ent, Final{Cause: CauseEngineFailed, Outcome: request.Ran})
 		gat.forget(ent)
 	}
 }
+
+// resumeNotFound ends a request that was granted to another gateway and that its engine
+// doesn't know: that gateway may still be about to dispatch it. Clients that it may have sent
+// here aren't sent back.
+func (gat *Core) resumeNotFound(ent *entry) {
+	if ent.relayed || !gat.leaveToHolder(ent, ent.holder) {
+		gat.undecided(ent)
+	}
+}
--- a/gateway/entry.go
+++ b/gateway/entry.go
@@ -68,7 +68,11 @@
 	// granter is the coordinator epoch that granted or closed the request.
 	granter request.Epoch
 	engine  string
-	final   Final
+	// relayed is set if a client came by way of another gateway.
+	relayed bool
+	// holder is the gateway to which the request that is resumed was granted.
+	holder request.Epoch
+	final  Final
 	// closeAsked is set once a granter was asked to record that the request never
 	// runs. From then on this gateway must not run it, whatever the answers.
 	closeAsked  bool
--- a/gateway/fence.go
+++ b/gateway/fence.go
@@ -102,19 +102,28 @@
 func (gat *Core) resume(ent *entry, ans reservation.FenceAnswer) {
 	gat.table.enter(ent, phaseResuming)
 	ent.engine = ans.Engine
+	ent.holder = ans.Ballot.Holder
 	gat.emit(Resume{ID: ent.id, Engine: ans.Engine})
 }
 
 // superseded redirects the clients to the gateway with the higher ballot if that gateway
-// is reachable, and otherwise starts a fence round with a ballot above it.
+// is connected, and otherwise starts a fence round with a ballot above it.
 func (gat *Core) superseded(now time.Time, ent *entry, ans reservation.FenceAnswer) {
-	holder, known := gat.views.Find(byEpoch(ans.Ballot.Holder))
-	if known && holder.Epoch != gat.cfg.Self && gat.isUp(holder.Epoch) {
-		gat.finish(ent, Final{Cause: CauseMoved, Outcome: request.Unknown, Retry: true, Holder: holder})
-		gat.forget(ent)
-		return
+	if !gat.leaveToHolder(ent, ans.Ballot.Holder) {
+		gat.fenceRound(now, ent, ans.Ballot.Round+1)
 	}
-	gat.fenceRound(now, ent, ans.Ballot.Round+1)
+}
+
+// leaveToHolder redirects the clients to the gateway that holds the request, and reports
+// whether that gateway is connected.
+func (gat *Core) leaveToHolder(ent *entry, epo request.Epoch) bool {
+	holder, known := gat.views.Find(byEpoch(epo))
+	if !known || holder.Epoch == gat.cfg.Self || !gat.isUp(holder.Epoch) {
+		return false
+	}
+	gat.finish(ent, Final{Cause: CauseMoved, Outcome: request.Unknown, Retry: true, Holder: holder})
+	gat.forget(ent)
+	return true
 }
 
 // evaluateFence takes the request over once every granter is settled. If no answer is
