--- a/entry/egress_test.go
+++ b/entry/egress_test.go
@@ -47,16 +47,7 @@
 				for _, hos := range sys.Hosts[:count] {
 					hos.EnginePath.Set(cut)
 				}
-				results := loadDuringCut(t, sys)
-				slowest := time.Duration(0)
-				for _, res := range results[count:] {
-					assert.Assert(t, 20*res.answered >= 19*res.sent, "a sound host answers %d of %d", res.answered, res.sent)
-					slowest = max(slowest, res.median())
-				}
-				for _, res := range results[:count] {
-					assert.Assert(t, 20*res.answered >= 19*res.sent, "a cut host answers %d of %d", res.answered, res.sent)
-					assert.Assert(t, res.median() <= slowest+maxDetour, "median at a cut host %s, elsewhere %s", res.median(), slowest)
-				}
+				assertCutHostsServe(t, loadDuringCut(t, sys), count)
 				assertRanAtMostOnce(t, engines)
 				assert.Assert(t, !strings.Contains(sys.Log(), `"message":"engine ejected"`), "a cut host's failures ejected an engine")
 			})
@@ -64,6 +55,25 @@
 	}
 }
 
+// Guards against RECOVER where all hosts of a failure domain are cut off: they have to go through hosts of
+// another one.
+func TestDomainCutFromEnginesServes(t *testing.T) {
+	const perDomain = 3
+	for _, name := range []string{"refused", "silent"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			engines := []*upstreamtest.Engine{plainEngine("p1"), plainEngine("p2"), plainEngine("p3")}
+			sys := startWith(t, entrytest.Config{Hosts: 2 * perDomain, HostsPerDomain: perDomain, Engines: engines})
+			sendToAll(t, sys, "before")
+			for _, hos := range sys.Hosts[:perDomain] {
+				hos.EnginePath.Set(cuts[name])
+			}
+			assertCutHostsServe(t, loadDuringCut(t, sys), perDomain)
+			assertRanAtMostOnce(t, engines)
+		})
+	}
+}
+
 // Guards against the end of a cut going unnoticed: a host whose links are back uses them again.
 func TestHostUsesItsOwnPathAfterCut(t *testing.T) {
 	engines := []*upstreamtest.Engine{plainEngine("p1"), plainEngine("p2"), plainEngine("p3")}
@@ -191,6 +201,21 @@
 	return results
 }
 
+// assertCutHostsServe asserts that the cut hosts, which come first, answer nearly all requests, like the
+// others, and hardly later.
+func assertCutHostsServe(t *testing.T, results []*cutResult, cut int) {
+	t.Helper()
+	slowest := time.Duration(0)
+	for _, res := range results[cut:] {
+		assert.Assert(t, 20*res.answered >= 19*res.sent, "a sound host answers %d of %d", res.answered, res.sent)
+		slowest = max(slowest, res.median())
+	}
+	for _, res := range results[:cut] {
+		assert.Assert(t, 20*res.answered >= 19*res.sent, "a cut host answers %d of %d", res.answered, res.sent)
+		assert.Assert(t, res.median() <= slowest+maxDetour, "median at a cut host %s, elsewhere %s", res.median(), slowest)
+	}
+}
+
 func assertRanAtMostOnce(t *testing.T, engines []*upstreamtest.Engine) {
 	t.Helper()
 	ran := make(map[string]int)
--- a/entrytest/entrytest.go
+++ b/entrytest/entrytest.go
@@ -66,6 +66,8 @@
 	Bounds settings.Bounds
 	// OneDomain puts all hosts into one failure domain.
 	OneDomain bool
+	// HostsPerDomain is the number of hosts in each failure domain without OneDomain; 0 means 1.
+	HostsPerDomain int
 	// Regions maps failure domains to regions; nil puts all hosts into one region.
 	Regions map[string]string
 	// StoredSecret makes the hosts authenticate one another by a secret in the store
@@ -210,7 +212,7 @@
 func (sys *System) startHost(idx int, cfg Config) {
 	sys.t.Helper()
 	host := &Host{EnginePath: upstreamtest.NewPath()}
-	domain := fmt.Sprintf("d%d", idx)
+	domain := fmt.Sprintf("d%d", idx/max(1, cfg.HostsPerDomain))
 	if cfg.OneDomain {
 		domain = "d0"
 	}
--- a/tools/mutate/mutations.go
+++ b/tools/mutate/mutations.go
@@ -413,6 +413,16 @@
 		"	if hos.paths.verify(ctx, hos.clock.Now(), eng.ID) != egress.PathOpen {\n		return upstream.ProbeUnknown\n	}\n", "",
 		[]string{"./entry"},
 	},
+	{
+		"Paths: a forwarding host checks the key itself", "entry/forwarder.go",
+		"	case !req.Public && !snp.hasKey(req.Key):", "	case false:",
+		[]string{"./entry"},
+	},
+	{
+		"Paths: a stopping host waits for what it forwards", "entry/forwarder.go",
+		"	hos.forwards.add()\n", "	hos.forwards.add()\n	hos.forwards.remove()\n",
+		[]string{"./entry"},
+	},
 	{
 		"Eras: a watch of an earlier era is gone", "platform/client.go",
 		"ser.Status == http.StatusGone || err == nil && era != after.Era() {", "ser.Status == http.StatusGone {",
