fix(entry): hosts register again in a restored store at a pace that it bears

With 72 hosts, 243 calls in the first second (317 with 96), where 200 are borne. Cause: each host, told of the restoration by the host through which it reads, registered again within 0.3 s, after a renewal that the store had to refuse, since its client did not know the era.

Change: a host registers again at its next renewal, which the fleet spreads, and soon only if the store lacks its entry. A client learns the era from another host, and does not ask for what belongs to an earlier one. Renewals after an outage are spread over half of the renewal interval (0.3 s before, whatever the number of hosts).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -107,8 +107,10 @@
 	// if the store has none.
 	heldUpdates  chan struct{}
 	heldRevision atomic.Uint64
-	// renewalRequests wakes maintainLease before the next renewal is due.
+	// renewalRequests wakes maintainLease before the next renewal is due, for one at once.
+	// spreadRenewals does so for one at a time that the hosts spread.
 	renewalRequests chan struct{}
+	spreadRenewals  chan struct{}
 	// entryInvalid is set when another writer has overwritten the host's own entry with an unusable
 	// value, until the entry is written again.
 	entryInvalid atomic.Bool
@@ -151,6 +153,7 @@
 		storeRead:         make(chan struct{}),
 		clientWaiting:     make(chan struct{}),
 		renewalRequests:   make(chan struct{}, 1),
+		spreadRenewals:    make(chan struct{}, 1),
 		rolloutUpdates:    make(chan struct{}, 1),
 		evacuationUpdates: make(chan struct{}, 1),
 		heldUpdates:       make(chan struct{}, 1),
--- a/entry/lease.go
+++ b/entry/lease.go
@@ -32,7 +32,7 @@
 	// watcher wakes maintainLease when the store is reachable again.
 	minLeaseRetry = 400 * time.Millisecond
 	maxLeaseRetry = 2 * time.Second
-	// registerJitter is the jitter with which hosts register when the store is reachable again.
+	// registerJitter is the jitter with which a host registers whose entry is missing.
 	registerJitter = 300 * time.Millisecond
 	// deregisterTimeout bounds the removal of the entry at a planned stop.
 	deregisterTimeout = 2 * time.Second
@@ -82,6 +82,12 @@
 	return min(maxRenew, max(minRenew, time.Second*time.Duration(hosts)/fleetRenewalsPerSecond))
 }
 
+// renewalSpread returns the time over which a fleet of the given number of hosts spreads renewals that
+// fall due together.
+func renewalSpread(hosts int) time.Duration {
+	return renewInterval(hosts) / 2
+}
+
 // leaseDuration returns the duration of a lease in a fleet of the given number of hosts. It is the
 // longest for a host that knows no other host yet: hundreds may be starting.
 func leaseDuration(hosts int) time.Duration {
@@ -114,19 +120,22 @@
 	}
 }
 
-// awaitLeaseRenewal waits until the lease is due for renewal, or for a short random time after a
-// call of renewLeaseSoon. It reports false once the host stops.
+// awaitLeaseRenewal waits until the lease is due for renewal, or for a random time after a call of
+// renewLeaseSoon or renewLeaseWithOthers. It reports false once the host stops.
 func (hos *Host) awaitLeaseRenewal(ctx context.Context, wait time.Duration) bool {
-	wake := hos.renewalRequests
+	soon, withOthers := hos.renewalRequests, hos.spreadRenewals
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		select {
 		case <-timer.C:
 			return true
-		case <-wake:
-			wake = nil
+		case <-soon:
+			soon, withOthers = nil, nil
 			timer.Reset(min(wait, rand.N(registerJitter)))
+		case <-withOthers:
+			withOthers = nil
+			timer.Reset(min(wait, rand.N(renewalSpread(len(hos.snapshot.Load().members)))))
 		case <-hos.drainStarted:
 			return false
 		case <-ctx.Done():
@@ -135,8 +144,8 @@
 	}
 }
 
-// renewLeaseSoon makes maintainLease renew the lease soon: after the store was unreachable, after a
-// suspension, and when the host's own entry is missing or invalid.
+// renewLeaseSoon makes maintainLease renew the lease soon: after a suspension, and when the host's own
+// entry is missing or invalid.
 func (hos *Host) renewLeaseSoon() {
 	select {
 	case hos.renewalRequests <- struct{}{}:
@@ -144,6 +153,15 @@
 	}
 }
 
+// renewLeaseWithOthers makes maintainLease renew the lease before its next renewal, at a time that the
+// hosts spread: after the store was unreachable, whose end all hosts notice at once.
+func (hos *Host) renewLeaseWithOthers() {
+	select {
+	case hos.spreadRenewals <- struct{}{}:
+	default:
+	}
+}
+
 // register requests a lease and writes the host's entry under it. A write whose answer is lost is
 // retried under a new lease; the previous lease expires by itself.
 func (hos *Host) register(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
--- a/entry/lease_test.go
+++ b/entry/lease_test.go
@@ -39,6 +39,17 @@
 	assert.Assert(t, !needsNewLease(leaseDuration(90), leaseDuration(63)))
 }
 
+// Guards against calls that grow with the hosts when all renew at once: a renewal in a restored store takes two
+// calls, and the store bears 200 a second. The leases must not expire meanwhile.
+func TestRenewalsAfterOutageAreSpread(t *testing.T) {
+	const callsPerSecond, callsEach = 200, 2
+	for _, hosts := range []int{7, 63, 295} {
+		spread := renewalSpread(hosts)
+		assert.Assert(t, float64(hosts*callsEach)/spread.Seconds() <= callsPerSecond, "%d hosts within %s", hosts, spread)
+		assert.Assert(t, renewInterval(hosts)+spread < leaseDuration(hosts))
+	}
+}
+
 // A host that rarely renews its lease renews it when its own entry is deleted, since the lease may
 // have expired.
 func TestLeaseIsCheckedWhenOwnEntryIsDeleted(t *testing.T) {
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -212,7 +212,7 @@
 	// All hosts reach the store again at about the same time, so that the relay is ready soon.
 	wat.directUntil = now.Add(startupDirectReadTime)
 	wat.host.storeUnavailable.Store(false)
-	wat.host.renewLeaseSoon()
+	wat.host.renewLeaseWithOthers()
 	if !wat.storeServesPeers(now) {
 		wat.directory.HoldRemovals(now.Add(expiryHold))
 	}
--- a/entry/restored.go
+++ b/entry/restored.go
@@ -36,18 +36,19 @@
 }
 
 // recordRestoration records that the store was restored from a copy: entries that it lacks are held as after an
-// outage, and this host registers again under a lease of the new era.
+// outage. This host registers again under a lease of the new era at its next renewal, or soon if its own entry is
+// missing.
 func (wat *storeWatcher) recordRestoration(now time.Time, rev store.Revision) {
 	wat.host.metrics.count("StoreRestored")
 	wat.host.log.Warn().Uint64("Era", uint64(rev.Era())).Uint64("Revision", rev.Number()).Uint64("FormerEra", uint64(wat.revision.Era())).
 		Uint64("FormerRevision", wat.revision.Number()).Msg("store was restored from a copy")
+	wat.host.learnStoreEra(rev.Era())
 	wat.restoredAt = now
 	wat.rereadAt = now.Add(restoreGrace)
 	if wat.host.mirror.isRelayed() {
 		wat.rereadAt = wat.rereadAt.Add(relayedRestoreSlack)
 	}
 	wat.directory.HoldRemovals(now.Add(expiryHold))
-	wat.host.renewLeaseSoon()
 }
 
 // inRestoreGrace reports whether newer knowledge stays in force after a restoration.
--- a/entry/source.go
+++ b/entry/source.go
@@ -348,6 +348,14 @@
 	return update{changes: changes, confirmed: askedAt}, err
 }
 
+// learnStoreEra records the era of an update that another host may have sent. From then on, the store isn't asked
+// for what belongs to an earlier era.
+func (hos *Host) learnStoreEra(era store.Era) {
+	if src, known := hos.cfg.Store.(store.EraSource); known {
+		src.LearnEra(era)
+	}
+}
+
 // storeEra returns the era that the store named most recently; 0 if it named none.
 func (hos *Host) storeEra() store.Era {
 	src, known := hos.cfg.Store.(store.EraSource)
--- a/entrytest/entrytest.go
+++ b/entrytest/entrytest.go
@@ -177,6 +177,13 @@
 	}
 }
 
+// AddHost starts one more host.
+func (sys *System) AddHost(cfg Config) *Host {
+	sys.t.Helper()
+	sys.startHost(len(sys.Hosts), cfg)
+	return sys.Hosts[len(sys.Hosts)-1]
+}
+
 // RegisterLostHost registers a host that isn't running: its peer address answers only the calls
 // that read mir.
 func (sys *System) RegisterLostHost(name string, epoch request.Epoch, mir peer.Mirror) {
--- a/store/revision.go
+++ b/store/revision.go
@@ -33,6 +33,9 @@
 type EraSource interface {
 	// Era returns the era that the store named most recently; 0 if it named none.
 	Era() Era
+	// LearnEra records an era that was learned from elsewhere, such as from another host. An earlier one
+	// than the known era is ignored.
+	LearnEra(era Era)
 }
 
 // EraChangedError reports a read during which the store was restored from a copy.
--- a/tools/mutate/mutations.go
+++ b/tools/mutate/mutations.go
@@ -423,6 +423,16 @@
 		"	hos.forwards.add()\n", "	hos.forwards.add()\n	hos.forwards.remove()\n",
 		[]string{"./entry"},
 	},
+	{
+		"Eras: an era is learned from another host", "platform/era.go",
+		"		if uint64(era) <= known ||", "		if true ||",
+		[]string{"./platform"},
+	},
+	{
+		"Eras: renewals after an outage are spread", "entry/lease.go",
+		"	return renewInterval(hosts) / 2\n", "	return registerJitter\n",
+		[]string{"./entry"},
+	},
 	{
 		"Eras: a watch of an earlier era is gone", "platform/client.go",
 		"ser.Status == http.StatusGone || err == nil && era != after.Era() {", "ser.Status == http.StatusGone {",
