--- a/entry/forward_test.go
+++ b/entry/forward_test.go
@@ -142,3 +142,23 @@
 	sys.WaitUntil("the cut host forwards through the second host", func() bool { return sendOne(t, sys, 0, "after").Status == http.StatusOK })
 	assert.Equal(t, runsWithPrefix(engines, "midway"), 1)
 }
+
+// Guards against a budget for repeats that forwarded requests escape: what cut hosts repeat through others counts
+// against the same budget.
+func TestRepeatBudgetHoldsOverForwardingHosts(t *testing.T) {
+	const requests, ratio, slack = 60, 0.2, 4
+	engines := plainEngines(4)
+	sys := startWith(t, entrytest.Config{Hosts: 3, Engines: engines, Bounds: settings.Bounds{RepeatRatio: ratio, RepeatSlack: slack}})
+	for host := range 2 {
+		cutOff(t, sys, host)
+	}
+	for _, eng := range engines {
+		eng.InjectFault(upstreamtest.Error, 10*requests)
+	}
+	before := arrivalCount(engines)
+	for num := range requests {
+		sendPlain(t, sys, sys.Hosts[num%3], "safe", num)
+	}
+	sent := arrivalCount(engines) - before
+	assert.Assert(t, float64(sent) <= requests*(1+ratio)+slack, "%d requests sent %d times", requests, sent)
+}
