--- a/gateway/close.go
+++ b/gateway/close.go
@@ -5,6 +5,7 @@
 
 	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/reservation"
+	"lynxwell.dev/lynxwell/view"
 )
 
 // close ends a request that wasn't dispatched. The client gets the outcome NotRun
@@ -200,6 +201,11 @@
 		gat.undecided(ent)
 		return
 	}
+	gat.moveTo(ent, holder)
+}
+
+// moveTo ends a request that another gateway holds and redirects its clients there.
+func (gat *Core) moveTo(ent *entry, holder view.Member) {
 	fin := Final{Cause: CauseMoved, Outcome: request.Unknown, Retry: true, Holder: holder}
 	gat.emit(Finish{ID: ent.id, Final: fin})
 	gat.relinquish(ent)
--- a/gateway/fence.go
+++ b/gateway/fence.go
@@ -121,8 +121,7 @@
 	if !known || holder.Epoch == gat.cfg.Self || !gat.isUp(holder.Epoch) {
 		return false
 	}
-	gat.finish(ent, Final{Cause: CauseMoved, Outcome: request.Unknown, Retry: true, Holder: holder})
-	gat.forget(ent)
+	gat.moveTo(ent, holder)
 	return true
 }
 
