feat(entry): log and measure how old the copy of the store is

Nothing told how old the configuration in force was at a host, through whom it came, whole or as changes. Now: Bytes, Through, Whole and AgeOfUpdate of each configuration; Configuration.Age and a warning when an update finds a copy older than 2.5 s.

--- a/entry/observe.go
+++ b/entry/observe.go
@@ -37,6 +37,9 @@
 	// expiryHold is how long after an outage of the store the entries that expired during the outage
 	// are kept: their owners register again within about two seconds.
 	expiryHold = 2200 * time.Millisecond
+	// oldCopyAge is the age from which a copy of the store is logged as old: two thirds of the age up
+	// to which a host uses it where the operators' bound is the smallest.
+	oldCopyAge = 2500 * time.Millisecond
 	// maxPeerReadGap is the longest gap between two successful reads from other hosts for which the
 	// store is assumed to serve these hosts all the while: without changes, their copies are as old
 	// as the answer to their most recent watch.
@@ -73,6 +76,8 @@
 	rereadAt   time.Time
 	// hostChanges collects what the update that is being applied changes in the list of hosts.
 	hostChanges memberChanges
+	// applying is the update that is being applied.
+	applying update
 	// waitedForHosts is set once this host, which found no other host at its start, has waited for
 	// others to register.
 	waitedForHosts bool
@@ -137,6 +142,8 @@
 // apply applies an update and publishes the resulting snapshot.
 func (wat *storeWatcher) apply(upd update) {
 	wat.needsFullRead = false
+	wat.applying = upd
+	wat.observeAge(upd)
 	if upd.complete {
 		upd.values = wat.reconcile(upd.values, upd.changes.Revision)
 		wat.replace(upd.values, upd.changes.Revision)
@@ -160,6 +167,22 @@
 	wat.host.markConfigured()
 }
 
+// observeAge records how old the copy was when an update arrived: how long it has been certain until
+// then that the host lacks no change.
+func (wat *storeWatcher) observeAge(upd update) {
+	hos := wat.host
+	if upd.confirmed.IsZero() || hos.confirmed.Load() == neverConfirmed {
+		return
+	}
+	age := hos.snapshotAge(hos.clock.Now())
+	hos.metrics.observe("Configuration.Age", age)
+	if age > oldCopyAge {
+		hos.metrics.count("Configuration.Old")
+		hos.log.Warn().Dur("Age", age).Dur("AgeOfUpdate", hos.clock.Since(upd.confirmed)).Str("Through", upd.relay).Bool("Whole", upd.complete).
+			Int("Changes", len(upd.changes.Changes)).Uint64("Revision", upd.changes.Revision.Number()).Msg("copy of the store was old")
+	}
+}
+
 // storeFailed records that a call to the store failed, and waits before the next call.
 func (wat *storeWatcher) storeFailed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
--- a/entry/take.go
+++ b/entry/take.go
@@ -195,6 +195,11 @@
 		wat.host.log.Debug().Str("Account", acc.Name).Float64("Rate", acc.Rate).Float64("Burst", acc.Burst).Bool("ByTokens", acc.ByTokens).
 			Interface("Rank", acc.Rank).Int("Keys", len(acc.Keys)).Uint64("Version", con.Version).Msg("client account configured")
 	}
-	wat.host.log.Info().Uint64("Version", con.Version).Uint64("Revision", val.Revision.Number()).
-		Int("Routes", len(con.Routes)).Int("Accounts", len(con.Accounts)).Msg("configuration active")
+	evt := wat.host.log.Info().Uint64("Version", con.Version).Uint64("Revision", val.Revision.Number()).
+		Int("Routes", len(con.Routes)).Int("Accounts", len(con.Accounts)).Int("Bytes", len(val.Data)).
+		Str("Through", wat.applying.relay).Bool("Whole", wat.applying.complete)
+	if !wat.applying.confirmed.IsZero() {
+		evt = evt.Dur("AgeOfUpdate", wat.host.clock.Since(wat.applying.confirmed))
+	}
+	evt.Msg("configuration active")
 }
