--- a/entry/barred_test.go
+++ b/entry/barred_test.go
@@ -65,7 +65,8 @@
 // request isn't sent.
 func TestRequestWaitingForConnectionIsNotSentToBlockedEngine(t *testing.T) {
 	hos := newTestHost(t, io.Discard)
-	run := fleet.EngineID{Name: "e1"}
+	run, other := fleet.EngineID{Name: "e1"}, fleet.EngineID{Name: "e2"}
+	hos.snapshot.Store(&snapshot{engines: map[string]fleet.Engine{"e1": {ID: run}, "e2": {ID: other}}})
 	exc := &exchange{host: hos, route: route.Route{Public: true}, deadline: hos.clock.Now().Add(time.Minute)}
 	assert.NilError(t, exc.checkBeforeSend(fleet.Engine{ID: run}))
 	hos.notices.apply(upstream.HeadReceived{Endpoint: upstream.Endpoint{Engine: run}, Head: call.AnswerHead{Backoff: time.Hour}})
@@ -74,7 +75,7 @@
 	assert.Assert(t, errors.As(err, &blocked), "%v", err)
 	_, isBackoff := blocked.Notice.Signal.(fleet.Backoff)
 	assert.Assert(t, isBackoff, "%v", blocked)
-	assert.NilError(t, exc.checkBeforeSend(fleet.Engine{ID: fleet.EngineID{Name: "e2"}}))
+	assert.NilError(t, exc.checkBeforeSend(fleet.Engine{ID: other}))
 }
 
 // lineCounter counts the lines of a log.
--- a/entry/granted_test.go
+++ b/entry/granted_test.go
@@ -4,9 +4,11 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"lynxwell.dev/lynxwell/call"
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/reservation"
@@ -68,3 +70,48 @@
 		})
 	}
 }
+
+// Guards against requests that are sent on what was in force at the grant: opening a connection takes up to a
+// second, in which the key may be revoked, and the engine may begin to drain or leave.
+func TestChangesAfterGrantAreSeenBeforeSend(t *testing.T) {
+	eng := fleet.Engine{ID: fleet.EngineID{Name: "e"}}
+	draining := eng
+	draining.Draining = true
+	known := map[string]fleet.Engine{"e": eng}
+	tableWith := func(key string) *route.Table {
+		tab, err := route.NewTable(route.Configuration{Version: 1, Accounts: []route.Account{{Name: "a", Keys: []string{key}}}})
+		assert.NilError(t, err)
+		return tab
+	}
+	for _, tst := range []struct {
+		name    string
+		current snapshot
+		public  bool
+		want    string
+	}{
+		{name: "nothing changed", current: snapshot{table: tableWith("key"), engines: known}},
+		{name: "the key is revoked", current: snapshot{table: tableWith("other"), engines: known}, want: "key"},
+		{name: "the engine drains", current: snapshot{table: tableWith("key"), engines: map[string]fleet.Engine{"e": draining}}, want: "engine"},
+		{name: "the engine has left", current: snapshot{table: tableWith("key")}, want: "engine"},
+		{name: "the engine of a public route has left", current: snapshot{table: tableWith("key")}, public: true, want: "engine"},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			hos, err := New(Config{Settings: settings.Entry{Name: "host-1", PeerKey: "key between the hosts", Bounds: settings.Bounds{RevokeMilliseconds: 5000}}, Log: zerolog.Nop()})
+			assert.NilError(t, err)
+			hos.confirm(hos.clock.Now())
+			exc := &exchange{host: hos, deadline: hos.clock.Now().Add(time.Minute), route: route.Route{Public: tst.public}, request: call.Request{Key: "key"}}
+			if !tst.public {
+				exc.account = route.Account{Name: "a"}
+			}
+			hos.snapshot.Store(&tst.current)
+			err = exc.checkBeforeSend(eng)
+			var expired *ExpiredError
+			if tst.want == "" {
+				assert.NilError(t, err)
+				return
+			}
+			assert.Assert(t, errors.As(err, &expired), "%v", err)
+			assert.Equal(t, expired.What, tst.want)
+		})
+	}
+}
