--- a/entry/observe.go
+++ b/entry/observe.go
@@ -159,10 +159,10 @@
 	}
 	wat.revision = max(wat.revision, upd.changes.Revision)
 	settled := wat.directory.DropMissing(wat.host.clock.Now())
-	wat.host.confirm(upd.confirmed)
 	if upd.complete || len(upd.changes.Changes) > 0 || settled {
 		wat.publish()
 	}
+	wat.host.confirm(upd.confirmed)
 	wat.host.storeReadOnce.Do(func() { close(wat.host.storeRead) })
 	wat.host.markConfigured()
 }
