fix(mirror): the age of a host's copy is bounded, whoever passes it on

Cause: all hosts of a domain hung on one host. It packed every answer for each reader (2.3 ms for 105 KB, 160 readers, versions 0.45 s apart), sent each superseded version too, and kept its readers while the store rejected it, as long as its copy was under 1.9 s old; readers discarded what hadn't arrived after a second and asked again; confirmations waited up to 0.7 s at each host; rejected hosts all began with the first hosts of one list. The class: a single path with no bound of its own on the load it carries, and no sign when it fails. Change: the readers' decisions are pure, in a room of their own (mirror). Hosts read in a tree of 16 readers a host, which has no circles by its order; answers hold each key once and are packed once; a confirmation is passed on when it comes; a host that loses the store says so; an old copy is refreshed elsewhere before a silent store is called; rejected hosts begin with different hosts. TestCopiesStayCurrentInAnyFleet: 7 to 1,000 simulated hosts, all under 4 s; with one host for all and answers packed for each reader 985 hosts reach 9.8 s and 1,000 small ones 6 s without any trouble (docs/design/store-readers.md). Also never backwards: a change of a key that isn't newer than the known one is left out. The tests of the relay's choice and of readers of a relayed copy moved to mirror. A relayed copy is no longer refused: hosts read only through earlier ones, which TestHostsReadOnlyThroughEarlierHosts checks for any knowledge of the others.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,6 +26,7 @@
 
 	"lynxwell.dev/lynxwell/clock"
 	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/mirror"
 	"lynxwell.dev/lynxwell/peer"
 	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/request"
@@ -72,7 +73,7 @@
 	// crashChecks checks whether engines live that have ended a connection.
 	crashChecks *crashChecks
 	broker      *broker
-	mirror      *mirror
+	mirror      *mirror.Copy
 	// clock is the time by which leases and other time-limited rights expire. It counts
 	// suspensions.
 	clock    *clock.Clock
@@ -162,7 +163,7 @@
 	}
 	hos.clock = clock.New(clock.Config{Source: cfg.Clock, OnSuspension: hos.recordSuspension, OnBootError: hos.recordClockFailure})
 	hos.started = hos.clock.Now()
-	hos.mirror = newMirror(hos.clock.Now)
+	hos.mirror = mirror.NewCopy(hos.clock.Now)
 	hos.snapshot.Store(&snapshot{})
 	hos.bounds.Store(&cfg.Settings.Bounds)
 	hos.confirmed.Store(neverConfirmed)
@@ -235,6 +236,11 @@
 	}
 }
 
+// peerArrivalWait is how long a host that finds no other host waits for others to register, as
+// long as no client waits: the entries of a fleet that starts for the first time don't exist
+// yet, nor do those of a fleet whose leases expired in an outage.
+const peerArrivalWait = 400 * time.Millisecond
+
 // awaitPeersOrClient waits peerArrivalWait for other hosts to register, or until a client waits for
 // the host.
 func (hos *Host) awaitPeersOrClient(ctx context.Context) {
--- a/entry/lease.go
+++ b/entry/lease.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"lynxwell.dev/lynxwell/mirror"
 	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/store"
 )
@@ -105,7 +106,7 @@
 
 // pastStartup reports whether hosts that started together with this one have had time to register.
 func (hos *Host) pastStartup() bool {
-	return hos.clock.Since(hos.started) > startupPeriod
+	return hos.clock.Since(hos.started) > mirror.StartupPeriod
 }
 
 // awaitStoreRead waits for the first read of the store, at most firstReadTimeout.
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"lynxwell.dev/lynxwell/peer"
 )
 
 // hostMetrics holds the host's counters, gauges and histograms.
@@ -64,6 +66,16 @@
 	}
 }
 
+// recordFollowed counts an answer by which another host read this host's copy of the store.
+func (hme *hostMetrics) recordFollowed(fol peer.Followed) {
+	hme.count("Mirror.Answers")
+	metrics.GetOrRegisterCounter("Mirror.Bytes", hme.registry).Inc(int64(fol.Bytes))
+	if fol.Whole {
+		hme.count("Mirror.WholeCopies")
+		metrics.GetOrRegisterCounter("Mirror.WholeBytes", hme.registry).Inc(int64(fol.Bytes))
+	}
+}
+
 // quantiles are those that text returns for each histogram.
 var quantiles = []float64{0.5, 0.95, 0.99}
 
--- a/entry/mirror_test.go
+++ b/entry/mirror_test.go
@@ -47,8 +47,8 @@
 	waits chan time.Duration
 }
 
-func (sil *silentMirror) Follow(ctx context.Context, _ store.Revision, wait time.Duration) (peer.MirrorUpdate, error) {
-	sil.waits <- wait
+func (sil *silentMirror) Follow(ctx context.Context, que peer.MirrorQuery) (peer.MirrorUpdate, error) {
+	sil.waits <- que.Wait
 	<-ctx.Done()
 	return peer.MirrorUpdate{}, ctx.Err()
 }
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -9,8 +9,8 @@
 
 	"lynxwell.dev/lynxwell/evacuation"
 	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/mirror"
 	"lynxwell.dev/lynxwell/reconcile"
-	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/route"
 	"lynxwell.dev/lynxwell/store"
 	"lynxwell.dev/lynxwell/task"
@@ -20,30 +20,13 @@
 	// batchInterval is how long further changes are collected after some have arrived: each read is
 	// a call, and it is enough that changes take effect within seconds.
 	batchInterval = 100 * time.Millisecond
-	// startupBatchInterval is the same during startupPeriod after the host's start: hosts that start
-	// together each use their own scheduler until they know one another, which costs more than the
-	// calls that a longer interval saves.
+	// startupBatchInterval is the same during mirror.StartupPeriod after the host's start: hosts that
+	// start together each use their own scheduler until they know one another, which costs more than
+	// the calls that a longer interval saves.
 	startupBatchInterval = 50 * time.Millisecond
-	startupPeriod        = 1500 * time.Millisecond
-	// minStoreRetry and maxStoreRetry bound the backoff before the store is called again: each call
-	// counts against the store's rate limit, and a new configuration must become active soon.
-	minStoreRetry = 50 * time.Millisecond
-	maxStoreRetry = 200 * time.Millisecond
-	// peerReadInterval is how often other hosts' copies are read during that backoff: draining
-	// engines must get no new requests after two seconds.
-	peerReadInterval = 400 * time.Millisecond
-	// maxRateLimitRetry bounds the backoff where the store's rate limit is exhausted.
-	maxRateLimitRetry = 2 * time.Second
-	// expiryHold is how long after an outage of the store the entries that expired during the outage
-	// are kept: their owners register again within about two seconds.
-	expiryHold = 2200 * time.Millisecond
 	// oldCopyAge is the age from which a copy of the store is logged as old: two thirds of the age up
 	// to which a host uses it where the operators' bound is the smallest.
 	oldCopyAge = 2500 * time.Millisecond
-	// maxPeerReadGap is the longest gap between two successful reads from other hosts for which the
-	// store is assumed to serve these hosts all the while: without changes, their copies are as old
-	// as the answer to their most recent watch.
-	maxPeerReadGap = watchTimeout
 )
 
 // storeWatcher reads the store and maintains the host's snapshot of it.
@@ -78,34 +61,15 @@
 	hostChanges memberChanges
 	// applying is the update that is being applied.
 	applying update
-	// waitedForHosts is set once this host, which found no other host at its start, has waited for
-	// others to register.
-	waitedForHosts bool
-	// relays chooses the relay, through which the store is read.
-	relays *relayChooser
-	// peerIndex is the index, modulo the number of hosts, of the host that was most recently read
-	// from while the store was unreachable.
-	peerIndex int
-	// probedRelay is the epoch of the relay that has answered a short call; 0 for none.
-	probedRelay request.Epoch
-	// directUntil is the time until which the store is read directly.
-	directUntil time.Time
-	// nextProbe is when a host that reads through another one probes an unreachable store again.
-	nextProbe time.Time
-	// unreachableSince is when the store became unreachable; zero while it is reachable.
-	unreachableSince time.Time
-	// peersCurrentSince is the time since which other hosts have had the current content of the
-	// store. peerReadAt is when this host most recently read it from one of them.
-	peersCurrentSince time.Time
-	peerReadAt        time.Time
-	// lastError is the error of the most recent call to the store that failed.
-	lastError error
-	backoff   time.Duration
+	// reader decides from where the store is read, and source names the present source.
+	reader *mirror.Reader
+	source string
 }
 
 func newStoreWatcher(hos *Host) *storeWatcher {
 	return &storeWatcher{
-		host: hos, directory: fleet.NewDirectory(), relays: newRelayChooser(hos.epoch), needsFullRead: true,
+		host: hos, directory: fleet.NewDirectory(), needsFullRead: true,
+		reader:        mirror.NewReader(mirror.Config{Self: hos.member(), Started: hos.started, Jitter: rand.N[time.Duration]}),
 		invalidValues: newInvalidValues(hos.log, hos.metrics.invalidValues), unrecognized: newUnrecognizedKeys(hos),
 		knowledge:   reconcile.NewKnowledge(),
 		evacuations: make(map[string]evacuation.StoredState), loggedOrders: make(map[evacuation.Order]bool),
@@ -116,24 +80,23 @@
 func (hos *Host) watchStore(ctx context.Context) error {
 	wat := newStoreWatcher(hos)
 	for ctx.Err() == nil {
-		upd, err := wat.nextUpdate(ctx)
-		if err != nil {
-			wat.storeFailed(ctx, err)
-			continue
-		}
-		wat.storeRecovered()
-		wat.apply(upd)
-		wat.rereadIfDue()
-		if len(upd.changes.Changes) > 0 && !upd.complete {
-			task.Sleep(ctx, wat.batchDelay(wat.host.clock.Now()))
-		}
+		wat.step(ctx)
 	}
 	return ctx.Err()
 }
 
+// applyAndBatch applies an update and, if it has changes, waits for further ones.
+func (wat *storeWatcher) applyAndBatch(ctx context.Context, upd update) {
+	wat.apply(upd)
+	wat.rereadIfDue()
+	if len(upd.changes.Changes) > 0 && !upd.complete {
+		task.Sleep(ctx, wat.batchDelay(wat.host.clock.Now()))
+	}
+}
+
 // batchDelay returns how long further changes are collected.
 func (wat *storeWatcher) batchDelay(now time.Time) time.Duration {
-	if now.Sub(wat.host.started) < startupPeriod {
+	if now.Sub(wat.host.started) < mirror.StartupPeriod {
 		return startupBatchInterval
 	}
 	return batchInterval
@@ -147,15 +110,14 @@
 	if upd.complete {
 		upd.values = wat.reconcile(upd.values, upd.changes.Revision)
 		wat.replace(upd.values, upd.changes.Revision)
-		wat.host.mirror.replace(upd.values, max(wat.revision, upd.changes.Revision), upd.confirmed)
+		wat.host.mirror.Replace(upd.values, max(wat.revision, upd.changes.Revision), upd.confirmed)
 	} else {
 		wat.hostChanges = memberChanges{}
-		for _, cha := range upd.changes.Changes {
+		for _, cha := range wat.host.mirror.Apply(upd.changes, upd.confirmed) {
 			wat.recordChange(cha)
 			wat.applyChange(cha)
 		}
 		wat.hostChanges.log(wat.host.log, upd.changes.Revision)
-		wat.host.mirror.apply(upd.changes, upd.confirmed)
 	}
 	wat.revision = max(wat.revision, upd.changes.Revision)
 	settled := wat.directory.DropMissing(wat.host.clock.Now())
@@ -183,70 +145,33 @@
 	}
 }
 
-// storeFailed records that a call to the store failed, and waits before the next call.
-func (wat *storeWatcher) storeFailed(ctx context.Context, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	now := wat.host.clock.Now()
-	if wat.unreachableSince.IsZero() {
-		wat.unreachableSince = now
-		wat.backoff = minStoreRetry
-		wat.host.log.Warn().Err(err).Uint64("Revision", wat.revision.Number()).Msg("store unreachable")
+// storeFailed records that a call to the store failed.
+func (wat *storeWatcher) storeFailed(now time.Time, sit mirror.Situation, err error) {
+	if wat.reader.LostSince().IsZero() {
+		wat.host.log.Warn().Err(err).Uint64("Revision", wat.revision.Number()).Dur("Age", wat.host.snapshotAge(now)).Msg("store unreachable")
 	}
-	wat.lastError = err
 	wat.host.metrics.storeFailures.Inc(1)
-	if !wat.storeServesPeers(now) {
-		wat.directory.HoldRemovals(now.Add(expiryHold))
+	if !wat.reader.ServesOthers(now) {
+		wat.directory.HoldRemovals(now.Add(mirror.ExpiryHold))
 	}
-	limit := maxStoreRetry
+	var fail mirror.Failure
 	var rate *store.RateError
 	if errors.As(err, &rate) {
-		// The hosts that share the rate limit must retry later, and not all at once.
-		wat.backoff = max(wat.backoff, rate.RetryAfter)
-		limit = maxRateLimitRetry
+		fail.RetryAfter = rate.RetryAfter
 	}
-	wat.readFromPeersUntil(ctx, now.Add(wat.backoff/2+rand.N(wat.backoff)))
-	wat.backoff = min(limit, 2*wat.backoff)
+	wat.reader.StoreFailed(now, sit, fail)
 }
 
-// readFromPeersUntil reads from other hosts until the next call to the store. While the store's rate
-// limit is exhausted, that call may be seconds away, and draining engines must be known earlier.
-func (wat *storeWatcher) readFromPeersUntil(ctx context.Context, until time.Time) {
-	for ctx.Err() == nil {
-		wat.readFromPeers(ctx)
-		left := wat.host.clock.Until(until)
-		task.Sleep(ctx, min(left, peerReadInterval))
-		if left <= peerReadInterval {
-			return
-		}
-	}
-}
-
-// storeRecovered records that the store was reached again.
-func (wat *storeWatcher) storeRecovered() {
-	if wat.unreachableSince.IsZero() {
+// recoverAfter records a successful read, and handles the end of an outage that it shows.
+func (wat *storeWatcher) recoverAfter(now time.Time, record func()) {
+	lostSince, served := wat.reader.LostSince(), wat.reader.ServesOthers(now)
+	record()
+	if lostSince.IsZero() || !wat.reader.LostSince().IsZero() {
 		return
 	}
-	now := wat.host.clock.Now()
-	wat.host.log.Info().Dur("After", now.Sub(wat.unreachableSince)).Uint64("Revision", wat.revision.Number()).Uint64("Era", uint64(wat.host.storeEra())).Msg("store reachable again")
-	wat.unreachableSince = time.Time{}
-	wat.nextProbe = time.Time{}
-	// All hosts reach the store again at about the same time, so that the relay is ready soon.
-	wat.directUntil = now.Add(startupDirectReadTime)
-	wat.host.storeUnavailable.Store(false)
+	wat.host.log.Info().Dur("After", now.Sub(lostSince)).Str("Source", wat.source).Uint64("Revision", wat.revision.Number()).Uint64("Era", uint64(wat.host.storeEra())).Msg("store reachable again")
 	wat.host.renewLeaseWithOthers()
-	if !wat.storeServesPeers(now) {
-		wat.directory.HoldRemovals(now.Add(expiryHold))
+	if !served {
+		wat.directory.HoldRemovals(now.Add(mirror.ExpiryHold))
 	}
-	wat.peerReadAt = time.Time{}
-}
-
-// storeServesPeers reports whether the store certainly serves other hosts while this host can't
-// reach it. In an outage entries expire although their owners are running, so removals are deferred.
-// If only this host can't reach the store, a removed entry is that of an engine or host that has
-// stopped, which must get no requests. Other hosts detect an outage within maxPeerCopyAge, which is
-// less than expiryHold.
-func (wat *storeWatcher) storeServesPeers(now time.Time) bool {
-	return now.Sub(wat.peerReadAt) <= maxPeerReadGap && now.Sub(wat.peersCurrentSince) > expiryHold
 }
--- a/entry/resign.go
+++ b/entry/resign.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"lynxwell.dev/lynxwell/mirror"
 	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/reservation"
@@ -66,7 +67,7 @@
 // othersReachStore reports whether this host's copy of the store is current. As it can't reach the store
 // itself, it has the copy from hosts that do.
 func (cow *coordinatorWrites) othersReachStore() bool {
-	return cow.host.snapshotAge(cow.host.clock.Now()) <= maxPeerCopyAge
+	return cow.host.snapshotAge(cow.host.clock.Now()) <= mirror.MaxCopyAge
 }
 
 // reachesStore reports whether the store answers a read of this host: it may refuse writes of all hosts.
--- a/entry/restored.go
+++ b/entry/restored.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"lynxwell.dev/lynxwell/mirror"
 	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/reconcile"
 	"lynxwell.dev/lynxwell/store"
@@ -45,10 +46,10 @@
 	wat.host.learnStoreEra(rev.Era())
 	wat.restoredAt = now
 	wat.rereadAt = now.Add(restoreGrace)
-	if wat.host.mirror.isRelayed() {
+	if wat.readThroughHost() {
 		wat.rereadAt = wat.rereadAt.Add(relayedRestoreSlack)
 	}
-	wat.directory.HoldRemovals(now.Add(expiryHold))
+	wat.directory.HoldRemovals(now.Add(mirror.ExpiryHold))
 }
 
 // inRestoreGrace reports whether newer knowledge stays in force after a restoration.
--- a/entry/secret_test.go
+++ b/entry/secret_test.go
@@ -79,7 +79,7 @@
 			t.Cleanup(cli.Close)
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
-			_, err := cli.Follow(ctx, sys.Hosts[0].Settings.PeerAddress, 0, time.Millisecond)
+			_, err := cli.Follow(ctx, sys.Hosts[0].Settings.PeerAddress, peer.MirrorQuery{Wait: time.Millisecond})
 			assert.Assert(t, err != nil, "an unauthenticated peer has read the store")
 		})
 	}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -39,7 +39,7 @@
 var liveness = transport.Liveness{Limit: 2500 * time.Millisecond}
 
 func (hos *Host) serve(ctx context.Context) error {
-	peers := peer.NewServer(peer.ServerConfig{Sessions: hos.broker, Mirror: hos.mirror, Forwarder: forwarder{host: hos}, Security: hos.security(), Timing: peerTiming})
+	peers := peer.NewServer(peer.ServerConfig{Sessions: hos.broker, Mirror: hos.mirror, Followed: hos.metrics.recordFollowed, Forwarder: forwarder{host: hos}, Security: hos.security(), Timing: peerTiming})
 	peerServer := peers.HTTPServer()
 	peerServer.ErrorLog = log.New(serverErrorLog{log: hos.log}, "", 0)
 	listeners := []listener{
--- a/entry/source.go
+++ b/entry/source.go
@@ -2,62 +2,20 @@
 
 import (
 	"context"
-	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/mirror"
 	"lynxwell.dev/lynxwell/peer"
 	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/store"
 	"lynxwell.dev/lynxwell/task"
 )
 
-const (
-	// watchTimeout is how long a watch waits for a change. Each answer confirms that the snapshot is
-	// current, and a missing answer shows that the store doesn't respond.
-	watchTimeout = 1400 * time.Millisecond
-	// relayWatchTimeout is the same on a relay. It is shorter, since the hosts that read through the
-	// relay wait in addition, and their copies are older than the relay's by that wait.
-	relayWatchTimeout = 800 * time.Millisecond
-	// relayedWatchTimeout is how long a host waits for its relay to pass on changes.
-	relayedWatchTimeout = 700 * time.Millisecond
-	// relayAnswerSlack is how much longer than the requested wait the answer may take.
-	relayAnswerSlack = 300 * time.Millisecond
-	// probeWait is the wait of calls that check whether an unreachable store responds again.
-	probeWait = time.Millisecond
-	// maxPeerReads bounds how many other hosts are tried at a time while the store is unreachable.
-	maxPeerReads = 3
-	// relayProbeTimeout bounds the first call to a relay. The entries of lost hosts remain for some
-	// seconds, and a relay without power would otherwise delay a starting host by a second. An
-	// answer takes some milliseconds, and tens of milliseconds on a busy processor.
-	relayProbeTimeout = 200 * time.Millisecond
-	// maxPeerCopyAge is the age of another host's copy from which the store is read directly: that
-	// host's own watch must be overdue by then.
-	maxPeerCopyAge = 1900 * time.Millisecond
-	// directReadTime is how long a host reads the store directly after reading through another host
-	// failed.
-	directReadTime = 2 * time.Second
-	// startupDirectReadTime is the same shortly after the host's start and after the store has
-	// recovered: the relay is seldom ready at that moment but soon is, and a whole fleet that reads
-	// directly for longer would make most of a day's calls.
-	startupDirectReadTime = 300 * time.Millisecond
-	// relayRetryInterval is the pause before a relay that is not ready is called again, and
-	// relayReadyTimeout bounds how long it is called again: hosts that start together become ready
-	// within some tenths of a second, and the hosts of a domain that lose their relay detect that
-	// within a few milliseconds of one another.
-	relayRetryInterval = 40 * time.Millisecond
-	relayReadyTimeout  = 400 * time.Millisecond
-	// peerArrivalWait is how long a host that finds no other host waits for others to register, as
-	// long as no client waits: the entries of a fleet that starts for the first time don't exist
-	// yet, nor do those of a fleet whose leases expired in an outage.
-	peerArrivalWait = 400 * time.Millisecond
-	// relayedProbeInterval is the average interval at which a host that reads through another one
-	// probes an unreachable store itself, in case only the other host can't reach the store.
-	relayedProbeInterval = time.Second
-)
+// sourceStore stands for the store itself among the names of the hosts through which it is read.
+const sourceStore = "store"
 
 // update is the result of one read of the store, directly or through another host.
 type update struct {
@@ -69,233 +27,169 @@
 	confirmed time.Time
 	// relay is the name of the host that passed the update on; empty for the store itself.
 	relay string
+	// lost is set if that host can't reach the store.
+	lost bool
 }
 
-// nextUpdate returns the next update, through the relay of the own failure domain or from the store.
-func (wat *storeWatcher) nextUpdate(ctx context.Context) (update, error) {
-	if wat.needsFullRead && wat.revision == 0 {
-		return wat.listStale(ctx)
-	}
-	if wat.foundNoHosts() {
-		wat.waitedForHosts = true
-		wat.host.awaitPeersOrClient(ctx)
-		return wat.listStale(ctx)
+// situation returns what the decision on the next step is based on.
+func (wat *storeWatcher) situation() mirror.Situation {
+	hos := wat.host
+	sit := mirror.Situation{
+		Members: hos.snapshot.Load().members, Unreachable: hos.broker.isUnreachable,
+		Revision: wat.revision, Whole: wat.needsFullRead, Authenticated: hos.canAuthenticate(),
 	}
-	deadline := wat.host.clock.Now().Add(relayReadyTimeout)
-	for {
-		mem, found := wat.chooseRelay(wat.host.clock.Now())
-		wat.host.mirror.setRelayed(found)
-		if !found && wat.defersStoreProbe(wat.host.clock.Now()) {
-			return update{}, wat.lastError
-		}
-		if !found {
-			return wat.readStore(ctx)
-		}
-		upd, err := wat.readThroughRelay(ctx, mem)
-		if err == nil || ctx.Err() != nil {
-			return upd, err
-		}
-		if isPeerNotReady(err) && wat.host.clock.Now().Before(deadline) {
-			task.Sleep(ctx, relayRetryInterval)
-			continue
-		}
-		if wat.unreachableSince.IsZero() {
-			wat.host.log.Info().Err(err).Str("Member", mem.Name).Msg("reading the store through another host failed")
-		}
-		now := wat.host.clock.Now()
-		wat.probedRelay = 0
-		wat.relays.recordFailure(now, mem)
-		if _, another := wat.chooseRelay(now); another {
-			continue
-		}
-		return wat.readDirectly(ctx, now, err)
+	if since := hos.confirmed.Load(); since != neverConfirmed {
+		sit.Confirmed = hos.started.Add(time.Duration(since))
 	}
+	return sit
 }
 
-// foundNoHosts reports whether this host found no other host at its start and hasn't waited for
-// others yet.
-func (wat *storeWatcher) foundNoHosts() bool {
-	return !wat.waitedForHosts && wat.host.confirmed.Load() == neverConfirmed && len(wat.directory.Members()) <= 1
-}
-
-// readDirectly reads the store directly when reading through other hosts failed. Unless this host
-// is itself the relay, it continues to do so for directReadDuration.
-func (wat *storeWatcher) readDirectly(ctx context.Context, now time.Time, cause error) (update, error) {
-	if wat.defersStoreProbe(now) {
-		return update{}, cause
+// step carries out one step of reading the store.
+func (wat *storeWatcher) step(ctx context.Context) {
+	sit := wat.situation()
+	switch stp := wat.reader.Next(wat.host.clock.Now(), sit).(type) {
+	case mirror.ListStale:
+		upd, err := wat.listStale(ctx)
+		wat.storeAnswered(ctx, sit, upd, err)
+	case mirror.AwaitHosts:
+		wat.host.awaitPeersOrClient(ctx)
+		upd, err := wat.listStale(ctx)
+		wat.storeAnswered(ctx, sit, upd, err)
+	case mirror.ReadStore:
+		upd, err := wat.readStore(ctx, stp)
+		wat.storeAnswered(ctx, sit, upd, err)
+	case mirror.ReadHost:
+		upd, err := wat.readHost(ctx, stp)
+		wat.hostAnswered(ctx, sit, stp.Member, upd, err)
+	case mirror.Pause:
+		task.Sleep(ctx, stp.For)
+	}
+	wat.host.storeUnavailable.Store(wat.reader.Unavailable())
+	wat.host.mirror.SetLost(!wat.reader.LostSince().IsZero())
+}
+
+// storeAnswered handles the end of a call to the store.
+func (wat *storeWatcher) storeAnswered(ctx context.Context, sit mirror.Situation, upd update, err error) {
+	now := wat.host.clock.Now()
+	if ctx.Err() != nil {
+		return
 	}
-	if !wat.relays.isRelay(now, wat.domainPeers()) {
-		wat.directUntil = now.Add(wat.directReadDuration())
+	if err != nil {
+		wat.storeFailed(now, sit, err)
+		return
 	}
-	wat.host.mirror.setRelayed(false)
-	return wat.readStore(ctx)
+	wat.noteSource(upd)
+	wat.recoverAfter(now, func() { wat.reader.StoreRead(now) })
+	wat.applyAndBatch(ctx, upd)
 }
 
-// defersStoreProbe reports whether this host currently leaves the probing of an unreachable store
-// to the first host of its failure domain. If a probe by this host is due, defersStoreProbe returns
-// false and schedules the next one.
-func (wat *storeWatcher) defersStoreProbe(now time.Time) bool {
-	peers := wat.domainPeers()
-	if wat.unreachableSince.IsZero() || len(peers) < minRelayHosts || peers[0].Epoch == wat.host.epoch {
-		return false
+// hostAnswered handles the end of a call to another host. What a host has passed on is applied even if
+// that host isn't a source any longer: it is newer than what this host had.
+func (wat *storeWatcher) hostAnswered(ctx context.Context, sit mirror.Situation, mem fleet.Member, upd update, err error) {
+	now := wat.host.clock.Now()
+	if ctx.Err() != nil {
+		return
 	}
-	return !wat.storeProbeDue(now)
-}
-
-// isPeerNotReady reports whether a read through a host failed because the host is not ready yet or
-// its copy is behind, so that another call may soon succeed.
-func isPeerNotReady(err error) bool {
-	var unready *peer.UnreadyError
-	var behind *BehindMirrorError
-	return errors.As(err, &unready) || errors.As(err, &behind)
-}
-
-// directReadDuration returns how long the store is read directly after reading through another host
-// failed.
-func (wat *storeWatcher) directReadDuration() time.Duration {
-	if wat.host.clock.Since(wat.host.started) < startupPeriod {
-		return startupDirectReadTime
+	if err != nil {
+		wat.hostFailed(now, sit, mem, time.Time{}, err)
+		return
 	}
-	return directReadTime
+	if err := wat.checkSource(now, upd); err != nil {
+		wat.hostFailed(now, sit, mem, upd.confirmed, err)
+	} else {
+		wat.noteSource(upd)
+		wat.recoverAfter(now, func() { wat.reader.HostRead(sit, mem, upd.confirmed) })
+	}
+	wat.applyAndBatch(ctx, upd)
 }
 
-// readThroughRelay reads through the relay, which must have answered a short call before this host
-// waits long for it.
-func (wat *storeWatcher) readThroughRelay(ctx context.Context, mem fleet.Member) (update, error) {
-	if wat.probedRelay == mem.Epoch {
-		return wat.readFromHost(ctx, mem, relayedWatchTimeout)
+// checkSource returns an error if the host that has passed on an update isn't a source any longer.
+func (wat *storeWatcher) checkSource(now time.Time, upd update) error {
+	if age := now.Sub(upd.confirmed); age > mirror.MaxCopyAge {
+		return &mirror.StaleError{Member: upd.relay, Age: age}
 	}
-	probeCtx, cancel := context.WithTimeout(ctx, relayProbeTimeout)
-	defer cancel()
-	upd, err := wat.readFromHost(probeCtx, mem, probeWait)
-	if err == nil {
-		wat.probedRelay = mem.Epoch
+	if upd.lost {
+		return &mirror.StoreLostError{Member: upd.relay}
 	}
-	return upd, err
+	return nil
 }
 
-// readStore returns the next update from the store.
-func (wat *storeWatcher) readStore(ctx context.Context) (update, error) {
-	if wat.needsFullRead {
-		return wat.list(ctx)
+// hostFailed records that a host is no source for now. Confirmed is when its copy was confirmed; zero if it
+// didn't answer.
+func (wat *storeWatcher) hostFailed(now time.Time, sit mirror.Situation, mem fleet.Member, confirmed time.Time, err error) {
+	fail := mirror.Failure{Kind: failureOf(err), Confirmed: confirmed}
+	wat.host.metrics.count("Mirror.Failures." + fail.Kind.String())
+	if wat.reader.LostSince().IsZero() && fail.Kind != mirror.FailureUnready {
+		wat.host.log.Info().Err(err).Str("Member", mem.Name).Stringer("Failure", fail.Kind).Dur("Age", wat.host.snapshotAge(now)).
+			Uint64("Revision", wat.revision.Number()).Msg("reading the store through another host failed")
 	}
-	return wat.watch(ctx)
+	wat.reader.HostFailed(now, sit, mem, fail)
 }
 
-// storeProbeDue reports whether a host that reads through another one is to probe an unreachable
-// store now, and if so schedules the next probe.
-func (wat *storeWatcher) storeProbeDue(now time.Time) bool {
-	if now.Before(wat.nextProbe) {
-		return false
+// failureOf classifies the error of a read through another host.
+func failureOf(err error) mirror.FailureKind {
+	var unready *peer.UnreadyError
+	var behind *mirror.BehindError
+	var stale *mirror.StaleError
+	var lost *mirror.StoreLostError
+	switch {
+	case errors.As(err, &unready), errors.As(err, &behind):
+		return mirror.FailureUnready
+	case errors.As(err, &stale):
+		return mirror.FailureStale
+	case errors.As(err, &lost):
+		return mirror.FailureStoreLost
+	default:
+		return mirror.FailureLost
 	}
-	wat.nextProbe = now.Add(relayedProbeInterval/2 + rand.N(relayedProbeInterval))
-	return true
 }
 
-// chooseRelay returns the relay to read through, if there is one. A host that finds other hosts at
-// its start first reads the store directly: clients are already using the fleet, and the relay may
-// have started later than this host and not be ready.
-func (wat *storeWatcher) chooseRelay(now time.Time) (fleet.Member, bool) {
-	if wat.host.confirmed.Load() == neverConfirmed && !wat.waitedForHosts || !wat.host.canAuthenticate() {
-		return fleet.Member{}, false
+// noteSource logs from where the store is read whenever that changes.
+func (wat *storeWatcher) noteSource(upd update) {
+	source := upd.relay
+	if source == "" {
+		source = sourceStore
 	}
-	if wat.unreachableSince.IsZero() && now.Before(wat.directUntil) {
-		return fleet.Member{}, false
-	}
-	return wat.relays.choose(now, wat.domainPeers())
-}
-
-// domainPeers returns the hosts of the own failure domain, this host included, except those known
-// to be unreachable.
-func (wat *storeWatcher) domainPeers() []fleet.Member {
-	var peers []fleet.Member
-	for _, mem := range wat.directory.Members() {
-		if mem.Domain == wat.host.set.Domain && !wat.host.broker.isUnreachable(mem.Epoch) {
-			peers = append(peers, mem)
-		}
+	if source == wat.source {
+		return
 	}
-	return peers
-}
-
-// StaleMirrorError reports a host whose copy of the store is too old to use.
-type StaleMirrorError struct {
-	Member string
-	Age    time.Duration
-}
-
-// Error names the host and the age of its copy.
-func (sme *StaleMirrorError) Error() string {
-	return "copy of the store on host " + sme.Member + " is " + sme.Age.String() + " old, too old to use"
-}
-
-// BehindMirrorError reports a host whose copy of the store is older than that of the host that reads
-// through it, such as a host that started more slowly.
-type BehindMirrorError struct {
-	Member string
-	// Revision is that of the host's copy, Known that of the reading host's copy.
-	Revision store.Revision
-	Known    store.Revision
-}
-
-// Error names the host and both revisions.
-func (bme *BehindMirrorError) Error() string {
-	return fmt.Sprintf("copy of the store on host %s is behind: at revision %d, want at least %d", bme.Member, bme.Revision, bme.Known)
+	wat.host.log.Info().Str("From", wat.source).Str("To", source).Dur("Age", wat.host.snapshotAge(wat.host.clock.Now())).
+		Bool("Whole", upd.complete).Uint64("Revision", upd.changes.Revision.Number()).Msg("store read through another source")
+	wat.source = source
 }
 
-// readFromPeers reads through other hosts while this host can't reach the store: at most
-// maxPeerReads are tried, until one answers. If none did and the copy of any is too old, it records
-// that other hosts can't reach the store either.
-func (wat *storeWatcher) readFromPeers(ctx context.Context) {
-	members := wat.directory.Members()
-	unavailable := false
-	for range min(maxPeerReads, len(members)) {
-		wat.peerIndex++
-		mem := members[wat.peerIndex%len(members)]
-		if mem.Epoch == wat.host.epoch {
-			continue
-		}
-		upd, err := wat.readFromHost(ctx, mem, probeWait)
-		if err == nil {
-			wat.apply(upd)
-			wat.recordPeerRead()
-			unavailable = false
-			break
-		}
-		var stale *StaleMirrorError
-		unavailable = unavailable || errors.As(err, &stale)
-	}
-	wat.host.storeUnavailable.Store(unavailable)
+// readThroughHost reports whether this host reads the store through another one.
+func (wat *storeWatcher) readThroughHost() bool {
+	return wat.source != "" && wat.source != sourceStore
 }
 
-// recordPeerRead records that another host has passed on the current content of the store.
-func (wat *storeWatcher) recordPeerRead() {
-	now := wat.host.clock.Now()
-	if now.Sub(wat.peerReadAt) > maxPeerReadGap {
-		wat.peersCurrentSince = now
+// readStore returns the next update from the store.
+func (wat *storeWatcher) readStore(ctx context.Context, stp mirror.ReadStore) (update, error) {
+	if stp.Whole {
+		return wat.list(ctx)
 	}
-	wat.peerReadAt = now
+	return wat.watch(ctx, stp.Wait)
 }
 
-// readFromHost reads the store through another host.
-func (wat *storeWatcher) readFromHost(ctx context.Context, mem fleet.Member, wait time.Duration) (update, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+relayAnswerSlack)
+// readHost reads the copy of another host. It returns a *mirror.BehindError if that copy is older than
+// this host's.
+func (wat *storeWatcher) readHost(ctx context.Context, stp mirror.ReadHost) (update, error) {
+	ctx, cancel := context.WithTimeout(ctx, stp.Timeout)
 	defer cancel()
-	after := wat.revision
+	hos := wat.host
+	askedAt := hos.clock.Now()
+	que := peer.MirrorQuery{After: wat.revision, Wait: stp.Wait, Confirmed: -hos.snapshotAge(askedAt)}
 	if wat.needsFullRead {
-		after = 0
+		que.After = 0
 	}
-	askedAt := wat.host.clock.Now()
-	reply, err := wat.host.peers.Follow(ctx, mem.PeerAddress, after, wait)
+	reply, err := hos.peers.Follow(ctx, stp.Member.PeerAddress, que)
 	if err != nil {
 		return update{}, err
 	}
-	upd := update{complete: reply.Snapshot, changes: reply.Changes, confirmed: askedAt.Add(reply.Confirmed), relay: mem.Name}
-	if age := wat.host.clock.Since(upd.confirmed); age > maxPeerCopyAge {
-		return update{}, &StaleMirrorError{Member: mem.Name, Age: age}
-	}
+	upd := update{complete: reply.Snapshot, changes: reply.Changes, confirmed: askedAt.Add(reply.Confirmed), relay: stp.Member.Name, lost: reply.Lost}
 	if upd.changes.Revision < wat.revision {
 		// An older copy must not revert changes that this host has applied.
-		return update{}, &BehindMirrorError{Member: mem.Name, Revision: upd.changes.Revision, Known: wat.revision}
+		return update{}, &mirror.BehindError{Member: stp.Member.Name, Revision: upd.changes.Revision, Known: wat.revision}
 	}
 	if reply.Snapshot {
 		for _, cha := range reply.Changes.Changes {
@@ -329,14 +223,7 @@
 
 // watch waits for changes in the store. If the store has compacted the history needed, it reads all
 // keys.
-func (wat *storeWatcher) watch(ctx context.Context) (update, error) {
-	wait := watchTimeout
-	if !wat.unreachableSince.IsZero() || wat.host.confirmed.Load() == neverConfirmed {
-		// A longer watch would show only at its end that the store responds.
-		wait = probeWait
-	} else if wat.relays.isRelay(wat.host.clock.Now(), wat.domainPeers()) {
-		wait = relayWatchTimeout
-	}
+func (wat *storeWatcher) watch(ctx context.Context, wait time.Duration) (update, error) {
 	askedAt := wat.host.clock.Now()
 	changes, err := wat.host.store.Watch(ctx, platform.RootPrefix, wat.revision, wait)
 	var compacted *store.CompactedError
--- a/peer/server.go
+++ b/peer/server.go
@@ -53,6 +53,8 @@
 	Sessions Sessions
 	// Mirror handles Follow; nil disables Follow.
 	Mirror Mirror
+	// Followed is called with each answer to Follow; nil to ignore them.
+	Followed func(Followed)
 	// Forwarder handles Forward and CheckEngine; nil disables them.
 	Forwarder Forwarder
 	Security  Security
@@ -61,7 +63,8 @@
 
 // Server serves the RPCs and sessions of the other hosts.
 type Server struct {
-	cfg ServerConfig
+	cfg    ServerConfig
+	packed *packCache
 }
 
 // NewServer returns a server.
@@ -69,13 +72,13 @@
 	if cfg.Backend != nil {
 		cfg.Sessions = cfg.Backend
 	}
-	return &Server{cfg: cfg}
+	return &Server{cfg: cfg, packed: newPackCache()}
 }
 
 // Handler returns the HTTP handler. If a shared key is configured, the handler rejects
 // requests that don't carry the key with status 401.
 func (srv *Server) Handler() http.Handler {
-	_, handler := peerpbconnect.NewPeerServiceHandler(srv, connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(compressMinBytes))
+	_, handler := peerpbconnect.NewPeerServiceHandler(srv, connect.WithReadMaxBytes(maxMessageBytes), connect.WithConditionalHandlerOptions(compression))
 	return http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
 		if !srv.cfg.Security.isAuthorized(req.Header) {
 			http.Error(wri, "peer key missing or wrong", http.StatusUnauthorized)
@@ -86,6 +89,15 @@
 	})
 }
 
+// compression returns from which size on the answers of a procedure are compressed. Those of Follow
+// are packed by packCache instead, once for all readers.
+func compression(spec connect.Spec) []connect.HandlerOption {
+	if spec.Procedure == peerpbconnect.PeerServiceFollowProcedure {
+		return []connect.HandlerOption{connect.WithCompressMinBytes(maxMessageBytes)}
+	}
+	return []connect.HandlerOption{connect.WithCompressMinBytes(compressMinBytes)}
+}
+
 // controllerKey is the context key of a request's *http.ResponseController.
 type controllerKey struct{}
 
