fix(entry): copies are logged as old from 3 s on

A host that reads the store by itself has a copy of up to 2.8 s at the end of each watch, so that the line came every 1.4 s from each host of a small deployment (seen in the log of TestHostCutOffFromStoreFollowsPeers).

--- a/entry/observe.go
+++ b/entry/observe.go
@@ -24,9 +24,9 @@
 	// start together each use their own scheduler until they know one another, which costs more than
 	// the calls that a longer interval saves.
 	startupBatchInterval = 50 * time.Millisecond
-	// oldCopyAge is the age from which a copy of the store is logged as old: two thirds of the age up
-	// to which a host uses it where the operators' bound is the smallest.
-	oldCopyAge = 2500 * time.Millisecond
+	// oldCopyAge is the age from which a copy of the store is logged as old. The copy of a host that reads
+	// the store by itself has up to twice the time of a watch, 2.8 s, when the next one is answered.
+	oldCopyAge = 3 * time.Second
 )
 
 // storeWatcher reads the store and maintains the host's snapshot of it.
