--- a/mirror/copy_test.go
+++ b/mirror/copy_test.go
@@ -67,3 +67,56 @@
 	var empty *EmptyError
 	assert.Assert(t, errors.As(err, &empty))
 }
+
+// isClosed reports whether a channel is closed.
+func isClosed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
+	}
+}
+
+// Guards against readers that sleep through news: each kind of news wakes them, once.
+func TestNewsWakesReaders(t *testing.T) {
+	cop := NewCopy(time.Now)
+	start := time.Now()
+	for _, tst := range []struct {
+		name  string
+		event func()
+		wakes bool
+	}{
+		{"a complete read", func() { cop.Replace(nil, 7, start) }, true},
+		{"a newer confirmation", func() { cop.Apply(store.Changes{Revision: 7}, start.Add(time.Second)) }, true},
+		{"an older confirmation", func() { cop.Apply(store.Changes{Revision: 7}, start) }, false},
+		{"a change", func() { cop.Apply(store.Changes{Revision: 8}, start) }, true},
+		{"the store is lost", func() { cop.SetLost(true) }, true},
+		{"the store is still lost", func() { cop.SetLost(true) }, false},
+		{"the store is back", func() { cop.SetLost(false) }, false},
+	} {
+		_, _, advanced := cop.read(7)
+		tst.event()
+		assert.Equal(t, isClosed(advanced), tst.wakes, tst.name)
+	}
+}
+
+func TestNewsIsWhatTheReaderLacks(t *testing.T) {
+	que := peer.MirrorQuery{Confirmed: -time.Second}
+	for _, tst := range []struct {
+		name string
+		que  peer.MirrorQuery
+		upd  peer.MirrorUpdate
+		want bool
+	}{
+		{"the same confirmation", que, peer.MirrorUpdate{Confirmed: -time.Second}, false},
+		{"the same, counted from the later arrival of the call", que, peer.MirrorUpdate{Confirmed: -time.Second + confirmationGain}, false},
+		{"a newer one", que, peer.MirrorUpdate{Confirmed: -time.Second + confirmationGain + 1}, true},
+		{"a newer one, which the reader doesn't ask for", peer.MirrorQuery{}, peer.MirrorUpdate{Confirmed: -1}, false},
+		{"a change", que, peer.MirrorUpdate{Confirmed: -time.Second, Changes: store.Changes{Changes: make([]store.Change, 1)}}, true},
+		{"a whole copy", que, peer.MirrorUpdate{Confirmed: -time.Second, Snapshot: true}, true},
+		{"the store is lost", que, peer.MirrorUpdate{Confirmed: -time.Second, Lost: true}, true},
+	} {
+		assert.Equal(t, hasNews(tst.que, tst.upd), tst.want, tst.name)
+	}
+}
--- a/tools/mutate/copies.go
+++ b/tools/mutate/copies.go
@@ -1,7 +1,7 @@
 package main
 
 // copies selects the tests of hosts' copies of the store.
-var copies = []string{"./mirror", "./peer", "-run", "Reader|Readers|Hosts?|Copies|Copy|Change|Packed|Relay|Deletions"}
+var copies = []string{"./mirror", "./peer", "-run", "Reader|Hosts|Cop|Change|Packed|Relay|Deletions|News"}
 
 // sends selects the tests of what is checked when a request is sent, and of what counts as confirmed.
 var sends = []string{"./entry", "-run", "ChangesAfterGrant|SnapshotIsPublished"}
