--- a/tools/mutate/copies.go
+++ b/tools/mutate/copies.go
@@ -22,7 +22,7 @@
 	},
 	{
 		"Copies: an older change of a key is left out", "mirror/changelog.go",
-		"	return found && cha.Revision <= clg.entries[idx].change.Revision\n", "	return false\n", copies,
+		"	return found && cha.Revision <= clg.entries[idx].change.Revision\n", "	return found && idx < 0\n", copies,
 	},
 	{
 		"Copies: hosts read in a tree", "mirror/tree.go",
