fix(reconcile): values that another host kept after a restoration are written again

Its log: host-2 merged the restored store (Read 5, InForce 7, ToWrite 2), host-1 read host-2's copy as a whole (Read 10, InForce 10, ToWrite 0), and host-1 was the coordinator for the next ten seconds, so nobody wrote the secret. Cause: a copy that has been merged looks complete to the host that reads it. The class: knowledge of what is missing that doesn't travel with the copy. Now a value without a revision, which the store lacks, is to be written by whoever takes it over; the two cases of TestMerge failed before. Not covered: a value of which the store has an older version, taken over from another host.

--- a/reconcile/reconcile.go
+++ b/reconcile/reconcile.go
@@ -136,8 +136,7 @@
 	known, found := mrg.knowledge.entries[val.Key]
 	policy := mrg.policyOf(val.Key)
 	if !found || policy == PolicyListed || policy == PolicyEither || !mrg.isNewer(known, val) {
-		mrg.entries[val.Key] = entry{value: val, number: val.Revision.Number()}
-		mrg.values = append(mrg.values, val)
+		mrg.take(val, known.number, policy)
 		return
 	}
 	if policy == PolicyRewrite {
@@ -146,6 +145,20 @@
 	mrg.keep(known, val.Revision)
 }
 
+// take takes what the store has of a key. A value without a revision comes from a host that has kept it: the
+// store lacks it.
+func (mrg *merge) take(val store.Value, knownNumber uint64, policy Policy) {
+	number := val.Revision.Number()
+	if val.Revision == 0 {
+		number = knownNumber
+		if policy == PolicyRewrite {
+			mrg.writes = append(mrg.writes, store.Write{Key: val.Key, Data: val.Data})
+		}
+	}
+	mrg.entries[val.Key] = entry{value: val, number: number}
+	mrg.values = append(mrg.values, val)
+}
+
 // addUnlisted adds a key that is known and that the store lacks.
 func (mrg *merge) addUnlisted(key string) {
 	if _, listed := mrg.entries[key]; listed {
--- a/reconcile/reconcile_test.go
+++ b/reconcile/reconcile_test.go
@@ -78,6 +78,17 @@
 			name: "our value that is missing", known: []store.Value{value("r", "a", 0, 50)}, want: "r=a@0",
 			writes: []store.Write{{Key: "r", Data: []byte("a")}},
 		},
+		// Guards against hosts' values that nobody writes again: the coordinator read the copy of a host that had
+		// merged them before, and missed nothing.
+		{
+			name: "our value that another host kept", known: []store.Value{value("r", "a", 0, 50)}, listed: []store.Value{value("r", "a", 0, 0)}, want: "r=a@0",
+			writes: []store.Write{{Key: "r", Data: []byte("a")}},
+		},
+		{
+			name: "our value that only another host knew", listed: []store.Value{value("r", "a", 0, 0)}, want: "r=a@0",
+			writes: []store.Write{{Key: "r", Data: []byte("a")}},
+		},
+		{name: "an operator's value that another host kept", known: []store.Value{value("k", "a", 0, 50)}, listed: []store.Value{value("k", "a", 0, 50)}, want: "k=a@50"},
 		{
 			name: "our older value", known: []store.Value{value("r", "b", 0, 50)}, listed: []store.Value{value("r", "a", 1, 40)}, want: "r=b@40",
 			writes: []store.Write{{Key: "r", Data: []byte("b"), Expect: store.NewRevision(1, 40)}},
