--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,7 +3,7 @@
 # case couldn't run. TROUBLE=0 leaves the disruption out.
 folder=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$folder/../.." && pwd)
-timeout -k 3 116 "$root/review/bin/rig" crash "$folder" "$root"
+timeout -k 3 116 "$root/review/bin/rig" build "$folder" "$root"
 result=$?
 case $result in
 0 | 1) exit $result ;;
--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -22,7 +22,9 @@
 // engine is a sound engine of the users' platform, but for what the hooks do.
 type engine struct {
 	id, service, zone string
-	listener          net.Listener
+	// version is that of the engine's software.
+	version  string
+	listener net.Listener
 	// events is the number of events of a stream, and step the time between them; 0 events answers without a stream.
 	events int
 	work   time.Duration
@@ -48,13 +50,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &engine{id: id, service: service, zone: zone, listener: lis, slots: make(chan struct{}, slots), conns: make(map[net.Conn]bool),
+	return &engine{id: id, service: service, zone: zone, version: firstVersion, listener: lis, slots: make(chan struct{}, slots), conns: make(map[net.Conn]bool),
 		unframed: func() bool { return false }, surplus: func(string) string { return "" }, junk: func() bool { return false }, ran: func(run) {}}, nil
 }
 
 // entry is the engine's entry in the store.
 func (eng *engine) entry() map[string]any {
-	return map[string]any{"service": eng.service, "address": eng.listener.Addr().String(), "zone": eng.zone, "version": "v1", "slots": cap(eng.slots),
+	return map[string]any{"service": eng.service, "address": eng.listener.Addr().String(), "zone": eng.zone, "version": eng.version, "slots": cap(eng.slots),
 		"state": "ready", "cold_left_ms": 0, "seq": eng.seq.Add(1), "stage": "both", "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}}
 }
 
@@ -150,7 +152,7 @@
 	}
 	for num := first; num <= eng.events; num++ {
 		time.Sleep(eng.work)
-		evt := eventText(num)
+		evt := eventText(num, eng.version)
 		if !unframed {
 			evt = fmt.Sprintf("%x\r\n%s\r\n", len(evt), evt)
 		}
@@ -167,15 +169,19 @@
 
 func plainBody(id string) string { return "label for " + id + strings.Repeat(".", 200) }
 
-func eventText(num int) string {
-	return fmt.Sprintf("id: %d\ndata: piece %d of the plan\n\n", num, num)
+// firstVersion is the version of most engines' software.
+const firstVersion = "v1"
+
+// eventText is an event of a stream. It names the version that wrote it.
+func eventText(num int, version string) string {
+	return fmt.Sprintf("id: %d\ndata: piece %d of the plan by %s\n\n", num, num, version)
 }
 
 // streamText is the whole body of a stream.
 func streamText(events int) string {
 	var text strings.Builder
 	for num := 1; num <= events; num++ {
-		text.WriteString(eventText(num))
+		text.WriteString(eventText(num, firstVersion))
 	}
 	return text.String()
 }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -19,11 +19,14 @@
 	exitNotRun = 2
 )
 
-// cases are the cases by name. A case returns whether the rule was broken.
+// cases are the cases by name, and two plays that REPORT.md names and that no folder holds: crash and tenant. Each returns
+// whether the rule was broken.
 var cases = map[string]func(rec *record, root string, trouble bool) (bool, error){
 	"surplus": surplusCase,
 	"crash":   crashCase,
 	"flood":   floodCase,
+	"build":   buildCase,
+	"tenant":  tenantCase,
 }
 
 func main() {
--- a/review/rig/process.go
+++ b/review/rig/process.go
@@ -12,8 +12,13 @@
 	"time"
 )
 
-// envJunk is the variable by which a case has the faulty engines send junk, instead of answers without a length.
-const envJunk = "JUNK"
+// The variables by which a case tells its engines what they do.
+const (
+	// envJunk has the faulty engines send junk, instead of answers without a length.
+	envJunk = "JUNK"
+	// envEvents is the number of events of a stream, if it isn't streamEvents.
+	envEvents = "EVENTS"
+)
 
 const (
 	streamEvents = 76
@@ -26,11 +31,11 @@
 
 // engineProcess runs one model engine as a process of its own, so that it can be killed:
 //
-//	rig engine ID ZONE FAULTY START
+//	rig engine ID ZONE FAULTY START VERSION
 //
 // It prints its address, and then each request that it runs.
 func engineProcess(args []string) int {
-	if len(args) != 4 {
+	if len(args) != 5 {
 		return exitNotRun
 	}
 	eng, err := newEngine(args[0], modelService, args[1], modelSlots, "127.0.0.1:0")
@@ -43,7 +48,10 @@
 		return exitNotRun
 	}
 	start := time.UnixMilli(startMillis)
-	eng.events, eng.work = streamEvents, streamStep
+	eng.events, eng.work, eng.version = streamEvents, streamStep, args[4]
+	if events, err := strconv.Atoi(os.Getenv(envEvents)); err == nil {
+		eng.events = events
+	}
 	var mutex sync.Mutex
 	owed := rand.Float64()
 	eng.unframed = func() bool {
@@ -92,21 +100,26 @@
 
 // crashEngine is an engine in a process of its own, as the case sees it.
 type crashEngine struct {
-	id, zone, address string
+	id, zone, address, version string
 	// faulty is set if the engine is one of those that the disruption strikes.
 	faulty  bool
 	process *exec.Cmd
-	// ended is closed when the process was killed.
-	ended chan struct{}
+	// ended is closed when the process was killed, left when the engine leaves without saying so before.
+	ended, left chan struct{}
 }
 
+// startEngine starts the engine of a place. From the start on, the faulty ones do what the case asks for.
 func startEngine(sys *system, place int, start time.Time) (*crashEngine, error) {
-	cre := &crashEngine{id: "i-0" + newID()[:8], zone: zones[place%len(zones)], ended: make(chan struct{})}
+	return startVersion(sys, place, start, firstVersion)
+}
+
+func startVersion(sys *system, place int, start time.Time, version string) (*crashEngine, error) {
+	cre := &crashEngine{id: "i-0" + newID()[:8], zone: zones[place%len(zones)], version: version, ended: make(chan struct{}), left: make(chan struct{})}
 	faulty := "0"
 	if float64(place) < faultyShare*modelEngines-0.5 {
 		faulty, cre.faulty = "1", true
 	}
-	cre.process = exec.Command(os.Args[0], "engine", cre.id, cre.zone, faulty, strconv.FormatInt(start.UnixMilli(), 10))
+	cre.process = exec.Command(os.Args[0], "engine", cre.id, cre.zone, faulty, strconv.FormatInt(start.UnixMilli(), 10), version)
 	// The pipe is closed when the case ends, which ends the process.
 	if _, err := cre.process.StdinPipe(); err != nil {
 		return nil, err
@@ -139,13 +152,16 @@
 // beat keeps the engine's entry in the store. It goes three heartbeats after the engine has crashed.
 func (cre *crashEngine) beat(sys *system) {
 	for seq := 1; ; seq++ {
-		entry := map[string]any{"service": modelService, "address": cre.address, "zone": cre.zone, "version": "v1", "slots": modelSlots, "state": "ready",
+		entry := map[string]any{"service": modelService, "address": cre.address, "zone": cre.zone, "version": cre.version, "slots": modelSlots, "state": "ready",
 			"cold_left_ms": 0, "seq": seq, "stage": "both", "models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}}
 		if err := sys.put("servers/"+cre.id, entry, false); err != nil {
 			return
 		}
 		select {
 		case <-time.After(1200 * time.Millisecond):
+		case <-cre.left:
+			_ = sys.put("servers/"+cre.id, nil, true)
+			return
 		case <-cre.ended:
 			time.Sleep(3600 * time.Millisecond)
 			_ = sys.put("servers/"+cre.id, nil, true)
