feat(scheduler): log what the origin of a resumed stream rests on

The decision line named the granted engine's version, but not why that version was taken for the stream's, so that three hypotheses looked alike: a record that is wrong, a list of engines that is old, and a conclusion from the list that isn't allowed.

The line now has Origin (Recorded, Sole or Unknown), OriginVersion, and the age of the deciding host; Streams.Origin.* counts them.

--- a/entry/desk.go
+++ b/entry/desk.go
@@ -235,6 +235,10 @@
 		evt = evt.Str("Request", msg.ID.Unique).Stringer("Reason", msg.Reason).Dur("RetryAfter", msg.RetryAfter)
 	}
 	inp := snd.Inputs
+	if inp.Origin != scheduler.OriginNotNeeded {
+		evt = evt.Stringer("Origin", inp.Origin).Str("OriginVersion", inp.EngineVersion).Dur("HostAge", bro.host.clock.Since(bro.host.started))
+		bro.host.metrics.count("Streams.Origin." + inp.Origin.String())
+	}
 	if inp.RateLimited > 0 {
 		evt = evt.Int("Paced", inp.RateLimited).Bool("WaitedForRate", inp.WaitedForRate)
 	}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -26,8 +26,10 @@
 	// for all.
 	scope string
 	// pinned is set if the request resumes a stream, and may run only at the software version.
+	// origin is what the knowledge of that version rests on.
 	pinned  bool
 	version string
+	origin  OriginBasis
 	// late is set if the client had already waited longer than the latency target when this
 	// request arrived, so that the target can't be met any more. In overload, such requests would
 	// take capacity from those that can meet theirs.
@@ -49,9 +51,11 @@
 	if cor.refuseQuarantined(now, from, res, svc) || cor.refuseRegion(now, from, res, svc) {
 		return
 	}
-	ori, resumable := cor.originOf(now, res)
-	if !resumable || res.Resumed && !svc.serves(ori.Version) {
-		cor.refuse(from, res, reservation.ReasonVersion, svc.inputs(now, now))
+	ori, basis := cor.originOf(now, res)
+	if res.Resumed && (basis == OriginUnknown || ori.Service != res.Service || !svc.serves(ori.Version)) {
+		inp := svc.inputs(now, now)
+		inp.Origin, inp.EngineVersion = basis, ori.Version
+		cor.refuse(from, res, reservation.ReasonVersion, inp)
 		return
 	}
 	switch {
@@ -68,7 +72,7 @@
 	}
 	wai := &waiter{reserve: res, gateway: from, since: now, scope: strings.Join(res.Regions, " ")}
 	if res.Resumed {
-		wai.pin(ori.Version)
+		wai.pin(ori.Version, basis)
 	}
 	wai.late = res.IsLate()
 	wai.until = now.Add(res.MaxWait())
@@ -168,7 +172,7 @@
 // inputsFor returns the inputs of a decision on a waiting request.
 func (svc *service) inputsFor(now time.Time, wai *waiter) Inputs {
 	inp := svc.inputs(now, wai.since)
-	inp.RateLimited, inp.WaitedForRate = svc.limitedEngines, wai.rateLimited
+	inp.RateLimited, inp.WaitedForRate, inp.Origin = svc.limitedEngines, wai.rateLimited, wai.origin
 	return inp
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -141,8 +141,10 @@
 
 // Inputs are the values that a grant or a refusal is based on, for the decision log.
 type Inputs struct {
-	// EngineVersion is the software version of the granted engine.
+	// EngineVersion is the software version of the granted engine, or the one at which a refused stream would go on.
+	// Origin is what that rests on for a resumed stream.
 	EngineVersion string
+	Origin        OriginBasis
 	// Waited is the time that the request has spent in the queue. Waiting is the length of the
 	// queue.
 	Waited  time.Duration
--- a/scheduler/version.go
+++ b/scheduler/version.go
@@ -23,20 +23,41 @@
 	cor.versions.Observe(now, svc.name, versions)
 }
 
-// originOf returns what began the stream that the reservation resumes, and whether it may be resumed by its
-// origin: it may not if the origin isn't known, or is another service. A reservation that resumes no stream has
-// no origin.
-func (cor *Core) originOf(now time.Time, res reservation.Reserve) (affinity.Origin, bool) {
+// OriginBasis is what a core's knowledge of the origin of a resumed stream rests on.
+type OriginBasis uint8
+
+// The bases.
+const (
+	// OriginNotNeeded is that of a request that resumes no stream.
+	OriginNotNeeded OriginBasis = iota
+	// OriginRecorded means that a record of the stream names its origin.
+	OriginRecorded
+	// OriginSole means that one version alone can have begun the stream.
+	OriginSole
+	// OriginUnknown means that several versions can have begun the stream.
+	OriginUnknown
+)
+
+// String returns the basis's name in the log.
+func (bas OriginBasis) String() string {
+	return [...]string{"NotNeeded", "Recorded", "Sole", "Unknown"}[bas]
+}
+
+// originOf returns what began the stream that the reservation resumes, and what that knowledge rests on. A
+// reservation that resumes no stream has no origin.
+func (cor *Core) originOf(now time.Time, res reservation.Reserve) (affinity.Origin, OriginBasis) {
 	if !res.Resumed {
-		return affinity.Origin{}, true
+		return affinity.Origin{}, OriginNotNeeded
 	}
-	ori := cor.KnownOrigin(now, res)
-	if ori.IsKnown() {
-		return ori, ori.Service == res.Service
+	if ori := cor.KnownOrigin(now, res); ori.IsKnown() {
+		return ori, OriginRecorded
 	}
 	cor.observeVersions(now, cor.service(res.Service))
 	version, sole := cor.versions.Sole(now, res.Service, res.StreamLife)
-	return affinity.Origin{Service: res.Service, Version: version}, sole
+	if !sole {
+		return affinity.Origin{Service: res.Service}, OriginUnknown
+	}
+	return affinity.Origin{Service: res.Service, Version: version}, OriginSole
 }
 
 // KnownOrigin returns what began the stream that the reservation resumes, as the reservation or this core's
@@ -70,9 +91,9 @@
 // StreamCount returns the number of streams that may be resumed.
 func (cor *Core) StreamCount() int { return cor.streams.Len() }
 
-// pin limits the request to the engines of a software version.
-func (wai *waiter) pin(version string) {
-	wai.pinned, wai.version = true, version
+// pin limits the request to the engines of a software version, which is known on the basis.
+func (wai *waiter) pin(version string, basis OriginBasis) {
+	wai.pinned, wai.version, wai.origin = true, version, basis
 	wai.scope += "\x00" + version
 }
 
