fix(affinity): what began streams outlasts the loss of all hosts

With both versions serving, no stream went on at all.

Cause: a core that doesn't know a stream resumes it at the only version that it has seen within the stream's life. A process that has just started has seen its list of engines for milliseconds, and took that for the whole 30 s.

Change: an empty history names nothing any more. The store has a record of the versions that may have begun streams that live (lynxwell/versions). No stream begins at a version before its record is acknowledged; a version goes out of the record once it hasn't served for the life of a stream, as seen by a coordinator without a gap. So a host that starts reads there which versions there were. While there are several, the origin of each stream is in the store, too (lynxwell/streams/, in batches each 250 ms, under leases that end with the streams). A stream that is in neither is refused. A record of an earlier era of the store, which may have lost versions, isn't complete until its reader has seen the life of a stream.

TestResumptionIsLimitedToItsVersion and TestSoleVersion asked for the fault (one version seen since the start counts as the only one): they now name what the store has, and have a case for each. TestNoStreamIsGrantedAnotherVersion draws losses of all hosts and of writes to the store from now on.

Mutations: the old text of two guards had changed; the versions' ones are a file of their own, with seven new ones.

--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -10,10 +10,14 @@
 //	}
 //
 //	his := affinity.NewHistory()
+//	his.Apply(now, recordInStore, era)
 //	his.Observe(now, "menus", []string{"v1"})
 //	if version, sole := his.Sole(now, "menus", time.Minute); sole {
 //		// every stream that lives was begun by this version
 //	}
+//	if next, changed := his.Next(now, era); changed {
+//		// write next to the store; no stream begins at a version before its record is written
+//	}
 //
 // Nothing here does I/O or reads a clock. A Registry holds a fixed number of bytes for each stream that
 // may still be resumed, and at most MaxStreams of them.
--- a/affinity/affinity_test.go
+++ b/affinity/affinity_test.go
@@ -77,14 +77,51 @@
 	})
 }
 
+// What a history has seen itself says nothing of the time before its first observation; a record of the store does.
 func TestSoleVersion(t *testing.T) {
+	after := func(seconds time.Duration) time.Time { return start.Add(seconds * time.Second) }
 	his := affinity.NewHistory()
 	_, sole := his.Sole(start, "menus", time.Minute)
 	assert.Assert(t, !sole, "nothing is known")
 	his.Observe(start, "menus", []string{"v1"})
-	his.Observe(start.Add(10*time.Second), "menus", []string{"v2"})
-	_, sole = his.Sole(start.Add(20*time.Second), "menus", time.Minute)
+	his.Observe(after(10), "menus", []string{"v2"})
+	_, sole = his.Sole(after(20), "menus", time.Minute)
 	assert.Assert(t, !sole)
-	version, sole := his.Sole(start.Add(20*time.Second), "menus", 15*time.Second)
+	_, sole = his.Sole(after(24), "menus", 25*time.Second)
+	assert.Assert(t, !sole, "a version of before the first observation may have begun the stream")
+	version, sole := his.Sole(after(26), "menus", 17*time.Second)
 	assert.Assert(t, sole && version == "v2")
+	his.Apply(after(26), affinity.Record{Number: 1, Versions: map[string][]string{"menus": {"v0", "v2"}}}, 0)
+	his.Observe(after(46), "menus", []string{"v2"})
+	_, sole = his.Sole(after(46), "menus", 15*time.Second)
+	assert.Assert(t, !sole, "the record names v0")
+	his.Apply(after(47), affinity.Record{Number: 2, Versions: map[string][]string{"menus": {"v2"}}}, 0)
+	version, sole = his.Sole(after(47), "menus", 15*time.Second)
+	assert.Assert(t, sole && version == "v2")
+	his.Apply(after(48), affinity.Record{Number: 2, Versions: map[string][]string{"menus": {"v2"}}}, 1)
+	_, sole = his.Sole(after(48), "menus", time.Minute)
+	assert.Assert(t, !sole, "the store was restored from a copy, and may have lost versions")
+}
+
+// A record names the versions that serve, and those that have served within the life of a stream.
+func TestNextRecord(t *testing.T) {
+	his := affinity.NewHistory()
+	his.ObserveLife(42 * time.Second)
+	his.Observe(start, "menus", []string{"v2", "v1"})
+	rec, change := his.Next(start, 3)
+	assert.Equal(t, change, affinity.ChangeExtends)
+	assert.DeepEqual(t, rec, affinity.Record{Number: 1, Era: 3, Life: 50 * time.Second, Versions: map[string][]string{"menus": {"v1", "v2"}}})
+	his.Apply(start, rec, 3)
+	now := start.Add(50 * time.Second)
+	his.Observe(now, "menus", []string{"v2"})
+	_, change = his.Next(now, 3)
+	assert.Equal(t, change, affinity.ChangeNone)
+	now = now.Add(time.Second)
+	his.Observe(now, "menus", []string{"v2"})
+	rec, change = his.Next(now, 3)
+	assert.Equal(t, change, affinity.ChangeReduces)
+	assert.DeepEqual(t, rec.Versions, map[string][]string{"menus": {"v2"}})
+	his.Interrupt(now)
+	_, change = his.Next(now, 3)
+	assert.Equal(t, change, affinity.ChangeNone, "v1 may have served unseen")
 }
--- a/affinity/history.go
+++ b/affinity/history.go
@@ -5,10 +5,25 @@
 	"time"
 )
 
-// History holds which versions of each service have served lately. It isn't safe for concurrent use.
+const (
+	// minLife is the least life of streams in a Record, and lifeStep the step to which it is rounded up, so that it
+	// seldom changes.
+	minLife  = 30 * time.Second
+	lifeStep = 10 * time.Second
+)
+
+// History holds which versions of each service have served lately. It has seen only what was since its process
+// started; what was before is known from a Record in the store. It isn't safe for concurrent use.
 type History struct {
+	// began is the time of the first observation.
+	began time.Time
 	// lastServed is when each version of a service was last known to serve.
 	lastServed map[string]map[string]time.Time
+	// life is the longest life of a stream that was observed.
+	life time.Duration
+	// record is the newest record of the store. isComplete is set if it names all versions whose streams may live.
+	record     Record
+	isComplete bool
 }
 
 // NewHistory returns an empty history.
@@ -18,6 +33,9 @@
 
 // Observe records the versions of a service's engines at a time.
 func (his *History) Observe(now time.Time, service string, versions []string) {
+	if his.began.IsZero() {
+		his.began = now
+	}
 	served := his.lastServed[service]
 	if served == nil {
 		served = make(map[string]time.Time)
@@ -34,16 +52,130 @@
 	}
 }
 
-// Sole returns the only version of a service that has served within a time, and whether there is exactly one.
+// ObserveLife records for how long a stream can be resumed.
+func (his *History) ObserveLife(life time.Duration) {
+	his.life = max(his.life, min(life, MaxKeep))
+}
+
+// Apply records the newest record of the store, in the store's era. Versions that it names anew may have served until now,
+// and so may all of them if changes of the record were missed.
+func (his *History) Apply(now time.Time, rec Record, era uint64) {
+	former := his.record
+	his.record, his.isComplete = rec, rec.Number > 0 && rec.Era == era
+	missed := rec.Number != former.Number && rec.Number != former.Number+1
+	for service, versions := range rec.Versions {
+		for _, version := range versions {
+			if missed || !former.Has(service, version) {
+				his.Observe(now, service, []string{version})
+			}
+		}
+	}
+}
+
+// Interrupt records that changes of the versions may have been missed until now: each recorded one may have served.
+func (his *History) Interrupt(now time.Time) {
+	for service, versions := range his.record.Versions {
+		his.Observe(now, service, versions)
+	}
+}
+
+// Record returns the newest record of the store.
+func (his *History) Record() Record { return his.record }
+
+// covers reports whether this history, with the record, names all versions that have served within a time.
+func (his *History) covers(now time.Time, within time.Duration) bool {
+	return his.isComplete || !his.began.IsZero() && now.Sub(his.began) >= within
+}
+
+// Sole returns the only version of a service that can have served within a time, and whether there is exactly one.
 func (his *History) Sole(now time.Time, service string, within time.Duration) (string, bool) {
-	sole, count := "", 0
+	candidates := make(map[string]bool)
+	for _, version := range his.record.Versions[service] {
+		candidates[version] = true
+	}
 	for version, at := range his.lastServed[service] {
 		if now.Sub(at) <= within {
-			sole = version
-			count++
+			candidates[version] = true
+		}
+	}
+	if len(candidates) != 1 || !his.covers(now, within) {
+		return "", false
+	}
+	for version := range candidates {
+		return version, true
+	}
+	return "", false
+}
+
+// MustKeepOrigins reports whether the origin of each of the service's streams has to outlast all hosts, since a host
+// that starts then can't tell it from the versions.
+func (his *History) MustKeepOrigins(service string) bool {
+	return !his.isComplete || len(his.record.Versions[service]) > 1
+}
+
+// IsRecorded reports whether the record names the version of a service.
+func (his *History) IsRecorded(service, version string) bool { return his.record.Has(service, version) }
+
+// Missing reports whether the record lacks a version that serves at the time.
+func (his *History) Missing(now time.Time) bool {
+	_, missing := his.withMissing(now)
+	return missing
+}
+
+// Change is how a record differs from the one before it.
+type Change uint8
+
+// The changes.
+const (
+	// ChangeNone means that there is none.
+	ChangeNone Change = iota
+	// ChangeExtends means that it names more. It is in force once it is stored.
+	ChangeExtends
+	// ChangeReduces means that it names less. It is in force before it is stored, since the store may carry the write
+	// out late.
+	ChangeReduces
+)
+
+// Next returns the record that the store has to have next in the era, and how it differs from the newest one: with all
+// versions that serve now, and, once nothing has to be added, without those that haven't served within the life of a
+// stream.
+func (his *History) Next(now time.Time, era uint64) (Record, Change) {
+	next, changed := his.withMissing(now)
+	if life := max(minLife, (his.life + lifeStep - 1).Truncate(lifeStep)); life > next.Life {
+		next.Life, changed = life, true
+	}
+	switch {
+	case next.Number == 0:
+		// The first host that reads a store without a record is the first of all hosts.
+		next.Era = era
+	case next.Era != era && now.Sub(his.began) > next.Life:
+		next.Era, changed = era, true
+	}
+	next.Number++
+	if changed {
+		return next, ChangeExtends
+	}
+	removed := next.keepOnly(func(service, version string) bool {
+		at, known := his.lastServed[service][version]
+		return known && now.Sub(at) <= next.Life
+	})
+	if removed {
+		return next, ChangeReduces
+	}
+	return his.record, ChangeNone
+}
+
+// withMissing returns the record with the versions that serve at the time, and whether it lacked any.
+func (his *History) withMissing(now time.Time) (Record, bool) {
+	next, missing := his.record.clone(), false
+	for service, served := range his.lastServed {
+		for version, at := range served {
+			if !at.Before(now) && next.add(service, version) {
+				missing = true
+			}
 		}
 	}
-	return sole, count == 1
+	return next, missing
 }
 
 // Served returns when each version of each service was last known to serve.
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -85,6 +85,8 @@
 	// streamsScheduled is set.
 	streams          affinity.Outbox
 	streamsScheduled bool
+	// origins keeps in the store what began streams.
+	origins *origins
 	// measurements are the stored measurements of the engines' speed.
 	measurements pace.Measurements
 }
@@ -151,6 +153,8 @@
 
 		evacuations: evacuation.New(),
 
+		origins: newOrigins(),
+
 		gate: admission.NewGate(),
 
 		judge:       takeover.NewJudge(),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -283,6 +283,8 @@
 	hos.tasks.Run("evacuations", func() error { return hos.maintainEvacuations(ctx) })
 	hos.tasks.Run("held", func() error { return hos.maintainHeld(ctx) })
 	hos.tasks.Run("rewrites", func() error { return hos.rewrites.run(ctx) })
+	hos.tasks.Run("versions", func() error { return hos.maintainVersions(ctx) })
+	hos.tasks.Run("origins", func() error { return hos.maintainOrigins(ctx) })
 	hos.tasks.Run("survey", func() error { return hos.maintainMeasurements(ctx) })
 	hos.tasks.Run("housekeeping", func() error { return hos.runMaintenance(ctx) })
 	go func() {
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -10,6 +11,7 @@
 	"lynxwell.dev/lynxwell/evacuation"
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/mirror"
+	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/reconcile"
 	"lynxwell.dev/lynxwell/route"
 	"lynxwell.dev/lynxwell/store"
@@ -121,7 +123,7 @@
 	}
 	wat.revision = max(wat.revision, upd.changes.Revision)
 	settled := wat.directory.DropMissing(wat.host.clock.Now())
-	if upd.complete || len(upd.changes.Changes) > 0 || settled {
+	if upd.complete || settled || slices.ContainsFunc(upd.changes.Changes, concernsSnapshot) {
 		wat.publish()
 	}
 	wat.host.confirm(upd.confirmed)
@@ -129,6 +131,12 @@
 	wat.host.markConfigured()
 }
 
+// concernsSnapshot reports whether a change may concern more than the origins of streams, which come in series.
+func concernsSnapshot(cha store.Change) bool {
+	kind, _ := platform.ParseKey(cha.Key)
+	return kind != platform.KeyOrigins
+}
+
 // observeAge records how old the copy was when an update arrived: how long it has been certain until
 // then that the host lacks no change.
 func (wat *storeWatcher) observeAge(upd update) {
--- a/entry/publish.go
+++ b/entry/publish.go
@@ -23,6 +23,7 @@
 	}
 	wat.publishRollouts()
 	wat.host.broker.handle(scheduler.EnginesChanged{Engines: engines})
+	wake(wat.host.broker.origins.wakeVersions)
 	mbs := membership{members: snp.members, candidates: snp.members, unregistered: wat.directory.IsMissing(wat.host.set.Name)}
 	if mbs.unregistered {
 		mbs.candidates = wat.directory.RegisteredMembers()
--- a/entry/restored.go
+++ b/entry/restored.go
@@ -85,9 +85,9 @@
 		return reconcile.PolicyKeep
 	case platform.KeyEvacuation:
 		return reconcile.PolicyEither
-	case platform.KeyMeasurements, platform.KeyRing, platform.KeyRolloutState, platform.KeyLedger, platform.KeyHolds, platform.KeyLimitShares, platform.KeyEvacuationState:
+	case platform.KeyMeasurements, platform.KeyRing, platform.KeyRolloutState, platform.KeyLedger, platform.KeyHolds, platform.KeyLimitShares, platform.KeyVersions, platform.KeyEvacuationState:
 		return reconcile.PolicyRewrite
-	case platform.KeyOther:
+	case platform.KeyOrigins, platform.KeyOther:
 		return reconcile.PolicyListed
 	default:
 		return reconcile.PolicyListed
@@ -117,6 +117,10 @@
 		one, oneErr := platform.DecodeLimitShares(known)
 		two, twoErr := platform.DecodeLimitShares(listed)
 		return cmp.Compare(one.Version, two.Version), oneErr == nil && twoErr == nil
+	case platform.KeyVersions:
+		one, oneErr := platform.DecodeVersions(known)
+		two, twoErr := platform.DecodeVersions(listed)
+		return cmp.Compare(one.Number, two.Number), oneErr == nil && twoErr == nil
 	case platform.KeyMember:
 		one, oneErr := platform.DecodeMember(known)
 		two, twoErr := platform.DecodeMember(listed)
--- a/entry/streams.go
+++ b/entry/streams.go
@@ -23,6 +23,7 @@
 func (bro *broker) publishStreams() {
 	for _, bat := range bro.core.StreamsBegun() {
 		bro.relayStreams(bat)
+		bro.keepOrigins(bat)
 	}
 }
 
--- a/entry/take.go
+++ b/entry/take.go
@@ -17,6 +17,7 @@
 	wat.clearKeyRing()
 	wat.clearHeldRevision()
 	wat.clearLimitShares()
+	wat.clearVersions()
 	wat.resetEvacuations(values, rev)
 	for _, val := range values {
 		switch kind, name := platform.ParseKey(val.Key); kind {
@@ -46,6 +47,10 @@
 			wat.applyHeld(val)
 		case platform.KeyLimitShares:
 			wat.applyLimitShares(val)
+		case platform.KeyVersions:
+			wat.applyVersions(val)
+		case platform.KeyOrigins:
+			wat.applyOrigins(val)
 		case platform.KeyEvacuation:
 			wat.applyEvacuation(val)
 		case platform.KeyEvacuationState:
@@ -55,6 +60,7 @@
 		}
 	}
 	wat.endFirstRead()
+	wat.endVersionsRead()
 	wat.directory.Replace(wat.host.clock.Now(), engines, members)
 	for _, name := range invalid {
 		wat.directory.DropEngine(name)
@@ -119,6 +125,10 @@
 		wat.applyHeld(cha.Value)
 	case platform.KeyLimitShares:
 		wat.applyLimitShares(cha.Value)
+	case platform.KeyVersions:
+		wat.applyVersions(cha.Value)
+	case platform.KeyOrigins:
+		wat.applyOrigins(cha.Value)
 	case platform.KeyEvacuation:
 		wat.applyEvacuation(cha.Value)
 	case platform.KeyEvacuationState:
@@ -152,11 +162,13 @@
 		wat.clearHeldRevision()
 	case platform.KeyLimitShares:
 		wat.clearLimitShares()
+	case platform.KeyVersions:
+		wat.clearVersions()
 	case platform.KeyEvacuation:
 		wat.withdrawEvacuation(name, cha.Revision)
 	case platform.KeyEvacuationState:
 		wat.setEvacuation(name, func(sta *evacuation.StoredState) { sta.Published = evacuation.PublishedState{} })
-	case platform.KeyConfiguration, platform.KeyMeasurements, platform.KeyRolloutOrder, platform.KeyOther:
+	case platform.KeyConfiguration, platform.KeyMeasurements, platform.KeyRolloutOrder, platform.KeyOrigins, platform.KeyOther:
 	}
 }
 
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -68,6 +68,9 @@
 	// limit that has ended.
 	limiter   *rateLimiter
 	rateEnded bool
+	// recorded is set if the store's record of versions names this engine's. Until then no stream that may be resumed
+	// begins here.
+	recorded bool
 }
 
 // run is a request that was granted an engine.
--- a/scheduler/listing.go
+++ b/scheduler/listing.go
@@ -45,6 +45,7 @@
 		cor.observeVersions(now, svc)
 		svc.room.reset(len(svc.engines))
 		svc.free.reset(len(svc.engines))
+		cor.markRecorded(svc)
 		for _, ene := range svc.engines {
 			ene.updateRoom()
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -18,6 +18,7 @@
 import (
 	"time"
 
+	"lynxwell.dev/lynxwell/affinity"
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/limitshare"
 	"lynxwell.dev/lynxwell/pace"
@@ -117,6 +118,12 @@
 	Domains []string
 }
 
+// VersionsRecorded carries the record of versions in the store, and the store's era.
+type VersionsRecorded struct {
+	Record affinity.Record
+	Era    uint64
+}
+
 // Tick makes the core serve its queues at the current time.
 type Tick struct{}
 
@@ -129,6 +136,7 @@
 func (ShareSuspended) isEvent()       {}
 func (MeasurementsRead) isEvent()     {}
 func (DomainsClosed) isEvent()        {}
+func (VersionsRecorded) isEvent()     {}
 func (Tick) isEvent()                 {}
 
 // Send is a message to be sent to a gateway.
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -213,7 +213,7 @@
 // recordFull records that a request without special handling found no engine. constrained is set
 // if some engines are closed to its gateway that may be open to others.
 func (scn *queueScan) recordFull(now time.Time, svc *service, wai *waiter, constrained bool) {
-	if scn.isFull(wai) {
+	if scn.isFull(wai) || wai.needsRecord() && svc.unrecorded > 0 {
 		return
 	}
 	anyGateway := !constrained && (svc.signaledEngines == 0 || !svc.hasBackoff(now, wai.gateway))
--- a/scheduler/version.go
+++ b/scheduler/version.go
@@ -10,7 +10,57 @@
 
 // What two software versions write doesn't fit together, and engines don't check it: a stream is resumed only
 // at the version that began it. If this core doesn't know that version, it resumes the stream only while one
-// version alone can have begun it.
+// version alone can have begun it. What this core has seen since its process started isn't enough for that: the record
+// in the store names the versions before.
+
+// applyVersions applies the store's record of versions.
+func (cor *Core) applyVersions(now time.Time, evt VersionsRecorded) {
+	cor.versions.Apply(now, evt.Record, evt.Era)
+	for _, svc := range cor.services {
+		cor.markRecorded(svc)
+		cor.serve(now, svc)
+	}
+}
+
+// markRecorded marks the service's engines whose version the store's record names.
+func (cor *Core) markRecorded(svc *service) {
+	svc.unrecorded = 0
+	for _, ene := range svc.engines {
+		ene.recorded = cor.versions.IsRecorded(svc.name, ene.Version)
+		if !ene.recorded {
+			svc.unrecorded++
+		}
+	}
+}
+
+// observeAllVersions records the versions of all services' listed engines.
+func (cor *Core) observeAllVersions(now time.Time) {
+	for _, svc := range cor.services {
+		cor.observeVersions(now, svc)
+	}
+}
+
+// NextVersions returns the record of versions that the store has to have next in its era, and how it differs from
+// Versions.
+func (cor *Core) NextVersions(now time.Time, era uint64) (affinity.Record, affinity.Change) {
+	cor.observeAllVersions(now)
+	return cor.versions.Next(now, era)
+}
+
+// Versions returns the newest record of versions.
+func (cor *Core) Versions() affinity.Record { return cor.versions.Record() }
+
+// LacksVersions reports whether the store's record of versions lacks one of a listed engine.
+func (cor *Core) LacksVersions(now time.Time) bool {
+	cor.observeAllVersions(now)
+	return cor.versions.Missing(now)
+}
+
+// InterruptVersions records that changes of the engines may have been missed until now.
+func (cor *Core) InterruptVersions(now time.Time) { cor.versions.Interrupt(now) }
+
+// MustKeepOrigins reports whether the origins of the service's streams have to outlast all hosts.
+func (cor *Core) MustKeepOrigins(service string) bool { return cor.versions.MustKeepOrigins(service) }
 
 // observeVersions records the versions of the service's listed engines.
 func (cor *Core) observeVersions(now time.Time, svc *service) {
@@ -78,6 +128,7 @@
 	bat := affinity.Batch{
 		Origin: affinity.Origin{Service: rnn.engine.Service, Version: rnn.engine.Version}, KeepFor: rnn.streamLife, Streams: []affinity.Stream{rnn.stream},
 	}
+	cor.versions.ObserveLife(bat.KeepFor)
 	cor.streams.Record(now, bat)
 	cor.begun.Add(bat)
 }
@@ -106,11 +157,18 @@
 	return ene.Version
 }
 
-// suits reports whether the engine has the software version that the request is limited to, if any.
+// suits reports whether the engine has the software version that the request is limited to, if any. A stream that may be
+// resumed begins only at a version that the store's record names, so that hosts that start later know it.
 func (wai *waiter) suits(ene *engine) bool {
-	return !wai.pinned || ene.Version == wai.version
+	if wai.pinned {
+		return ene.Version == wai.version
+	}
+	return ene.recorded || !wai.needsRecord()
 }
 
+// needsRecord reports whether the request begins a stream that may be resumed.
+func (wai *waiter) needsRecord() bool { return wai.reserve.Stream != 0 && !wai.pinned }
+
 // serves reports whether any engine of the version takes requests.
 func (svc *service) serves(version string) bool {
 	return slices.ContainsFunc(svc.engines, func(ene *engine) bool {
--- a/scheduler/version_test.go
+++ b/scheduler/version_test.go
@@ -63,7 +63,9 @@
 		wait    time.Duration
 		stream  string
 		account string
-		want    string
+		// record are the versions that the store names when the core starts; nil stands for no record.
+		record []string
+		want   string
 	}{
 		"first version":                     {engines: [][]fleet.Engine{{first, second}}, stream: "one", want: "e1"},
 		"second version":                    {engines: [][]fleet.Engine{{first, second}}, stream: "two", want: "e2"},
@@ -73,12 +75,18 @@
 		"unknown, two versions":             {engines: [][]fleet.Engine{{first, second}}, stream: "unknown", want: "Version"},
 		"no attempt named, two versions":    {engines: [][]fleet.Engine{{first, second}}, want: "Version"},
 		"of another account":                {engines: [][]fleet.Engine{{first, second}}, stream: "one", account: "other", want: "Version"},
-		"unknown, one version":              {engines: [][]fleet.Engine{{first}}, stream: "unknown", want: "e1"},
+		"unknown, one version":              {engines: [][]fleet.Engine{{first}}, record: []string{"v1"}, stream: "unknown", want: "e1"},
+		"unknown, one listed, two recorded": {engines: [][]fleet.Engine{{first}}, record: []string{"v1", "v2"}, stream: "unknown", want: "Version"},
+		"unknown, one listed, no record":    {engines: [][]fleet.Engine{{first}}, stream: "unknown", want: "Version"},
+		"unknown, no record for long":       {engines: [][]fleet.Engine{{first}}, wait: 40 * time.Second, stream: "unknown", want: "e1"},
 		"unknown, another version left now": {engines: [][]fleet.Engine{{first, second}, {first}}, wait: 20 * time.Second, stream: "unknown", want: "Version"},
 		"unknown, another version long ago": {engines: [][]fleet.Engine{{first, second}, {first}}, wait: 40 * time.Second, stream: "unknown", want: "e1"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			har := newHarness()
+			if tst.record != nil {
+				har.handle(scheduler.VersionsRecorded{Record: affinity.Record{Number: 1, Versions: map[string][]string{"model": tst.record}}})
+			}
 			for _, engines := range tst.engines {
 				har.handle(scheduler.EnginesChanged{Engines: engines})
 			}
@@ -143,57 +151,136 @@
 	assert.Equal(t, outcomeOf(har.reserve(res)), "d")
 }
 
-// Whatever versions come and go, and whichever streams begin and are resumed, no stream is granted an engine of
-// another version than the one that began it.
+// A stream that may be resumed begins only at a version that the store names: a host that starts after the loss of all
+// others knows no other. Other requests don't wait for that.
+func TestStreamsBeginAtRecordedVersions(t *testing.T) {
+	har := newHarness()
+	har.handle(scheduler.VersionsRecorded{Record: affinity.Record{Number: 1, Versions: map[string][]string{"model": {"v1"}}}})
+	har.handle(scheduler.EnginesChanged{Engines: []fleet.Engine{versionedModel("new", "v2")}})
+	res := promptReservation("begins", 10)
+	res.Stream, res.StreamLife = affinity.StreamOf("", "begins"), playedLife
+	assert.Equal(t, outcomeOf(har.reserve(res)), "none")
+	assert.Equal(t, outcomeOf(har.reserve(promptReservation("other", 10))), "new")
+	rec, change := har.core.NextVersions(har.now, 0)
+	assert.Equal(t, change, affinity.ChangeExtends)
+	assert.Equal(t, outcomeOf(har.handle(scheduler.VersionsRecorded{Record: rec})), "new")
+}
+
+// versionPlay plays cores of one host after another, with what their store keeps.
+type versionPlay struct {
+	*harness
+	engines map[string]fleet.Engine
+	// record and origins are what the store has.
+	record  affinity.Record
+	origins []affinity.Batch
+	// began is the version that began each stream, beganAt when.
+	began   map[string]string
+	beganAt map[string]time.Time
+	next    int
+}
+
+// playedLife is how long a client resumes a stream.
+const playedLife = 30 * time.Second
+
+func (vpl *versionPlay) list() {
+	var list []fleet.Engine
+	for _, eng := range vpl.engines {
+		list = append(list, eng)
+	}
+	vpl.handle(scheduler.EnginesChanged{Engines: list})
+}
+
+// store makes the store's next record, as hosts do; done says whether the store carries the write out.
+func (vpl *versionPlay) store(done bool) {
+	rec, change := vpl.core.NextVersions(vpl.now, 0)
+	if known := vpl.core.Versions(); known.Number > vpl.record.Number {
+		rec, change = known, affinity.ChangeReduces
+	}
+	if change == affinity.ChangeReduces {
+		vpl.handle(scheduler.VersionsRecorded{Record: rec})
+	}
+	if !done || change == affinity.ChangeNone {
+		return
+	}
+	vpl.record = rec
+	vpl.handle(scheduler.VersionsRecorded{Record: rec})
+}
+
+// restart replaces the core by one that knows only what the store has.
+func (vpl *versionPlay) restart() {
+	vpl.core = newHarness().core
+	if vpl.record.Number > 0 {
+		vpl.handle(scheduler.VersionsRecorded{Record: vpl.record})
+	}
+	for _, bat := range vpl.origins {
+		vpl.handle(scheduler.Received{From: peerEpoch, Message: reservation.StreamsBegan{Batch: bat}})
+	}
+	vpl.list()
+}
+
+// begin begins a stream if an engine is granted. Its origin is lost with the core unless kept is set.
+func (vpl *versionPlay) begin(kept bool) {
+	vpl.next++
+	stream := fmt.Sprint("stream-", vpl.next)
+	res := promptReservation(stream, 10)
+	res.Stream, res.StreamLife = affinity.StreamOf("", stream), playedLife
+	engine := outcomeOf(vpl.reserve(res))
+	if version := vpl.engines[engine].Version; version != "" {
+		vpl.began[stream], vpl.beganAt[stream] = version, vpl.now
+		bat := affinity.Batch{Origin: affinity.Origin{Service: "model", Version: version}, KeepFor: playedLife, Streams: []affinity.Stream{res.Stream}}
+		if kept {
+			vpl.handle(scheduler.Received{From: peerEpoch, Message: reservation.StreamsBegan{Batch: bat}})
+		}
+		if kept && vpl.core.MustKeepOrigins("model") {
+			vpl.origins = append(vpl.origins, bat)
+		}
+	}
+	vpl.release(reservation.Release{ID: res.ID, Dispatched: true, Answered: true})
+}
+
+// resume resumes a stream whose client hasn't given it up, and returns the version at which it goes on; empty for none.
+func (vpl *versionPlay) resume(stream string) string {
+	if vpl.now.Sub(vpl.beganAt[stream]) > playedLife {
+		return ""
+	}
+	vpl.next++
+	res := resumption(fmt.Sprint("again-", vpl.next), stream)
+	engine := outcomeOf(vpl.reserve(res))
+	vpl.release(reservation.Release{ID: res.ID, Dispatched: true, Answered: true})
+	return vpl.engines[engine].Version
+}
+
+// Whatever versions come and go, whichever streams begin and are resumed, and whenever all hosts are lost or the store is
+// away, no stream is granted an engine of another version than the one that began it. Guards against a core that takes
+// what it has seen since its start for all that was.
 func TestNoStreamIsGrantedAnotherVersion(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		har := newHarness()
-		engines := make(map[string]fleet.Engine)
-		began := make(map[string]string)
-		versionOf := func(engine string) string { return engines[engine].Version }
-		next := 0
+		vpl := &versionPlay{harness: newHarness(), engines: make(map[string]fleet.Engine), began: make(map[string]string), beganAt: make(map[string]time.Time)}
 		rt.Repeat(map[string]func(*rapid.T){
 			"engines": func(rt *rapid.T) {
 				name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "engine")
 				if rapid.Bool().Draw(rt, "leaves") {
-					delete(engines, name)
+					delete(vpl.engines, name)
 				} else {
-					engines[name] = versionedModel(name, rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(rt, "version"))
-				}
-				var list []fleet.Engine
-				for _, eng := range engines {
-					list = append(list, eng)
+					vpl.engines[name] = versionedModel(name, rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(rt, "version"))
 				}
-				har.handle(scheduler.EnginesChanged{Engines: list})
-			},
-			"begin": func(*rapid.T) {
-				next++
-				stream := fmt.Sprint("stream-", next)
-				res := promptReservation(stream, 10)
-				res.Stream = affinity.StreamOf("", stream)
-				if engine := outcomeOf(har.reserve(res)); engines[engine].Version != "" {
-					began[stream] = versionOf(engine)
-				}
-				// Some streams' records are lost with their hosts.
-				if next%3 > 0 && began[stream] != "" {
-					har.record("model", began[stream], stream)
-				}
-				har.release(reservation.Release{ID: res.ID, Dispatched: true, Answered: true})
+				vpl.list()
 			},
+			"store":   func(rt *rapid.T) { vpl.store(rapid.IntRange(0, 3).Draw(rt, "done") > 0) },
+			"restart": func(*rapid.T) { vpl.restart() },
+			"begin":   func(rt *rapid.T) { vpl.begin(rapid.Bool().Draw(rt, "kept")) },
 			"resume": func(rt *rapid.T) {
-				if len(began) == 0 {
+				if vpl.next == 0 {
 					return
 				}
-				next++
-				stream := fmt.Sprint("stream-", rapid.IntRange(1, next).Draw(rt, "stream"))
-				res := resumption(fmt.Sprint("again-", next), stream)
-				engine := outcomeOf(har.reserve(res))
-				if version := versionOf(engine); version != "" && began[stream] != "" && version != began[stream] {
-					rt.Fatalf("stream of %s goes on at %s", began[stream], version)
+				stream := fmt.Sprint("stream-", rapid.IntRange(1, vpl.next).Draw(rt, "stream"))
+				if version := vpl.resume(stream); version != "" && vpl.began[stream] != "" && version != vpl.began[stream] {
+					rt.Fatalf("stream of %s goes on at %s", vpl.began[stream], version)
 				}
-				har.release(reservation.Release{ID: res.ID, Dispatched: true, Answered: true})
 			},
-			"wait": func(*rapid.T) { har.advance(time.Second) },
+			"wait": func(rt *rapid.T) {
+				vpl.advance(time.Duration(rapid.SampledFrom([]int{1, 1, 5, 20}).Draw(rt, "seconds")) * time.Second)
+			},
 		})
 	})
 }
--- a/tools/mutate/copies.go
+++ b/tools/mutate/copies.go
@@ -50,6 +50,6 @@
 	},
 	{
 		"Sends: a snapshot is published before it is confirmed", "entry/observe.go",
-		"	if upd.complete || len(upd.changes.Changes) > 0 || settled {\n", "	wat.host.confirm(upd.confirmed)\n	if upd.complete || len(upd.changes.Changes) > 0 || settled {\n", sends,
+		"	if upd.complete || settled || slices.ContainsFunc(upd.changes.Changes, concernsSnapshot) {\n", "	wat.host.confirm(upd.confirmed)\n	if upd.complete || settled || slices.ContainsFunc(upd.changes.Changes, concernsSnapshot) {\n", sends,
 	},
 }
--- a/tools/mutate/mutations.go
+++ b/tools/mutate/mutations.go
@@ -35,12 +35,6 @@
 // cutAnswers selects the tests of engines that cut answers off and live on.
 var cutAnswers = []string{"./entry", "-run", "CutAnswers"}
 
-// versions selects the tests of streams that are resumed at the software version that began them.
-var versions = []string{"./affinity", "./scheduler", "-run", "Resum|Version|NoStream"}
-
-// resumedStreams selects the tests of hosts that resume streams.
-var resumedStreams = []string{"./entry", "-run", "StreamsResume|HostResumes|SeveralTimes"}
-
 // parts selects the tests of parts of prompts that crash engines.
 var parts = []string{"./quarantine", "./scheduler", "-run", "Parts?($|[A-Z])|SameTime"}
 
@@ -470,41 +464,6 @@
 		"			if rew.host.broker.coordinates() {\n", "			if false {\n",
 		[]string{"./entry"},
 	},
-	{
-		"Versions: a resumed stream is limited to its version", "scheduler/version.go",
-		"	return !wai.pinned || ene.Version == wai.version\n", "	return true\n",
-		versions,
-	},
-	{
-		"Versions: a stream that isn't known isn't resumed among several versions", "scheduler/version.go",
-		"Version: version}, sole\n", "Version: version}, sole || true\n",
-		versions,
-	},
-	{
-		"Versions: a resumed stream goes first", "scheduler/queue.go",
-		"First: wai.returned || wai.pinned,", "First: wai.returned,",
-		versions,
-	},
-	{
-		"Versions: a host resumes a stream as its own", "entry/resume.go",
-		"	return exc.route.Resumable && max(exc.request.LastEvent, exc.lastEventID) > 0\n", "	return exc.route.Resumable && exc.request.LastEvent > 0\n",
-		resumedStreams,
-	},
-	{
-		"Versions: the first event tells what began a stream", "scheduler/runs.go",
-		"	cor.recordStream(now, rnn)\n", "",
-		resumedStreams,
-	},
-	{
-		"Versions: a coordinator relays what began streams", "entry/streams.go",
-		"	bro.streams.Add(bat)\n", "",
-		resumedStreams,
-	},
-	{
-		"Versions: the service of a resumed stream is that of its first attempt", "entry/resume.go",
-		"	if exc.request.LastEvent > 0 {\n		return exc.request.Resumes\n	}\n", "",
-		resumedStreams,
-	},
 	{
 		"Parts: a held part is refused", "scheduler/parts.go",
 		"	if worst.level != quarantine.LevelHeld {\n", "	if true {\n",
--- /dev/null
+++ b/tools/mutate/versions.go
@@ -0,0 +1,84 @@
+package main
+
+// versions selects the tests of streams that are resumed at the software version that began them.
+var versions = []string{"./affinity", "./scheduler", "-run", "Resum|Version|NoStream|NextRecord|RecordedVersions"}
+
+// resumedStreams selects the tests of hosts that resume streams.
+var resumedStreams = []string{"./entry", "-run", "StreamsResume|HostResumes|SeveralTimes"}
+
+// allHosts selects the tests of streams that outlast all hosts.
+var allHosts = []string{"./entry", "-run", "LossOfAllHosts|RestoredStore"}
+
+// versionMutations remove what keeps streams at the software version that began them.
+var versionMutations = []mutation{
+	{
+		"Versions: a resumed stream is limited to its version", "scheduler/version.go",
+		"		return ene.Version == wai.version\n", "		return true\n",
+		versions,
+	},
+	{
+		"Versions: a stream that isn't known isn't resumed among several versions", "affinity/history.go",
+		"	if len(candidates) != 1 || ", "	if len(candidates) == 0 || ",
+		versions,
+	},
+	{
+		"Versions: a resumed stream goes first", "scheduler/queue.go",
+		"First: wai.returned || wai.pinned,", "First: wai.returned,",
+		versions,
+	},
+	{
+		"Versions: a host resumes a stream as its own", "entry/resume.go",
+		"	return exc.route.Resumable && max(exc.request.LastEvent, exc.lastEventID) > 0\n", "	return exc.route.Resumable && exc.request.LastEvent > 0\n",
+		resumedStreams,
+	},
+	{
+		"Versions: the first event tells what began a stream", "scheduler/runs.go",
+		"	cor.recordStream(now, rnn)\n", "",
+		resumedStreams,
+	},
+	{
+		"Versions: a coordinator relays what began streams", "entry/streams.go",
+		"	bro.streams.Add(bat)\n", "",
+		resumedStreams,
+	},
+	{
+		"Versions: the service of a resumed stream is that of its first attempt", "entry/resume.go",
+		"	if exc.request.LastEvent > 0 {\n		return exc.request.Resumes\n	}\n", "",
+		resumedStreams,
+	},
+	{
+		"Versions: a host that has just started hasn't seen all versions", "affinity/history.go",
+		"	return his.isComplete || !his.began.IsZero()", "	return true || !his.began.IsZero()",
+		versions,
+	},
+	{
+		"Versions: the store's record names the versions before", "affinity/history.go",
+		"	for _, version := range his.record.Versions[service] {\n", "	for _, version := range his.record.Versions[\"\"] {\n",
+		versions,
+	},
+	{
+		"Versions: no stream begins at a version before its record", "scheduler/version.go",
+		"	return ene.recorded || !wai.needsRecord()\n", "	return true\n",
+		versions,
+	},
+	{
+		"Versions: a version is kept for the life of its streams", "affinity/history.go",
+		"		return known && now.Sub(at) <= next.Life\n", "		return known && !at.Before(now)\n",
+		versions,
+	},
+	{
+		"Versions: a version that the record names anew may have served until now", "affinity/history.go",
+		"			if missed || !former.Has(service, version) {\n", "			if missed && false {\n",
+		versions,
+	},
+	{
+		"Versions: the record of an earlier era isn't complete", "affinity/history.go",
+		"rec.Number > 0 && rec.Era == era\n", "rec.Number > 0\n",
+		allHosts,
+	},
+	{
+		"Versions: origins are stored while several versions serve", "entry/origins.go",
+		"	ori.unwritten.Add(bat)\n", "",
+		allHosts,
+	},
+}
