fix(upstream): what engines send is held within named bounds

What callers saw: an engine sent bytes that form no answer, without an end.

Hypotheses: (1) heads are read without a bound; (2) bodies or events are; (3) what is held for slow clients. The new test plays 17 kinds of bytes that don't end, and counts what is read. So it is (1): http.ReadResponse on the bare connection has no limit.

Change: a connection reads at most 32 KiB for a head (transport.MaxHeadBytes), whoever sends it and whatever it is. Beyond that, a call ends as one whose engine sent no answer. The same cause one level up: each answer had a bound, all of a host's together had none (16 MiB each). Beyond 16 KiB a call, all calls of a host now hold at most 32 MiB (upstream.Allowance), also for events, answers forwarded by other hosts, and error responses that wait for a retry; small answers are read meanwhile. The body of a refusal is discarded, not held. AnswerBytesHeld shows what is held.

A property draws any bytes.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -143,6 +143,15 @@
 	decidedBy    string
 	decisionWait time.Duration
 	timeToFirst  time.Duration
+	// kept release the bodies of error responses that may still be the final answer.
+	kept []func()
+}
+
+// releaseKept releases the bodies of error responses.
+func (exc *exchange) releaseKept() {
+	for _, release := range exc.kept {
+		release()
+	}
 }
 
 func (hos *Host) clientServer() *http.Server {
@@ -154,6 +163,7 @@
 
 func (hos *Host) serveClient(wri http.ResponseWriter, htr *http.Request) {
 	exc := &exchange{host: hos, writer: wri, started: hos.clock.Now()}
+	defer exc.releaseKept()
 	if hos.draining.Load() {
 		wri.Header().Set("Connection", "close")
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -329,6 +329,7 @@
 		case <-tick.C:
 			hos.upstream.Retire(hos.currentEngineRuns())
 			hos.notices.prune(hos.snapshot.Load())
+			hos.metrics.answerBytes.Update(hos.upstream.Held())
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -146,7 +146,9 @@
 	}
 	head := platform.DecodeAnswer(rep.Status, rep.Header)
 	hos.notices.apply(upstream.HeadReceived{Endpoint: cal.Endpoint, Head: head, Sent: sentAt})
-	return upstream.NewForwarded(rep.Status, rep.Header, head, rep.Body, func() { _ = rep.Body.Close() }), nil
+	return upstream.NewForwarded(upstream.Forwarded{
+		Status: rep.Status, Header: rep.Header, Head: head, Body: rep.Body, Close: func() { _ = rep.Body.Close() }, Allowance: hos.upstream.Allowance(),
+	}), nil
 }
 
 func (exc *exchange) forwardRequest(cal upstream.Call, now time.Time) peer.ForwardRequest {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -25,6 +25,8 @@
 	version metrics.Gauge
 	engines metrics.Gauge
 	members metrics.Gauge
+	// answerBytes is what the calls to engines hold of their answers beyond what each may hold by itself.
+	answerBytes metrics.Gauge
 	// share is the share of the limits that the host's own scheduler enforces, from 0 to 1.
 	share metrics.GaugeFloat64
 }
@@ -39,11 +41,11 @@
 	reg := metrics.NewRegistry()
 	hme := &hostMetrics{
 		registry: reg, dialed: metrics.NewCounter(), storeFailures: metrics.NewCounter(), invalidValues: metrics.NewCounter(), refusedPeers: metrics.NewCounter(),
-		version: metrics.NewGauge(), engines: metrics.NewGauge(), members: metrics.NewGauge(), share: metrics.NewGaugeFloat64(),
+		version: metrics.NewGauge(), engines: metrics.NewGauge(), members: metrics.NewGauge(), answerBytes: metrics.NewGauge(), share: metrics.NewGaugeFloat64(),
 	}
 	for name, metric := range map[string]any{
 		"EngineConnections": hme.dialed, "StoreFailures": hme.storeFailures, "StoreValuesRefused": hme.invalidValues, "PeersRefused": hme.refusedPeers, "LogLinesDropped": metrics.NewFunctionalGauge(linesDropped),
-		"ConfigurationVersion": hme.version, "EnginesReady": hme.engines, "Members": hme.members, "LimitShare": hme.share,
+		"ConfigurationVersion": hme.version, "EnginesReady": hme.engines, "Members": hme.members, "LimitShare": hme.share, "AnswerBytesHeld": hme.answerBytes,
 	} {
 		// A new registry holds no such name yet.
 		_ = reg.Register(name, metric)
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -20,7 +20,7 @@
 		att.release.Failed = true
 		return att
 	}
-	reader := upstream.NewEventReader(ans.Body)
+	reader := ans.Events()
 	controller := http.NewResponseController(exc.writer)
 	for {
 		evt, err := reader.Next()
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -23,6 +23,10 @@
 	"github.com/cockroachdb/errors"
 )
 
+// MaxHeadBytes bounds the head of a request or an answer that a process reads from another one. Heads are held as a whole,
+// and grow when they are decoded.
+const MaxHeadBytes = 32 << 10
+
 // dialTimeout bounds the time to establish a connection. No part of a request is sent before
 // the connection is established.
 const dialTimeout = 2 * time.Second
@@ -33,7 +37,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: time.Minute,
-		DisableCompression: true, DisableKeepAlives: maxIdle == 0,
+		DisableCompression: true, DisableKeepAlives: maxIdle == 0, MaxResponseHeaderBytes: MaxHeadBytes,
 	}
 }
 
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -35,6 +36,8 @@
 	idle  map[Endpoint][]*connection
 	// busy are the connections that carry a call.
 	busy map[*connection]struct{}
+	// held is what the calls hold of their answers beyond what each may hold by itself, in bytes.
+	held atomic.Int64
 	// probes merges concurrent probes of the same address.
 	probes singleflight.Group
 }
@@ -357,7 +360,7 @@
 	var strayID string
 	for range maxAnswersPerCall {
 		//nolint:bodyclose // Answer.Close closes the connection or returns it to the idle ones.
-		rep, err := http.ReadResponse(exc.connection.reader, req)
+		rep, err := exc.connection.readHead(req)
 		if err != nil {
 			return nil, err
 		}
@@ -371,7 +374,7 @@
 			return nil, &StrayError{}
 		}
 		if matches {
-			return &Answer{Status: rep.StatusCode, Header: rep.Header, Head: head, Body: rep.Body, response: rep, exchange: exc, afterStray: strayID != ""}, nil
+			return &Answer{Status: rep.StatusCode, Header: rep.Header, Head: head, Body: rep.Body, response: rep, exchange: exc, afterStray: strayID != "", allowance: exc.client.Allowance()}, nil
 		}
 		strayID = head.ID
 		if _, err := io.Copy(io.Discard, io.LimitReader(rep.Body, maxStrayBytes)); err != nil {
@@ -395,26 +398,94 @@
 	afterStray bool
 	// close replaces the return of the connection for an answer that another host forwards.
 	close func()
+	// allowance is what may be held of the answer. It is released by Close unless kept is set.
+	allowance *Allowance
+	kept      bool
 }
 
-// NewForwarded returns an answer that another host forwards. Its body returns io.EOF only if the answer is
-// complete; close is called once, by Answer.Close.
-func NewForwarded(status int, header http.Header, head call.AnswerHead, body io.Reader, closeBody func()) *Answer {
-	return &Answer{Status: status, Header: header, Head: head, Body: body, close: closeBody}
+// Allowance returns the allowance of a call.
+func (cli *Client) Allowance() *Allowance { return &Allowance{held: &cli.held} }
+
+// Held returns what the calls hold of their answers beyond what each may hold by itself, in bytes.
+func (cli *Client) Held() int64 { return cli.held.Load() }
+
+// Forwarded is an answer that another host forwards.
+type Forwarded struct {
+	Status int
+	Header http.Header
+	Head   call.AnswerHead
+	// Body returns io.EOF only if the answer is complete.
+	Body io.Reader
+	// Close is called once, by Answer.Close.
+	Close func()
+	// Allowance is what may be held of the answer.
+	Allowance *Allowance
 }
 
-// ReadAll reads the body to its end. It returns an *AnswerTooLargeError if the body is
-// larger than limit bytes, and no part of such a body.
+// NewForwarded returns an answer that another host forwards.
+func NewForwarded(fwd Forwarded) *Answer {
+	return &Answer{Status: fwd.Status, Header: fwd.Header, Head: fwd.Head, Body: fwd.Body, close: fwd.Close, allowance: fwd.Allowance}
+}
+
+// ReadAll reads the body to its end. It returns an *AnswerTooLargeError if the body is larger than limit bytes, a
+// *HeldBytesError if the host may hold no more of it, and no part of such a body.
 func (ans *Answer) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(ans.Body, limit+1))
-	if err != nil {
+	body := make([]byte, 0, bufferBytes)
+	for {
+		if len(body) == cap(body) {
+			grown, err := ans.grow(body, limit)
+			if err != nil {
+				return nil, err
+			}
+			body = grown
+		}
+		count, err := ans.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+count]
+		switch {
+		case int64(len(body)) > limit:
+			return nil, &AnswerTooLargeError{Limit: limit}
+		case errors.Is(err, io.EOF):
+			ans.MarkComplete()
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// grow returns the part of a body that has been read with room for more, but for not much more than limit bytes.
+func (ans *Answer) grow(body []byte, limit int64) ([]byte, error) {
+	former := int64(cap(body))
+	size := min(2*former, limit+1)
+	// While the body is copied, both copies are held.
+	if err := ans.allowance.Hold(former + size); err != nil {
 		return nil, err
 	}
-	if int64(len(body)) > limit {
-		return nil, &AnswerTooLargeError{Limit: limit}
+	grown := append(make([]byte, 0, size), body...)
+	return grown, ans.allowance.Hold(size)
+}
+
+// Discard reads the rest of the body if it is small, so that the connection can be reused.
+func (ans *Answer) Discard() {
+	_, err := io.Copy(io.Discard, io.LimitReader(ans.Body, maxStrayBytes))
+	var one [1]byte
+	if err != nil {
+		return
+	}
+	if _, err := ans.Body.Read(one[:]); errors.Is(err, io.EOF) {
+		ans.MarkComplete()
 	}
-	ans.MarkComplete()
-	return body, nil
+}
+
+// Events returns a reader of the events of the body.
+func (ans *Answer) Events() *EventReader {
+	return newEventReader(ans.Body, ans.allowance)
+}
+
+// KeepBody makes Close leave the body held, and returns a function that releases it.
+func (ans *Answer) KeepBody() func() {
+	ans.kept = true
+	return ans.allowance.Release
 }
 
 // MarkComplete records that the body was read to its end, which lets Close keep the connection
@@ -426,6 +497,9 @@
 // Close returns the connection to the idle ones if it can be reused, and closes it otherwise. If
 // the answer wasn't read to its end, closing makes most engines stop working on the request.
 func (ans *Answer) Close() {
+	if !ans.kept {
+		ans.allowance.Release()
+	}
 	if ans.close != nil {
 		ans.close()
 		return
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -23,6 +23,7 @@
 	net.Conn
 	reader   *bufio.Reader
 	endpoint Endpoint
+	head     headLimit
 	// retireAt is the time from which the idle connection must not be reused.
 	retireAt time.Time
 	reused   bool
@@ -34,6 +35,7 @@
 
 func newConnection(opened net.Conn, end Endpoint) *connection {
 	con := &connection{Conn: opened, endpoint: end}
+	con.head.left.Store(noHeadLimit)
 	con.reader = bufio.NewReaderSize(con, bufferBytes)
 	con.lastReceived.Store(time.Now().UnixNano())
 	return con
@@ -53,10 +55,17 @@
 
 // Read implements net.Conn.
 func (con *connection) Read(buf []byte) (int, error) {
-	count, err := con.Conn.Read(buf)
+	allowed, err := con.head.bound(len(buf))
+	if err != nil {
+		return 0, err
+	}
+	count, err := con.Conn.Read(buf[:allowed])
 	if err != nil && con.runEnded.Load() {
-		return con.readArrived(buf)
+		count, err = con.readArrived(buf[:allowed])
+		con.head.read(count)
+		return count, err
 	}
+	con.head.read(count)
 	if count > 0 {
 		con.lastReceived.Store(time.Now().UnixNano())
 	}
--- a/upstream/events.go
+++ b/upstream/events.go
@@ -33,23 +33,33 @@
 
 // EventReader reads a stream event by event.
 type EventReader struct {
-	lines *bufio.Reader
+	lines     *bufio.Reader
+	allowance *Allowance
 }
 
-// NewEventReader returns a reader of the stream in rea.
+// NewEventReader returns a reader of the stream in rea. It is for streams of which any number may be held; the others are
+// read by Answer.Events.
 func NewEventReader(rea io.Reader) *EventReader {
-	return &EventReader{lines: bufio.NewReaderSize(rea, bufferBytes)}
+	return newEventReader(rea, &Allowance{})
+}
+
+func newEventReader(rea io.Reader, alw *Allowance) *EventReader {
+	return &EventReader{lines: bufio.NewReaderSize(rea, bufferBytes), allowance: alw}
 }
 
 var idField = []byte("id:")
 
 // Next returns the next complete event. It returns io.EOF if the stream ends between two
-// events, io.ErrUnexpectedEOF if it ends within one, and an *EventTooLargeError for an event
-// over the size limit.
+// events, io.ErrUnexpectedEOF if it ends within one, an *EventTooLargeError for an event
+// over the size limit, and a *HeldBytesError if the host may hold no more of it.
 func (evr *EventReader) Next() (Event, error) {
 	var evt Event
 	for {
 		line, err := evr.lines.ReadSlice('\n')
+		// While an event is copied, both copies are held.
+		if herr := evr.allowance.Hold(3 * int64(len(evt.Raw)+len(line))); herr != nil {
+			return Event{}, herr
+		}
 		evt.Raw = append(evt.Raw, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
--- a/upstreamtest/engine.go
+++ b/upstreamtest/engine.go
@@ -59,6 +59,8 @@
 	// Early answers with status 413 before it has read the request's body, and reads the body
 	// afterwards.
 	Early
+	// Endless sends bytes without an end, of another kind for each request, until the client closes the connection.
+	Endless
 )
 
 // Config configures an Engine.
@@ -113,8 +115,10 @@
 	cfg    Config
 	mutex  sync.Mutex
 	faults []Fault
-	runs   []Run
-	active int
+	// endless counts the endless answers.
+	endless int
+	runs    []Run
+	active  int
 	// abandoned counts the requests whose client disconnected before the end of the answer.
 	abandoned int
 	// onNextRequest is called once, at the next request.
@@ -363,6 +367,9 @@
 	case DropAnswer:
 		eng.recordSilent(id)
 		panic(http.ErrAbortHandler)
+	case Endless:
+		eng.recordSilent(id)
+		eng.writeEndless(wri, id)
 	case Extra, StrayFirst, Unframed, UnframedReset:
 		eng.writeRaw(wri, req, flt)
 	default:
