fix(entry): heads of all requests and answers have a named bound

The same cause, elsewhere: all listeners but the clients' one, and the clients of other processes, had net/http's bounds of 1 and 10 MB for a head.

The peers' address (HTTP/2) and the product's own interface are set alike and have no test of their own.

--- a/caller/server.go
+++ b/caller/server.go
@@ -16,6 +16,7 @@
 	"lynxwell.dev/lynxwell/gateway"
 	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/resource"
+	"lynxwell.dev/lynxwell/transport"
 )
 
 // defaultMaxRequests is the default maximum number of concurrent requests.
@@ -34,8 +35,8 @@
 	if cfg.MaxRequests == 0 {
 		cfg.MaxRequests = defaultMaxRequests
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true}
-	return &Server{cfg: cfg, relayClient: &http.Client{Transport: transport}}
+	httpTransport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: transport.MaxHeadBytes}
+	return &Server{cfg: cfg, relayClient: &http.Client{Transport: httpTransport}}
 }
 
 // Close closes idle connections to other hosts.
@@ -45,7 +46,7 @@
 
 // HTTPServer returns an HTTP server with timeouts for slow clients.
 func (srv *Server) HTTPServer() *http.Server {
-	return &http.Server{Handler: srv.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	return &http.Server{Handler: srv.Handler(), MaxHeaderBytes: transport.MaxHeadBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 }
 
 // Handler returns the HTTP handler of the clients' API.
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -18,7 +18,7 @@
 const readHeaderTimeout = 3 * time.Second
 
 func newPlainServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: time.Minute}
+	return &http.Server{Handler: handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: time.Minute}
 }
 
 func (hos *Host) readyHandler() http.Handler {
--- a/operator/server.go
+++ b/operator/server.go
@@ -16,6 +16,7 @@
 	"lynxwell.dev/lynxwell/format"
 	"lynxwell.dev/lynxwell/resource"
 	"lynxwell.dev/lynxwell/store"
+	"lynxwell.dev/lynxwell/transport"
 )
 
 // maxChangeBytes bounds the request body of a change.
@@ -63,7 +64,7 @@
 
 // HTTPServer returns an HTTP server with the server's handler.
 func (srv *Server) HTTPServer() *http.Server {
-	return &http.Server{Handler: srv.Handler(), ReadHeaderTimeout: headerTimeout}
+	return &http.Server{Handler: srv.Handler(), MaxHeaderBytes: transport.MaxHeadBytes, ReadHeaderTimeout: headerTimeout}
 }
 
 // Handler returns the HTTP handler, which answers 401 to requests without the key.
--- a/peer/client.go
+++ b/peer/client.go
@@ -13,6 +13,7 @@
 	"lynxwell.dev/lynxwell/peer/peerpb/peerpbconnect"
 	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/reservation"
+	"lynxwell.dev/lynxwell/transport"
 	"lynxwell.dev/lynxwell/view"
 )
 
@@ -54,16 +55,18 @@
 	if cfg.Meter == nil {
 		cfg.Meter = &Meter{}
 	}
-	transport := &http.Transport{
+	httpTransport := &http.Transport{
 		DialContext:     cfg.Meter.dial,
 		Protocols:       &protocols,
 		TLSClientConfig: cfg.Security.TLS,
 		IdleConnTimeout: time.Minute,
 		HTTP2:           pingConfig(cfg.Timing),
+
+		MaxResponseHeaderBytes: transport.MaxHeadBytes,
 	}
 	return &Client{
 		cfg:   cfg,
-		http:  &http.Client{Transport: transport},
+		http:  &http.Client{Transport: httpTransport},
 		stubs: make(map[netip.AddrPort]peerpbconnect.PeerServiceClient),
 	}
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -13,6 +13,7 @@
 	"lynxwell.dev/lynxwell/peer/peerpb/peerpbconnect"
 	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/reservation"
+	"lynxwell.dev/lynxwell/transport"
 )
 
 // Sessions handles the sessions that the gateways of other hosts open.
@@ -121,7 +122,7 @@
 	var protocols http.Protocols
 	protocols.SetHTTP2(srv.cfg.Security.TLS != nil)
 	protocols.SetUnencryptedHTTP2(srv.cfg.Security.TLS == nil)
-	return &http.Server{Handler: srv.Handler(), Protocols: &protocols, TLSConfig: srv.cfg.Security.TLS, ReadHeaderTimeout: headerTimeout}
+	return &http.Server{Handler: srv.Handler(), Protocols: &protocols, TLSConfig: srv.cfg.Security.TLS, MaxHeaderBytes: transport.MaxHeadBytes, ReadHeaderTimeout: headerTimeout}
 }
 
 // Serve accepts connections from the listener, with TLS if TLS is configured, until the
