--- a/affinity/affinity_test.go
+++ b/affinity/affinity_test.go
@@ -124,4 +124,9 @@
 	his.Interrupt(now)
 	_, change = his.Next(now, 3)
 	assert.Equal(t, change, affinity.ChangeNone, "v1 may have served unseen")
+	fresh := affinity.NewHistory()
+	fresh.Apply(now, affinity.Record{Number: 7, Era: 3, Life: 50 * time.Second, Versions: map[string][]string{"menus": {"v1", "v2"}}}, 3)
+	fresh.Observe(now, "menus", []string{"v2"})
+	_, change = fresh.Next(now, 3)
+	assert.Equal(t, change, affinity.ChangeNone, "v1 may have served until this history began")
 }
