fix(upstream): a refusal without an id behind another answer is no answer

Cause: an engine may send more behind a whole answer, also late, in the place of the next one. A surplus 503 with Not-Executed and no Request-Id counted as the answer to the pending request, and its promise was believed: the request, which the engine then ran, was sent to another one.

Change: each answer carries the id of its request, and only an engine that couldn't read a request doesn't know it. An answer without an id is therefore believed as the first one of a connection only, where nothing can stand before it (a full accept queue answers so). Behind another answer it is skipped, as one with another id is, and the call's own answer is read.

Evidence: TestSurplusRefusalWithoutIDIsNoAnswer fails on behind a whole and behind a stray answer (503 instead of 200), and passes now, as does a refusal on a new connection in both.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -103,7 +103,6 @@
 			return nil
 		}
 		if cli.cfg.Now().Before(con.retireAt) && con.isClean() {
-			con.reused = true
 			return con
 		}
 		closeQuietly(con)
@@ -355,9 +354,11 @@
 
 // read reads answers until one carries the call's id, and skips informational answers and those to
 // other requests. An answer with a status below 400 must carry an id. An answer with an error status
-// and no id is accepted, since an engine that couldn't parse the request doesn't know the id.
+// and no id is accepted as the first one of a connection, since an engine that couldn't read the request
+// doesn't know the id. Behind an earlier answer it may be a surplus one and says nothing of the call.
 func (exc *exchange) read(cal Call, req *http.Request, sent time.Time) (*Answer, error) {
 	var strayID string
+	afterStray := false
 	for range maxAnswersPerCall {
 		//nolint:bodyclose // Answer.Close closes the connection or returns it to the idle ones.
 		rep, err := exc.connection.readHead(req)
@@ -368,15 +369,16 @@
 			continue
 		}
 		head := exc.client.cfg.Decode(rep.StatusCode, rep.Header)
-		matches := head.ID == "" || head.ID == cal.ID
+		matches := head.ID == cal.ID || head.ID == "" && !exc.connection.answered && !afterStray
 		exc.client.cfg.HeadReceived(HeadReceived{Endpoint: cal.Endpoint, Head: head, Sent: sent, Stray: !matches})
 		if head.ID == "" && rep.StatusCode < http.StatusBadRequest {
 			return nil, &StrayError{}
 		}
 		if matches {
-			return &Answer{Status: rep.StatusCode, Header: rep.Header, Head: head, Body: rep.Body, response: rep, exchange: exc, afterStray: strayID != "", allowance: exc.client.Allowance()}, nil
+			exc.connection.answered = true
+			return &Answer{Status: rep.StatusCode, Header: rep.Header, Head: head, Body: rep.Body, response: rep, exchange: exc, afterStray: afterStray, allowance: exc.client.Allowance()}, nil
 		}
-		strayID = head.ID
+		strayID, afterStray = head.ID, true
 		if _, err := io.Copy(io.Discard, io.LimitReader(rep.Body, maxStrayBytes)); err != nil {
 			return nil, err
 		}
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -1,6 +1,7 @@
 package upstream_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -113,6 +114,65 @@
 	}
 }
 
+// keptEngine starts an engine that answers the requests of each connection in turn.
+func keptEngine(t *testing.T, answers ...string) netip.AddrPort {
+	t.Helper()
+	var cfg net.ListenConfig
+	lis, err := cfg.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = lis.Close() })
+	serve := func(con net.Conn) {
+		defer con.Close()
+		requests := bufio.NewReader(con)
+		for _, answer := range answers {
+			if _, err := http.ReadRequest(requests); err != nil {
+				return
+			}
+			_, _ = io.WriteString(con, answer)
+		}
+		_, _ = io.Copy(io.Discard, con)
+	}
+	go func() {
+		for {
+			con, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go serve(con)
+		}
+	}()
+	return netip.MustParseAddrPort(lis.Addr().String())
+}
+
+// Guards against requests that run at two engines: a surplus refusal without an id, in the place of the next answer, counted
+// as that answer, and its promise that the request hasn't run was believed.
+func TestSurplusRefusalWithoutIDIsNoAnswer(t *testing.T) {
+	const whole, refusal = "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	const other = "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n"
+	for name, tst := range map[string]struct {
+		answers []string
+		want    []int
+	}{
+		"behind a whole answer": {[]string{whole, refusal + whole}, []int{200, 200}},
+		"behind a stray answer": {[]string{other + refusal + whole}, []int{200}},
+		"on a new connection":   {[]string{refusal}, []int{503}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			end := upstream.Endpoint{Address: keptEngine(t, tst.answers...)}
+			cli := newIDClient()
+			defer cli.Close()
+			for _, want := range tst.want {
+				ans, err := cli.Do(t.Context(), newCall(end))
+				assert.NilError(t, err)
+				assert.Equal(t, ans.Status, want)
+				_, err = ans.ReadAll(10)
+				assert.NilError(t, err)
+				ans.Close()
+			}
+		})
+	}
+}
+
 // Guards against calls that hang, and against answers without the call's id, for arbitrary
 // bytes sent by an engine. An answer must carry the call's id or an error status, and its body
 // must be an error or within the limit.
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -26,7 +26,8 @@
 	head     headLimit
 	// retireAt is the time from which the idle connection must not be reused.
 	retireAt time.Time
-	reused   bool
+	// answered is set once an answer has been read. Only then can the peer send more behind it.
+	answered bool
 	// lastReceived is when the peer last sent data, in nanoseconds since 1970.
 	lastReceived atomic.Int64
 	// runEnded is set once the engine run at the other end is known to have ended.
