fix(entry): an answer without a length is complete only if its engine lives

Cause: an answer that has neither a length nor chunks ends with its connection, also if the engine crashes between two events. The engine was looked at only behind no or one event, and for other answers only behind an empty body.

Change: it is looked at behind each such answer, with a connection that is opened and closed. Answers without a length are rare, so that probes are.

--- a/entry/ended.go
+++ b/entry/ended.go
@@ -9,12 +9,8 @@
 	"lynxwell.dev/lynxwell/upstream"
 )
 
-// An answer may have neither a length nor chunks, and end with its connection. So does one whose engine crashes behind
-// its head: an answer that ends so soon is complete only if its engine lives.
-
-// minUnframedEvents is the number of events from which a stream that ends with its connection counts as complete
-// without a look at its engine.
-const minUnframedEvents = 2
+// An answer may have neither a length nor chunks, and end with its connection. So does one whose engine crashes between
+// two events: such an answer is complete only if its engine lives.
 
 // EndedEarlyError reports an answer that ended with its connection before it can have been complete.
 type EndedEarlyError struct {
@@ -30,14 +26,13 @@
 // Unwrap returns io.ErrUnexpectedEOF: the engine ended the connection.
 func (eee *EndedEarlyError) Unwrap() error { return io.ErrUnexpectedEOF }
 
-// endedEarly reports whether a stream that has ended with its connection isn't complete: it has no event, or hardly any
-// and its engine takes no connections any more.
+// endedEarly reports whether a stream that has ended with its connection isn't complete: it has no event, or its engine
+// takes no connections any more.
 func (exc *exchange) endedEarly(ctx context.Context, att *attempt, ans *upstream.Answer) bool {
-	events := att.release.DecodeTokens
-	if !ans.EndsWithConnection() || events >= minUnframedEvents {
+	if !ans.EndsWithConnection() {
 		return false
 	}
-	if events == 0 && !exc.isResumption() {
+	if att.release.DecodeTokens == 0 && !exc.isResumption() {
 		return true
 	}
 	return exc.host.refusesConnections(ctx, att.engine)
--- a/tools/mutate/mutations.go
+++ b/tools/mutate/mutations.go
@@ -501,7 +501,7 @@
 	},
 	{
 		"Parts: a stream without an event that ends with its connection isn't complete", "entry/ended.go",
-		"	if events == 0 && !exc.isResumption() {\n		return true\n	}\n", "	if events == 0 {\n		return false\n	}\n",
+		"	if att.release.DecodeTokens == 0 && !exc.isResumption() {\n		return true\n	}\n", "	if att.release.DecodeTokens == 0 {\n		return false\n	}\n",
 		unframedCrashes,
 	},
 	{
