fix(entry): a request is sent only for the account that holds its key now

Cause: before each attempt the key was checked for being known, not for whose it is; the account is that of the arrival. A host that forwards for another one checked the same.

Change: both check that the key is the account's. A request that hasn't run is refused as one whose key expired, and its client's next attempt runs for the account that holds the key; a stream midway is broken off.

Evidence: the new cases of TestChangesAfterGrantAreSeenBeforeSend and TestForwarderChecksRequestsItself fail before the change and pass now.

--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -10,6 +10,7 @@
 	"lynxwell.dev/lynxwell/egress"
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/peer"
+	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/upstream"
 )
 
@@ -110,7 +111,7 @@
 		return &ExpiredError{What: "engine"}
 	case !req.Public && !hos.isFresh(now):
 		return &ExpiredError{What: "configuration"}
-	case !req.Public && !snp.hasKey(req.Key):
+	case !req.Public && !snp.holdsKey(platform.AccountOf(req.Header), req.Key):
 		return &ExpiredError{What: "key"}
 	}
 	grt := grant{rate: req.Rate, cold: req.Cold, requestedAt: arrivedAt.Add(-req.SinceRequested), grantedAt: arrivedAt.Add(-req.SinceGranted)}
@@ -120,13 +121,14 @@
 	return hos.evacuations.beginSend(eng.Domain)
 }
 
-// hasKey reports whether the configuration has the client's key, or needs none.
-func (snp *snapshot) hasKey(key string) bool {
+// holdsKey reports whether the client's key is the account's in the configuration, which may have given it to another one,
+// or whether none is needed.
+func (snp *snapshot) holdsKey(account, key string) bool {
 	if snp.table == nil {
 		return false
 	}
-	_, known := snp.table.Account(key)
-	return known || !snp.table.HasAccounts()
+	acc, known := snp.table.Account(key)
+	return known && acc.Name == account || !snp.table.HasAccounts()
 }
 
 // forwardError returns the error that tells the other host what is known of a failed request.
--- a/entry/forwarder_test.go
+++ b/entry/forwarder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"testing"
 	"time"
 
@@ -11,12 +12,18 @@
 	"lynxwell.dev/lynxwell/evacuation"
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/peer"
+	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/reservation"
 	"lynxwell.dev/lynxwell/route"
 	"lynxwell.dev/lynxwell/settings"
 	"lynxwell.dev/lynxwell/upstream"
 )
 
+// headerFor returns the header of a request for a client account.
+func headerFor(account string) http.Header {
+	return platform.EngineHeader(call.Request{Header: http.Header{}}, platform.Attempt{Account: account})
+}
+
 // Guards against a host that forwards what it would not send itself: the other host's knowledge may be older, and
 // the engine's signals concern the host that sends.
 func TestForwarderChecksRequestsItself(t *testing.T) {
@@ -38,9 +45,10 @@
 		"domain being emptied": {func(hos *Host, _ *snapshot, _ *peer.ForwardRequest) {
 			hos.evacuations.setOrders([]evacuation.Order{{Domain: "d1"}})
 		}, false},
-		"key revoked":      {func(_ *Host, _ *snapshot, req *peer.ForwardRequest) { req.Key = "revoked" }, false},
-		"no configuration": {func(_ *Host, snp *snapshot, _ *peer.ForwardRequest) { snp.table = nil }, false},
-		"never confirmed":  {func(hos *Host, _ *snapshot, _ *peer.ForwardRequest) { hos.confirmed.Store(neverConfirmed) }, false},
+		"key revoked":            {func(_ *Host, _ *snapshot, req *peer.ForwardRequest) { req.Key = "revoked" }, false},
+		"key of another account": {func(_ *Host, _ *snapshot, req *peer.ForwardRequest) { req.Header = headerFor("cellar") }, false},
+		"no configuration":       {func(_ *Host, snp *snapshot, _ *peer.ForwardRequest) { snp.table = nil }, false},
+		"never confirmed":        {func(hos *Host, _ *snapshot, _ *peer.ForwardRequest) { hos.confirmed.Store(neverConfirmed) }, false},
 		"public, unknown key": {func(hos *Host, _ *snapshot, req *peer.ForwardRequest) {
 			hos.confirmed.Store(neverConfirmed)
 			req.Public, req.Key = true, ""
@@ -65,7 +73,7 @@
 			hos.bounds.Store(&settings.Bounds{RevokeMilliseconds: 60_000})
 			hos.confirm(now)
 			snp := &snapshot{table: tab, engines: map[string]fleet.Engine{"e1": {ID: run, Domain: "d1"}}}
-			req := peer.ForwardRequest{Key: "key", Remaining: time.Minute}
+			req := peer.ForwardRequest{Key: "key", Header: headerFor("kitchen"), Remaining: time.Minute}
 			tst.change(hos, snp, &req)
 			hos.snapshot.Store(snp)
 			err := (&forwardConn{host: hos, engine: fleet.Engine{ID: run, Domain: "d1"}}).checkBeforeSend(req, now)
--- a/entry/granted_test.go
+++ b/entry/granted_test.go
@@ -78,11 +78,12 @@
 	draining := eng
 	draining.Draining = true
 	known := map[string]fleet.Engine{"e": eng}
-	tableWith := func(key string) *route.Table {
-		tab, err := route.NewTable(route.Configuration{Version: 1, Accounts: []route.Account{{Name: "a", Keys: []string{key}}}})
+	tableOf := func(account, key string) *route.Table {
+		tab, err := route.NewTable(route.Configuration{Version: 1, Accounts: []route.Account{{Name: account, Keys: []string{key}}}})
 		assert.NilError(t, err)
 		return tab
 	}
+	tableWith := func(key string) *route.Table { return tableOf("a", key) }
 	for _, tst := range []struct {
 		name    string
 		current snapshot
@@ -91,6 +92,7 @@
 	}{
 		{name: "nothing changed", current: snapshot{table: tableWith("key"), engines: known}},
 		{name: "the key is revoked", current: snapshot{table: tableWith("other"), engines: known}, want: "key"},
+		{name: "the key is another account's", current: snapshot{table: tableOf("b", "key"), engines: known}, want: "key"},
 		{name: "the engine drains", current: snapshot{table: tableWith("key"), engines: map[string]fleet.Engine{"e": draining}}, want: "engine"},
 		{name: "the engine has left", current: snapshot{table: tableWith("key")}, want: "engine"},
 		{name: "the engine of a public route has left", current: snapshot{table: tableWith("key")}, public: true, want: "engine"},
--- a/tools/mutate/copies.go
+++ b/tools/mutate/copies.go
@@ -42,7 +42,7 @@
 	},
 	{
 		"Sends: the key is in force", "entry/attempt.go",
-		"	case exc.account.Name != \"\" && !snp.hasKey(exc.request.Key):\n", "	case false:\n", sends,
+		"	case exc.account.Name != \"\" && !snp.holdsKey(exc.account.Name, exc.request.Key):\n", "	case false:\n", sends,
 	},
 	{
 		"Sends: the engine is known and doesn't drain", "entry/attempt.go",
