--- a/upstream/head.go
+++ b/upstream/head.go
@@ -31,10 +31,10 @@
 // bound returns how many of the bytes may be read.
 func (hli *headLimit) bound(count int) (int, error) {
 	left := hli.left.Load()
-	switch {
-	case left == noHeadLimit:
+	switch left {
+	case noHeadLimit:
 		return count, nil
-	case left == 0:
+	case 0:
 		return 0, &HeadTooLargeError{Limit: transport.MaxHeadBytes}
 	default:
 		return int(min(int64(count), left)), nil
