fix(entry): an answer without a length counts only from an engine known to live

Four engines are killed at once there; a host that finds several of them refusing takes its own paths for lost, its look at the engine says nothing then, and the answer counted as complete. Now only an engine that takes a connection makes it complete.

The same cause at a host that forwards for another one: it looked at the engine only behind an empty body. TestForwardedUnframedAnswerOfCrashedEngineIsIncomplete fails before the change (200 instead of 502).

--- a/entry/ended.go
+++ b/entry/ended.go
@@ -27,7 +27,7 @@
 func (eee *EndedEarlyError) Unwrap() error { return io.ErrUnexpectedEOF }
 
 // endedEarly reports whether a stream that has ended with its connection isn't complete: it has no event, or its engine
-// takes no connections any more.
+// isn't known to live.
 func (exc *exchange) endedEarly(ctx context.Context, att *attempt, ans *upstream.Answer) bool {
 	if !ans.EndsWithConnection() {
 		return false
@@ -35,10 +35,11 @@
 	if att.release.DecodeTokens == 0 && !exc.isResumption() {
 		return true
 	}
-	return exc.host.refusesConnections(ctx, att.engine)
+	return !exc.host.isAlive(ctx, att.engine)
 }
 
-// refusesConnections reports whether an engine takes no connections any more.
-func (hos *Host) refusesConnections(ctx context.Context, eng fleet.Engine) bool {
-	return hos.probeEngine(ctx, eng) == upstream.ProbeRefused
+// isAlive reports whether an engine is known to take connections. A crash of several engines at once may look
+// like a lost path of this host, which says nothing of them.
+func (hos *Host) isAlive(ctx context.Context, eng fleet.Engine) bool {
+	return hos.probeEngine(ctx, eng) == upstream.ProbeListens
 }
--- a/entry/ended_test.go
+++ b/entry/ended_test.go
@@ -69,3 +69,19 @@
 		})
 	}
 }
+
+// The same for an answer that another host forwards.
+func TestForwardedUnframedAnswerOfCrashedEngineIsIncomplete(t *testing.T) {
+	for dies, want := range map[bool]int{true: http.StatusBadGateway, false: http.StatusOK} {
+		t.Run(fmt.Sprintf("crashed %t", dies), func(t *testing.T) {
+			sys := start(t, 3, []*upstreamtest.Engine{modelEngine("m1")})
+			unframedEngine(t, sys, entrytest.Plain, 2, dies)
+			sys.Hosts[0].EnginePath.Set(cuts["refused"])
+			sys.WaitUntil("the host forwards", func() bool {
+				return sys.Send(t.Context(), sys.Hosts[0], entrytest.Request{ID: "warm", Path: "/stream/x", Header: map[string]string{"Token-Counts": "10,20"}}).Status == http.StatusOK
+			})
+			ans := sys.Send(t.Context(), sys.Hosts[0], entrytest.Request{ID: "r1", Path: "/unsafe/x"})
+			assert.Equal(t, ans.Status, want, ans.Body)
+		})
+	}
+}
--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -154,19 +154,16 @@
 	// context is the request's, which the body belongs to.
 	context context.Context
 	answer  *upstream.Answer
-	// read is the number of bytes read so far.
-	read int
-	end  func()
+	end     func()
 }
 
 // Read implements io.Reader.
 func (fbo *forwardBody) Read(buf []byte) (int, error) {
 	count, err := fbo.answer.Body.Read(buf)
 	if err == nil {
-		fbo.read += count
 		return count, nil
 	}
-	if errors.Is(err, io.EOF) && fbo.read+count == 0 && fbo.answer.EndsWithConnection() && fbo.conn.host.refusesConnections(fbo.context, fbo.conn.engine) {
+	if errors.Is(err, io.EOF) && fbo.answer.EndsWithConnection() && !fbo.conn.host.isAlive(fbo.context, fbo.conn.engine) {
 		err = &EndedEarlyError{}
 	}
 	if errors.Is(err, io.EOF) {
