fix(entry): the coordinator alone stores what began streams

Each host's own scheduler knows the host's runs and reports their first events, so that each host wrote the origins of its streams: 76 hosts up to 304 writes a second, which all of them read.

TestCoordinatorAloneStoresOrigins before the change: four writers of four hosts; now one.

--- a/entry/origins.go
+++ b/entry/origins.go
@@ -55,10 +55,10 @@
 	}
 }
 
-// keepOrigins puts streams down to be written to the store, if their origin has to outlast all hosts; the mutex must
-// be held.
+// keepOrigins puts streams down to be written to the store, if their origin has to outlast all hosts. The coordinator does
+// so for all hosts, which know their own streams, too. The mutex must be held.
 func (bro *broker) keepOrigins(bat affinity.Batch) {
-	if !bro.core.MustKeepOrigins(bat.Service) {
+	if bro.coordinator != bro.host.epoch || !bro.core.MustKeepOrigins(bat.Service) {
 		return
 	}
 	ori := bro.origins
--- a/entry/origins_test.go
+++ b/entry/origins_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -108,6 +109,22 @@
 	}
 }
 
+// Guards against hosts that each write the origins of their own streams: with many hosts the store would get hundreds of
+// writes a second, and each host read them.
+func TestCoordinatorAloneStoresOrigins(t *testing.T) {
+	vsy := startWithVersions(t, 4)
+	vsy.begin(resumedStreams)
+	vsy.waitForStoredOrigins()
+	values, _, err := vsy.Store.List(t.Context(), "lynxwell/streams/")
+	assert.NilError(t, err)
+	writers := make(map[string]bool)
+	for _, val := range values {
+		writer, _, _ := strings.Cut(val.Key, "-")
+		writers[writer] = true
+	}
+	assert.Equal(t, len(writers), 1, "%v", writers)
+}
+
 // A store that is restored from a copy made before the second version came, while no host ran, doesn't make a host take
 // the first one for the only one.
 func TestRestoredStoreNamesNoSoleVersion(t *testing.T) {
