--- a/tools/mutate/bounds.go
+++ b/tools/mutate/bounds.go
@@ -21,7 +21,7 @@
 		endless,
 	},
 	{
-		"Bounds: what a failed call held is free again", "upstream/client.go",
+		"Bounds: what a failed call held is free again", "upstream/answer.go",
 		"	if !ans.kept {\n", "	if false {\n",
 		endless,
 	},
