fix(entry): a host looks twice whether an engine outlived its answer

Cause: such an answer counts as complete if its engine takes a connection, and a process that is ending may still take one: its connections are closed within milliseconds of one another, the listener among the last. The checks of engines that may have crashed wait for that reason, this look didn't.

--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -92,7 +92,7 @@
 		defer end()
 		return peer.ForwardAnswer{}, fco.forwardError(ctx, err)
 	}
-	body := &forwardBody{conn: fco, context: ctx, answer: ans, end: end}
+	body := &forwardBody{conn: fco, context: ctx, request: req.ID, answer: ans, end: end}
 	return peer.ForwardAnswer{Status: ans.Status, Header: ans.Header, Body: body}, nil
 }
 
@@ -153,6 +153,8 @@
 	conn *forwardConn
 	// context is the request's, which the body belongs to.
 	context context.Context
+	// request is the request's ID.
+	request string
 	answer  *upstream.Answer
 	end     func()
 }
@@ -163,7 +165,7 @@
 	if err == nil {
 		return count, nil
 	}
-	if errors.Is(err, io.EOF) && fbo.answer.EndsWithConnection() && !fbo.conn.host.isAlive(fbo.context, fbo.conn.engine) {
+	if errors.Is(err, io.EOF) && fbo.answer.EndsWithConnection() && !fbo.conn.host.isAlive(fbo.context, fbo.request, fbo.conn.engine) {
 		err = &EndedEarlyError{}
 	}
 	if errors.Is(err, io.EOF) {
--- a/upstreamtest/path.go
+++ b/upstreamtest/path.go
@@ -34,11 +34,20 @@
 	// changed is closed when the state changes.
 	changed chan struct{}
 	open    map[*pathConn]struct{}
+	// opened holds what is called when the next connection to an address has been opened.
+	opened map[string]func()
 }
 
 // NewPath returns a path that isn't cut.
 func NewPath() *Path {
-	return &Path{changed: make(chan struct{}), open: make(map[*pathConn]struct{})}
+	return &Path{changed: make(chan struct{}), open: make(map[*pathConn]struct{}), opened: make(map[string]func())}
+}
+
+// OnOpened calls a function when the next connection to the address has been opened, before the host learns of it.
+func (pat *Path) OnOpened(address string, call func()) {
+	pat.mutex.Lock()
+	defer pat.mutex.Unlock()
+	pat.opened[address] = call
 }
 
 // Set changes the state. A zero state ends a cut: connections that were silenced have lost bytes, and are
@@ -95,6 +104,10 @@
 	pat.mutex.Lock()
 	defer pat.mutex.Unlock()
 	pat.open[con] = struct{}{}
+	if call, found := pat.opened[address]; found {
+		delete(pat.opened, address)
+		call()
+	}
 	return con, nil
 }
 
