--- a/entry/desk.go
+++ b/entry/desk.go
@@ -240,7 +240,9 @@
 	}
 	inp := snd.Inputs
 	if inp.Origin != scheduler.OriginNotNeeded {
-		evt = evt.Stringer("Origin", inp.Origin).Str("OriginVersion", inp.EngineVersion).Dur("HostAge", bro.host.clock.Since(bro.host.started))
+		now := bro.host.clock.Now()
+		evt = evt.Stringer("Origin", inp.Origin).Str("OriginVersion", inp.EngineVersion).Dur("HostAge", now.Sub(bro.host.started)).
+			Dur("CopyAge", bro.host.snapshotAge(now)).Uint64("Record", bro.core.Versions().Number).Stringer("By", bro.host.epoch)
 		bro.host.metrics.count("Streams.Origin." + inp.Origin.String())
 	}
 	if inp.RateLimited > 0 {
