--- a/entry/entry.go
+++ b/entry/entry.go
@@ -43,6 +43,8 @@
 	Store    store.Store
 	// EngineDialer opens the connections to engines and backend servers; nil for the default one.
 	EngineDialer upstream.Dialer
+	// PeerDialer opens the connections to other hosts; nil for the default one.
+	PeerDialer peer.Dialer
 	// LinesDropped returns how many log lines were dropped because their reader was too slow; nil
 	// if none ever are.
 	LinesDropped func() int64
@@ -176,7 +178,7 @@
 		Dialed:     func() { hos.metrics.dialed.Inc(1) },
 		DialFailed: func(res upstream.DialResult) { hos.metrics.count("EngineDials." + res.String()) },
 	})
-	hos.peers = peer.NewClient(peer.ClientConfig{Security: hos.security(), Timing: peerTiming, Self: hos.Header})
+	hos.peers = peer.NewClient(peer.ClientConfig{Security: hos.security(), Timing: peerTiming, Self: hos.Header, Dialer: cfg.PeerDialer})
 	hos.broker = newBroker(hos)
 	hos.crashChecks = newCrashChecks(hos)
 	hos.paths = newPaths(hos)
--- a/entrytest/entrytest.go
+++ b/entrytest/entrytest.go
@@ -86,6 +86,8 @@
 	Hosts []*Host
 	log   *Log
 	t     *testing.T
+	// peerPaths are the paths to each host from the others, by its address.
+	peerPaths peerPaths
 	// sharesFounded is set once the hosts have had all shares of the limits.
 	sharesFounded bool
 }
@@ -102,6 +104,9 @@
 	Clock *clocktest.Source
 	// EnginePath is the host's path to all engines, which a test may cut.
 	EnginePath *upstreamtest.Path
+	// toPeers is the host's path to the other hosts, fromPeers theirs to it.
+	toPeers   *upstreamtest.Path
+	fromPeers *upstreamtest.Path
 }
 
 // SetStoreThrottled sets whether the store answers the host's calls with 429 Too Many Requests.
@@ -221,7 +226,7 @@
 
 func (sys *System) startHost(idx int, cfg Config) {
 	sys.t.Helper()
-	host := &Host{EnginePath: upstreamtest.NewPath()}
+	host := &Host{EnginePath: upstreamtest.NewPath(), toPeers: upstreamtest.NewPath(), fromPeers: upstreamtest.NewPath()}
 	domain := fmt.Sprintf("d%d", idx/max(1, cfg.HostsPerDomain))
 	if cfg.OneDomain {
 		domain = "d0"
@@ -252,8 +257,9 @@
 		host.Clock = clocktest.NewSource()
 		source = host.Clock
 	}
+	sys.connectPeers(host, set.PeerAddress)
 	hos, err := entry.New(entry.Config{
-		Clock: source, EngineDialer: host.EnginePath, Settings: set, Log: zerolog.New(sys.log).With().Timestamp().Logger(),
+		Clock: source, EngineDialer: host.EnginePath, PeerDialer: host.toPeers, Settings: set, Log: zerolog.New(sys.log).With().Timestamp().Logger(),
 		Store: platform.NewClient(platform.ClientConfig{Address: set.StoreAddress}),
 	})
 	assert.NilError(sys.t, err)
--- a/peer/client.go
+++ b/peer/client.go
@@ -26,6 +26,8 @@
 	Self func() Header
 	// Meter counts the bytes on the client's connections; nil disables counting.
 	Meter *Meter
+	// Dialer opens the connections; nil for the default one.
+	Dialer Dialer
 }
 
 // Client sends requests and opens sessions to the other hosts. It is safe for
@@ -55,8 +57,11 @@
 	if cfg.Meter == nil {
 		cfg.Meter = &Meter{}
 	}
+	if cfg.Dialer == nil {
+		cfg.Dialer = liveness.Dialer(dialTimeout)
+	}
 	httpTransport := &http.Transport{
-		DialContext:     cfg.Meter.dial,
+		DialContext:     cfg.Meter.dialWith(cfg.Dialer),
 		Protocols:       &protocols,
 		TLSClientConfig: cfg.Security.TLS,
 		IdleConnTimeout: time.Minute,
--- a/peer/meter.go
+++ b/peer/meter.go
@@ -39,12 +39,20 @@
 	return &meteredListener{Listener: lis, meter: met}
 }
 
-func (met *Meter) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	con, err := liveness.Dialer(dialTimeout).DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
+// Dialer opens connections to other hosts.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// dialWith returns a function that dials with the dialer and counts the bytes on the connections.
+func (met *Meter) dialWith(dia Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		con, err := dia.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &meteredConn{Conn: con, meter: met}, nil
 	}
-	return &meteredConn{Conn: con, meter: met}, nil
 }
 
 type meteredListener struct {
--- a/upstreamtest/path.go
+++ b/upstreamtest/path.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// PathState is the state of a host's path to all engines.
+// PathState is the state of a host's path to all engines, or to or from all other hosts.
 type PathState struct {
 	// Refused makes new connections fail at once, Silent makes them hang.
 	Refused bool
@@ -27,8 +27,15 @@
 	keepAliveLimit = 2 * time.Second
 )
 
-// Path dials engines for one host, and can cut it off from all of them. It implements upstream.Dialer.
+// Dialer opens connections.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Path dials engines or other hosts for one host, and can cut it off from all of them. It implements upstream.Dialer.
 type Path struct {
+	// Next, if set, returns what opens the connections to an address.
+	Next  func(address string) Dialer
 	mutex sync.Mutex
 	state PathState
 	// changed is closed when the state changes.
@@ -95,7 +102,10 @@
 }
 
 func (pat *Path) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	var dialer net.Dialer
+	var dialer Dialer = &net.Dialer{}
+	if pat.Next != nil {
+		dialer = pat.Next(address)
+	}
 	opened, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
