fix(affinity): a version opens only once no host concludes without it

Cause: History.Sole concluded from absence and asked only whether the record had been complete, not how old the copy is; and streams began at a new version as soon as the store had its record, whoever had read it.

Change, both sides of a lease: a host concludes only from a copy that was confirmed within MaxSoleAge (4 s), while it was registered, by the clock that counts suspensions; a version that joins is announced in the record first, and opened once all hosts that are or were lately registered have reported the record (VersionsKnown), or after OpenAfter (4.5 s). A host without any record concludes nothing, so the first record opens its versions at once. In a restored store the time counts anew.

New: a property with several hosts, cuts, lapses, restorations and late reports.

--- a/affinity/affinity.go
+++ b/affinity/affinity.go
@@ -11,14 +11,19 @@
 //
 //	his := affinity.NewHistory()
 //	his.Apply(now, recordInStore, era)
+//	his.Confirm(now)
 //	his.Observe(now, "menus", []string{"v1"})
 //	if version, sole := his.Sole(now, "menus", time.Minute); sole {
 //		// every stream that lives was begun by this version
 //	}
-//	if next, changed := his.Next(now, era); changed {
-//		// write next to the store; no stream begins at a version before its record is written
+//	if next, change := his.Next(now, era, readers.KnownToAll(now)); change != affinity.ChangeNone {
+//		// write next to the store; no stream begins at a version before the record opens it
 //	}
 //
+// A version that joins is first announced: a host that knows of it no longer takes another one for the only one.
+// Streams begin at it once all hosts know of it (Readers), or conclude nothing any more since they haven't heard from
+// the store for MaxSoleAge.
+//
 // Nothing here does I/O or reads a clock. A Registry holds a fixed number of bytes for each stream that
 // may still be resumed, and at most MaxStreams of them.
 package affinity
--- /dev/null
+++ b/affinity/announce_test.go
@@ -0,0 +1,256 @@
+package affinity_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lynxwell.dev/lynxwell/affinity"
+	"lynxwell.dev/lynxwell/request"
+)
+
+// recordOf returns a record that names versions of the service menus, and announces some of them.
+func recordOf(number uint64, versions []string, announced ...string) affinity.Record {
+	rec := affinity.Record{Number: number, Life: 30 * time.Second, Versions: map[string][]string{"menus": versions}}
+	if len(announced) > 0 {
+		rec.Announced = map[string][]string{"menus": announced}
+	}
+	return rec
+}
+
+// Guards against streams that begin at a version while a host may still take another one for the only one: a version that
+// joins is announced first, and opened once all hosts know of it or conclude nothing any more.
+func TestVersionIsAnnouncedBeforeItOpens(t *testing.T) {
+	his := affinity.NewHistory()
+	his.Confirm(start)
+	his.Observe(start, "menus", []string{"v1"})
+	rec, change := his.Next(start, 0, 0)
+	assert.Equal(t, change, affinity.ChangeExtends)
+	assert.Assert(t, rec.Announced == nil, "no host concludes anything without a record")
+	his.Apply(start, rec, 0)
+	his.Observe(start, "menus", []string{"v1", "v2"})
+	rec, _ = his.Next(start, 0, 0)
+	assert.DeepEqual(t, rec.Announced, map[string][]string{"menus": {"v2"}})
+	his.Apply(start, rec, 0)
+	assert.Assert(t, his.IsOpen("menus", "v1") && !his.IsOpen("menus", "v2"))
+	_, sole := his.Sole(start, "menus", time.Second)
+	assert.Assert(t, !sole, "v2 may open at any moment")
+	_, change = his.Next(start, 0, rec.Number-1)
+	assert.Equal(t, change, affinity.ChangeNone, "a host doesn't know of it")
+	next, change := his.Next(start, 0, rec.Number)
+	assert.Equal(t, change, affinity.ChangeExtends)
+	assert.Equal(t, len(next.Announced), 0, "all hosts know of it")
+	late := start.Add(affinity.OpenAfter)
+	_, change = his.Next(late.Add(-1), 0, 0)
+	assert.Equal(t, change, affinity.ChangeNone)
+	next, change = his.Next(late, 0, 0)
+	assert.Equal(t, change, affinity.ChangeExtends)
+	assert.Equal(t, len(next.Announced), 0, "who doesn't know of it concludes nothing")
+	_, change = his.Next(late, 1, 0)
+	assert.Equal(t, change, affinity.ChangeNone, "hosts may confirm an earlier record of a restored store")
+}
+
+// Guards against a conclusion from a copy of the store that wasn't confirmed for long, or from one with a gap.
+func TestSoleNeedsCurrentRecord(t *testing.T) {
+	his := affinity.NewHistory()
+	his.Observe(start, "menus", []string{"v1"})
+	his.Apply(start, recordOf(3, []string{"v1"}), 0)
+	_, sole := his.Sole(start, "menus", time.Second)
+	assert.Assert(t, !sole, "never confirmed")
+	his.Confirm(start)
+	_, sole = his.Sole(start.Add(affinity.MaxSoleAge), "menus", time.Second)
+	assert.Assert(t, sole)
+	_, sole = his.Sole(start.Add(affinity.MaxSoleAge+1), "menus", time.Second)
+	assert.Assert(t, !sole)
+	his.Apply(start, recordOf(3, []string{"v1"}), 1)
+	later := start.Add(affinity.MaxSoleAge + time.Second)
+	his.Confirm(later)
+	_, sole = his.Sole(later, "menus", 2*time.Second)
+	assert.Assert(t, !sole, "a version that the restored store has lost may have served unseen")
+}
+
+// Guards against a version that opens before a host knows of it that isn't registered any more, or whose registration was
+// missed.
+func TestReadersKnowTheOldestRecord(t *testing.T) {
+	const one, two request.Epoch = 1, 2
+	after := func(dur time.Duration) time.Time { return start.Add(dur) }
+	rds := affinity.NewReaders()
+	rds.SetRegistered(start, []request.Epoch{one, two})
+	rds.Learned(start, one, 7)
+	rds.Learned(start, two, 5)
+	assert.Equal(t, rds.KnownToAll(after(affinity.OpenAfter-1)), uint64(0), "a host that was deregistered before may live")
+	assert.Equal(t, rds.KnownToAll(after(affinity.OpenAfter)), uint64(5))
+	rds.Learned(after(affinity.OpenAfter), two, 4)
+	assert.Equal(t, rds.KnownToAll(after(affinity.OpenAfter)), uint64(5), "reports may overtake one another")
+	rds.SetRegistered(after(affinity.OpenAfter), []request.Epoch{one})
+	assert.Equal(t, rds.KnownToAll(after(2*affinity.OpenAfter-1)), uint64(5), "a deregistered host concludes on")
+	assert.Equal(t, rds.KnownToAll(after(2*affinity.OpenAfter)), uint64(7))
+	rds.Restart(after(2 * affinity.OpenAfter))
+	assert.Equal(t, rds.KnownToAll(after(2*affinity.OpenAfter)), uint64(0))
+	rds.SetRegistered(after(3*affinity.OpenAfter), []request.Epoch{one, 3})
+	assert.Equal(t, rds.KnownToAll(after(3*affinity.OpenAfter)), uint64(0), "a host that has just registered")
+}
+
+// playedHost is a host of a fleetPlay. Hosts that are cut off keep their copy.
+type playedHost struct {
+	epoch   request.Epoch
+	history *affinity.History
+	readers *affinity.Readers
+	served  []string
+	cut     bool
+	// known is the record that the host has, seen the store's number of registrations.
+	known uint64
+}
+
+// fleetPlay plays hosts that read one store, are cut off and go on, while versions join and leave.
+type fleetPlay struct {
+	rt      *rapid.T
+	now     time.Time
+	record  affinity.Record
+	era     uint64
+	copied  affinity.Record
+	serving []string
+	hosts   []*playedHost
+	// registered are the hosts with an entry in the store.
+	registered map[request.Epoch]bool
+	epochs     request.Epoch
+	// began is when the last stream began at each version.
+	began map[string]time.Time
+	// concluded counts the resumptions that went on.
+	concluded int
+}
+
+// playedStreamLife is the life of a stream in a fleetPlay.
+const playedStreamLife = 30 * time.Second
+
+func (fpl *fleetPlay) start() {
+	fpl.epochs++
+	hos := &playedHost{epoch: fpl.epochs, history: affinity.NewHistory(), readers: affinity.NewReaders()}
+	hos.history.ObserveLife(playedStreamLife)
+	fpl.hosts = append(fpl.hosts, hos)
+	fpl.sync(hos)
+	fpl.registered[hos.epoch] = true
+}
+
+// sync lets the host read the store, unless it is cut off.
+func (fpl *fleetPlay) sync(hos *playedHost) {
+	if hos.cut {
+		return
+	}
+	if fpl.record.Number >= hos.history.Record().Number {
+		hos.history.Apply(fpl.now, fpl.record, fpl.era)
+	}
+	hos.served = slices.Clone(fpl.serving)
+	hos.history.Observe(fpl.now, "menus", hos.served)
+	hos.readers.SetRegistered(fpl.now, slices.Collect(maps.Keys(fpl.registered)))
+	if fpl.registered[hos.epoch] {
+		hos.history.Confirm(fpl.now)
+	}
+	hos.known = hos.history.Record().Number
+}
+
+// report delivers the host's report of its record to another one.
+func (fpl *fleetPlay) report(from, to *playedHost) {
+	if !from.cut && !to.cut {
+		to.readers.Learned(fpl.now, from.epoch, from.known)
+	}
+}
+
+// write lets the host write the record that it wants next, if it has the newest one.
+func (fpl *fleetPlay) write(hos *playedHost) {
+	if hos.cut {
+		return
+	}
+	fpl.sync(hos)
+	hos.readers.Learned(fpl.now, hos.epoch, hos.known)
+	known := hos.history.Record()
+	if known.Number > fpl.record.Number {
+		fpl.record = known
+		return
+	}
+	rec, change := hos.history.Next(fpl.now, fpl.era, hos.readers.KnownToAll(fpl.now))
+	if change == affinity.ChangeReduces {
+		hos.history.Apply(fpl.now, rec, fpl.era)
+	}
+	if change != affinity.ChangeNone {
+		fpl.record = rec
+		fpl.sync(hos)
+	}
+}
+
+// begin begins a stream at a version that the host lists and its record opens.
+func (fpl *fleetPlay) begin(hos *playedHost, version string) {
+	if slices.Contains(hos.served, version) && hos.history.IsOpen("menus", version) {
+		fpl.began[version] = fpl.now
+	}
+}
+
+// resume checks that a host which takes one version for the only one is right: no stream of another one lives.
+func (fpl *fleetPlay) resume(hos *playedHost) {
+	version, sole := hos.history.Sole(fpl.now, "menus", playedStreamLife)
+	if !sole {
+		return
+	}
+	fpl.concluded++
+	for other, at := range fpl.began {
+		if other != version && fpl.now.Sub(at) < playedStreamLife {
+			fpl.rt.Fatalf("host %d takes %s for the only version, a stream of %s is %s old", hos.epoch, version, other, fpl.now.Sub(at))
+		}
+	}
+}
+
+// Guards against streams at another version for any order of cuts, pauses, restarts, restorations of the store, versions
+// that come and go, and reports that come late or never.
+func TestNoHostOfAFleetConcludesWrongly(t *testing.T) {
+	concluded := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		fpl := &fleetPlay{rt: rt, now: start, serving: []string{"v1"}, registered: make(map[request.Epoch]bool), began: make(map[string]time.Time)}
+		for range 3 {
+			fpl.start()
+		}
+		host := func(rt *rapid.T, label string) *playedHost {
+			return fpl.hosts[rapid.IntRange(0, len(fpl.hosts)-1).Draw(rt, label)]
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"join or leave": func(rt *rapid.T) {
+				version := fmt.Sprint("v", rapid.IntRange(1, 3).Draw(rt, "version"))
+				if idx := slices.Index(fpl.serving, version); idx >= 0 {
+					fpl.serving = slices.Delete(fpl.serving, idx, idx+1)
+				} else {
+					fpl.serving = append(fpl.serving, version)
+				}
+			},
+			"read all": func(*rapid.T) {
+				for _, hos := range fpl.hosts {
+					fpl.sync(hos)
+				}
+			},
+			"read":     func(rt *rapid.T) { fpl.sync(host(rt, "host")) },
+			"write":    func(rt *rapid.T) { fpl.write(host(rt, "writer")) },
+			"report":   func(rt *rapid.T) { fpl.report(host(rt, "from"), host(rt, "to")) },
+			"cut":      func(rt *rapid.T) { host(rt, "host").cut = true },
+			"restore":  func(rt *rapid.T) { host(rt, "host").cut = false },
+			"register": func(rt *rapid.T) { fpl.registered[host(rt, "host").epoch] = true },
+			"lapse":    func(rt *rapid.T) { delete(fpl.registered, host(rt, "host").epoch) },
+			"restart": func(rt *rapid.T) {
+				idx := rapid.IntRange(0, len(fpl.hosts)-1).Draw(rt, "host")
+				fpl.hosts = slices.Delete(fpl.hosts, idx, idx+1)
+				fpl.start()
+			},
+			"begin": func(rt *rapid.T) {
+				fpl.begin(host(rt, "host"), fmt.Sprint("v", rapid.IntRange(1, 3).Draw(rt, "version")))
+			},
+			"resume": func(rt *rapid.T) { fpl.resume(host(rt, "host")) },
+			"wait": func(rt *rapid.T) {
+				fpl.now = fpl.now.Add(time.Duration(rapid.SampledFrom([]int{10, 200, 1000, 1000, 3000, 4500, 20_000}).Draw(rt, "wait")) * time.Millisecond)
+			},
+		})
+		concluded += fpl.concluded
+	})
+	assert.Assert(t, concluded > 0, "some hosts conclude")
+}
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -127,6 +127,7 @@
 		wat.publish()
 	}
 	wat.host.confirm(upd.confirmed)
+	wat.confirmVersions(upd.confirmed)
 	wat.host.storeReadOnce.Do(func() { close(wat.host.storeRead) })
 	wat.host.markConfigured()
 }
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -34,6 +34,8 @@
 	number    uint64
 	// missingSince is when this host first saw that the record lacks a version; zero while it lacks none.
 	missingSince time.Time
+	// readers are the hosts that may conclude from their records of versions.
+	readers *affinity.Readers
 	// checkedAt is when the record was last checked.
 	checkedAt time.Time
 	// unwritten are the streams whose origins have to be written, count their number.
@@ -45,7 +47,7 @@
 }
 
 func newOrigins() *origins {
-	return &origins{wakeVersions: make(chan struct{}, 1), wakeOrigins: make(chan struct{}, 1)}
+	return &origins{readers: affinity.NewReaders(), wakeVersions: make(chan struct{}, 1), wakeOrigins: make(chan struct{}, 1)}
 }
 
 func wake(channel chan<- struct{}) {
--- a/entry/reserve.go
+++ b/entry/reserve.go
@@ -218,7 +218,7 @@
 	case reservation.ReasonRegion:
 		pro.cause, pro.detail = causeNoRegion, "no engine is in the regions that the route and the client account allow"
 	case reservation.ReasonVersion:
-		pro.cause, pro.detail, pro.retryAfter = causeVersionGone, "the software version that began this stream doesn't serve any more, or the stream isn't known", 0
+		pro.cause, pro.detail = causeVersionGone, "the software version that began this stream doesn't serve any more, or the stream isn't known"
 	case reservation.ReasonPartHeld:
 		pro.cause, pro.detail = causeHeld, "engines ended as they began to answer on a part of this prompt, so it isn't run before Retry-After"
 	case reservation.ReasonHeld:
--- a/entry/roster.go
+++ b/entry/roster.go
@@ -76,11 +76,21 @@
 	now := bro.host.clock.Now()
 	bro.registeredMembership, bro.membership = mbs, mbs.applyRestarts(bro.restarts)
 	bro.presence.SetMembers(now, bro.membership.members)
+	bro.origins.readers.SetRegistered(now, epochsOf(mbs.members))
 	bro.dropDeregistered()
 	bro.elect()
 	bro.publishLeader()
 }
 
+// epochsOf returns the epochs of hosts.
+func epochsOf(members []fleet.Member) []request.Epoch {
+	epochs := make([]request.Epoch, 0, len(members))
+	for _, mem := range members {
+		epochs = append(epochs, mem.Epoch)
+	}
+	return epochs
+}
+
 // candidates returns the hosts to keep sessions with, in order: the first that are not known to
 // be unreachable, those before them in case they have returned, and the known leaders.
 // Unreachable hosts don't count towards coordinatorSessions: their entries remain until their
--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -145,6 +145,7 @@
 	delete(bro.unreachableCandidates, lin.member.Epoch)
 	bro.sendCases(lin.member.Epoch)
 	bro.sendKnownStreams(lin.member.Epoch)
+	bro.reportVersions(lin.member.Epoch)
 	bro.sendNotices(lin.member)
 	bro.reportEnforcedOrdersTo(lin.member.Epoch)
 	bro.elect()
@@ -231,6 +232,10 @@
 		if str, isStreams := rec.Message.(reservation.StreamsBegan); isStreams && inb.delegated {
 			bro.relayStreams(str.Batch)
 		}
+		if ver, isReport := rec.Message.(reservation.VersionsKnown); isReport {
+			bro.recordVersionsKnown(inb.gateway, ver.Number)
+			return
+		}
 		if loan, isLoan := rec.Message.(reservation.ShareLoan); isLoan {
 			bro.applyShareLoan(inb, loan)
 			return
--- a/entry/versions.go
+++ b/entry/versions.go
@@ -7,6 +7,8 @@
 
 	"lynxwell.dev/lynxwell/affinity"
 	"lynxwell.dev/lynxwell/platform"
+	"lynxwell.dev/lynxwell/request"
+	"lynxwell.dev/lynxwell/reservation"
 	"lynxwell.dev/lynxwell/scheduler"
 	"lynxwell.dev/lynxwell/store"
 )
@@ -50,9 +52,38 @@
 	}
 }
 
-// applyVersions applies a record of versions; the mutex must be held.
+// applyVersions applies a record of versions, and reports it to the coordinator and its next candidates; the mutex must be
+// held.
 func (bro *broker) applyVersions(rec affinity.Record) {
 	bro.handleLocked(scheduler.VersionsRecorded{Record: rec, Era: uint64(bro.host.storeEra())})
+	bro.recordVersionsKnown(bro.host.epoch, rec.Number)
+	for epo := range bro.links {
+		bro.reportVersions(epo)
+	}
+}
+
+// reportVersions reports this host's record of versions to a host with a link; the mutex must be held.
+func (bro *broker) reportVersions(to request.Epoch) {
+	if number := bro.core.Versions().Number; number > 0 {
+		bro.send(to, reservation.VersionsKnown{Number: number})
+	}
+}
+
+// recordVersionsKnown records the number of a host's record of versions, and looks whether streams may begin at an
+// announced one; the mutex must be held.
+func (bro *broker) recordVersionsKnown(from request.Epoch, number uint64) {
+	bro.origins.readers.Learned(bro.host.clock.Now(), from, number)
+	wake(bro.origins.wakeVersions)
+}
+
+// confirmVersions records that the copy of the store was current at a time, if this host was registered there: the hosts
+// that let streams begin at a version wait for those that are registered.
+func (wat *storeWatcher) confirmVersions(at time.Time) {
+	_, listed := wat.directory.Member(wat.host.epoch)
+	if at.IsZero() || !listed || wat.directory.IsMissing(wat.host.set.Name) {
+		return
+	}
+	wat.host.broker.handle(scheduler.CopyConfirmed{At: at})
 }
 
 // clearVersions records that the store has no record of versions. The known one stays in force: another writer may have
@@ -68,6 +99,8 @@
 	wat.host.broker.mutex.Lock()
 	defer wat.host.broker.mutex.Unlock()
 	wat.host.broker.origins.storeRead = true
+	// Hosts may have been registered and deregistered since the last read.
+	wat.host.broker.origins.readers.Restart(wat.host.clock.Now())
 }
 
 // maintainVersions keeps the record of versions in the store current, until the context ends.
@@ -111,16 +144,25 @@
 	if known := bro.core.Versions(); coordinates && known.Number > ori.number {
 		return known, ori.revision, versionsInterval
 	}
-	rec, change := bro.core.NextVersions(now, uint64(bro.host.storeEra()))
+	rec, change := bro.core.NextVersions(now, uint64(bro.host.storeEra()), ori.readers.KnownToAll(now))
 	switch {
 	case change == affinity.ChangeNone, change == affinity.ChangeReduces && !coordinates:
-		return affinity.Record{}, 0, versionsInterval
+		return affinity.Record{}, 0, bro.nextVersionsCheck(now)
 	case change == affinity.ChangeReduces:
 		bro.applyVersions(rec)
 	}
 	return rec, ori.revision, versionsInterval
 }
 
+// nextVersionsCheck returns the time until the record of versions is checked if nothing wakes the check; the mutex must be
+// held.
+func (bro *broker) nextVersionsCheck(now time.Time) time.Duration {
+	if opens, announced := bro.core.VersionOpensIn(now); announced {
+		return min(versionsInterval, opens)
+	}
+	return versionsInterval
+}
+
 // versionsDelay returns for how long this host, which isn't the coordinator, leaves it to the coordinator to record
 // versions; 0 if it has to do so itself. The mutex must be held.
 func (bro *broker) versionsDelay(now time.Time) time.Duration {
@@ -161,7 +203,7 @@
 	if err == nil {
 		rev, err = hos.store.Put(ctx, store.Write{Key: platform.VersionsKey(), Data: data, Expect: expect})
 	}
-	hos.log.Info().Err(err).Uint64("Number", rec.Number).Interface("Versions", rec.Versions).Dur("Life", rec.Life).Uint64("Era", rec.Era).
+	hos.log.Info().Err(err).Uint64("Number", rec.Number).Interface("Versions", rec.Versions).Interface("Announced", rec.Announced).Dur("Life", rec.Life).Uint64("Era", rec.Era).
 		Uint64("Expected", expect.Number()).Uint64("Revision", rev.Number()).Msg("record of versions written")
 	if err != nil {
 		return false
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -105,6 +105,8 @@
 		env.Message = &peerpb.Envelope_EngineEnded{EngineEnded: crashToWire(msg)}
 	case reservation.CaseReport:
 		env.Message = &peerpb.Envelope_CaseReport{CaseReport: caseReportToWire(msg.Report)}
+	case reservation.VersionsKnown:
+		env.Message = &peerpb.Envelope_VersionsKnown{VersionsKnown: &peerpb.VersionsKnown{Number: msg.Number}}
 	case reservation.StreamsBegan:
 		env.Message = &peerpb.Envelope_StreamsBegan{StreamsBegan: streamsToWire(msg)}
 	case reservation.EngineNotice:
@@ -255,6 +257,8 @@
 		return reservation.Evicted{ID: idFromWire(wms.Evicted.GetId()), Done: wms.Evicted.GetDone(), FloorRank: int(wms.Evicted.GetFloorRank())}
 	case *peerpb.Envelope_EngineEnded:
 		return crashFromWire(wms.EngineEnded)
+	case *peerpb.Envelope_VersionsKnown:
+		return reservation.VersionsKnown{Number: wms.VersionsKnown.GetNumber()}
 	case *peerpb.Envelope_StreamsBegan:
 		return streamsFromWire(wms.StreamsBegan)
 	case *peerpb.Envelope_EngineNotice:
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -332,6 +332,12 @@
 	affinity.Batch
 }
 
+// VersionsKnown reports the number of the newest record of versions that a gateway has, to the coordinator and its next
+// candidates. The gateway concludes from no earlier one any more.
+type VersionsKnown struct {
+	Number uint64
+}
+
 // ShareRequest asks a gateway to lend its share of the limits to the coordinator, or to renew that loan. The
 // loan ends Term after the time that Stamp names, which only the coordinator interprets.
 type ShareRequest struct {
@@ -460,3 +466,4 @@
 func (EngineCrashed) isMessage() {}
 func (CaseReport) isMessage()    {}
 func (StreamsBegan) isMessage()  {}
+func (VersionsKnown) isMessage() {}
--- a/scheduler/engine.go
+++ b/scheduler/engine.go
@@ -68,7 +68,7 @@
 	// limit that has ended.
 	limiter   *rateLimiter
 	rateEnded bool
-	// recorded is set if the store's record of versions names this engine's. Until then no stream that may be resumed
+	// recorded is set if the store's record of versions opens this engine's. Until then no stream that may be resumed
 	// begins here.
 	recorded bool
 }
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -52,10 +52,10 @@
 		return
 	}
 	ori, basis := cor.originOf(now, res)
-	if res.Resumed && (basis == OriginUnknown || ori.Service != res.Service || !svc.serves(ori.Version)) {
+	if res.Resumed && (!basis.IsKnown() || ori.Service != res.Service || !svc.serves(ori.Version)) {
 		inp := svc.inputs(now, now)
 		inp.Origin, inp.EngineVersion = basis, ori.Version
-		cor.refuse(from, res, reservation.ReasonVersion, inp)
+		cor.refuseVersion(from, res, inp)
 		return
 	}
 	switch {
@@ -162,6 +162,15 @@
 	cor.send(to, reservation.Refuse{ID: res.ID, Ballot: res.Ballot, Reason: reason, RetryAfter: RetryAfter(res), Waited: inp.Waited}, inp)
 }
 
+// refuseVersion refuses a resumed stream that can't go on. Its client may try again only where another host may know more.
+func (cor *Core) refuseVersion(to request.Epoch, res reservation.Reserve, inp Inputs) {
+	ref := reservation.Refuse{ID: res.ID, Ballot: res.Ballot, Reason: reservation.ReasonVersion, Waited: inp.Waited}
+	if inp.Origin == OriginStale {
+		ref.RetryAfter = RetryAfter(res)
+	}
+	cor.send(to, ref, inp)
+}
+
 // inputs returns the inputs of a decision on a request of the service.
 func (svc *service) inputs(now, since time.Time) Inputs {
 	inp := Inputs{Waited: now.Sub(since), Waiting: svc.queue.Len(), Engines: len(svc.engines), Ejected: svc.ejected(now)}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -124,6 +124,9 @@
 	Era    uint64
 }
 
+// CopyConfirmed says that the host's copy of the store was current at a time, and that the host was registered there.
+type CopyConfirmed struct{ At time.Time }
+
 // Tick makes the core serve its queues at the current time.
 type Tick struct{}
 
@@ -137,6 +140,7 @@
 func (MeasurementsRead) isEvent()     {}
 func (DomainsClosed) isEvent()        {}
 func (VersionsRecorded) isEvent()     {}
+func (CopyConfirmed) isEvent()        {}
 func (Tick) isEvent()                 {}
 
 // Send is a message to be sent to a gateway.
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -7,7 +7,6 @@
 	"lynxwell.dev/lynxwell/admission"
 	"lynxwell.dev/lynxwell/fairqueue"
 	"lynxwell.dev/lynxwell/request"
-	"lynxwell.dev/lynxwell/reservation"
 )
 
 // reclassifyInterval is the least time between two checks of all waiting requests for those that
@@ -179,7 +178,7 @@
 		}
 		if wai.pinned && !svc.serves(wai.version) {
 			cor.refund(wai.reserve.Account, wai.reserve.Cost)
-			cor.refuse(wai.gateway, wai.reserve, reservation.ReasonVersion, svc.inputsFor(pss.now, wai))
+			cor.refuseVersion(wai.gateway, wai.reserve, svc.inputsFor(pss.now, wai))
 			continue
 		}
 		if !wai.late && han == handleNormal {
--- a/scheduler/version.go
+++ b/scheduler/version.go
@@ -11,7 +11,7 @@
 // What two software versions write doesn't fit together, and engines don't check it: a stream is resumed only
 // at the version that began it. If this core doesn't know that version, it resumes the stream only while one
 // version alone can have begun it. What this core has seen since its process started isn't enough for that: the record
-// in the store names the versions before.
+// in the store names the versions before, and it has to be current.
 
 // applyVersions applies the store's record of versions.
 func (cor *Core) applyVersions(now time.Time, evt VersionsRecorded) {
@@ -22,11 +22,11 @@
 	}
 }
 
-// markRecorded marks the service's engines whose version the store's record names.
+// markRecorded marks the service's engines at whose version streams may begin by the store's record.
 func (cor *Core) markRecorded(svc *service) {
 	svc.unrecorded = 0
 	for _, ene := range svc.engines {
-		ene.recorded = cor.versions.IsRecorded(svc.name, ene.Version)
+		ene.recorded = cor.versions.IsOpen(svc.name, ene.Version)
 		if !ene.recorded {
 			svc.unrecorded++
 		}
@@ -41,16 +41,23 @@
 }
 
 // NextVersions returns the record of versions that the store has to have next in its era, and how it differs from
-// Versions.
-func (cor *Core) NextVersions(now time.Time, era uint64) (affinity.Record, affinity.Change) {
+// Versions. Known is the number of the oldest record that a host may conclude from; 0 if that isn't known.
+func (cor *Core) NextVersions(now time.Time, era, known uint64) (affinity.Record, affinity.Change) {
 	cor.observeAllVersions(now)
-	return cor.versions.Next(now, era)
+	return cor.versions.Next(now, era, known)
+}
+
+// VersionOpensIn returns the time until streams may begin at an announced version even if a host doesn't know of it, and
+// whether there is one.
+func (cor *Core) VersionOpensIn(now time.Time) (time.Duration, bool) {
+	return cor.versions.OpensIn(now)
 }
 
 // Versions returns the newest record of versions.
 func (cor *Core) Versions() affinity.Record { return cor.versions.Record() }
 
-// LacksVersions reports whether the store's record of versions lacks one of a listed engine.
+// LacksVersions reports whether the store's record of versions lacks one of a listed engine, or announces one at which
+// streams may begin.
 func (cor *Core) LacksVersions(now time.Time) bool {
 	cor.observeAllVersions(now)
 	return cor.versions.Missing(now)
@@ -86,11 +93,17 @@
 	OriginSole
 	// OriginUnknown means that several versions can have begun the stream.
 	OriginUnknown
+	// OriginStale means that one version is known, but the store's record wasn't confirmed recently enough to conclude
+	// that there is no other.
+	OriginStale
 )
 
+// IsKnown reports whether the origin is known.
+func (bas OriginBasis) IsKnown() bool { return bas == OriginRecorded || bas == OriginSole }
+
 // String returns the basis's name in the log.
 func (bas OriginBasis) String() string {
-	return [...]string{"NotNeeded", "Recorded", "Sole", "Unknown"}[bas]
+	return [...]string{"NotNeeded", "Recorded", "Sole", "Unknown", "Stale"}[bas]
 }
 
 // originOf returns what began the stream that the reservation resumes, and what that knowledge rests on. A
@@ -104,7 +117,10 @@
 	}
 	cor.observeVersions(now, cor.service(res.Service))
 	version, sole := cor.versions.Sole(now, res.Service, res.StreamLife)
-	if !sole {
+	switch {
+	case !cor.versions.IsCurrent(now):
+		return affinity.Origin{Service: res.Service}, OriginStale
+	case !sole:
 		return affinity.Origin{Service: res.Service}, OriginUnknown
 	}
 	return affinity.Origin{Service: res.Service, Version: version}, OriginSole
