fix(entry): a decision on an earlier reservation decides nothing

Callers saw one answer with events of two software versions: v1.1 first, then v1.

Trace: a slow coordinator had the request's first reservation for 653 ms; the gateway gave it up, withdrew it and used its own scheduler, which granted an engine of v1.1; that broke the stream off after three events; the gateway reserved again, now bound to v1.1; the coordinator's grant of the first reservation (v1, no origin in its line) was on the way meanwhile and was matched by the request's id alone, so the stream went on at v1.

Cause: decisions were matched to the request, not to the reservation. Each submission has a ballot of its own now, which coordinators repeat already, and a decision with another one is ignored. The withdrawal has released such a grant, so it isn't released once more, which would end the later run's account. Besides, a host never resumes its own answer at an engine whose version isn't that of the events it has passed on, whatever was granted.

--- a/entry/desk.go
+++ b/entry/desk.go
@@ -59,6 +59,8 @@
 	// pending are this host's reservations that wait for a decision. activeGrants are its grants in
 	// use, in the form in which another coordinator adopts them.
 	pending map[request.ID]*pendingReservation
+	// submissions counts the submissions of reservations.
+	submissions uint32
 	// gate decides which of the pending reservations are sent to the coordinator, and when.
 	gate *admission.Gate
 	// judge judges how fast the coordinator decides, reportedSlow is set while this host reports it as
@@ -277,18 +279,16 @@
 func (bro *broker) applyMessage(by request.Epoch, msg reservation.Message) {
 	switch msg := msg.(type) {
 	case reservation.Grant:
-		pen := bro.pending[msg.ID]
-		if pen == nil || pen.coordinator != by {
-			// The reservation was withdrawn or sent to another coordinator, so the slot is
-			// released.
-			bro.send(by, reservation.Release{ID: msg.ID, Engine: msg.Engine})
+		pen := bro.pendingFor(by, msg.ID, msg.Ballot)
+		if pen == nil {
+			bro.dropGrant(by, msg)
 			return
 		}
 		bro.recordDecided(pen, msg.Waited)
 		bro.recordGrant(pen, msg, by)
 		bro.resolve(pen, decision{grant: &msg, coordinator: by})
 	case reservation.Refuse:
-		if pen := bro.pending[msg.ID]; pen != nil && pen.coordinator == by {
+		if pen := bro.pendingFor(by, msg.ID, msg.Ballot); pen != nil {
 			bro.recordDecided(pen, msg.Waited)
 			if by != bro.host.epoch {
 				bro.gate.Refused(bro.host.clock.Now(), pen.reserve, msg)
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -54,9 +54,12 @@
 }
 
 // isOtherVersion reports whether a granted engine doesn't have the software version that was granted for a resumable
-// stream: a later run of the engine may have another one. A coordinator that names no version, such as one of an earlier
-// release, may grant engines for new streams only.
+// stream, as a later run of the engine may, or not that of the events which this answer has already. A coordinator that
+// names no version, such as one of an earlier release, may grant engines for new streams only.
 func (exc *exchange) isOtherVersion(eng fleet.Engine, granted reservation.Grant) bool {
+	if ori := exc.origin(); exc.isResumption() && ori.IsKnown() && eng.Version != ori.Version {
+		return true
+	}
 	return eng.Version != granted.Version && (granted.Version != "" || exc.isResumption())
 }
 
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -128,9 +128,11 @@
 	bro.submitTo(pen, bro.coordinator)
 }
 
-// submitTo submits a reservation to a host. To a coordinator it is sent as soon as the gate allows.
+// submitTo submits a reservation to a host. To a coordinator it is sent as soon as the gate allows. Each submission has a
+// ballot of its own: a decision on an earlier one, which may have been about another engine version, isn't one on this.
 func (bro *broker) submitTo(pen *pendingReservation, to request.Epoch) {
-	pen.coordinator = to
+	bro.submissions++
+	pen.coordinator, pen.reserve.Ballot = to, request.Ballot{Round: bro.submissions, Holder: bro.host.epoch}
 	now := bro.host.clock.Now()
 	if res := pen.remaining(now); to == bro.host.epoch || bro.gate.Submit(now, res) {
 		bro.send(to, res)
@@ -163,6 +165,28 @@
 	return res
 }
 
+// pendingFor returns the reservation on which a host's message with the ballot decides; nil if it waits for no decision any
+// more, or for one on another submission. The mutex must be held.
+func (bro *broker) pendingFor(by request.Epoch, id request.ID, bal request.Ballot) *pendingReservation {
+	pen := bro.pending[id]
+	if pen == nil || pen.coordinator != by || pen.reserve.Ballot != bal {
+		return nil
+	}
+	return pen
+}
+
+// dropGrant gives up a grant that no reservation waits for. If the request has another reservation at that host, the grant
+// was released there by the withdrawal of the earlier one, and a release would end the later one. The mutex must be held.
+func (bro *broker) dropGrant(by request.Epoch, gra reservation.Grant) {
+	bro.host.metrics.count("Grants.Unexpected")
+	if pen := bro.pending[gra.ID]; pen != nil && pen.coordinator == by {
+		bro.host.log.Info().Str("Request", gra.ID.Unique).Str("Engine", gra.Engine).Stringer("Coordinator", by).Stringer("Ballot", gra.Ballot).
+			Stringer("Awaited", pen.reserve.Ballot).Msg("grant of an earlier reservation ignored")
+		return
+	}
+	bro.send(by, reservation.Release{ID: gra.ID, Engine: gra.Engine})
+}
+
 // sendReady sends the reservations that the gate no longer holds back; the mutex must be held.
 func (bro *broker) sendReady() {
 	now := bro.host.clock.Now()
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -34,7 +34,8 @@
 
 // Reserve requests a slot of an engine of the service from a coordinator.
 type Reserve struct {
-	ID      request.ID
+	ID request.ID
+	// Ballot is repeated in the decision. A gateway on the platform uses another one for each submission.
 	Ballot  request.Ballot
 	Service string
 	// Tier is the name of the tier. Rank orders the waiting reservations: package coordinator
