--- a/entry/outofstep_test.go
+++ b/entry/outofstep_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lynxwell.dev/lynxwell/affinity"
 	"lynxwell.dev/lynxwell/entrytest"
 	"lynxwell.dev/lynxwell/upstreamtest"
 )
@@ -141,3 +142,24 @@
 		})
 	}
 }
+
+// Guards against a roll-out whose new engines stand idle: once all hosts have reported that they know of a version, streams
+// begin at it at once.
+func TestVersionOpensOnceAllHostsKnowOfIt(t *testing.T) {
+	vsy := startWithOneVersion(t, 4)
+	started := time.Now()
+	vsy.WaitUntil("every registration seen", func() bool { return time.Since(started) > affinity.OpenAfter })
+	vsy.join()
+	joined := time.Now()
+	vsy.WaitUntil("streams begin at the new version", func() bool {
+		// One stream at a time would go to the engine that knows the prompt.
+		names := make([]string, streamsAtOnce)
+		concurrently(len(names), func(num int) {
+			names[num] = fmt.Sprint("probe-", num, time.Since(joined))
+			vsy.SendUntilEvent(t.Context(), vsy.Hosts[1], streamRequest(names[num], "", 0), 1)
+		})
+		return vsy.versionsOf(names...)["v1.1"]
+	})
+	t.Logf("streams began after %s", time.Since(joined))
+	assert.Assert(t, time.Since(joined) < affinity.OpenAfter/2)
+}
