--- a/scheduler/version_test.go
+++ b/scheduler/version_test.go
@@ -115,6 +115,20 @@
 	}
 }
 
+// Guards against clients that give a stream up because of a host whose copy of the store is old: another one may know it.
+func TestClientComesBackAfterRefusalFromOldCopy(t *testing.T) {
+	for cutOff, comesBack := range map[time.Duration]bool{0: false, affinity.MaxSoleAge + 1: true} {
+		har := newHarness(versionedModel("e1", "v1"), versionedModel("e2", "v2"))
+		har.handle(scheduler.VersionsRecorded{Record: affinity.Record{Number: 1, Versions: map[string][]string{"model": {"v1", "v2"}}}})
+		har.cutOff = true
+		har.now = har.now.Add(cutOff)
+		sends := har.reserve(resumption("again", "unknown"))
+		ref, isRefusal := sends[0].Message.(reservation.Refuse)
+		assert.Assert(t, isRefusal)
+		assert.Equal(t, ref.RetryAfter > 0, comesBack)
+	}
+}
+
 // Guards against resumed streams that are refused while new ones begin, when few engines of their version are
 // left and all are full: they go first when a slot becomes free.
 func TestResumedStreamsGoFirstAtTheEnginesOfTheirVersion(t *testing.T) {
--- a/tools/mutate/versions.go
+++ b/tools/mutate/versions.go
@@ -1,7 +1,7 @@
 package main
 
 // versions selects the tests of streams that are resumed at the software version that began them.
-var versions = []string{"./affinity", "./scheduler", "-run", "Resum|Version|NoStream|NextRecord|RecordedVersions"}
+var versions = []string{"./affinity", "./scheduler", "-run", "Resum|Version|NoStream|NextRecord|RecordedVersions|Sole|NoHost|ComesBack"}
 
 // resumedStreams selects the tests of hosts that resume streams.
 var resumedStreams = []string{"./entry", "-run", "StreamsResume|HostResumes|SeveralTimes"}
@@ -9,6 +9,15 @@
 // allHosts selects the tests of streams that outlast all hosts.
 var allHosts = []string{"./entry", "-run", "LossOfAllHosts|RestoredStore"}
 
+// readers selects the tests of which hosts know of a version, opens those of a version that all know of.
+var (
+	readers = []string{"./affinity", "-run", "Readers"}
+	opens   = []string{"./entry", "-run", "VersionOpensOnce"}
+)
+
+// late selects the tests of decisions that come after a reservation was withdrawn.
+var late = []string{"./entry", "-run", "DecisionOnEarlier|NotResumedAtGrant"}
+
 // versionMutations remove what keeps streams at the software version that began them.
 var versionMutations = []mutation{
 	{
@@ -48,7 +57,7 @@
 	},
 	{
 		"Versions: a host that has just started hasn't seen all versions", "affinity/history.go",
-		"	return his.isComplete || !his.began.IsZero()", "	return true || !his.began.IsZero()",
+		"	return his.isComplete || his.record.Number > 0", "	return true || his.record.Number > 0",
 		versions,
 	},
 	{
@@ -81,4 +90,59 @@
 		"	ori.unwritten.Add(bat)\n", "",
 		allHosts,
 	},
+	{
+		"Versions: a conclusion needs a current copy", "affinity/history.go",
+		"len(candidates) != 1 || !his.IsCurrent(now) ||", "len(candidates) != 1 ||",
+		versions,
+	},
+	{
+		"Versions: a host tells why it can't conclude", "scheduler/version.go",
+		"	case !cor.versions.IsCurrent(now):\n", "	case false:\n",
+		versions,
+	},
+	{
+		"Versions: a version that joins is announced", "affinity/record.go",
+		"	if rec.Number > 0 {\n", "	if rec.Number > 0 && rec.Announced != nil {\n",
+		versions,
+	},
+	{
+		"Versions: no stream begins at an announced version", "affinity/history.go",
+		" && !his.record.IsAnnounced(service, version)\n", "\n",
+		versions,
+	},
+	{
+		"Versions: a version opens when all hosts know of it", "affinity/history.go",
+		"known >= ann.number || ", "",
+		versions,
+	},
+	{
+		"Versions: a restored store has what was announced anew", "affinity/history.go",
+		"	clear(his.announced)\n", "",
+		versions,
+	},
+	{
+		"Versions: a deregistered host concludes on for a while", "affinity/readers.go",
+		"			rdr.until = now.Add(OpenAfter)\n		}\n	}\n	maps", "			rdr.until = now\n		}\n	}\n	maps",
+		readers,
+	},
+	{
+		"Versions: registrations have to be followed for a while", "affinity/readers.go",
+		"rds.since.IsZero() || now.Sub(rds.since) < OpenAfter", "rds.since.IsZero()",
+		readers,
+	},
+	{
+		"Versions: hosts report the record that they have", "entry/versions.go",
+		"VersionsKnown{Number: number}", "VersionsKnown{Number: 0 * number}",
+		opens,
+	},
+	{
+		"Late: a decision is one on the present submission", "entry/submission.go",
+		" || pen.reserve.Ballot != bal {\n", " {\n",
+		late,
+	},
+	{
+		"Late: a host resumes its answer at its version", "entry/resume.go",
+		"ori.IsKnown() && eng.Version != ori.Version", "ori.IsKnown() && eng.Version == \"\"",
+		late,
+	},
 }
