fix(clock): a suspension is looked for until it is counted

Two goroutines that read the clock right after a suspension: the second one didn't look for it while the first one was still at it, and read a time without the suspension. What is bounded by the clock (keys, copies of the store) was younger than it was, for microseconds. Found by review. TestReadingDuringDetectionCounts- Suspension got 0 s before, where 5 s are right.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -132,7 +132,8 @@
 // checkSuspension reads the boot-time clock and, if the host was suspended, advances the clock by
 // the suspension, resets the timers of all deadlines and reports the suspension.
 func (clk *Clock) checkSuspension(divergence int64) {
-	clk.divergence.Store(divergence)
+	// Until the suspension is counted, readings by others have to look for it, too.
+	defer clk.divergence.Store(divergence)
 	boot, err := clk.cfg.Source.Boot()
 	if err != nil {
 		clk.cfg.OnBootError(err)
