fix(entry): a reservation that moves is withdrawn where it waits

A reservation that had moved to the host's own scheduler, since the coordinator was late, was withdrawn from the former coordinator when another one was chosen: it stayed queued at the own scheduler, whose later grant was given up. Found by review. The test left one waiting before.

--- a/entry/elect.go
+++ b/entry/elect.go
@@ -46,7 +46,7 @@
 		if pen.coordinator == chosen {
 			continue
 		}
-		bro.send(old, reservation.Withdraw{ID: id, Ballot: pen.reserve.Ballot})
+		bro.send(pen.coordinator, reservation.Withdraw{ID: id, Ballot: pen.reserve.Ballot})
 		bro.submit(pen)
 	}
 }
--- a/entry/late_test.go
+++ b/entry/late_test.go
@@ -12,6 +12,7 @@
 	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/reservation"
 	"lynxwell.dev/lynxwell/route"
+	"lynxwell.dev/lynxwell/scheduler"
 	"lynxwell.dev/lynxwell/settings"
 )
 
@@ -72,3 +73,31 @@
 		assert.Equal(t, pro.cause, want)
 	}
 }
+
+// Guards against a reservation that stays queued at the host's own scheduler after it has moved to a new coordinator.
+func TestMovedReservationIsWithdrawnFromOwnScheduler(t *testing.T) {
+	const slow, next = request.Epoch(7), request.Epoch(8)
+	hos, err := New(Config{Settings: settings.Entry{Name: "host-1", PeerKey: "key between the hosts"}, Log: zerolog.Nop()})
+	assert.NilError(t, err)
+	bro := hos.broker
+	for _, epo := range []request.Epoch{slow, next} {
+		bro.links[epo] = &link{queue: peer.NewQueue(), cancel: func() {}}
+	}
+	bro.coordinator = slow
+	bro.handle(scheduler.EnginesChanged{Engines: []fleet.Engine{{ID: fleet.EngineID{Name: "e1"}, Service: "model", Slots: 1, Version: "v1"}}})
+	bro.mutex.Lock()
+	defer bro.mutex.Unlock()
+	// A stream that may be resumed waits, since no record names its version.
+	pen := &pendingReservation{
+		reserve:   reservation.Reserve{ID: request.ID{Unique: "r1"}, Service: "model", Stream: 5, Remaining: time.Minute, LatencyTarget: time.Minute},
+		arrivedAt: hos.clock.Now(), decision: make(chan decision, 1),
+	}
+	bro.pending[pen.reserve.ID] = pen
+	bro.submitTo(pen, slow)
+	bro.submitTo(pen, hos.epoch)
+	assert.Assert(t, bro.core.HasWaiting())
+	bro.membership = membership{members: []fleet.Member{{Name: "next", Epoch: next}}, candidates: []fleet.Member{{Name: "next", Epoch: next}}}
+	bro.elect()
+	assert.Equal(t, pen.coordinator, next)
+	assert.Assert(t, !bro.core.HasWaiting())
+}
