--- a/affinity/announce_test.go
+++ b/affinity/announce_test.go
@@ -74,12 +74,55 @@
 	assert.Assert(t, !sole, "a version that the restored store has lost may have served unseen")
 }
 
+// Guards against a version that opens by the time of an earlier announcement: a host that has missed its opening, its
+// removal and its second announcement took the second one for the first.
+func TestSecondAnnouncementCountsAnew(t *testing.T) {
+	his := affinity.NewHistory()
+	his.Apply(start, recordOf(3, []string{"v1", "v2"}, "v2"), 0)
+	later := start.Add(time.Minute)
+	his.Apply(later, recordOf(6, []string{"v1", "v2"}, "v2"), 0)
+	his.Observe(later, "menus", []string{"v1", "v2"})
+	rec, _ := his.Next(later, 0, 5)
+	assert.DeepEqual(t, rec.Announced, map[string][]string{"menus": {"v2"}})
+}
+
+// Guards against a conclusion from a record that names less than the store's, while the store hasn't taken it: other hosts
+// begin streams at what was taken out.
+func TestReducedRecordConcludesNothingUntilStored(t *testing.T) {
+	his := affinity.NewHistory()
+	his.Observe(start, "menus", []string{"v1", "v2"})
+	his.Apply(start, recordOf(3, []string{"v1", "v2"}), 0)
+	now := start
+	for range 60 {
+		now = now.Add(time.Second)
+		his.Observe(now, "menus", []string{"v1"})
+		his.Confirm(now)
+	}
+	rec, change := his.Next(now, 0, 3)
+	assert.Equal(t, change, affinity.ChangeReduces)
+	his.Reduce(now, rec, 0)
+	_, sole := his.Sole(now, "menus", 20*time.Second)
+	assert.Assert(t, !sole)
+	his.Apply(now, rec, 0)
+	version, sole := his.Sole(now, "menus", 20*time.Second)
+	assert.Assert(t, sole && version == "v1")
+}
+
+// Guards against a first record that opens its versions in a restored store: other hosts may conclude from an earlier one.
+func TestFirstRecordOfRestoredStoreAnnounces(t *testing.T) {
+	his := affinity.NewHistory()
+	his.Observe(start, "menus", []string{"v1"})
+	rec, _ := his.Next(start, 1, 0)
+	assert.DeepEqual(t, rec.Announced, map[string][]string{"menus": {"v1"}})
+}
+
 // Guards against a version that opens before a host knows of it that isn't registered any more, or whose registration was
 // missed.
 func TestReadersKnowTheOldestRecord(t *testing.T) {
 	const one, two request.Epoch = 1, 2
-	after := func(dur time.Duration) time.Time { return start.Add(dur) }
+	after := start.Add
 	rds := affinity.NewReaders()
+	rds.Confirm(start)
 	rds.SetRegistered(start, []request.Epoch{one, two})
 	rds.Learned(start, one, 7)
 	rds.Learned(start, two, 5)
@@ -90,8 +133,8 @@
 	rds.SetRegistered(after(affinity.OpenAfter), []request.Epoch{one})
 	assert.Equal(t, rds.KnownToAll(after(2*affinity.OpenAfter-1)), uint64(5), "a deregistered host concludes on")
 	assert.Equal(t, rds.KnownToAll(after(2*affinity.OpenAfter)), uint64(7))
-	rds.Restart(after(2 * affinity.OpenAfter))
-	assert.Equal(t, rds.KnownToAll(after(2*affinity.OpenAfter)), uint64(0))
+	rds.Confirm(after(2 * affinity.OpenAfter))
+	assert.Equal(t, rds.KnownToAll(after(2*affinity.OpenAfter)), uint64(0), "a registration may have been missed")
 	rds.SetRegistered(after(3*affinity.OpenAfter), []request.Epoch{one, 3})
 	assert.Equal(t, rds.KnownToAll(after(3*affinity.OpenAfter)), uint64(0), "a host that has just registered")
 }
@@ -101,9 +144,11 @@
 	epoch   request.Epoch
 	history *affinity.History
 	readers *affinity.Readers
-	served  []string
-	cut     bool
-	// known is the record that the host has, seen the store's number of registrations.
+	// served are the versions that the host listed when it read the store last.
+	served []string
+	readAt time.Time
+	cut    bool
+	// known is the number of the host's record.
 	known uint64
 }
 
@@ -113,12 +158,14 @@
 	now     time.Time
 	record  affinity.Record
 	era     uint64
-	copied  affinity.Record
 	serving []string
 	hosts   []*playedHost
 	// registered are the hosts with an entry in the store.
 	registered map[request.Epoch]bool
-	epochs     request.Epoch
+	// copied is what a copy of the store has, of which it may be restored.
+	copied           affinity.Record
+	copiedRegistered map[request.Epoch]bool
+	epochs           request.Epoch
 	// began is when the last stream began at each version.
 	began map[string]time.Time
 	// concluded counts the resumptions that went on.
@@ -145,8 +192,10 @@
 	if fpl.record.Number >= hos.history.Record().Number {
 		hos.history.Apply(fpl.now, fpl.record, fpl.era)
 	}
+	hos.readAt = fpl.now
 	hos.served = slices.Clone(fpl.serving)
 	hos.history.Observe(fpl.now, "menus", hos.served)
+	hos.readers.Confirm(fpl.now)
 	hos.readers.SetRegistered(fpl.now, slices.Collect(maps.Keys(fpl.registered)))
 	if fpl.registered[hos.epoch] {
 		hos.history.Confirm(fpl.now)
@@ -161,8 +210,9 @@
 	}
 }
 
-// write lets the host write the record that it wants next, if it has the newest one.
-func (fpl *fleetPlay) write(hos *playedHost) {
+// write lets the host write the record that it wants next, if it has the newest one; lost says that the store doesn't carry
+// the write out.
+func (fpl *fleetPlay) write(hos *playedHost, lost bool) {
 	if hos.cut {
 		return
 	}
@@ -171,21 +221,34 @@
 	known := hos.history.Record()
 	if known.Number > fpl.record.Number {
 		fpl.record = known
+		fpl.sync(hos)
 		return
 	}
 	rec, change := hos.history.Next(fpl.now, fpl.era, hos.readers.KnownToAll(fpl.now))
+	if change == affinity.ChangeReduces && !fpl.registered[hos.epoch] {
+		return
+	}
 	if change == affinity.ChangeReduces {
-		hos.history.Apply(fpl.now, rec, fpl.era)
+		hos.history.Reduce(fpl.now, rec, fpl.era)
 	}
-	if change != affinity.ChangeNone {
+	if change != affinity.ChangeNone && !lost {
 		fpl.record = rec
 		fpl.sync(hos)
 	}
 }
 
-// begin begins a stream at a version that the host lists and its record opens.
+// restoreStore puts a copy of the store in its place, in the next era.
+func (fpl *fleetPlay) restoreStore() {
+	fpl.era++
+	fpl.record, fpl.registered = fpl.copied, maps.Clone(fpl.copiedRegistered)
+	if fpl.registered == nil {
+		fpl.registered = make(map[request.Epoch]bool)
+	}
+}
+
+// begin begins a stream at a version that the host lists and its record opens, if the host is allowed to serve requests.
 func (fpl *fleetPlay) begin(hos *playedHost, version string) {
-	if slices.Contains(hos.served, version) && hos.history.IsOpen("menus", version) {
+	if fpl.now.Sub(hos.readAt) <= affinity.MaxSoleAge && slices.Contains(hos.served, version) && hos.history.IsOpen("menus", version) {
 		fpl.began[version] = fpl.now
 	}
 }
@@ -230,13 +293,15 @@
 					fpl.sync(hos)
 				}
 			},
-			"read":     func(rt *rapid.T) { fpl.sync(host(rt, "host")) },
-			"write":    func(rt *rapid.T) { fpl.write(host(rt, "writer")) },
-			"report":   func(rt *rapid.T) { fpl.report(host(rt, "from"), host(rt, "to")) },
-			"cut":      func(rt *rapid.T) { host(rt, "host").cut = true },
-			"restore":  func(rt *rapid.T) { host(rt, "host").cut = false },
-			"register": func(rt *rapid.T) { fpl.registered[host(rt, "host").epoch] = true },
-			"lapse":    func(rt *rapid.T) { delete(fpl.registered, host(rt, "host").epoch) },
+			"copy":              func(*rapid.T) { fpl.copied, fpl.copiedRegistered = fpl.record, maps.Clone(fpl.registered) },
+			"restore the store": func(*rapid.T) { fpl.restoreStore() },
+			"read":              func(rt *rapid.T) { fpl.sync(host(rt, "host")) },
+			"write":             func(rt *rapid.T) { fpl.write(host(rt, "writer"), rapid.IntRange(0, 4).Draw(rt, "lost") == 4) },
+			"report":            func(rt *rapid.T) { fpl.report(host(rt, "from"), host(rt, "to")) },
+			"cut":               func(rt *rapid.T) { host(rt, "host").cut = true },
+			"reconnect":         func(rt *rapid.T) { host(rt, "host").cut = false },
+			"register":          func(rt *rapid.T) { fpl.registered[host(rt, "host").epoch] = true },
+			"lapse":             func(rt *rapid.T) { delete(fpl.registered, host(rt, "host").epoch) },
 			"restart": func(rt *rapid.T) {
 				idx := rapid.IntRange(0, len(fpl.hosts)-1).Draw(rt, "host")
 				fpl.hosts = slices.Delete(fpl.hosts, idx, idx+1)
--- a/affinity/history.go
+++ b/affinity/history.go
@@ -12,6 +12,9 @@
 	// OpenAfter is the time after which streams may begin at an announced version although a host may not know of it:
 	// that host concludes nothing any more.
 	OpenAfter = MaxSoleAge + 500*time.Millisecond
+	// removalMargin is for how long after a version was last seen to serve another stream may have begun at it: it may have
+	// served unseen for MaxSoleAge, and another host may have begun a stream from a copy as old.
+	removalMargin = 2 * OpenAfter
 	// minLife is the least life of streams in a Record, and lifeStep the step to which it is rounded up, so that it
 	// seldom changes.
 	minLife  = 30 * time.Second
@@ -30,6 +33,8 @@
 	// record is the newest record of the store. isComplete is set if it names all versions whose streams may live.
 	record     Record
 	isComplete bool
+	// unstored are the versions that this host has taken out of the record, until the store has done so.
+	unstored map[string][]string
 	// era is the store's era when the record was applied last.
 	era uint64
 	// confirmed is a time at which the store certainly had the record, and this host was registered there; zero if there
@@ -78,9 +83,10 @@
 }
 
 // Confirm records that the store had the record at a time, and that this host was registered there. After a time for which
-// that wasn't known, versions that this history hasn't seen may have served.
+// that wasn't known, recorded versions may have served until now, and others that this history hasn't seen.
 func (his *History) Confirm(at time.Time) {
-	if !his.confirmed.IsZero() && at.Sub(his.confirmed) > MaxSoleAge && !his.began.IsZero() {
+	if !his.began.IsZero() && (his.confirmed.IsZero() || at.Sub(his.confirmed) > MaxSoleAge) {
+		his.Interrupt(at)
 		his.began = at
 	}
 	if at.After(his.confirmed) {
@@ -88,15 +94,30 @@
 	}
 }
 
+// WasConfirmed reports whether the record was ever confirmed.
+func (his *History) WasConfirmed() bool { return !his.confirmed.IsZero() }
+
 // IsCurrent reports whether the record was confirmed recently enough to conclude from it what it doesn't name.
 func (his *History) IsCurrent(now time.Time) bool {
 	return !his.confirmed.IsZero() && now.Sub(his.confirmed) <= MaxSoleAge
 }
 
+// Reduce records a record that names less and that the store is about to have. Until it has, other hosts may begin streams
+// at what is taken out.
+func (his *History) Reduce(now time.Time, rec Record, era uint64) {
+	unstored := his.unstored
+	if unstored == nil {
+		unstored = cloneVersions(his.record.Versions)
+	}
+	his.Apply(now, rec, era)
+	his.unstored = unstored
+}
+
 // Apply records the newest record of the store, in the store's era. Versions that it names anew may have served until now,
 // and so may all of them if changes of the record were missed.
 func (his *History) Apply(now time.Time, rec Record, era uint64) {
 	former := his.record
+	his.unstored = nil
 	his.record, his.isComplete = rec, rec.Number > 0 && rec.Era == era
 	missed := rec.Number != former.Number && rec.Number != former.Number+1
 	for service, versions := range rec.Versions {
@@ -107,6 +128,10 @@
 		}
 	}
 	his.enterEra(era)
+	if missed {
+		// What is announced may have been opened, taken out and announced again.
+		clear(his.announced)
+	}
 	his.observeAnnounced(now)
 }
 
@@ -158,6 +183,9 @@
 	for _, version := range his.record.Versions[service] {
 		candidates[version] = true
 	}
+	for _, version := range his.unstored[service] {
+		candidates[version] = true
+	}
 	for version, at := range his.lastServed[service] {
 		if now.Sub(at) <= within {
 			candidates[version] = true
@@ -241,8 +269,8 @@
 	}
 	switch {
 	case next.Number == 0:
-		// The first host that reads a store without a record is the first of all hosts.
-		next.Era = era
+		// The first host that reads a store without a record is the first of all hosts, unless the store was restored.
+		next.Era = 0
 	case next.Era != era && now.Sub(his.began) > next.Life:
 		next.Era, changed = era, true
 	}
@@ -252,7 +280,7 @@
 	}
 	removed := next.keepOnly(func(service, version string) bool {
 		at, known := his.lastServed[service][version]
-		return known && now.Sub(at) <= next.Life
+		return known && now.Sub(at) <= next.Life+removalMargin
 	})
 	if removed {
 		return next, ChangeReduces
@@ -263,9 +291,11 @@
 // withMissing returns the record with the versions that serve at the time, and whether it lacked any.
 func (his *History) withMissing(now time.Time) (Record, bool) {
 	next, missing := his.record.clone(), false
+	// A host may still conclude from an earlier record. A restored store may have lost it.
+	announce := next.Number > 0 || his.era > 0
 	for service, served := range his.lastServed {
 		for version, at := range served {
-			if !at.Before(now) && next.add(service, version) {
+			if !at.Before(now) && next.add(service, version, announce) {
 				missing = true
 			}
 		}
--- a/affinity/readers.go
+++ b/affinity/readers.go
@@ -11,8 +11,10 @@
 // least. It isn't safe for concurrent use.
 type Readers struct {
 	// since is from when on each registration has been seen; zero before the first.
-	since   time.Time
-	readers map[request.Epoch]*reader
+	since time.Time
+	// confirmed is when the store certainly had the registrations that were seen; zero if it was never known.
+	confirmed time.Time
+	readers   map[request.Epoch]*reader
 }
 
 // reader is a host that may conclude from its record.
@@ -31,6 +33,20 @@
 // Restart records that registrations may have been missed until now.
 func (rds *Readers) Restart(now time.Time) { rds.since = now }
 
+// maxUnseen is the time for which the registrations may stay unseen: a registration lasts for longer than that.
+const maxUnseen = 3 * time.Second
+
+// Confirm records that the registrations were those in the store at a time. After a longer gap a host may have been
+// registered and deregistered unseen.
+func (rds *Readers) Confirm(at time.Time) {
+	if rds.confirmed.IsZero() || at.Sub(rds.confirmed) > maxUnseen {
+		rds.Restart(at)
+	}
+	if at.After(rds.confirmed) {
+		rds.confirmed = at
+	}
+}
+
 // SetRegistered records which hosts are registered.
 func (rds *Readers) SetRegistered(now time.Time, registered []request.Epoch) {
 	if rds.since.IsZero() {
--- a/affinity/record.go
+++ b/affinity/record.go
@@ -47,15 +47,14 @@
 	return cloned
 }
 
-// add adds a version and reports whether it was missing. One that is added to an earlier record is announced: a host
-// may still conclude from that one.
-func (rec *Record) add(service, version string) bool {
+// add adds a version, which it may announce, and reports whether it was missing.
+func (rec *Record) add(service, version string, announce bool) bool {
 	if rec.Has(service, version) {
 		return false
 	}
 	rec.Versions[service] = append(rec.Versions[service], version)
 	slices.Sort(rec.Versions[service])
-	if rec.Number > 0 {
+	if announce {
 		if rec.Announced == nil {
 			rec.Announced = make(map[string][]string)
 		}
--- a/entry/versions.go
+++ b/entry/versions.go
@@ -48,14 +48,14 @@
 func (bro *broker) applyStoredVersions(rec affinity.Record, rev store.Revision) {
 	bro.origins.revision, bro.origins.number = rev, rec.Number
 	if rec.Number >= bro.core.Versions().Number {
-		bro.applyVersions(rec)
+		bro.applyVersions(rec, false)
 	}
 }
 
 // applyVersions applies a record of versions, and reports it to the coordinator and its next candidates; the mutex must be
-// held.
-func (bro *broker) applyVersions(rec affinity.Record) {
-	bro.handleLocked(scheduler.VersionsRecorded{Record: rec, Era: uint64(bro.host.storeEra())})
+// held. Unstored is set if the store doesn't have it yet.
+func (bro *broker) applyVersions(rec affinity.Record, unstored bool) {
+	bro.handleLocked(scheduler.VersionsRecorded{Record: rec, Era: uint64(bro.host.storeEra()), Unstored: unstored})
 	bro.recordVersionsKnown(bro.host.epoch, rec.Number)
 	for epo := range bro.links {
 		bro.reportVersions(epo)
@@ -83,7 +83,11 @@
 	if at.IsZero() || !listed || wat.directory.IsMissing(wat.host.set.Name) {
 		return
 	}
-	wat.host.broker.handle(scheduler.CopyConfirmed{At: at})
+	bro := wat.host.broker
+	bro.mutex.Lock()
+	defer bro.mutex.Unlock()
+	bro.origins.readers.Confirm(at)
+	bro.handleLocked(scheduler.CopyConfirmed{At: at})
 }
 
 // clearVersions records that the store has no record of versions. The known one stays in force: another writer may have
@@ -149,7 +153,7 @@
 	case change == affinity.ChangeNone, change == affinity.ChangeReduces && !coordinates:
 		return affinity.Record{}, 0, bro.nextVersionsCheck(now)
 	case change == affinity.ChangeReduces:
-		bro.applyVersions(rec)
+		bro.applyVersions(rec, true)
 	}
 	return rec, ori.revision, versionsInterval
 }
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -52,6 +52,10 @@
 		return
 	}
 	ori, basis := cor.originOf(now, res)
+	if basis == OriginStale && !cor.versions.WasConfirmed() {
+		cor.awaitConfirmation(now, from, res)
+		return
+	}
 	if res.Resumed && (!basis.IsKnown() || ori.Service != res.Service || !svc.serves(ori.Version)) {
 		inp := svc.inputs(now, now)
 		inp.Origin, inp.EngineVersion = basis, ori.Version
@@ -201,6 +205,7 @@
 }
 
 func (cor *Core) withdraw(now time.Time, id request.ID) {
+	cor.dropUnconfirmed(func(unc unconfirmedResumption) bool { return unc.reserve.ID == id })
 	for _, svc := range cor.services {
 		if wai, waiting := svc.queue.Remove(id); waiting {
 			svc.specials.remove(wai)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -118,10 +118,12 @@
 	Domains []string
 }
 
-// VersionsRecorded carries the record of versions in the store, and the store's era.
+// VersionsRecorded carries the record of versions in the store, and the store's era. Unstored is set if the record names
+// less than the store's, which is about to be replaced.
 type VersionsRecorded struct {
-	Record affinity.Record
-	Era    uint64
+	Record   affinity.Record
+	Era      uint64
+	Unstored bool
 }
 
 // CopyConfirmed says that the host's copy of the store was current at a time, and that the host was registered there.
--- a/scheduler/version.go
+++ b/scheduler/version.go
@@ -15,7 +15,11 @@
 
 // applyVersions applies the store's record of versions.
 func (cor *Core) applyVersions(now time.Time, evt VersionsRecorded) {
-	cor.versions.Apply(now, evt.Record, evt.Era)
+	if evt.Unstored {
+		cor.versions.Reduce(now, evt.Record, evt.Era)
+	} else {
+		cor.versions.Apply(now, evt.Record, evt.Era)
+	}
 	for _, svc := range cor.services {
 		cor.markRecorded(svc)
 		cor.serve(now, svc)
--- a/scheduler/version_test.go
+++ b/scheduler/version_test.go
@@ -129,6 +129,32 @@
 	}
 }
 
+// Guards against streams that a host refuses right after its start because its copy of the store isn't confirmed yet: they
+// wait for that, for as long as for an engine.
+func TestResumptionAwaitsFirstConfirmation(t *testing.T) {
+	start := func() *harness {
+		har := &harness{core: scheduler.New(scheduler.Config{Share: limitshare.Whole, Self: ownEpoch}), now: time.Unix(5000, 0), cutOff: true}
+		har.handle(scheduler.VersionsRecorded{Record: affinity.Record{Number: 1, Versions: map[string][]string{"model": {"v1"}}}})
+		har.handle(scheduler.EnginesChanged{Engines: []fleet.Engine{versionedModel("e1", "v1")}})
+		return har
+	}
+	har := start()
+	assert.Equal(t, outcomeOf(har.reserve(resumption("again", "unknown"))), "none")
+	assert.Assert(t, har.core.HasWaiting())
+	assert.Equal(t, outcomeOf(har.handle(scheduler.CopyConfirmed{At: har.now})), "e1")
+	har = start()
+	res := resumption("again", "unknown")
+	har.reserve(res)
+	har.now = har.now.Add(res.MaxWait())
+	assert.Equal(t, outcomeOf(har.handle(scheduler.Tick{})), "Version")
+	har.reserve(res)
+	har.handle(scheduler.Received{From: peerEpoch, Message: reservation.Withdraw{ID: res.ID}})
+	assert.Assert(t, !har.core.HasWaiting())
+	har.reserve(res)
+	har.handle(scheduler.GatewayLost{Gateway: peerEpoch})
+	assert.Assert(t, !har.core.HasWaiting())
+}
+
 // Guards against resumed streams that are refused while new ones begin, when few engines of their version are
 // left and all are full: they go first when a slot becomes free.
 func TestResumedStreamsGoFirstAtTheEnginesOfTheirVersion(t *testing.T) {
--- a/tools/mutate/versions.go
+++ b/tools/mutate/versions.go
@@ -102,7 +102,7 @@
 	},
 	{
 		"Versions: a version that joins is announced", "affinity/record.go",
-		"	if rec.Number > 0 {\n", "	if rec.Number > 0 && rec.Announced != nil {\n",
+		"	if announce {\n", "	if announce && rec.Announced != nil {\n",
 		versions,
 	},
 	{
