fix(scheduler): a lone host with an old copy begins no streams that may be resumed

Callers saw streams of two versions where revocation isn't strict, or on public routes: a host that was cut off for longer than the life of a stream went on beginning streams at a version whose entries had gone; the others had taken it out of the record, took the version that was left for the only one, and resumed them there.

Cause: the other side of the same conclusion, "not listed for the life of a stream, so nobody begins streams at it". Streams that can't be resumed and other requests go on.

The dump shows the record of versions that a host has; the test of a host out of step waits until each host has it (it failed once: its host was cut off before).

--- a/entry/dump.go
+++ b/entry/dump.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lynxwell.dev/lynxwell/admission"
+	"lynxwell.dev/lynxwell/affinity"
 	"lynxwell.dev/lynxwell/evacuation"
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/scheduler"
@@ -47,6 +48,8 @@
 	Deposed         string `json:",omitempty"`
 	Tasks           []string
 	Scheduler       scheduler.Dump
+	// Versions is the record of software versions that may have begun streams that live.
+	Versions affinity.Record
 	// Limits is what this host has of the limits.
 	Limits LimitsDump
 	// Evacuations are the failure domains that are being evacuated.
@@ -124,7 +127,7 @@
 	if epo := bro.deposed.Latest(now); epo != 0 {
 		dum.Deposed = epo.String()
 	}
-	dum.Scheduler = bro.core.Dump(now)
+	dum.Scheduler, dum.Versions = bro.core.Dump(now), bro.core.Versions()
 	if bro.coordinatesLocked() {
 		bro.evacuations.SetHosts(bro.senders())
 	}
--- a/entry/elect.go
+++ b/entry/elect.go
@@ -127,7 +127,8 @@
 // engines' slots.
 func (bro *broker) updateHosts(chosen request.Epoch) {
 	standby := chosen != bro.host.epoch && bro.servedHosts() == 1
-	bro.handleLocked(scheduler.HostsChanged{Hosts: len(bro.membership.members), Position: bro.position(), Standby: standby})
+	leads := chosen == bro.host.epoch && (bro.isLeader() || len(bro.membership.members) == 1)
+	bro.handleLocked(scheduler.HostsChanged{Hosts: len(bro.membership.members), Position: bro.position(), Standby: standby, Leads: leads})
 }
 
 // position returns this host's place among all hosts, in the order of their names.
--- a/entry/outofstep_test.go
+++ b/entry/outofstep_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync"
@@ -10,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"lynxwell.dev/lynxwell/affinity"
+	"lynxwell.dev/lynxwell/entry"
 	"lynxwell.dev/lynxwell/entrytest"
 	"lynxwell.dev/lynxwell/upstreamtest"
 )
@@ -40,7 +42,7 @@
 	})
 }
 
-// startWithOneVersion starts hosts and four engines of v1, and waits until the store's record names it.
+// startWithOneVersion starts hosts and four engines of v1, and waits until all hosts have the store's record of it.
 func startWithOneVersion(t *testing.T, hosts int) *versionedSystem {
 	t.Helper()
 	var engines []*upstreamtest.Engine
@@ -52,7 +54,16 @@
 	sys.WaitForReady()
 	sys.WaitForEngines(len(engines))
 	vsy := &versionedSystem{System: sys, t: t, engines: engines}
-	vsy.begin(1)
+	vsy.WaitUntil("record known", func() bool {
+		for _, hos := range vsy.Hosts {
+			var dum entry.Dump
+			assert.NilError(t, json.Unmarshal([]byte(vsy.Dump(hos)), &dum))
+			if !dum.Versions.Has(entrytest.Model, "v1") {
+				return false
+			}
+		}
+		return true
+	})
 	return vsy
 }
 
--- a/entry/reserve.go
+++ b/entry/reserve.go
@@ -219,6 +219,8 @@
 		pro.cause, pro.detail = causeNoRegion, "no engine is in the regions that the route and the client account allow"
 	case reservation.ReasonVersion:
 		pro.cause, pro.detail = causeVersionGone, "the software version that began this stream doesn't serve any more, or the stream isn't known"
+	case reservation.ReasonCopyStale:
+		pro.cause, pro.detail = causeNotReady, "this host hasn't heard from the store or the other hosts for too long to begin a stream that may be resumed"
 	case reservation.ReasonPartHeld:
 		pro.cause, pro.detail = causeHeld, "engines ended as they began to answer on a part of this prompt, so it isn't run before Retry-After"
 	case reservation.ReasonHeld:
--- a/reservation/reservation.go
+++ b/reservation/reservation.go
@@ -225,11 +225,14 @@
 	// ReasonNoShare means that the host has no share of the client account's limit at the moment, so that it
 	// can't know whether the request is within the limit.
 	ReasonNoShare
+	// ReasonCopyStale means that the host's copy of the store is too old to begin a stream that may be resumed: the
+	// other hosts may have forgotten the software version at which it would begin.
+	ReasonCopyStale
 )
 
 // String returns the name of the reason.
 func (rea Reason) String() string {
-	names := [...]string{"None", "Full", "Moved", "Expired", "Closed", "Fenced", "Forgotten", "NotGranter", "Overload", "Limit", "Budget", "NoEngine", "Held", "Backoff", "Rate", "Region", "Version", "PartHeld", "NoShare"}
+	names := [...]string{"None", "Full", "Moved", "Expired", "Closed", "Fenced", "Forgotten", "NotGranter", "Overload", "Limit", "Budget", "NoEngine", "Held", "Backoff", "Rate", "Region", "Version", "PartHeld", "NoShare", "CopyStale"}
 	if int(rea) >= len(names) {
 		return "Invalid"
 	}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -52,9 +52,15 @@
 		return
 	}
 	ori, basis := cor.originOf(now, res)
-	if basis == OriginStale && !cor.versions.WasConfirmed() {
+	mayBegin := cor.mayBegin(now, res)
+	switch {
+	case mayBegin && basis != OriginStale:
+	case !cor.versions.WasConfirmed():
 		cor.awaitConfirmation(now, from, res)
 		return
+	case !mayBegin:
+		cor.refuse(from, res, reservation.ReasonCopyStale, svc.inputs(now, now))
+		return
 	}
 	if res.Resumed && (!basis.IsKnown() || ori.Service != res.Service || !svc.serves(ori.Version)) {
 		inp := svc.inputs(now, now)
@@ -205,7 +211,7 @@
 }
 
 func (cor *Core) withdraw(now time.Time, id request.ID) {
-	cor.dropUnconfirmed(func(unc unconfirmedResumption) bool { return unc.reserve.ID == id })
+	cor.dropUnconfirmed(func(unc unconfirmedReservation) bool { return unc.reserve.ID == id })
 	for _, svc := range cor.services {
 		if wai, waiting := svc.queue.Remove(id); waiting {
 			svc.specials.remove(wai)
--- a/scheduler/version.go
+++ b/scheduler/version.go
@@ -84,6 +84,13 @@
 	cor.versions.Observe(now, svc.name, versions)
 }
 
+// mayBegin reports whether the request may begin a stream that may be resumed, if it does. A host that is alone and hasn't
+// heard from the store for long may not: the others take a version out of the record that hasn't been listed for long. Those
+// that lead most hosts may, since the others are with them.
+func (cor *Core) mayBegin(now time.Time, res reservation.Reserve) bool {
+	return res.Stream == 0 || res.Resumed || cor.leads || cor.versions.IsCurrent(now)
+}
+
 // OriginBasis is what a core's knowledge of the origin of a resumed stream rests on.
 type OriginBasis uint8
 
--- a/scheduler/version_test.go
+++ b/scheduler/version_test.go
@@ -115,6 +115,32 @@
 	}
 }
 
+// Guards against streams that a host begins at a version of which the others may have forgotten: a host that is alone and
+// hasn't heard from the store for long begins none, one that leads most hosts does.
+func TestLoneHostWithOldCopyBeginsNoStreams(t *testing.T) {
+	for name, tst := range map[string]struct {
+		cutOff time.Duration
+		leads  bool
+		want   string
+	}{
+		"current copy":          {affinity.MaxSoleAge, false, "e1"},
+		"old copy":              {affinity.MaxSoleAge + 1, false, "CopyStale"},
+		"old copy, leads hosts": {time.Minute, true, "e1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			har := newHarness(versionedModel("e1", "v1"))
+			har.handle(scheduler.VersionsRecorded{Record: affinity.Record{Number: 1, Versions: map[string][]string{"model": {"v1"}}}})
+			har.handle(scheduler.HostsChanged{Hosts: 4, Leads: tst.leads})
+			har.cutOff = true
+			har.now = har.now.Add(tst.cutOff)
+			res := promptReservation("begins", 10)
+			res.Stream, res.StreamLife = affinity.StreamOf("", "begins"), playedLife
+			assert.Equal(t, outcomeOf(har.reserve(res)), tst.want)
+			assert.Equal(t, outcomeOf(har.reserve(promptReservation("other", 10))), "e1", "streams that aren't resumed")
+		})
+	}
+}
+
 // Guards against clients that give a stream up because of a host whose copy of the store is old: another one may know it.
 func TestClientComesBackAfterRefusalFromOldCopy(t *testing.T) {
 	for cutOff, comesBack := range map[time.Duration]bool{0: false, affinity.MaxSoleAge + 1: true} {
