fix(scheduler): a resumption waits for the report of its stream's first event

Callers saw 503 VersionGone, final, for a stream whose version serves, when they resumed it at another host within milliseconds of its first event.

Cause: the gateway's report of the first event and the resumption reach the coordinator by two ways. If the resumption came first, the origin was Unknown and the stream refused, although the coordinator had been asked for its engine.

Change: a core remembers the streams for which it was asked, while several versions may have begun streams. A resumption of one whose origin isn't known waits for the report for as long as a reservation may wait (a quarter of the latency target), and is decided then with what is known; the refusal names a time to try again, since the report may still come. Nothing is concluded from the grant, and a stream for which the core wasn't asked is refused at once as before.

TestNoStreamIsGrantedAnotherVersion is stricter: it checks grants that come later, too, and origins are reported late.

--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -46,16 +46,24 @@
 	predicted time.Duration
 }
 
-func (cor *Core) reserve(now time.Time, from request.Epoch, res reservation.Reserve) {
+// reserve decides a reservation, or lets it wait.
+func (cor *Core) reserve(now time.Time, unr unresolved) {
+	res, from := unr.reserve, unr.gateway
 	svc := cor.service(res.Service)
+	if !res.Resumed {
+		cor.expectOrigin(now, res.Service, res.Stream, res.StreamLife)
+	}
 	if cor.refuseQuarantined(now, from, res, svc) || cor.refuseRegion(now, from, res, svc) {
 		return
 	}
 	ori, basis := cor.originOf(now, res)
+	if res.Resumed && !basis.IsKnown() && cor.awaitOrigin(now, unr) {
+		return
+	}
 	if res.Resumed && (!basis.IsKnown() || ori.Service != res.Service || !svc.serves(ori.Version)) {
-		inp := svc.inputs(now, now)
+		inp := svc.inputs(now, unr.since)
 		inp.Origin, inp.EngineVersion = basis, ori.Version
-		cor.refuseVersion(from, res, inp)
+		cor.refuseVersion(now, from, res, inp)
 		return
 	}
 	switch {
@@ -63,19 +71,19 @@
 	case res.Attempt == 0:
 		svc.retries.count(now)
 	case !svc.retries.take(now, cor.suspended):
-		cor.refuse(from, res, reservation.ReasonBudget, svc.inputs(now, now))
+		cor.refuse(from, res, reservation.ReasonBudget, svc.inputs(now, unr.since))
 		return
 	}
 	if reason, charged := cor.chargeAttempt(now, from, res); !charged {
 		cor.refuseLimit(now, from, res, svc, reason)
 		return
 	}
-	wai := &waiter{reserve: res, gateway: from, since: now, scope: strings.Join(res.Regions, " ")}
+	wai := &waiter{reserve: res, gateway: from, since: unr.since, scope: strings.Join(res.Regions, " ")}
 	if res.Resumed {
 		wai.pin(ori.Version, basis)
 	}
 	wai.late = res.IsLate()
-	wai.until = now.Add(res.MaxWait())
+	wai.until = unr.until()
 	if cor.refuseEarly(now, svc, wai) {
 		return
 	}
@@ -162,10 +170,11 @@
 	cor.send(to, reservation.Refuse{ID: res.ID, Ballot: res.Ballot, Reason: reason, RetryAfter: RetryAfter(res), Waited: inp.Waited}, inp)
 }
 
-// refuseVersion refuses a resumed stream that can't go on. Its client may try again only where another host may know more.
-func (cor *Core) refuseVersion(to request.Epoch, res reservation.Reserve, inp Inputs) {
+// refuseVersion refuses a resumed stream that can't go on. Its client may try again only where another host may know more,
+// or this core expects to.
+func (cor *Core) refuseVersion(now time.Time, to request.Epoch, res reservation.Reserve, inp Inputs) {
 	ref := reservation.Refuse{ID: res.ID, Ballot: res.Ballot, Reason: reservation.ReasonVersion, Waited: inp.Waited}
-	if inp.Origin == OriginStale {
+	if inp.Origin == OriginStale || inp.Origin == OriginUnknown && cor.expectsOrigin(now, res.Stream) {
 		ref.RetryAfter = RetryAfter(res)
 	}
 	cor.send(to, ref, inp)
@@ -201,6 +210,9 @@
 }
 
 func (cor *Core) withdraw(now time.Time, id request.ID) {
+	if cor.removeUnresolved(func(unr unresolved) bool { return unr.reserve.ID == id }) {
+		return
+	}
 	for _, svc := range cor.services {
 		if wai, waiting := svc.queue.Remove(id); waiting {
 			svc.specials.remove(wai)
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -137,6 +137,7 @@
 	rnn := &run{engine: ene, gateway: from, account: ado.Account, tokens: ado.PromptTokens, prefillPending: ado.PendingPrefill, subject: ado.Subject(), suspected: cor.isSuspectedDigest(now, ado.Digest), inherited: inherited}
 	rnn.parts = partDigests(ado.Service, ado.Parts)
 	rnn.stream, rnn.streamLife = ado.Stream, ado.StreamLife
+	cor.expectOrigin(now, ado.Service, ado.Stream, ado.StreamLife)
 	rnn.share, rnn.work = cor.shareOf(fairqueue.Class{Rank: ado.Rank, Urgency: ado.Urgency}, ado.Account, ado.Client), ado.Work
 	cor.service(ene.Service).queue.Charge(rnn.share, rnn.work)
 	cor.recordStart(rnn)
--- a/scheduler/serve.go
+++ b/scheduler/serve.go
@@ -178,7 +178,7 @@
 		}
 		if wai.pinned && !svc.serves(wai.version) {
 			cor.refund(wai.reserve.Account, wai.reserve.Cost)
-			cor.refuseVersion(wai.gateway, wai.reserve, svc.inputsFor(pss.now, wai))
+			cor.refuseVersion(pss.now, wai.gateway, wai.reserve, svc.inputsFor(pss.now, wai))
 			continue
 		}
 		if !wai.late && han == handleNormal {
--- a/scheduler/version_test.go
+++ b/scheduler/version_test.go
@@ -152,6 +152,53 @@
 	t.Fatal("the resumed stream gets no engine")
 }
 
+// Guards against a resumption that is refused, or goes on at another version, because it overtakes the report of the first
+// event of its stream: it waits for that, for as long as it may wait at all.
+func TestResumptionWaitsForTheReportOfItsStream(t *testing.T) {
+	elsewhere := reservation.StreamsBegan{Batch: affinity.Batch{Origin: affinity.Origin{Service: "model", Version: "v2"}, KeepFor: time.Minute, Streams: []affinity.Stream{affinity.StreamOf("", "begun")}}}
+	for name, tst := range map[string]struct {
+		// report is what arrives while the resumption waits; nil for nothing.
+		report reservation.Message
+		want   string
+		after  time.Duration
+		// elsewhere is set if the gateway gives up waiting for this core, and asks its own.
+		elsewhere bool
+	}{
+		"first event here":      {report: reservation.Progress{ID: requestID("begun"), FirstToken: time.Millisecond}, want: "e1"},
+		"first event elsewhere": {report: elsewhere, want: "e2"},
+		"granted elsewhere":     {report: elsewhere, elsewhere: true, want: "e2"},
+		"no report":             {after: 235 * time.Millisecond, want: "Version"},
+		"withdrawn":             {report: reservation.Withdraw{ID: requestID("again")}, after: 235 * time.Millisecond, want: "none"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			har := newHarness(versionedModel("e1", "v1"))
+			har.handle(scheduler.VersionsRecorded{Record: affinity.Record{Number: 1, Versions: map[string][]string{"model": {"v1", "v2"}}}})
+			begin := promptReservation("begun", 10)
+			begin.Stream, begin.StreamLife = affinity.StreamOf("", "begun"), playedLife
+			assert.Equal(t, outcomeOf(har.reserve(begin)), "e1")
+			har.handle(scheduler.EnginesChanged{Engines: []fleet.Engine{versionedModel("e1", "v1"), versionedModel("e2", "v2")}})
+			if tst.elsewhere {
+				har.handle(scheduler.Received{From: peerEpoch, Message: reservation.Withdraw{ID: begin.ID}})
+			}
+			assert.Equal(t, outcomeOf(har.reserve(resumption("again", "begun"))), "none")
+			assert.Assert(t, har.core.HasWaiting())
+			var sends []scheduler.Send
+			if tst.report != nil {
+				sends = har.handle(scheduler.Received{From: peerEpoch, Message: tst.report})
+			}
+			if tst.after > 0 {
+				assert.Equal(t, outcomeOf(har.advance(tst.after-1)), "none")
+				sends = har.advance(1)
+			}
+			assert.Equal(t, outcomeOf(sends), tst.want)
+			assert.Assert(t, !har.core.HasWaiting())
+			if tst.want == "Version" {
+				assert.Assert(t, sends[0].Message.(reservation.Refuse).RetryAfter > 0, "the report may still come")
+			}
+		})
+	}
+}
+
 // A stream that may crash its engine is isolated at an engine of its own version.
 func TestSuspectedResumptionStaysAtItsVersion(t *testing.T) {
 	har := newHarness(versionedModel("a", "v1"), versionedModel("b", "v1"), versionedModel("c", "v1"), versionedModel("d", "v2"), versionedModel("e", "v2"), versionedModel("f", "v2"))
@@ -192,10 +239,14 @@
 	// record and origins are what the store has.
 	record  affinity.Record
 	origins []affinity.Batch
-	// began is the version that began each stream, beganAt when.
+	// streams are those that began, began is the version that began each stream, beganAt when.
+	streams []string
 	began   map[string]string
 	beganAt map[string]time.Time
 	next    int
+	// unreported are the origins that were not reported yet, resumes is the stream that each reservation resumes.
+	unreported []affinity.Batch
+	resumes    map[string]string
 }
 
 // playedLife is how long a client resumes a stream.
@@ -246,7 +297,11 @@
 	engine := outcomeOf(vpl.reserve(res))
 	if version := vpl.engines[engine].Version; version != "" {
 		vpl.began[stream], vpl.beganAt[stream] = version, vpl.now
+		vpl.streams = append(vpl.streams, stream)
 		bat := affinity.Batch{Origin: affinity.Origin{Service: "model", Version: version}, KeepFor: playedLife, Streams: []affinity.Stream{res.Stream}}
+		if !kept {
+			vpl.unreported = append(vpl.unreported, bat)
+		}
 		if kept {
 			vpl.handle(scheduler.Received{From: peerEpoch, Message: reservation.StreamsBegan{Batch: bat}})
 		}
@@ -257,16 +312,32 @@
 	vpl.release(reservation.Release{ID: res.ID, Dispatched: true, Answered: true})
 }
 
-// resume resumes a stream whose client hasn't given it up, and returns the version at which it goes on; empty for none.
-func (vpl *versionPlay) resume(stream string) string {
+// resume resumes a stream whose client hasn't given it up.
+func (vpl *versionPlay) resume(stream string) {
 	if vpl.now.Sub(vpl.beganAt[stream]) > playedLife {
-		return ""
+		return
 	}
 	vpl.next++
 	res := resumption(fmt.Sprint("again-", vpl.next), stream)
-	engine := outcomeOf(vpl.reserve(res))
-	vpl.release(reservation.Release{ID: res.ID, Dispatched: true, Answered: true})
-	return vpl.engines[engine].Version
+	vpl.resumes[res.ID.Unique] = stream
+	vpl.reserve(res)
+}
+
+// check checks the version of each resumption granted since the last call, and ends it.
+func (vpl *versionPlay) check(rt *rapid.T) {
+	sends := vpl.sends
+	vpl.sends = nil
+	for _, snd := range sends {
+		gra, isGrant := snd.Message.(reservation.Grant)
+		stream := vpl.resumes[gra.ID.Unique]
+		if !isGrant || stream == "" {
+			continue
+		}
+		if gra.Version != vpl.began[stream] {
+			rt.Fatalf("stream of %s goes on at %s", vpl.began[stream], gra.Version)
+		}
+		vpl.release(reservation.Release{ID: gra.ID, Dispatched: true, Answered: true})
+	}
 }
 
 // Whatever versions come and go, whichever streams begin and are resumed, and whenever all hosts are lost or the store is
@@ -274,8 +345,15 @@
 // what it has seen since its start for all that was.
 func TestNoStreamIsGrantedAnotherVersion(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		vpl := &versionPlay{harness: newHarness(), engines: make(map[string]fleet.Engine), began: make(map[string]string), beganAt: make(map[string]time.Time)}
+		vpl := &versionPlay{harness: newHarness(), engines: make(map[string]fleet.Engine), began: make(map[string]string), beganAt: make(map[string]time.Time), resumes: make(map[string]string)}
 		rt.Repeat(map[string]func(*rapid.T){
+			"": vpl.check,
+			"report": func(*rapid.T) {
+				for _, bat := range vpl.unreported {
+					vpl.handle(scheduler.Received{From: peerEpoch, Message: reservation.StreamsBegan{Batch: bat}})
+				}
+				vpl.unreported = nil
+			},
 			"engines": func(rt *rapid.T) {
 				name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "engine")
 				if rapid.Bool().Draw(rt, "leaves") {
@@ -289,13 +367,11 @@
 			"restart": func(*rapid.T) { vpl.restart() },
 			"begin":   func(rt *rapid.T) { vpl.begin(rapid.Bool().Draw(rt, "kept")) },
 			"resume": func(rt *rapid.T) {
-				if vpl.next == 0 {
+				if len(vpl.streams) == 0 {
 					return
 				}
-				stream := fmt.Sprint("stream-", rapid.IntRange(1, vpl.next).Draw(rt, "stream"))
-				if version := vpl.resume(stream); version != "" && vpl.began[stream] != "" && version != vpl.began[stream] {
-					rt.Fatalf("stream of %s goes on at %s", vpl.began[stream], version)
-				}
+				stream := rapid.SampledFrom(vpl.streams).Draw(rt, "stream")
+				vpl.resume(stream)
 			},
 			"wait": func(rt *rapid.T) {
 				vpl.advance(time.Duration(rapid.SampledFrom([]int{1, 1, 5, 20}).Draw(rt, "seconds")) * time.Second)
