fix(entry): an engine that takes no requests doesn't disqualify the hosts that say so

Callers of a host that reaches no engine itself saw 503 Overload, "no engine has room in time", while one of two engines drained and the other was free.

Cause: the cut host was granted the draining engine before it knew of that, and asked the others to forward. They answered NoPath, "the engine isn't known, or takes no requests", and the cut host counted that as a failure of their own paths. For the next engine it had no forwarder left, excluded that engine, too, and waited in vain.

Change: such a host answers Blocked, as it does for a request that it must not send, and Blocked says nothing of the host's paths. The next host is asked as before, since its knowledge may differ. The new unit test failed before.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -100,7 +100,7 @@
 		if forwardResult(err) == peer.ForwardUnreachable {
 			return nil, &upstream.NotSentError{Address: cal.Address, Cause: err}
 		}
-		exc.host.paths.recordForwarder(mem.Epoch, err == nil)
+		exc.host.paths.recordForwarder(mem.Epoch, forwardResult(err))
 		if err != nil {
 			exc.host.log.Info().Err(err).Str("Request", cal.ID).Stringer("Engine", eng.ID).Str("Member", mem.Name).Msg("host can't forward")
 			continue
--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -29,7 +29,7 @@
 	case hos.paths.areLost():
 		return nil, &peer.ForwardError{Result: peer.ForwardNoPath, Detail: "the host reaches no engine"}
 	case !known || eng.Closed():
-		return nil, &peer.ForwardError{Result: peer.ForwardNoPath, Detail: "the engine isn't known, or takes no requests"}
+		return nil, &peer.ForwardError{Result: peer.ForwardBlocked, Detail: "the engine isn't known, or takes no requests"}
 	}
 	cnd, err := hos.connect(ctx, eng)
 	if err != nil {
--- a/entry/forwarder_test.go
+++ b/entry/forwarder_test.go
@@ -24,6 +24,25 @@
 	return platform.EngineHeader(call.Request{Header: http.Header{}}, platform.Attempt{Account: account})
 }
 
+// Guards against a cut host that has no host left to forward for it, since those that it asked knew before it that an engine
+// drains or has left.
+func TestEngineThatTakesNoRequestsDoesNotDisqualifyForwarders(t *testing.T) {
+	run := fleet.EngineID{Name: "e1"}
+	for name, engines := range map[string]map[string]fleet.Engine{"draining": {"e1": {ID: run, Draining: true}}, "gone": {}} {
+		t.Run(name, func(t *testing.T) {
+			other, cut := newTestHost(t, io.Discard), newTestHost(t, io.Discard)
+			other.snapshot.Store(&snapshot{engines: engines})
+			cut.snapshot.Store(&snapshot{members: []fleet.Member{{Name: "h2", Epoch: 2}}})
+			_, err := forwarder{host: other}.OpenForward(t.Context(), run)
+			assert.ErrorContains(t, err, "takes no requests")
+			cut.paths.recordForwarder(2, forwardResult(err))
+			assert.Equal(t, len(cut.paths.forwarders()), 1)
+			cut.paths.recordForwarder(2, peer.ForwardNoPath)
+			assert.Equal(t, len(cut.paths.forwarders()), 0)
+		})
+	}
+}
+
 // Guards against a host that forwards what it would not send itself: the other host's knowledge may be older, and
 // the engine's signals concern the host that sends.
 func TestForwarderChecksRequestsItself(t *testing.T) {
--- a/entry/paths.go
+++ b/entry/paths.go
@@ -8,6 +8,7 @@
 
 	"lynxwell.dev/lynxwell/egress"
 	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/peer"
 	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/task"
 	"lynxwell.dev/lynxwell/upstream"
@@ -190,11 +191,15 @@
 	return pat.choice.Order(pat.host.clock.Now(), members, pat.host.set.Domain)
 }
 
-// recordForwarder records whether a host has a connection to an engine.
-func (pat *paths) recordForwarder(epo request.Epoch, proven bool) {
+// recordForwarder records whether a host has a connection to an engine. That it sends nothing to the engine says nothing
+// of its paths to others.
+func (pat *paths) recordForwarder(epo request.Epoch, opened peer.ForwardResult) {
+	if opened == peer.ForwardBlocked {
+		return
+	}
 	now := pat.host.clock.Now()
 	pat.mutex.Lock()
-	if !proven {
+	if opened != peer.ForwardComplete {
 		pat.choice.Failed(now, epo)
 		pat.mutex.Unlock()
 		return
