fix(quarantine): a burst of crashes restricts only sources that caused a part of it

Callers of sound client accounts waited for isolated engines after many engines had crashed at once for a reason of their own.

Cause: the sequential test takes each crash for an independent observation, and two requests on crashed engines are enough for a source with few. In a burst, hundreds of sources are tested within a moment, and a source's absence at most crashes is forgotten (the score starts at 0 again).

Change: eight or more crashes of a service within NewRequestAge are judged together, too. A source is restricted by them only if its presence exceeds what its share explains by a quarter of the burst and 2.5 standard deviations; a restriction from the first crashes of the burst is lifted otherwise. Nothing changes for engines that crash one after another.

--- a/quarantine/registry.go
+++ b/quarantine/registry.go
@@ -23,8 +23,10 @@
 	unconfirmedByEngine map[string]int
 	aliveCounts         map[call.Digest]int
 	// cleared is when each request was cleared on this host, for clearedTTL.
-	cleared   map[call.Digest]time.Time
-	sources   map[TrafficSource]*sourceState
+	cleared map[call.Digest]time.Time
+	sources map[TrafficSource]*sourceState
+	// bursts are the latest crashes of each service.
+	bursts    map[string]*burst
 	changes   []Change
 	nextPrune time.Time
 	// version counts the recorded crashes, merged reports and restrictions of traffic sources.
@@ -41,7 +43,7 @@
 	return &Registry{
 		cfg: cfg, cases: make(map[call.Digest]*Case), unconfirmed: make(map[unconfirmedKey]unconfirmedCrash), unconfirmedCounts: make(map[call.Digest]int),
 		unconfirmedByEngine: make(map[string]int), aliveCounts: make(map[call.Digest]int), cleared: make(map[call.Digest]time.Time),
-		sources: make(map[TrafficSource]*sourceState), stored: make(map[call.Digest]storedHold),
+		sources: make(map[TrafficSource]*sourceState), bursts: make(map[string]*burst), stored: make(map[call.Digest]storedHold),
 	}
 }
 
--- a/quarantine/source.go
+++ b/quarantine/source.go
@@ -37,10 +37,11 @@
 	// that it was present by coincidence.
 	score     float64
 	lastCrash time.Time
-	// restricted reports whether the source's requests run only on isolated engines. None of
-	// them is run until pausedUntil.
-	restricted  bool
-	pausedUntil time.Time
+	// restricted reports whether the source's requests run only on isolated engines, from
+	// restrictedAt on. None of them is run until pausedUntil.
+	restricted   bool
+	restrictedAt time.Time
+	pausedUntil  time.Time
 	// consecutiveAnswers counts the requests answered in a row while the source is restricted.
 	consecutiveAnswers int
 }
@@ -80,12 +81,19 @@
 )
 
 // RecordUnexplainedCrash records the crash of an engine whose requests were part of no earlier
-// crash, and returns the sources that are restricted from now on. A source that changes its
-// request each time is detected because it is present at more crashes than its share of the
-// engines explains.
-func (reg *Registry) RecordUnexplainedCrash(now time.Time, present []Presence) []TrafficSource {
+// crash, and returns the sources that are restricted from now on, and those that no longer are. A
+// source that changes its request each time is detected because it is present at more crashes than
+// its share of the engines explains. A restriction that rests on a burst of crashes ends once the
+// burst shows that the source hasn't caused a part of it.
+func (reg *Registry) RecordUnexplainedCrash(now time.Time, present []Presence) (restricted, lifted []TrafficSource) {
+	if len(present) == 0 {
+		return nil, nil
+	}
+	service := present[0].TrafficSource.Service
+	bur := reg.burstOf(service)
+	bur.add(now, present)
+	innocent := bur.innocent()
 	seen := make(map[TrafficSource]bool, len(present))
-	var restricted []TrafficSource
 	for _, pre := range present {
 		seen[pre.TrafficSource] = true
 		sta := reg.sources[pre.TrafficSource]
@@ -98,18 +106,40 @@
 		}
 		sta.lastCrash = now
 		sta.score = max(0, sta.score+pre.scoreStep())
-		if sta.score >= restrictScore && !sta.restricted {
-			sta.restricted, sta.consecutiveAnswers = true, 0
+		if sta.score >= restrictScore && !sta.restricted && !innocent(pre.TrafficSource) {
+			sta.restricted, sta.restrictedAt, sta.consecutiveAnswers = true, now, 0
 			reg.version++
 			restricted = append(restricted, pre.TrafficSource)
 		}
 	}
 	for src, sta := range reg.sources {
-		if len(present) > 0 && src.Service == present[0].TrafficSource.Service && !seen[src] {
+		if src.Service != service {
+			continue
+		}
+		if !seen[src] {
 			sta.score = max(0, sta.score-absenceStep)
 		}
+		if !innocent(src) {
+			continue
+		}
+		sta.score = min(sta.score, scoreAfterLift)
+		if sta.restricted && !sta.restrictedAt.Before(bur.began()) {
+			sta.restricted = false
+			reg.version++
+			lifted = append(lifted, src)
+		}
+	}
+	return restricted, lifted
+}
+
+// burstOf returns the latest crashes of the service.
+func (reg *Registry) burstOf(service string) *burst {
+	bur := reg.bursts[service]
+	if bur == nil {
+		bur = &burst{}
+		reg.bursts[service] = bur
 	}
-	return restricted
+	return bur
 }
 
 // scoreStep returns by how much the crash changes the source's score.
@@ -177,6 +207,7 @@
 		}
 		delete(reg.sources, src)
 	}
+	delete(reg.bursts, service)
 	return lifted
 }
 
@@ -198,4 +229,5 @@
 	maps.DeleteFunc(reg.sources, func(_ TrafficSource, sta *sourceState) bool {
 		return now.Sub(sta.lastCrash) > sourceTTL && !now.Before(sta.pausedUntil)
 	})
+	maps.DeleteFunc(reg.bursts, func(_ string, bur *burst) bool { return bur.isOver(now) })
 }
--- a/quarantine/source_test.go
+++ b/quarantine/source_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -93,3 +94,28 @@
 		})
 	}
 }
+
+// Guards against sources that crash many engines within a moment, and go on since the crashes are taken for one event.
+func TestSourcesOfManyCrashesAreRestricted(t *testing.T) {
+	for _, bad := range []int{1, 2} {
+		for seed := range uint64(20) {
+			t.Run(fmt.Sprintf("%d sources/%d", bad, seed), func(t *testing.T) {
+				engines := runningRequests(rand.New(rand.NewPCG(seed, 0)))
+				reg := quarantine.New(quarantine.Config{})
+				now := time.Unix(1000, 0)
+				for idx := range simCrashed {
+					poison := simRequest{source: quarantine.TrafficSource{Service: "model", Account: fmt.Sprint("bad-", idx%bad)}, isNew: true}
+					reg.RecordUnexplainedCrash(now, presenceAt(append(engines[idx], poison), engines[idx+1:]))
+					now = now.Add(time.Millisecond)
+				}
+				restricted := 0
+				for _, src := range reg.RestrictedSources() {
+					if strings.HasPrefix(src.Account, "bad-") {
+						restricted++
+					}
+				}
+				assert.Equal(t, restricted, bad)
+			})
+		}
+	}
+}
--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -304,9 +304,13 @@
 	for src := range sources {
 		present = append(present, quarantine.Presence{TrafficSource: src, HasRequest: true, HasNewRequest: newSources[src], RequestShare: shareOf(counts[src]), NewRequestShare: shareOf(newCounts[src])})
 	}
-	for _, src := range cor.quarantine.RecordUnexplainedCrash(now, present) {
+	restricted, lifted := cor.quarantine.RecordUnexplainedCrash(now, present)
+	for _, src := range restricted {
 		cor.sourceChanges = append(cor.sourceChanges, SourceChange{Source: src, Restricted: true})
 	}
+	for _, src := range lifted {
+		cor.sourceChanges = append(cor.sourceChanges, SourceChange{Source: src})
+	}
 }
 
 // sourcesAt returns the traffic sources with a request at the engine, and those with a request that
