test(soak): versions follow one another while hosts are out of step

In the soak all engines of both versions serve from the start, so no host concludes that one version alone has served, and no host is cut off from the others. The play of handovers starts with one version; engines of the next one join and the former ones leave, twice, while hosts are cut off from the store and all other hosts (refused or silent), frozen for up to 6 s, or all killed at once. Clients lose their streams after some events and resume them at any host, also one that is out of step. Checked: no stream has events of two versions, and while one version alone serves, none that is lost is refused for good.

A process's connections to other hosts pass a dialer that follows a file beside its settings, as those to engines do (cmd.Config.PeerDialer, nil in the program).

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -22,6 +22,7 @@
 	"github.com/rs/zerolog"
 
 	"lynxwell.dev/lynxwell/operator"
+	"lynxwell.dev/lynxwell/peer"
 	"lynxwell.dev/lynxwell/upstream"
 )
 
@@ -56,6 +57,8 @@
 	// EngineDialer opens the entry command's connections to engines and backend servers; nil for the
 	// default one.
 	EngineDialer upstream.Dialer
+	// PeerDialer opens the entry command's connections to other hosts; nil for the default one.
+	PeerDialer peer.Dialer
 }
 
 // commands returns all commands in the order in which the help lists them.
@@ -63,7 +66,7 @@
 	return []command{
 		newDemoCmd(),
 		newServeCmd(),
-		newEntryCmd(cfg.EngineDialer, hangups),
+		newEntryCmd(cfg, hangups),
 		newCheckCmd(),
 		newStoryCmd(),
 		newLossesCmd(),
--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -17,7 +17,6 @@
 	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/settings"
 	"lynxwell.dev/lynxwell/store"
-	"lynxwell.dev/lynxwell/upstream"
 )
 
 // logBufferLines is the number of log lines buffered for a slow log reader before the
@@ -26,9 +25,9 @@
 
 // entryCmd implements the entry command, which runs a host on the users' platform.
 type entryCmd struct {
-	sub    *flaggy.Subcommand
-	opts   entryOptions
-	dialer upstream.Dialer
+	sub  *flaggy.Subcommand
+	opts entryOptions
+	cfg  Config
 	// hangups delivers the signals that reload the settings.
 	hangups <-chan os.Signal
 }
@@ -42,8 +41,8 @@
 	check    bool
 }
 
-func newEntryCmd(dialer upstream.Dialer, hangups <-chan os.Signal) *entryCmd {
-	com := &entryCmd{dialer: dialer, hangups: hangups, sub: newSubcommand(nameEntry, "run one host on the users' platform",
+func newEntryCmd(cfg Config, hangups <-chan os.Signal) *entryCmd {
+	com := &entryCmd{cfg: cfg, hangups: hangups, sub: newSubcommand(nameEntry, "run one host on the users' platform",
 		"    lynxwell entry --settings entry.json\n    lynxwell entry --settings entry.json --check")}
 	com.sub.String(&com.opts.settings, "s", "settings", "settings file, JSON with comments (default: the file named by the platform's environment variable)")
 	com.sub.Bool(&com.opts.check, "c", "check", "validate the settings and exit")
@@ -74,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	return runEntry(ctx, entry.Config{Settings: set, Log: log, EngineDialer: com.dialer, SettingsFile: file, Hangups: com.hangups, LinesDropped: out.dropped.Load})
+	return runEntry(ctx, entry.Config{Settings: set, Log: log, EngineDialer: com.cfg.EngineDialer, PeerDialer: com.cfg.PeerDialer, SettingsFile: file, Hangups: com.hangups, LinesDropped: out.dropped.Load})
 }
 
 // logWriter is a log writer that never blocks. If the log's reader lags, it drops
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -315,7 +315,18 @@
 
 func (sys *system) addEngine(id, service string) {
 	sys.t.Helper()
-	version := softwareVersions[len(sys.engines)/2%len(softwareVersions)]
+	eng := sys.addEngineOf(id, service, softwareVersions[len(sys.engines)/2%len(softwareVersions)])
+	if sys.version > 0 {
+		// An engine that is added to the running system starts cold.
+		sys.markCold(eng)
+		return
+	}
+	sys.register(eng, false)
+}
+
+// addEngineOf starts an engine of a software version, without an entry in the store.
+func (sys *system) addEngineOf(id, service, version string) *engine {
+	sys.t.Helper()
 	args := []string{"upstream", "--id", id, "--service", service, "--software-version", version}
 	if service == entrytest.Model {
 		args = append(args, "--events", fmt.Sprint(streamEvents), "--step", "20ms", "--crash-body", entrytest.PoisonBody, "--crash-part", strconv.FormatUint(badPart, 16))
@@ -330,12 +341,7 @@
 		close(eng.crashed)
 	}()
 	sys.engines = append(sys.engines, eng)
-	if sys.version > 0 {
-		// An engine that is added to the running system starts cold.
-		sys.markCold(eng)
-		return
-	}
-	sys.register(eng, false)
+	return eng
 }
 
 func (sys *system) register(eng *engine, draining bool) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -14,6 +14,9 @@
 var (
 	seeds = flag.Int("soak.seeds", 0, "number of fresh seeds to run, starting at soak.first")
 	first = flag.Uint64("soak.first", 1, "the first of the fresh seeds")
+	// handovers are the same for plays of handovers.
+	handovers = flag.Int("soak.handovers", 0, "number of fresh seeds of handovers to run, starting at soak.first")
+
 	hosts = flag.Int("soak.hosts", 0, "number of hosts for the fresh seeds; 0 stands for 3")
 )
 
@@ -104,3 +107,20 @@
 		})
 	}
 }
+
+// Guards against streams with events of two versions, at hosts that are out of step while a version joins, and against
+// streams that are refused while one version alone serves.
+func TestHandover(t *testing.T) {
+	t.Parallel()
+	soak.RunHandover(t, 770002)
+}
+
+func TestFreshHandovers(t *testing.T) {
+	for idx := range *handovers {
+		seed := *first + uint64(idx)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			soak.RunHandover(t, seed)
+		})
+	}
+}
--- a/visitor/visitor.go
+++ b/visitor/visitor.go
@@ -48,6 +48,8 @@
 type Config struct {
 	// Directories are the addresses that serve the list of addresses, the nearest first.
 	Directories []netip.AddrPort
+	// Addresses are those of the hosts, for a client that doesn't request the list; nil for one that does.
+	Addresses []netip.AddrPort
 	// HostName is the host name of the requested routes, sent in the Host header and in the query
 	// for the list of addresses.
 	HostName string
@@ -63,6 +65,8 @@
 	// ExceedsTTL makes the client cache the list of addresses for three times as long as
 	// its TTL permits.
 	ExceedsTTL bool
+	// RefusedWait is the least wait after an attempt that reached no host or was refused.
+	RefusedWait time.Duration
 }
 
 // Client is one client. It sends one request at a time.
@@ -88,6 +92,8 @@
 	// Resumable allows a streaming request to be retried like a safe one. A retry resumes the stream after the
 	// last event received.
 	Resumable bool
+	// LoseAfter is the number of a stream's events after which the first attempt's connection is lost; 0 for never.
+	LoseAfter int
 	// Deadline bounds the time of all attempts together.
 	Deadline time.Duration
 	// MaxRetries is the maximum number of retries.
@@ -157,7 +163,7 @@
 		DisableCompression: true, DisableKeepAlives: !cfg.KeepAlive, MaxIdleConnsPerHost: 1,
 		TLSHandshakeTimeout: connectTimeout,
 	}
-	return &Client{cfg: cfg, transport: transport, failed: make(map[netip.AddrPort]bool)}
+	return &Client{cfg: cfg, transport: transport, addresses: cfg.Addresses, failed: make(map[netip.AddrPort]bool)}
 }
 
 // Close closes idle connections.
@@ -189,7 +195,11 @@
 		if len(res.Attempts) > req.MaxRetries || !mayRetry(req, att) || ctx.Err() != nil {
 			return res
 		}
-		task.Sleep(ctx, min(retryAfter(att.Header), time.Duration(maxWaitShare*float64(req.Deadline-res.Took))))
+		wait := retryAfter(att.Header)
+		if att.Unsent || att.GuaranteesNotRun() {
+			wait = max(wait, cli.cfg.RefusedWait)
+		}
+		task.Sleep(ctx, min(wait, time.Duration(maxWaitShare*float64(req.Deadline-res.Took))))
 	}
 }
 
@@ -283,7 +293,40 @@
 	}
 	defer rep.Body.Close()
 	att.Status, att.Header = rep.StatusCode, rep.Header
-	cli.read(rep.Body, att)
+	var body io.Reader = rep.Body
+	if req.LoseAfter > 0 && att.Resumes == "" {
+		body = &lostAfter{body: body, left: req.LoseAfter}
+	}
+	cli.read(body, att)
+}
+
+// LostError reports that the connection was lost on purpose.
+type LostError struct{}
+
+// Error implements error.
+func (*LostError) Error() string { return "connection lost on purpose" }
+
+// lostAfter reads a body and fails after a number of events.
+type lostAfter struct {
+	body io.Reader
+	// left is the number of events until then; an empty line ends each. last is the byte read last.
+	left int
+	last byte
+}
+
+// Read implements io.Reader.
+func (lat *lostAfter) Read(data []byte) (int, error) {
+	num, err := lat.body.Read(data)
+	for _, char := range data[:num] {
+		if char == '\n' && lat.last == '\n' {
+			lat.left--
+		}
+		lat.last = char
+	}
+	if err == nil && lat.left <= 0 {
+		err = &LostError{}
+	}
+	return num, err
 }
 
 // read reads an answer's body and records when its first byte arrived.
@@ -306,7 +349,7 @@
 // last fetched. If all of them have failed, it clears these failures.
 func (cli *Client) address(ctx context.Context) (netip.AddrPort, error) {
 	cli.mutex.Lock()
-	fresh := time.Now().Before(cli.expires)
+	fresh := cli.cfg.Addresses != nil || time.Now().Before(cli.expires)
 	cli.mutex.Unlock()
 	if !fresh {
 		cli.refresh(ctx)
