fix(affinity): the first record of versions names one

Callers saw 503 for streams that may be resumed after a site's start, when its hosts had started before its engines.

Cause: hosts wrote a first record without versions, which only named the life of a stream. It is the first record alone that opens its versions at once, since nobody concludes anything without one; the engines' version was then one that joins, and was announced, which takes up to OpenAfter (4.5 s) while no host has been registered for that long.

TestFirstRecordNamesVersions failed before.

A host without a record concludes nothing, as before, so the change opens nothing earlier than a host may conclude.

--- a/affinity/announce_test.go
+++ b/affinity/announce_test.go
@@ -254,3 +254,17 @@
 	})
 	assert.Assert(t, concluded > 0, "some hosts conclude")
 }
+
+// Guards against a site that begins no streams for seconds after its start: a first record without versions, of hosts that
+// started before the engines, made the engines' version one that joins.
+func TestFirstRecordNamesVersions(t *testing.T) {
+	his := affinity.NewHistory()
+	his.ObserveLife(time.Minute)
+	_, change := his.Next(start, 0, 0)
+	assert.Equal(t, change, affinity.ChangeNone)
+	his.Observe(start, "menus", []string{"v1"})
+	rec, change := his.Next(start, 0, 0)
+	assert.Equal(t, change, affinity.ChangeExtends)
+	his.Apply(start, rec, 0)
+	assert.Assert(t, his.IsOpen("menus", "v1"))
+}
--- a/affinity/history.go
+++ b/affinity/history.go
@@ -233,6 +233,10 @@
 		his.observeAnnounced(now)
 	}
 	next, changed := his.withMissing(now)
+	if next.Number == 0 && !changed {
+		// No version serves yet. The first record is the only one that opens its versions at once.
+		return his.record, ChangeNone
+	}
 	if next.open(his.ready(now, known)) {
 		changed = true
 	}
