fix(entry): a host out of step takes no planned stop for a crash

Callers saw 502 Held for a sound request, for an hour: a host that was cut off from the store and all others ran it on engines that stopped as planned meanwhile, and counted each end as a crash under it.

Cause: "not draining" was concluded from the host's copy of the store, and from a connection that the stopped engine refuses, without asking how old the copy is. A copy that doesn't show an engine's draining shows that its end is a crash only as far as the host would know of it.

Change: from an age of 3 s on (oldCopyAge; in step a copy is at most 2.8 s old), the end of an engine says nothing, unless the request was sent less than 2 s before: an engine that drains says so in the head of its answers, and serves on for 2 s. So a request that crashes its engines soon is found as before, also while the store is away. The later check of an engine and the deletion of its entry, read late, follow the same rule.

Left: a planned stop in the third second of a cut still counts as one crash; two or three are needed for a hold.

--- a/entry/crash.go
+++ b/entry/crash.go
@@ -42,17 +42,33 @@
 	}
 }
 
+const (
+	// plannedStopTime is how long an engine that stops as planned serves on at least after its entry shows that it
+	// drains.
+	plannedStopTime = 2 * time.Second
+	// maxStopCopyAge is the age of the host's copy of the store up to which it shows planned stops: a copy that is older
+	// than usual may lack that an engine drains.
+	maxStopCopyAge = oldCopyAge
+)
+
+// showsPlannedStop reports whether this host would know that an engine stops as planned, to which it sent a request at a
+// time. An engine that drains says so in the head of each answer.
+func (hos *Host) showsPlannedStop(now, sentAt time.Time) bool {
+	return hos.snapshotAge(now) <= maxStopCopyAge || now.Sub(sentAt) < plannedStopTime
+}
+
 // detectCrash determines whether the engine crashed under an attempt. A crashed engine has closed
 // its connections and refuses new ones, whereas after a truncated answer, a reset or a network
 // failure it still listens or does not respond. An engine that stops as planned has signaled that
-// it is draining, or has been deregistered, before its connections end.
+// it is draining, or has been deregistered, before its connections end. A host that may have missed that concludes
+// nothing.
 func (exc *exchange) detectCrash(ctx context.Context, eng fleet.Engine, att attempt) crashState {
 	if att.outcome != outcomeLost || att.cause == causeClientDisconnected || ctx.Err() != nil || !endedByEngine(att) {
 		return crashNone
 	}
 	known, found := exc.host.snapshot.Load().engine(eng.ID)
 	_, draining := exc.host.notices.blockingSignal(eng.ID).(fleet.Draining)
-	if known.Closed() || draining {
+	if known.Closed() || draining || !exc.host.showsPlannedStop(exc.host.clock.Now(), att.startedAt) {
 		return crashNone
 	}
 	if !found {
--- a/entry/crashcheck.go
+++ b/entry/crashcheck.go
@@ -81,7 +81,7 @@
 	switch {
 	case result == upstream.ProbeListens:
 		msg.Check = quarantine.CheckAlive
-	case result == upstream.ProbeRefused && age <= maxCrashCheckAge && !che.isStopping(chk.engine):
+	case result == upstream.ProbeRefused && age <= maxCrashCheckAge && !che.isStopping(chk):
 		msg.Unconfirmed = false
 	}
 	che.host.broker.reportEngineCrash(msg)
@@ -102,9 +102,9 @@
 	return result
 }
 
-// isStopping reports whether the engine is known to stop as planned.
-func (che *crashChecks) isStopping(eng fleet.Engine) bool {
-	known, _ := che.host.snapshot.Load().engine(eng.ID)
-	_, draining := che.host.notices.blockingSignal(eng.ID).(fleet.Draining)
-	return known.Closed() || draining
+// isStopping reports whether the engine stops as planned, as far as this host can know.
+func (che *crashChecks) isStopping(chk crashCheck) bool {
+	known, _ := che.host.snapshot.Load().engine(chk.engine.ID)
+	_, draining := che.host.notices.blockingSignal(chk.engine.ID).(fleet.Draining)
+	return known.Closed() || draining || !che.host.showsPlannedStop(che.host.clock.Now(), chk.report.Began)
 }
--- a/entry/take.go
+++ b/entry/take.go
@@ -144,7 +144,9 @@
 	wat.invalidValues.recordValid(cha.Key)
 	switch kind, name := platform.ParseKey(cha.Key); kind {
 	case platform.KeyEngine:
-		wat.host.departures.record(wat.host.clock.Now(), name)
+		if now := wat.host.clock.Now(); wat.host.snapshotAge(now) <= maxStopCopyAge {
+			wat.host.departures.record(now, name)
+		}
 		wat.host.log.Info().Str("Engine", name).Uint64("Revision", cha.Revision.Number()).Msg("engine deregistered")
 		wat.directory.RemoveEngine(wat.host.clock.Now(), name)
 	case platform.KeyMember:
