test(entry): a domain is closed while a deregistered host sends there (known red)

Operators saw a failure domain published as closed while a host that was cut off still sent requests there: its entry had expired, and the coordinator took its absence for its end.

--- a/entry/evacuations_test.go
+++ b/entry/evacuations_test.go
@@ -232,3 +232,37 @@
 	}
 	return count
 }
+
+// leaseLeft is the least time for which the entry of a host that is cut off stays in the store.
+const leaseLeft = 2 * time.Second
+
+// Guards against requests to a failure domain that is published as closed: a host that was cut off was deregistered, and
+// its entry's absence counted as its end.
+func TestDomainIsClosedOnlyOnceDeregisteredHostSendsNothing(t *testing.T) {
+	for name, cut := range outOfStep {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			evacuated := engineInDomain(evacuatedDomain, "evacuated")
+			sys := start(t, 3, []*upstreamtest.Engine{evacuated})
+			sys.WaitForEngines(1)
+			alone := sys.Hosts[2]
+			alone.SetCutOff(cut)
+			cutAt := time.Now()
+			sys.WaitUntil("the lease expires", func() bool { return time.Since(cutAt) > leaseLeft })
+			sys.Evacuate(evacuatedDomain, "{}")
+			sys.RemoveHost(alone.Settings.Name)
+			num := 0
+			sys.WaitUntil("the state is published", func() bool {
+				sendPlain(t, sys, alone, "unsafe", num)
+				num++
+				return isPublished(sys)
+			})
+			before := len(evacuated.Arrivals())
+			for sys.IsReady(alone) {
+				sendPlain(t, sys, alone, "unsafe", num)
+				num++
+			}
+			assert.Equal(t, len(evacuated.Arrivals()), before, "%d requests sent", num)
+		})
+	}
+}
