fix(affinity): a record written after a lost one isn't taken for complete

Cause: the first host that finds no record it can read takes itself for the first of all hosts, and its record, with the versions that serve now, for complete.

Change: a host that reads an unreadable record, or origins of streams without a record (hosts write none before their record), knows that there was one. Its own then has been complete in no era (NoEra) until it has watched for the life of a stream, and announces its versions first. Without damage nothing changes.

The store's deletion while no origin is stored isn't noticed. The harness's first stream has an id of its own, since a second one of the same id looked mixed.

--- a/affinity/affinity_test.go
+++ b/affinity/affinity_test.go
@@ -135,3 +135,23 @@
 	_, change = fresh.Next(now, 3, 0)
 	assert.Equal(t, change, affinity.ChangeNone, "v1 may have served until this history began")
 }
+
+// Guards against a conclusion from the first record after one that another writer has damaged: it may lack versions.
+func TestRecordAfterALostOneIsIncomplete(t *testing.T) {
+	his := affinity.NewHistory()
+	his.LoseRecord()
+	his.Observe(start, "menus", []string{"v2"})
+	rec, change := his.Next(start, 0, 0)
+	assert.Equal(t, change, affinity.ChangeExtends)
+	assert.DeepEqual(t, rec.Announced, map[string][]string{"menus": {"v2"}})
+	his.Apply(start, rec, 0)
+	for second := range time.Duration(32) {
+		now := start.Add(second * time.Second)
+		his.Confirm(now)
+		_, sole := his.Sole(now, "menus", 30*time.Second)
+		assert.Equal(t, sole, second >= 30, "after %d s", second)
+	}
+	his.Observe(start.Add(31*time.Second), "menus", []string{"v2"})
+	rec, _ = his.Next(start.Add(31*time.Second), 0, 0)
+	assert.Equal(t, rec.Era, uint64(0), "complete from now on")
+}
--- a/affinity/history.go
+++ b/affinity/history.go
@@ -30,6 +30,8 @@
 	// record is the newest record of the store. isComplete is set if it names all versions whose streams may live.
 	record     Record
 	isComplete bool
+	// recordLost is set if hosts had a record that the store hasn't any more.
+	recordLost bool
 	// era is the store's era when the record was applied last.
 	era uint64
 	// confirmed is a time at which the store certainly had the record, and this host was registered there; zero if there
@@ -110,6 +112,10 @@
 	his.observeAnnounced(now)
 }
 
+// LoseRecord records that hosts have written a record before that the store hasn't any more: the next one may lack
+// versions whose streams live, and hosts may conclude from the lost one.
+func (his *History) LoseRecord() { his.recordLost = true }
+
 // enterEra records the store's era. In another one the store may have lost what was announced: hosts that don't know of it
 // may confirm an earlier record.
 func (his *History) enterEra(era uint64) {
@@ -240,6 +246,8 @@
 		next.Life, changed = life, true
 	}
 	switch {
+	case next.Number == 0 && his.recordLost:
+		next.Era = NoEra
 	case next.Number == 0:
 		// The first host that reads a store without a record is the first of all hosts.
 		next.Era = era
@@ -260,12 +268,14 @@
 	return his.record, ChangeNone
 }
 
-// withMissing returns the record with the versions that serve at the time, and whether it lacked any.
+// withMissing returns the record with the versions that serve at the time, and whether it lacked any. One that is added to
+// an earlier record is announced: a host may still conclude from that one.
 func (his *History) withMissing(now time.Time) (Record, bool) {
 	next, missing := his.record.clone(), false
+	announce := his.record.Number > 0 || his.recordLost
 	for service, served := range his.lastServed {
 		for version, at := range served {
-			if !at.Before(now) && next.add(service, version) {
+			if !at.Before(now) && next.add(service, version, announce) {
 				missing = true
 			}
 		}
--- a/affinity/record.go
+++ b/affinity/record.go
@@ -1,10 +1,14 @@
 package affinity
 
 import (
+	"math"
 	"slices"
 	"time"
 )
 
+// NoEra is the era of a record that hasn't been complete in any.
+const NoEra uint64 = math.MaxUint64
+
 // Record is what the store holds of the versions that may have begun streams that still live. It outlasts all hosts.
 type Record struct {
 	// Number counts the changes of the record; 0 stands for no record.
@@ -47,15 +51,14 @@
 	return cloned
 }
 
-// add adds a version and reports whether it was missing. One that is added to an earlier record is announced: a host
-// may still conclude from that one.
-func (rec *Record) add(service, version string) bool {
+// add adds a version, announced or open, and reports whether it was missing.
+func (rec *Record) add(service, version string, announce bool) bool {
 	if rec.Has(service, version) {
 		return false
 	}
 	rec.Versions[service] = append(rec.Versions[service], version)
 	slices.Sort(rec.Versions[service])
-	if rec.Number > 0 {
+	if announce {
 		if rec.Announced == nil {
 			rec.Announced = make(map[string][]string)
 		}
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -32,6 +32,8 @@
 	storeRead bool
 	revision  store.Revision
 	number    uint64
+	// foundOrigins is set once the store has had origins of streams.
+	foundOrigins bool
 	// missingSince is when this host first saw that the record lacks a version; zero while it lacks none.
 	missingSince time.Time
 	// readers are the hosts that may conclude from their records of versions.
@@ -164,7 +166,11 @@
 	if !wat.invalidValues.checkValue(val, err, "stored origins of streams invalid, ignored") {
 		return
 	}
+	bro := wat.host.broker
+	bro.mutex.Lock()
+	defer bro.mutex.Unlock()
+	bro.origins.foundOrigins = true
 	for _, bat := range batches {
-		wat.host.broker.handle(scheduler.Received{From: wat.host.epoch, Message: reservation.StreamsBegan{Batch: bat}})
+		bro.handleLocked(scheduler.Received{From: wat.host.epoch, Message: reservation.StreamsBegan{Batch: bat}})
 	}
 }
--- a/entry/outofstep_test.go
+++ b/entry/outofstep_test.go
@@ -51,7 +51,8 @@
 	sys.WaitForReady()
 	sys.WaitForEngines(len(engines))
 	vsy := &versionedSystem{System: sys, t: t, engines: engines}
-	vsy.begin(1)
+	ans := vsy.Send(t.Context(), vsy.Hosts[0], streamRequest("first", "", 0))
+	assert.Equal(t, ans.Status, http.StatusOK, ans.Body)
 	return vsy
 }
 
--- a/entry/versions.go
+++ b/entry/versions.go
@@ -41,6 +41,7 @@
 		return
 	}
 	bro.origins.revision, bro.origins.number = val.Revision, 0
+	bro.core.LoseVersions()
 }
 
 // applyStoredVersions applies a record of versions that the store has, unless this host knows a newer one; the mutex must
@@ -96,11 +97,16 @@
 
 // endVersionsRead records that all keys of the store have been read.
 func (wat *storeWatcher) endVersionsRead() {
-	wat.host.broker.mutex.Lock()
-	defer wat.host.broker.mutex.Unlock()
-	wat.host.broker.origins.storeRead = true
+	bro := wat.host.broker
+	bro.mutex.Lock()
+	defer bro.mutex.Unlock()
+	bro.origins.storeRead = true
+	if bro.origins.foundOrigins && bro.origins.number == 0 {
+		// Hosts write no origin of a stream before they have written a record.
+		bro.core.LoseVersions()
+	}
 	// Hosts may have been registered and deregistered since the last read.
-	wat.host.broker.origins.readers.Restart(wat.host.clock.Now())
+	bro.origins.readers.Restart(wat.host.clock.Now())
 }
 
 // maintainVersions keeps the record of versions in the store current, until the context ends.
--- a/scheduler/version.go
+++ b/scheduler/version.go
@@ -63,6 +63,9 @@
 	return cor.versions.Missing(now)
 }
 
+// LoseVersions records that hosts have written a record of versions before that the store hasn't any more.
+func (cor *Core) LoseVersions() { cor.versions.LoseRecord() }
+
 // InterruptVersions records that changes of the engines may have been missed until now.
 func (cor *Core) InterruptVersions(now time.Time) { cor.versions.Interrupt(now) }
 
