fix(entry): the store gets the origins of all streams that live

Cause: an origin was written only if several versions were recorded at its first event, and only by the host that coordinated then. Streams of before, those that a lost coordinator had collected, and those of batches that a restored store has lost were never written again, however long the hosts lived on.

The coordinator writes those that the store lacks when the record changes, when it has just become the coordinator, when hosts report streams, and after a complete read. A write holds at most 32,768 streams.

--- a/affinity/affinity_test.go
+++ b/affinity/affinity_test.go
@@ -155,3 +155,29 @@
 	rec, _ = his.Next(start.Add(31*time.Second), 0, 0)
 	assert.Equal(t, rec.Era, uint64(0), "complete from now on")
 }
+
+// Guards against origins that the store lacks for good, and against all being written each time.
+func TestRegistryKnowsWhatTheStoreHas(t *testing.T) {
+	reg := affinity.New()
+	all := func(string) bool { return true }
+	count := func() int {
+		streams := 0
+		for _, bat := range reg.Unstored(start, all) {
+			streams += len(bat.Streams)
+		}
+		return streams
+	}
+	reg.Record(start, batch(first, time.Minute, 1, 2, 3))
+	assert.Equal(t, count(), 3)
+	assert.Equal(t, len(reg.Unstored(start, func(string) bool { return false })), 0)
+	reg.RecordStored(start, batch(first, time.Minute, 2, 4))
+	assert.Equal(t, count(), 2)
+	reg.Record(start, batch(first, 2*time.Minute, 2))
+	assert.Equal(t, count(), 2, "the store still has it")
+	reg.Record(start, batch(second, time.Minute, 4))
+	assert.Equal(t, count(), 3, "the store has another origin")
+	reg.ForgetStored()
+	assert.Equal(t, count(), 4)
+	reg.Expire(start.Add(3 * time.Minute))
+	assert.Equal(t, reg.Len(), 0)
+}
--- a/affinity/registry.go
+++ b/affinity/registry.go
@@ -21,8 +21,8 @@
 	// due holds the streams by the second at which they are dropped. A stream that was recorded again
 	// stays in its earlier lists, too.
 	due map[int64][]Stream
-	// origins holds each origin once, with the number of its streams.
-	origins map[Origin]*sharedOrigin
+	// origins holds each origin once for the streams whose origin the store has, and once for the others, with their number.
+	origins map[originKey]*sharedOrigin
 	// expiredTo is the second up to which streams have been dropped.
 	expiredTo int64
 }
@@ -33,14 +33,20 @@
 	until  int64
 }
 
-type sharedOrigin struct {
+// originKey is an origin of streams. stored is set if the store has it.
+type originKey struct {
 	Origin
+	stored bool
+}
+
+type sharedOrigin struct {
+	originKey
 	streams int
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{streams: make(map[Stream]record), due: make(map[int64][]Stream), origins: make(map[Origin]*sharedOrigin)}
+	return &Registry{streams: make(map[Stream]record), due: make(map[int64][]Stream), origins: make(map[originKey]*sharedOrigin)}
 }
 
 // Len returns the number of streams.
@@ -50,6 +56,15 @@
 // shortens the time for which the stream is kept. If there are too many streams, those that are due soonest
 // are dropped. Record returns the number of streams dropped for that reason.
 func (reg *Registry) Record(now time.Time, bat Batch) int {
+	return reg.record(now, bat, false)
+}
+
+// RecordStored records the origin of streams that the store has.
+func (reg *Registry) RecordStored(now time.Time, bat Batch) int {
+	return reg.record(now, bat, true)
+}
+
+func (reg *Registry) record(now time.Time, bat Batch, stored bool) int {
 	reg.Expire(now)
 	until := now.Add(min(bat.KeepFor, MaxKeep)).Unix() + 1
 	dropped := 0
@@ -57,7 +72,7 @@
 		if str == 0 {
 			continue
 		}
-		reg.set(str, bat.Origin, until)
+		reg.set(str, originKey{Origin: bat.Origin, stored: stored}, until)
 		if len(reg.streams) > MaxStreams {
 			dropped += reg.dropSoonest()
 		}
@@ -65,30 +80,40 @@
 	return dropped
 }
 
-func (reg *Registry) set(str Stream, ori Origin, until int64) {
+func (reg *Registry) set(str Stream, key originKey, until int64) {
 	rec, known := reg.streams[str]
-	if known && rec.origin.Origin == ori && rec.until >= until {
-		return
+	if known && rec.origin.Origin == key.Origin {
+		key.stored = key.stored || rec.origin.stored
+		if rec.origin.originKey == key && rec.until >= until {
+			return
+		}
 	}
 	if known {
 		until = max(until, rec.until)
 		reg.release(rec.origin)
 	}
-	shared := reg.origins[ori]
+	reg.streams[str] = record{origin: reg.share(key), until: until}
+	if !known || rec.until != until {
+		reg.due[until] = append(reg.due[until], str)
+	}
+}
+
+// share counts one stream more for an origin.
+func (reg *Registry) share(key originKey) *sharedOrigin {
+	shared := reg.origins[key]
 	if shared == nil {
-		shared = &sharedOrigin{Origin: ori}
-		reg.origins[ori] = shared
+		shared = &sharedOrigin{originKey: key}
+		reg.origins[key] = shared
 	}
 	shared.streams++
-	reg.streams[str] = record{origin: shared, until: until}
-	reg.due[until] = append(reg.due[until], str)
+	return shared
 }
 
 // release counts one stream less for an origin.
 func (reg *Registry) release(shared *sharedOrigin) {
 	shared.streams--
 	if shared.streams == 0 {
-		delete(reg.origins, shared.Origin)
+		delete(reg.origins, shared.originKey)
 	}
 }
 
@@ -139,12 +164,43 @@
 	return dropped
 }
 
+// ForgetStored records that the store may have lost the origin of any stream.
+func (reg *Registry) ForgetStored() {
+	for str, rec := range reg.streams {
+		if rec.origin.stored {
+			reg.release(rec.origin)
+			reg.streams[str] = record{origin: reg.share(originKey{Origin: rec.origin.Origin}), until: rec.until}
+		}
+	}
+}
+
 // Batches returns all streams, for another registry.
 func (reg *Registry) Batches(now time.Time) []Batch {
+	return reg.batches(now, func(record) bool { return true })
+}
+
+// Unstored returns the streams of the services for which keep returns true that the store may lack.
+func (reg *Registry) Unstored(now time.Time, keep func(service string) bool) []Batch {
+	wanted := make(map[*sharedOrigin]bool)
+	for key, shared := range reg.origins {
+		if !key.stored && keep(key.Service) {
+			wanted[shared] = true
+		}
+	}
+	if len(wanted) == 0 {
+		return nil
+	}
+	return reg.batches(now, func(rec record) bool { return wanted[rec.origin] })
+}
+
+// batches returns the streams for whose records include returns true.
+func (reg *Registry) batches(now time.Time, include func(record) bool) []Batch {
 	reg.Expire(now)
 	var out Outbox
 	for str, rec := range reg.streams {
-		out.Add(Batch{Origin: rec.origin.Origin, KeepFor: time.Unix(rec.until, 0).Sub(now), Streams: []Stream{str}})
+		if include(rec) {
+			out.Add(Batch{Origin: rec.origin.Origin, KeepFor: max(time.Second, time.Unix(rec.until, 0).Sub(now)), Streams: []Stream{str}})
+		}
 	}
 	return out.Take()
 }
--- a/entry/elect.go
+++ b/entry/elect.go
@@ -42,6 +42,7 @@
 	bro.handOverGrants(old, chosen)
 	bro.gate.Reset()
 	bro.judge.Reset()
+	bro.completeOrigins()
 	for id, pen := range bro.pending {
 		if pen.coordinator == chosen {
 			continue
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -2,20 +2,19 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
 	"lynxwell.dev/lynxwell/affinity"
 	"lynxwell.dev/lynxwell/platform"
-	"lynxwell.dev/lynxwell/reservation"
-	"lynxwell.dev/lynxwell/scheduler"
 	"lynxwell.dev/lynxwell/store"
 	"lynxwell.dev/lynxwell/task"
 )
 
 // A host that starts after the loss of all hosts has seen none of the streams that clients resume there. What it needs
 // is in the store: the versions that may have begun streams that live, recorded before any stream begins there, and,
-// while there are several, the origin of each stream, in batches. A stream that isn't known then is refused.
+// while there are several, the origin of each stream that lives, in batches. A stream that isn't known then is refused.
 
 const (
 	// originsInterval is the least time between two writes of origins, and originsTimeout bounds one write.
@@ -23,6 +22,8 @@
 	originsTimeout  = time.Second
 	// maxUnwrittenOrigins bounds the streams whose origins wait to be written.
 	maxUnwrittenOrigins = 1 << 16
+	// originsPerWrite bounds the streams of one write, which takes 11 bytes for each; the store's limit is 1 MiB.
+	originsPerWrite = 1 << 15
 )
 
 // origins is the part of a broker that keeps in the store what began streams.
@@ -43,6 +44,8 @@
 	// unwritten are the streams whose origins have to be written, count their number.
 	unwritten affinity.Outbox
 	count     int
+	// complete is set if the next write has to hold all origins that the store may lack.
+	complete bool
 	// wakeVersions wakes maintainVersions, wakeOrigins maintainOrigins.
 	wakeVersions chan struct{}
 	wakeOrigins  chan struct{}
@@ -75,13 +78,39 @@
 	wake(ori.wakeOrigins)
 }
 
+// completeOrigins makes this host, if it is the coordinator, write the origins of streams that began before they had to
+// outlast all hosts, or that the former coordinator hasn't written. The mutex must be held.
+func (bro *broker) completeOrigins() {
+	if bro.coordinator == bro.host.epoch {
+		bro.origins.complete = true
+		wake(bro.origins.wakeOrigins)
+	}
+}
+
 // takeOrigins returns the streams whose origins have to be written, and their number.
 func (bro *broker) takeOrigins() ([]affinity.Batch, int) {
 	bro.mutex.Lock()
 	defer bro.mutex.Unlock()
-	count := bro.origins.count
-	bro.origins.count = 0
-	return bro.origins.unwritten.Take(), count
+	ori := bro.origins
+	batches := ori.unwritten.Take()
+	if ori.complete {
+		batches = bro.core.UnstoredStreams(bro.host.clock.Now())
+	}
+	ori.count, ori.complete = 0, false
+	count := 0
+	for _, bat := range batches {
+		count += len(bat.Streams)
+	}
+	return batches, count
+}
+
+// recordStoredOrigins records that the store has the origins of streams.
+func (bro *broker) recordStoredOrigins(batches []affinity.Batch) {
+	bro.mutex.Lock()
+	defer bro.mutex.Unlock()
+	for _, bat := range batches {
+		bro.core.RecordStoredStreams(bro.host.clock.Now(), bat)
+	}
 }
 
 // originsWriter writes the origins of streams to the store, under leases that end once the streams can't be resumed any
@@ -116,11 +145,19 @@
 	}
 }
 
-// write writes the origins of streams under a key of their own.
+// write writes the origins of streams under keys of their own.
 func (ow *originsWriter) write(ctx context.Context, batches []affinity.Batch) error {
-	if len(batches) == 0 {
-		return nil
+	for part := range slices.Chunk(batches, originsPerWrite/affinity.MaxBatch) {
+		if err := ow.writePart(ctx, part); err != nil {
+			return err
+		}
+		ow.host.broker.recordStoredOrigins(part)
 	}
+	return nil
+}
+
+// writePart writes the origins of streams under one key.
+func (ow *originsWriter) writePart(ctx context.Context, batches []affinity.Batch) error {
 	ctx, cancel := context.WithTimeout(ctx, originsTimeout)
 	defer cancel()
 	data, err := platform.EncodeOrigins(batches)
@@ -171,6 +208,6 @@
 	defer bro.mutex.Unlock()
 	bro.origins.foundOrigins = true
 	for _, bat := range batches {
-		bro.handleLocked(scheduler.Received{From: wat.host.epoch, Message: reservation.StreamsBegan{Batch: bat}})
+		bro.core.RecordStoredStreams(wat.host.clock.Now(), bat)
 	}
 }
--- a/entry/rejoined_test.go
+++ b/entry/rejoined_test.go
@@ -1,13 +1,17 @@
 package entry_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"lynxwell.dev/lynxwell/affinity"
 	"lynxwell.dev/lynxwell/entrytest"
 	"lynxwell.dev/lynxwell/platform"
+	"lynxwell.dev/lynxwell/platformtest"
 	"lynxwell.dev/lynxwell/store"
 )
 
@@ -39,6 +43,9 @@
 	return vsy.restartAll(between)
 }
 
+// logged reports whether any host has logged the text.
+func (vsy *versionedSystem) logged(text string) bool { return strings.Contains(vsy.Log(), text) }
+
 // startJoined starts hosts with two versions, of which the second has joined after streams had begun at the first, and
 // begins more.
 func startJoined(t *testing.T, hosts int) *versionedSystem {
@@ -50,6 +57,97 @@
 	return vsy
 }
 
+// keptStreams is the number of streams of a case in which all have to go on: hosts that have just started share the budget of
+// repeats.
+const keptStreams = 12
+
+// Guards against streams joined from two versions, and against refusals of streams whose version serves, once all hosts
+// have been lost again and again while two versions were recorded.
+func TestStreamsGoOnAfterAllHostsAreLostWhileVersionsChange(t *testing.T) {
+	nothing := func() {}
+	for name, tst := range map[string]struct {
+		disturb func(*versionedSystem) []*entrytest.Host
+		// leaves is set if v1 leaves.
+		leaves bool
+	}{
+		"lost four times": {disturb: func(vsy *versionedSystem) []*entrytest.Host {
+			for range 3 {
+				vsy.kill(nothing)
+			}
+			return vsy.kill(nothing)
+		}},
+		"lost three times, v1 leaves in between": {leaves: true, disturb: func(vsy *versionedSystem) []*entrytest.Host {
+			vsy.kill(nothing)
+			vsy.kill(func() { vsy.removeVersion("v1") })
+			return vsy.kill(nothing)
+		}},
+		"v1 leaves just after": {leaves: true, disturb: func(vsy *versionedSystem) []*entrytest.Host {
+			hosts := vsy.kill(nothing)
+			vsy.removeVersion("v1")
+			return hosts
+		}},
+		"replies lost": {disturb: func(vsy *versionedSystem) []*entrytest.Host {
+			vsy.Store.SetFaults(platformtest.Faults{LoseReplies: 20})
+			return vsy.kill(nothing)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			vsy := startWithVersions(t, 3)
+			vsy.begin(keptStreams)
+			vsy.waitForStoredOrigins()
+			least := keptStreams
+			if tst.leaves {
+				least = 0
+				for num := range keptStreams {
+					if vsy.versionsOf(fmt.Sprint("begin-", num))["v1.1"] {
+						least++
+					}
+				}
+			}
+			resumed, mixed := vsy.resume(keptStreams, tst.disturb(vsy))
+			assert.Equal(t, mixed, 0, "%d of %d streams went on", resumed, keptStreams)
+			assert.Assert(t, resumed >= least, "%d of %d streams went on, %d can", resumed, keptStreams, least)
+		})
+	}
+}
+
+// Guards against refusals, after the loss of all hosts, of streams whose origins the store lacked although there was time to
+// write them.
+func TestOriginsOfAllStreamsAreStored(t *testing.T) {
+	for name, play := range map[string]func(*testing.T) *versionedSystem{
+		"begun before a version joined": func(t *testing.T) *versionedSystem {
+			vsy := startWithOneVersion(t, 3)
+			vsy.begin(keptStreams)
+			vsy.join()
+			vsy.waitForOpen(2)
+			return vsy
+		},
+		"coordinator lost": func(t *testing.T) *versionedSystem {
+			vsy := startWithVersions(t, 3)
+			vsy.begin(keptStreams)
+			vsy.Hosts[0].SetStoreCut(true)
+			vsy.Hosts[0].Stop()
+			return vsy
+		},
+		"store restored": func(t *testing.T) *versionedSystem {
+			vsy := startWithVersions(t, 3)
+			cop := vsy.Store.Copy()
+			vsy.begin(keptStreams)
+			vsy.waitForStoredOrigins()
+			vsy.Store.Restore(cop)
+			return vsy
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			vsy := play(t)
+			vsy.waitForStoredOrigins()
+			resumed, mixed := vsy.resume(keptStreams, vsy.kill(func() {}))
+			assert.Equal(t, mixed, 0)
+			assert.Equal(t, resumed, keptStreams)
+		})
+	}
+}
+
 // Guards against a mixed stream after another writer has damaged or deleted the record of versions and all hosts are lost.
 func TestDamagedRecordNamesNoSoleVersion(t *testing.T) {
 	for name, damage := range map[string]store.Write{
@@ -69,19 +167,63 @@
 			})
 			vsy.waitForOpen(1)
 			resumed, mixed := vsy.resume(resumedStreams, hosts)
-			assert.Equal(t, mixed, 0, "%d of %d streams went on", resumed, resumedStreams)
+			t.Logf("resumed %d, mixed %d", resumed, mixed)
+			assert.Equal(t, mixed, 0)
 		})
 		t.Run(name+", hosts alive", func(t *testing.T) {
 			vsy := startJoined(t, 3)
 			vsy.waitForStoredOrigins()
 			assert.NilError(t, vsy.Store.Write(damage))
 			vsy.removeVersion("v1")
+			before := time.Now()
 			vsy.WaitUntil("record written again", func() bool {
 				return len(vsy.record().Versions[entrytest.Model]) == 2
 			})
+			t.Logf("written again after %s", time.Since(before))
 			resumed, mixed := vsy.resume(resumedStreams, vsy.kill(func() {}))
-			assert.Equal(t, mixed, 0, "%d of %d streams went on", resumed, resumedStreams)
+			t.Logf("resumed %d, mixed %d", resumed, mixed)
+			assert.Equal(t, mixed, 0)
 			assert.Assert(t, resumed >= 10)
 		})
 	}
 }
+
+// Guards against mixed streams in a store that is restored from a copy made before the second version joined.
+func TestStoreRestoredFromBeforeAVersionJoinedMixesNothing(t *testing.T) {
+	for name, lost := range map[string]bool{"hosts alive": false, "all hosts lost": true} {
+		for leaver, removed := range map[string]string{"both serve": "", "v1 left": "v1", "v1.1 left": "v1.1"} {
+			t.Run(name+", "+leaver, func(t *testing.T) {
+				vsy := startWithOneVersion(t, 3)
+				cop := vsy.Store.Copy()
+				vsy.join()
+				vsy.waitForOpen(2)
+				vsy.WaitForEngines(8)
+				vsy.begin(resumedStreams)
+				vsy.waitForStoredOrigins()
+				change := func() {
+					entries := make(map[string]store.Value)
+					for _, eng := range vsy.engines {
+						entries[eng.ID()] = vsy.Store.Peek(entrytest.EngineKey(eng.ID()))
+					}
+					vsy.Store.Restore(cop)
+					for _, eng := range vsy.engines {
+						if eng.Version() == removed {
+							vsy.RemoveEngine(eng.ID())
+							continue
+						}
+						assert.NilError(t, vsy.Store.Write(store.Write{Key: entrytest.EngineKey(eng.ID()), Data: entries[eng.ID()].Data, Blind: true}))
+					}
+				}
+				if lost {
+					vsy.kill(change)
+				} else {
+					change()
+					vsy.WaitUntil("restoration noticed", func() bool { return vsy.logged("store was restored from a copy") })
+				}
+				resumed, mixed := vsy.resume(resumedStreams, vsy.Hosts)
+				t.Logf("resumed %d, mixed %d", resumed, mixed)
+				assert.Equal(t, mixed, 0)
+			})
+		}
+	}
+}
--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -231,6 +231,7 @@
 		}
 		if str, isStreams := rec.Message.(reservation.StreamsBegan); isStreams && inb.delegated {
 			bro.relayStreams(str.Batch)
+			bro.completeOrigins()
 		}
 		if ver, isReport := rec.Message.(reservation.VersionsKnown); isReport {
 			bro.recordVersionsKnown(inb.gateway, ver.Number)
--- a/entry/take.go
+++ b/entry/take.go
@@ -18,6 +18,7 @@
 	wat.clearHeldRevision()
 	wat.clearLimitShares()
 	wat.clearVersions()
+	wat.clearOrigins()
 	wat.resetEvacuations(values, rev)
 	for _, val := range values {
 		switch kind, name := platform.ParseKey(val.Key); kind {
--- a/entry/versions.go
+++ b/entry/versions.go
@@ -61,6 +61,7 @@
 	for epo := range bro.links {
 		bro.reportVersions(epo)
 	}
+	bro.completeOrigins()
 }
 
 // reportVersions reports this host's record of versions to a host with a link; the mutex must be held.
@@ -87,6 +88,13 @@
 	wat.host.broker.handle(scheduler.CopyConfirmed{At: at})
 }
 
+// clearOrigins records that the store has no origins of streams.
+func (wat *storeWatcher) clearOrigins() {
+	wat.host.broker.mutex.Lock()
+	defer wat.host.broker.mutex.Unlock()
+	wat.host.broker.core.ForgetStoredStreams()
+}
+
 // clearVersions records that the store has no record of versions. The known one stays in force: another writer may have
 // deleted the key.
 func (wat *storeWatcher) clearVersions() {
@@ -107,6 +115,7 @@
 	}
 	// Hosts may have been registered and deregistered since the last read.
 	bro.origins.readers.Restart(wat.host.clock.Now())
+	bro.completeOrigins()
 }
 
 // maintainVersions keeps the record of versions in the store current, until the context ends.
--- a/scheduler/version.go
+++ b/scheduler/version.go
@@ -158,6 +158,20 @@
 // StreamBatches returns the streams that may be resumed, with their origins, for another host.
 func (cor *Core) StreamBatches(now time.Time) []affinity.Batch { return cor.streams.Batches(now) }
 
+// RecordStoredStreams records streams whose origin the store has.
+func (cor *Core) RecordStoredStreams(now time.Time, bat affinity.Batch) {
+	cor.versions.ObserveLife(bat.KeepFor)
+	cor.streams.RecordStored(now, bat)
+}
+
+// ForgetStoredStreams records that the store may have lost the origins of streams.
+func (cor *Core) ForgetStoredStreams() { cor.streams.ForgetStored() }
+
+// UnstoredStreams returns the streams whose origin has to outlast all hosts, and that the store may lack.
+func (cor *Core) UnstoredStreams(now time.Time) []affinity.Batch {
+	return cor.streams.Unstored(now, cor.versions.MustKeepOrigins)
+}
+
 // StreamCount returns the number of streams that may be resumed.
 func (cor *Core) StreamCount() int { return cor.streams.Len() }
 
