fix(entry): origins that the store didn't take are written again

Cause: a batch of origins whose write failed was dropped.

Evidence: the case "store away" of TestOriginsOfAllStreamsAreStored before: one write failed, and the store got no batch in the 10 s after it was back. Now all streams of the case go on.

Change: after a failed write the coordinator writes, a second later, all origins that the store lacks. Too many waiting ones aren't dropped either, but collected again from the registry, so `Streams.OriginsDropped` is gone. A write is split by its streams.

--- a/entry/origins.go
+++ b/entry/origins.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"strconv"
 	"time"
 
@@ -17,9 +16,11 @@
 // while there are several, the origin of each stream that lives, in batches. A stream that isn't known then is refused.
 
 const (
-	// originsInterval is the least time between two writes of origins, and originsTimeout bounds one write.
-	originsInterval = 250 * time.Millisecond
-	originsTimeout  = time.Second
+	// originsInterval is the least time between two writes of origins, originsRetryInterval that after one that failed, and
+	// originsTimeout bounds one write.
+	originsInterval      = 250 * time.Millisecond
+	originsRetryInterval = time.Second
+	originsTimeout       = time.Second
 	// maxUnwrittenOrigins bounds the streams whose origins wait to be written.
 	maxUnwrittenOrigins = 1 << 16
 	// originsPerWrite bounds the streams of one write, which takes 11 bytes for each; the store's limit is 1 MiB.
@@ -70,11 +71,11 @@
 	}
 	ori := bro.origins
 	if ori.count += len(bat.Streams); ori.count > maxUnwrittenOrigins {
-		bro.host.log.Warn().Int("Streams", ori.count).Msg("too many origins of streams wait for the store, dropped")
-		bro.host.metrics.count("Streams.OriginsDropped")
-		ori.unwritten, ori.count = affinity.Outbox{}, len(bat.Streams)
+		ori.unwritten, ori.count, ori.complete = affinity.Outbox{}, 0, true
+	}
+	if !ori.complete {
+		ori.unwritten.Add(bat)
 	}
-	ori.unwritten.Add(bat)
 	wake(ori.wakeOrigins)
 }
 
@@ -104,6 +105,13 @@
 	return batches, count
 }
 
+// repeatOrigins makes this host write what it couldn't, if it is still the coordinator.
+func (bro *broker) repeatOrigins() {
+	bro.mutex.Lock()
+	defer bro.mutex.Unlock()
+	bro.completeOrigins()
+}
+
 // recordStoredOrigins records that the store has the origins of streams.
 func (bro *broker) recordStoredOrigins(batches []affinity.Batch) {
 	bro.mutex.Lock()
@@ -135,11 +143,14 @@
 			return ctx.Err()
 		}
 		batches, count := hos.broker.takeOrigins()
+		pause := originsInterval
 		if err := wri.write(ctx, batches); err != nil {
 			hos.log.Warn().Err(err).Int("Streams", count).Msg("writing the origins of streams failed, a later host can't resume them")
 			hos.metrics.count("Streams.OriginsFailed")
+			hos.broker.repeatOrigins()
+			pause = originsRetryInterval
 		}
-		if !task.Sleep(ctx, originsInterval) {
+		if !task.Sleep(ctx, pause) {
 			return ctx.Err()
 		}
 	}
@@ -147,15 +158,28 @@
 
 // write writes the origins of streams under keys of their own.
 func (ow *originsWriter) write(ctx context.Context, batches []affinity.Batch) error {
-	for part := range slices.Chunk(batches, originsPerWrite/affinity.MaxBatch) {
-		if err := ow.writePart(ctx, part); err != nil {
+	for len(batches) > 0 {
+		number := originsInOneWrite(batches)
+		if err := ow.writePart(ctx, batches[:number]); err != nil {
 			return err
 		}
-		ow.host.broker.recordStoredOrigins(part)
+		ow.host.broker.recordStoredOrigins(batches[:number])
+		batches = batches[number:]
 	}
 	return nil
 }
 
+// originsInOneWrite returns how many of the batches, at least one, one write may hold.
+func originsInOneWrite(batches []affinity.Batch) int {
+	streams := 0
+	for number, bat := range batches {
+		if streams += len(bat.Streams); number > 0 && streams > originsPerWrite {
+			return number
+		}
+	}
+	return len(batches)
+}
+
 // writePart writes the origins of streams under one key.
 func (ow *originsWriter) writePart(ctx context.Context, batches []affinity.Batch) error {
 	ctx, cancel := context.WithTimeout(ctx, originsTimeout)
--- a/entry/rejoined_test.go
+++ b/entry/rejoined_test.go
@@ -129,6 +129,14 @@
 			vsy.Hosts[0].Stop()
 			return vsy
 		},
+		"store away": func(t *testing.T) *versionedSystem {
+			vsy := startWithVersions(t, 3)
+			vsy.Store.SetFaults(platformtest.Faults{Down: true})
+			vsy.begin(keptStreams)
+			vsy.WaitUntil("a write fails", func() bool { return vsy.logged("writing the origins of streams failed") })
+			vsy.Store.SetFaults(platformtest.Faults{})
+			return vsy
+		},
 		"store restored": func(t *testing.T) *versionedSystem {
 			vsy := startWithVersions(t, 3)
 			cop := vsy.Store.Copy()
