--- a/affinity/affinity_test.go
+++ b/affinity/affinity_test.go
@@ -136,3 +136,49 @@
 	_, change = fresh.Next(now, 0, 0)
 	assert.Equal(t, change, affinity.ChangeNone, "v1 may have served until this history began")
 }
+
+// Guards against a conclusion from the first record after one that another writer has damaged: it may lack versions.
+func TestRecordAfterALostOneIsIncomplete(t *testing.T) {
+	his := affinity.NewHistory()
+	his.LoseRecord()
+	his.Observe(start, "menus", []string{"v2"})
+	rec, change := his.Next(start, 0, 0)
+	assert.Equal(t, change, affinity.ChangeExtends)
+	assert.DeepEqual(t, rec.Announced, map[string][]string{"menus": {"v2"}})
+	his.Apply(start, rec, 0)
+	for second := range time.Duration(32) {
+		now := start.Add(second * time.Second)
+		his.Confirm(now)
+		_, sole := his.Sole(now, "menus", 30*time.Second)
+		assert.Equal(t, sole, second >= 30, "after %d s", second)
+	}
+	his.Observe(start.Add(31*time.Second), "menus", []string{"v2"})
+	rec, _ = his.Next(start.Add(31*time.Second), 0, 0)
+	assert.Equal(t, rec.Era, uint64(0), "complete from now on")
+}
+
+// Guards against origins that the store lacks for good, and against all being written each time.
+func TestRegistryKnowsWhatTheStoreHas(t *testing.T) {
+	reg := affinity.New()
+	all := func(string) bool { return true }
+	count := func() int {
+		streams := 0
+		for _, bat := range reg.Unstored(start, all) {
+			streams += len(bat.Streams)
+		}
+		return streams
+	}
+	reg.Record(start, batch(first, time.Minute, 1, 2, 3))
+	assert.Equal(t, count(), 3)
+	assert.Equal(t, len(reg.Unstored(start, func(string) bool { return false })), 0)
+	reg.RecordStored(start, batch(first, time.Minute, 2, 4))
+	assert.Equal(t, count(), 2)
+	reg.Record(start, batch(first, 2*time.Minute, 2))
+	assert.Equal(t, count(), 2, "the store still has it")
+	reg.Record(start, batch(second, time.Minute, 4))
+	assert.Equal(t, count(), 3, "the store has another origin")
+	reg.ForgetStored()
+	assert.Equal(t, count(), 4)
+	reg.Expire(start.Add(3 * time.Minute))
+	assert.Equal(t, reg.Len(), 0)
+}
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -7,22 +7,24 @@
 
 	"lynxwell.dev/lynxwell/affinity"
 	"lynxwell.dev/lynxwell/platform"
-	"lynxwell.dev/lynxwell/reservation"
-	"lynxwell.dev/lynxwell/scheduler"
 	"lynxwell.dev/lynxwell/store"
 	"lynxwell.dev/lynxwell/task"
 )
 
 // A host that starts after the loss of all hosts has seen none of the streams that clients resume there. What it needs
 // is in the store: the versions that may have begun streams that live, recorded before any stream begins there, and,
-// while there are several, the origin of each stream, in batches. A stream that isn't known then is refused.
+// while there are several, the origin of each stream that lives, in batches. A stream that isn't known then is refused.
 
 const (
-	// originsInterval is the least time between two writes of origins, and originsTimeout bounds one write.
-	originsInterval = 250 * time.Millisecond
-	originsTimeout  = time.Second
+	// originsInterval is the least time between two writes of origins, originsRetryInterval that after one that failed, and
+	// originsTimeout bounds one write.
+	originsInterval      = 250 * time.Millisecond
+	originsRetryInterval = time.Second
+	originsTimeout       = time.Second
 	// maxUnwrittenOrigins bounds the streams whose origins wait to be written.
 	maxUnwrittenOrigins = 1 << 16
+	// originsPerWrite bounds the streams of one write, which takes 11 bytes for each; the store's limit is 1 MiB.
+	originsPerWrite = 1 << 15
 )
 
 // origins is the part of a broker that keeps in the store what began streams.
@@ -32,6 +34,8 @@
 	storeRead bool
 	revision  store.Revision
 	number    uint64
+	// foundOrigins is set once the store has had origins of streams.
+	foundOrigins bool
 	// missingSince is when this host first saw that the record lacks a version; zero while it lacks none.
 	missingSince time.Time
 	// readers are the hosts that may conclude from their records of versions.
@@ -41,6 +45,8 @@
 	// unwritten are the streams whose origins have to be written, count their number.
 	unwritten affinity.Outbox
 	count     int
+	// complete is set if the next write has to hold all origins that the store may lack.
+	complete bool
 	// wakeVersions wakes maintainVersions, wakeOrigins maintainOrigins.
 	wakeVersions chan struct{}
 	wakeOrigins  chan struct{}
@@ -65,21 +71,54 @@
 	}
 	ori := bro.origins
 	if ori.count += len(bat.Streams); ori.count > maxUnwrittenOrigins {
-		bro.host.log.Warn().Int("Streams", ori.count).Msg("too many origins of streams wait for the store, dropped")
-		bro.host.metrics.count("Streams.OriginsDropped")
-		ori.unwritten, ori.count = affinity.Outbox{}, len(bat.Streams)
+		ori.unwritten, ori.count, ori.complete = affinity.Outbox{}, 0, true
+	}
+	if !ori.complete {
+		ori.unwritten.Add(bat)
 	}
-	ori.unwritten.Add(bat)
 	wake(ori.wakeOrigins)
 }
 
+// completeOrigins makes this host, if it is the coordinator, write the origins of streams that began before they had to
+// outlast all hosts, or that the former coordinator hasn't written. The mutex must be held.
+func (bro *broker) completeOrigins() {
+	if bro.coordinator == bro.host.epoch {
+		bro.origins.complete = true
+		wake(bro.origins.wakeOrigins)
+	}
+}
+
 // takeOrigins returns the streams whose origins have to be written, and their number.
 func (bro *broker) takeOrigins() ([]affinity.Batch, int) {
 	bro.mutex.Lock()
 	defer bro.mutex.Unlock()
-	count := bro.origins.count
-	bro.origins.count = 0
-	return bro.origins.unwritten.Take(), count
+	ori := bro.origins
+	batches := ori.unwritten.Take()
+	if ori.complete {
+		batches = bro.core.UnstoredStreams(bro.host.clock.Now())
+	}
+	ori.count, ori.complete = 0, false
+	count := 0
+	for _, bat := range batches {
+		count += len(bat.Streams)
+	}
+	return batches, count
+}
+
+// repeatOrigins makes this host write what it couldn't, if it is still the coordinator.
+func (bro *broker) repeatOrigins() {
+	bro.mutex.Lock()
+	defer bro.mutex.Unlock()
+	bro.completeOrigins()
+}
+
+// recordStoredOrigins records that the store has the origins of streams.
+func (bro *broker) recordStoredOrigins(batches []affinity.Batch) {
+	bro.mutex.Lock()
+	defer bro.mutex.Unlock()
+	for _, bat := range batches {
+		bro.core.RecordStoredStreams(bro.host.clock.Now(), bat)
+	}
 }
 
 // originsWriter writes the origins of streams to the store, under leases that end once the streams can't be resumed any
@@ -104,21 +143,45 @@
 			return ctx.Err()
 		}
 		batches, count := hos.broker.takeOrigins()
+		pause := originsInterval
 		if err := wri.write(ctx, batches); err != nil {
 			hos.log.Warn().Err(err).Int("Streams", count).Msg("writing the origins of streams failed, a later host can't resume them")
 			hos.metrics.count("Streams.OriginsFailed")
+			hos.broker.repeatOrigins()
+			pause = originsRetryInterval
 		}
-		if !task.Sleep(ctx, originsInterval) {
+		if !task.Sleep(ctx, pause) {
 			return ctx.Err()
 		}
 	}
 }
 
-// write writes the origins of streams under a key of their own.
+// write writes the origins of streams under keys of their own.
 func (ow *originsWriter) write(ctx context.Context, batches []affinity.Batch) error {
-	if len(batches) == 0 {
-		return nil
+	for len(batches) > 0 {
+		number := originsInOneWrite(batches)
+		if err := ow.writePart(ctx, batches[:number]); err != nil {
+			return err
+		}
+		ow.host.broker.recordStoredOrigins(batches[:number])
+		batches = batches[number:]
+	}
+	return nil
+}
+
+// originsInOneWrite returns how many of the batches, at least one, one write may hold.
+func originsInOneWrite(batches []affinity.Batch) int {
+	streams := 0
+	for number, bat := range batches {
+		if streams += len(bat.Streams); number > 0 && streams > originsPerWrite {
+			return number
+		}
 	}
+	return len(batches)
+}
+
+// writePart writes the origins of streams under one key.
+func (ow *originsWriter) writePart(ctx context.Context, batches []affinity.Batch) error {
 	ctx, cancel := context.WithTimeout(ctx, originsTimeout)
 	defer cancel()
 	data, err := platform.EncodeOrigins(batches)
@@ -164,7 +227,11 @@
 	if !wat.invalidValues.checkValue(val, err, "stored origins of streams invalid, ignored") {
 		return
 	}
+	bro := wat.host.broker
+	bro.mutex.Lock()
+	defer bro.mutex.Unlock()
+	bro.origins.foundOrigins = true
 	for _, bat := range batches {
-		wat.host.broker.handle(scheduler.Received{From: wat.host.epoch, Message: reservation.StreamsBegan{Batch: bat}})
+		bro.core.RecordStoredStreams(wat.host.clock.Now(), bat)
 	}
 }
