test(platformtest): end a page of a range at 1 MB, as the platform does

The stand-in's pages had up to 500 items of any size, so no test listed a store with large values as the platform returns it: 24 values of 1 MB came in one page.

--- a/platformtest/memory.go
+++ b/platformtest/memory.go
@@ -58,6 +58,8 @@
 	cfg    MemoryConfig
 	mutex  sync.Mutex
 	values map[string]store.Value
+	// sorted holds the values by key for pages of a list; nil after each change. It is replaced, never modified.
+	sorted []store.Value
 	// deleted maps each deleted key to the revision of its deletion.
 	deleted  map[string]store.Revision
 	revision store.Revision
@@ -222,6 +224,7 @@
 }
 
 func (mem *Memory) notifyWatchers() {
+	mem.sorted = nil
 	close(mem.changed)
 	mem.changed = make(chan struct{})
 }
@@ -254,14 +257,15 @@
 	mem.mutex.Lock()
 	defer mem.mutex.Unlock()
 	mem.expireLeases()
-	var values []store.Value
-	for key, val := range mem.values {
-		if strings.HasPrefix(key, prefix) {
-			values = append(values, val)
-		}
+	if mem.sorted == nil {
+		mem.sorted = slices.SortedFunc(maps.Values(mem.values), func(one, two store.Value) int { return cmp.Compare(one.Key, two.Key) })
+	}
+	first, _ := slices.BinarySearchFunc(mem.sorted, prefix, func(val store.Value, key string) int { return cmp.Compare(val.Key, key) })
+	last := first
+	for last < len(mem.sorted) && strings.HasPrefix(mem.sorted[last].Key, prefix) {
+		last++
 	}
-	slices.SortFunc(values, func(one, two store.Value) int { return cmp.Compare(one.Key, two.Key) })
-	return values, mem.revision
+	return mem.sorted[first:last:last], mem.revision
 }
 
 // ListStale implements store.Store. The rate limit doesn't apply to it.
--- a/platformtest/server.go
+++ b/platformtest/server.go
@@ -42,8 +42,12 @@
 	Gone bool
 }
 
-// pageItems is the maximum number of items in a page of a range.
-const pageItems = 500
+// pageItems and pageBytes are the maximum number and size of the items in a page of a range. An item over the size has a
+// page of its own.
+const (
+	pageItems = 500
+	pageBytes = 1 << 20
+)
 
 // Messages of the store's protocol, defined from the platform's documentation. The fake doesn't
 // share them with package platform, so that tests detect mistakes in the adapter.
@@ -218,11 +222,13 @@
 	}
 	values = append(values, srv.memory.backendEntries(prefix)...)
 	res := page{Items: []item{}, Store: uint64(rev)}
+	size := 0
 	for _, val := range values {
 		if val.Key <= after {
 			continue
 		}
-		if len(res.Items) == pageItems {
+		size += len(val.Key) + len(val.Data)
+		if len(res.Items) == pageItems || len(res.Items) > 0 && size > pageBytes {
 			res.More = true
 			break
 		}
