fix(platform): follow the store whatever other programs write there

Cause: the client cuts a reply after 8 MB. A watch returns all changes since a revision, whose size nothing bounds; the cut answer can't be decoded, and the host asks for the same again. The same held for 131,072 elements and for lists of 64 MB.

A watch's answer that arrived and can't be used is reported as such, and the host lists all keys in pages. Values larger than any valid one of their key, and those of unrecognized keys, are left out; a list skips the rest of unrecognized keys after a page. Package intake bounds the keys and the data of each family, in lists, in changes and in what hosts pass on, and keeps room for those that can be used.

--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -103,7 +103,7 @@
 }
 
 func newEntryStore(cfg entry.Config) store.Store {
-	return platform.NewClient(platform.ClientConfig{Address: cfg.Settings.StoreAddress})
+	return platform.NewClient(platform.ClientConfig{Address: cfg.Settings.StoreAddress, HostKeys: true})
 }
 
 func newEntry(cfg entry.Config, sto store.Store) (*entry.Host, error) {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -55,7 +55,12 @@
 
 // count increments a counter, which is created on first use.
 func (hme *hostMetrics) count(name string) {
-	metrics.GetOrRegisterCounter(name, hme.registry).Inc(1)
+	hme.add(name, 1)
+}
+
+// add increments a counter, which is created on first use, by a number.
+func (hme *hostMetrics) add(name string, number int) {
+	metrics.GetOrRegisterCounter(name, hme.registry).Inc(int64(number))
 }
 
 // observe adds a duration to a histogram of microseconds, which is created on first use.
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -10,6 +10,7 @@
 
 	"lynxwell.dev/lynxwell/evacuation"
 	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/intake"
 	"lynxwell.dev/lynxwell/mirror"
 	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/reconcile"
@@ -63,6 +64,8 @@
 	hostChanges memberChanges
 	// applying is the update that is being applied.
 	applying update
+	// intake bounds what is kept of the store.
+	intake *intake.Intake
 	// reader decides from where the store is read, and source names the present source.
 	reader *mirror.Reader
 	source string
@@ -73,6 +76,7 @@
 		host: hos, directory: fleet.NewDirectory(), needsFullRead: true,
 		reader:        mirror.NewReader(mirror.Config{Self: hos.member(), Started: hos.started, Jitter: rand.N[time.Duration]}),
 		invalidValues: newInvalidValues(hos.log, hos.metrics.invalidValues), unrecognized: newUnrecognizedKeys(hos),
+		intake:      platform.NewIntake(),
 		knowledge:   reconcile.NewKnowledge(),
 		evacuations: make(map[string]evacuation.StoredState), loggedOrders: make(map[evacuation.Order]bool),
 	}
@@ -108,6 +112,7 @@
 func (wat *storeWatcher) apply(upd update) {
 	wat.needsFullRead = false
 	wat.applying = upd
+	upd = wat.admit(upd)
 	wat.observeAge(upd)
 	if upd.complete {
 		upd.values = wat.reconcile(upd.values, upd.changes.Revision)
@@ -132,6 +137,50 @@
 	wat.host.markConfigured()
 }
 
+// admit returns what is kept of an update.
+func (wat *storeWatcher) admit(upd update) update {
+	if upd.complete {
+		wat.intake = platform.NewIntake()
+	}
+	before := wat.intake.LeftOut()
+	if upd.complete {
+		upd.values = wat.admitValues(upd.values)
+	} else {
+		upd.changes.Changes = wat.admitChanges(upd.changes.Changes)
+	}
+	if leftOut := wat.intake.LeftOut() - before; leftOut > 0 {
+		wat.host.metrics.add("StoreValuesLeftOut", leftOut)
+		wat.host.log.Warn().Int("LeftOut", leftOut).Uint64("Revision", upd.changes.Revision.Number()).Msg("values in the store left out, there are too many")
+	}
+	wat.needsFullRead = wat.intake.TakeRoom()
+	return upd
+}
+
+func (wat *storeWatcher) admitValues(values []store.Value) []store.Value {
+	admitted := make([]store.Value, 0, len(values))
+	for _, val := range values {
+		if kept, found := wat.intake.Admit(val); found {
+			admitted = append(admitted, kept)
+		}
+	}
+	return admitted
+}
+
+func (wat *storeWatcher) admitChanges(changes []store.Change) []store.Change {
+	admitted := make([]store.Change, 0, len(changes))
+	for _, cha := range changes {
+		if cha.Deleted {
+			wat.intake.Remove(cha.Key)
+			admitted = append(admitted, cha)
+			continue
+		}
+		if kept, found := wat.intake.Admit(cha.Value); found {
+			admitted = append(admitted, store.Change{Value: kept})
+		}
+	}
+	return admitted
+}
+
 // concernsSnapshot reports whether a change may concern more than the origins of streams, which come in series.
 func concernsSnapshot(cha store.Change) bool {
 	kind, _ := platform.ParseKey(cha.Key)
--- a/entry/source.go
+++ b/entry/source.go
@@ -221,8 +221,8 @@
 	return update{complete: true, values: values, changes: store.Changes{Revision: rev}, confirmed: confirmed}, nil
 }
 
-// watch waits for changes in the store. If the store has compacted the history needed, it reads all
-// keys.
+// watch waits for changes in the store. If the store has compacted the history needed, or its answer can't be used, it
+// reads all keys.
 func (wat *storeWatcher) watch(ctx context.Context, wait time.Duration) (update, error) {
 	askedAt := wat.host.clock.Now()
 	changes, err := wat.host.store.Watch(ctx, platform.RootPrefix, wat.revision, wait)
@@ -232,6 +232,13 @@
 		wat.needsFullRead = true
 		return wat.list(ctx)
 	}
+	var unusable *store.UnusableChangesError
+	if errors.As(err, &unusable) {
+		wat.host.metrics.count("StoreChangesUnusable")
+		wat.host.log.Warn().Err(err).Uint64("Era", uint64(wat.host.storeEra())).Msg("changes in the store can't be used, reading all keys")
+		wat.needsFullRead = true
+		return wat.list(ctx)
+	}
 	return update{changes: changes, confirmed: askedAt}, err
 }
 
--- a/entrytest/entrytest.go
+++ b/entrytest/entrytest.go
@@ -260,7 +260,7 @@
 	sys.connectPeers(host, set.PeerAddress)
 	hos, err := entry.New(entry.Config{
 		Clock: source, EngineDialer: host.EnginePath, PeerDialer: host.toPeers, Settings: set, Log: zerolog.New(sys.log).With().Timestamp().Logger(),
-		Store: platform.NewClient(platform.ClientConfig{Address: set.StoreAddress}),
+		Store: platform.NewClient(platform.ClientConfig{Address: set.StoreAddress, HostKeys: true}),
 	})
 	assert.NilError(sys.t, err)
 	assert.NilError(sys.t, hos.Start(sys.t.Context()))
--- a/store/change.go
+++ b/store/change.go
@@ -29,3 +29,18 @@
 func (cer *CompactedError) Error() string {
 	return fmt.Sprintf("store: changes after revision %d of era %d are compacted", cer.After.Number(), cer.After.Era())
 }
+
+// UnusableChangesError reports a watch whose answer arrived and can't be used, such as one that is larger than a host
+// may hold. Another call would get the same answer, so the watcher has to list all keys instead.
+type UnusableChangesError struct {
+	After Revision
+	Cause error
+}
+
+// Error names the revision of the watch and the cause.
+func (uce *UnusableChangesError) Error() string {
+	return fmt.Sprintf("store: changes after revision %d of era %d can't be used: %v", uce.After.Number(), uce.After.Era(), uce.Cause)
+}
+
+// Unwrap returns the cause.
+func (uce *UnusableChangesError) Unwrap() error { return uce.Cause }
