--- a/entry/large_test.go
+++ b/entry/large_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lynxwell.dev/lynxwell/affinity"
 	"lynxwell.dev/lynxwell/entrytest"
 	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/platformtest"
@@ -57,6 +59,41 @@
 	"odd values":           oddValues,
 }
 
+// valuesOverMessage returns values that a host keeps, over 8 MB in all, which no message between hosts holds. They can't be compressed.
+func valuesOverMessage(t *testing.T) []store.Write {
+	t.Helper()
+	random := rand.NewChaCha8([32]byte{})
+	var writes []store.Write
+	for idx := range 4 {
+		bat := affinity.Batch{Origin: affinity.Origin{Service: "s", Version: "v"}, KeepFor: time.Minute}
+		for range 90_000 {
+			bat.Streams = append(bat.Streams, affinity.Stream(random.Uint64()))
+		}
+		data, err := platform.EncodeOrigins([]affinity.Batch{bat})
+		assert.NilError(t, err)
+		writes = append(writes, store.Write{Key: platform.OriginsKey(fmt.Sprint("odd-", idx)), Data: data, Blind: true})
+	}
+	for _, known := range platform.StoreKeys() {
+		if strings.HasSuffix(known.Key, "/") {
+			continue
+		}
+		data := make([]byte, platformtest.MaxValueBytes)
+		_, err := random.Read(data)
+		assert.NilError(t, err)
+		writes = append(writes, store.Write{Key: known.Key, Data: data, Blind: true})
+	}
+	return writes
+}
+
+// Guards against hosts that can't read the copy of another host because it is larger than a message.
+func TestReadersOfHostsServeWithCopyOverMessage(t *testing.T) {
+	for when, meet := range moments {
+		t.Run(when, func(t *testing.T) {
+			serveBeside(t, entrytest.Config{Hosts: 4, OneDomain: true}, valuesOverMessage(t), meet)
+		})
+	}
+}
+
 // moments are when a host meets the values: each writes them and returns the hosts that have met them.
 var moments = map[string]func(sys *entrytest.System, write func()){
 	"following": func(_ *entrytest.System, write func()) { write() },
