fix(entry): a host reports only records that the store has

A coordinator that was about to take a version out reported the number of its next record before the store had it; another host's announcement may take the same number, and counted as known to it. What such a host concludes was bounded already (TestReducedRecordConcludesNothingUntilStored); its report is exact now, too. Reports wake the check only while a version is announced.

--- a/entry/origins.go
+++ b/entry/origins.go
@@ -34,6 +34,8 @@
 	storeRead bool
 	revision  store.Revision
 	number    uint64
+	// known is the number of the newest record that the store had and that is in force here; 0 for none.
+	known uint64
 	// foundOrigins is set once the store has had origins of streams.
 	foundOrigins bool
 	// missingSince is when this host first saw that the record lacks a version; zero while it lacks none.
--- a/entry/versions.go
+++ b/entry/versions.go
@@ -54,9 +54,13 @@
 }
 
 // applyVersions applies a record of versions, and reports it to the coordinator and its next candidates; the mutex must be
-// held. Unstored is set if the store doesn't have it yet.
+// held. Unstored is set if the store doesn't have it yet: another host may write one of the same number.
 func (bro *broker) applyVersions(rec affinity.Record, unstored bool) {
 	bro.handleLocked(scheduler.VersionsRecorded{Record: rec, Era: uint64(bro.host.storeEra()), Unstored: unstored})
+	if unstored {
+		return
+	}
+	bro.origins.known = rec.Number
 	bro.recordVersionsKnown(bro.host.epoch, rec.Number)
 	for epo := range bro.links {
 		bro.reportVersions(epo)
@@ -66,16 +70,19 @@
 
 // reportVersions reports this host's record of versions to a host with a link; the mutex must be held.
 func (bro *broker) reportVersions(to request.Epoch) {
-	if number := bro.core.Versions().Number; number > 0 {
-		bro.send(to, reservation.VersionsKnown{Number: number})
+	if bro.origins.known > 0 {
+		bro.send(to, reservation.VersionsKnown{Number: bro.origins.known})
 	}
 }
 
 // recordVersionsKnown records the number of a host's record of versions, and looks whether streams may begin at an
 // announced one; the mutex must be held.
 func (bro *broker) recordVersionsKnown(from request.Epoch, number uint64) {
-	bro.origins.readers.Learned(bro.host.clock.Now(), from, number)
-	wake(bro.origins.wakeVersions)
+	now := bro.host.clock.Now()
+	bro.origins.readers.Learned(now, from, number)
+	if _, announced := bro.core.VersionOpensIn(now); announced {
+		wake(bro.origins.wakeVersions)
+	}
 }
 
 // confirmVersions records that the copy of the store was current at a time, if this host was registered there: the hosts
--- a/tools/mutate/versions.go
+++ b/tools/mutate/versions.go
@@ -132,7 +132,7 @@
 	},
 	{
 		"Versions: hosts report the record that they have", "entry/versions.go",
-		"VersionsKnown{Number: number}", "VersionsKnown{Number: 0 * number}",
+		"VersionsKnown{Number: bro.origins.known}", "VersionsKnown{}",
 		opens,
 	},
 	{
