--- a/entry/rejoined_test.go
+++ b/entry/rejoined_test.go
@@ -235,3 +235,32 @@
 		}
 	}
 }
+
+// Guards against a version that is announced for good, and against refusals of the streams of before it, if all hosts are lost
+// before it opens.
+func TestAnnouncedVersionOpensAfterLossOfAllHosts(t *testing.T) {
+	for name, leaves := range map[string]bool{"both serve": false, "v1 left": true} {
+		t.Run(name, func(t *testing.T) {
+			vsy := startWithOneVersion(t, 3)
+			vsy.begin(keptStreams)
+			vsy.join()
+			vsy.WaitUntil("announced", func() bool { return len(vsy.record().Announced[entrytest.Model]) == 1 })
+			vsy.waitForStoredOrigins()
+			want := keptStreams
+			hosts := vsy.kill(func() {
+				if leaves {
+					vsy.removeVersion("v1")
+					want = 0
+				}
+			})
+			start := time.Now()
+			resumed, mixed := vsy.resume(keptStreams, hosts)
+			assert.Equal(t, mixed, 0)
+			assert.Equal(t, resumed, want)
+			vsy.waitForOpen(2)
+			assert.Assert(t, time.Since(start) < affinity.OpenAfter+time.Second, "streams begin after %s", time.Since(start))
+			ans := vsy.Send(t.Context(), hosts[0], streamRequest("new", "", 0))
+			assert.Equal(t, ans.Status, 200, ans.Body)
+		})
+	}
+}
