fix(entry): a new system's versions open once the registered hosts know them

Callers got 503 for all streams in the first 4.5 s of a new system whose engines register after its hosts.

Cause: the first host writes a record without versions, so the first ones are announced, and until a host has seen registrations for OpenAfter it takes no announcement for known: hosts that were deregistered before might conclude from an earlier record.

Change: a host that reads a store with neither a record nor origins, and knows no record, waits only for the hosts that are registered (Readers.Found): those of before have no record. Where there was one, nothing changes.

--- a/affinity/affinity_test.go
+++ b/affinity/affinity_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"lynxwell.dev/lynxwell/affinity"
+	"lynxwell.dev/lynxwell/request"
 )
 
 var (
@@ -181,3 +182,16 @@
 	reg.Expire(start.Add(3 * time.Minute))
 	assert.Equal(t, reg.Len(), 0)
 }
+
+// Guards against waiting for hosts of before in a store that has never had a record, and against not waiting for others.
+func TestFirstHostWaitsForRegisteredHostsOnly(t *testing.T) {
+	rds := affinity.NewReaders()
+	rds.Found(start)
+	rds.SetRegistered(start, []request.Epoch{1, 2})
+	rds.Learned(start, 1, 2)
+	assert.Equal(t, rds.KnownToAll(start), uint64(0), "the second host may have an earlier record")
+	rds.Learned(start, 2, 2)
+	assert.Equal(t, rds.KnownToAll(start), uint64(2))
+	rds.Restart(start)
+	assert.Equal(t, rds.KnownToAll(start), uint64(0))
+}
--- a/affinity/readers.go
+++ b/affinity/readers.go
@@ -31,6 +31,10 @@
 // Restart records that registrations may have been missed until now.
 func (rds *Readers) Restart(now time.Time) { rds.since = now }
 
+// Found records that the store has never had a record of versions: hosts that were deregistered before now have none from
+// which they may conclude.
+func (rds *Readers) Found(now time.Time) { rds.since = now.Add(-OpenAfter) }
+
 // SetRegistered records which hosts are registered.
 func (rds *Readers) SetRegistered(now time.Time, registered []request.Epoch) {
 	if rds.since.IsZero() {
--- a/entry/rejoined_test.go
+++ b/entry/rejoined_test.go
@@ -264,3 +264,19 @@
 		})
 	}
 }
+
+// Guards against streams that don't begin for OpenAfter when a system starts for the first time: no host can have concluded
+// anything before.
+func TestVersionsOfNewSystemOpenAtOnce(t *testing.T) {
+	sys := entrytest.StartWithoutHosts(t, nil)
+	sys.Configure(entrytest.Configuration{Version: 1})
+	sys.StartHosts(entrytest.Config{Hosts: 3})
+	sys.WaitForReady()
+	start := time.Now()
+	vsy := &versionedSystem{System: sys, t: t}
+	vsy.AddEngines(engineOfVersion("e0", "v1"))
+	vsy.WaitForEngines(1)
+	vsy.join()
+	vsy.waitForOpen(2)
+	assert.Assert(t, time.Since(start) < affinity.OpenAfter/2, "open after %s", time.Since(start))
+}
--- a/entry/versions.go
+++ b/entry/versions.go
@@ -108,13 +108,18 @@
 	bro := wat.host.broker
 	bro.mutex.Lock()
 	defer bro.mutex.Unlock()
+	now := wat.host.clock.Now()
 	bro.origins.storeRead = true
 	if bro.origins.foundOrigins && bro.origins.number == 0 {
 		// Hosts write no origin of a stream before they have written a record.
 		bro.core.LoseVersions()
 	}
-	// Hosts may have been registered and deregistered since the last read.
-	bro.origins.readers.Restart(wat.host.clock.Now())
+	if bro.origins.revision == 0 && !bro.origins.foundOrigins && bro.core.Versions().Number == 0 {
+		bro.origins.readers.Found(now)
+	} else {
+		// Hosts may have been registered and deregistered since the last read.
+		bro.origins.readers.Restart(now)
+	}
 	bro.completeOrigins()
 }
 
