--- a/affinity/readers.go
+++ b/affinity/readers.go
@@ -47,6 +47,10 @@
 	}
 }
 
+// Found records that the store has never had a record of versions: hosts that were deregistered before now have none from
+// which they may conclude.
+func (rds *Readers) Found(now time.Time) { rds.since, rds.confirmed = now.Add(-OpenAfter), now }
+
 // SetRegistered records which hosts are registered.
 func (rds *Readers) SetRegistered(now time.Time, registered []request.Epoch) {
 	if rds.since.IsZero() {
--- a/entry/rejoined_test.go
+++ b/entry/rejoined_test.go
@@ -235,3 +235,48 @@
 		}
 	}
 }
+
+// Guards against a version that is announced for good, and against refusals of the streams of before it, if all hosts are lost
+// before it opens.
+func TestAnnouncedVersionOpensAfterLossOfAllHosts(t *testing.T) {
+	for name, leaves := range map[string]bool{"both serve": false, "v1 left": true} {
+		t.Run(name, func(t *testing.T) {
+			vsy := startWithOneVersion(t, 3)
+			vsy.begin(keptStreams)
+			vsy.join()
+			vsy.WaitUntil("announced", func() bool { return len(vsy.record().Announced[entrytest.Model]) == 1 })
+			vsy.waitForStoredOrigins()
+			want := keptStreams
+			hosts := vsy.kill(func() {
+				if leaves {
+					vsy.removeVersion("v1")
+					want = 0
+				}
+			})
+			start := time.Now()
+			resumed, mixed := vsy.resume(keptStreams, hosts)
+			assert.Equal(t, mixed, 0)
+			assert.Equal(t, resumed, want)
+			vsy.waitForOpen(2)
+			assert.Assert(t, time.Since(start) < affinity.OpenAfter+time.Second, "streams begin after %s", time.Since(start))
+			ans := vsy.Send(t.Context(), hosts[0], streamRequest("new", "", 0))
+			assert.Equal(t, ans.Status, 200, ans.Body)
+		})
+	}
+}
+
+// Guards against streams that don't begin for OpenAfter when a system starts for the first time: no host can have concluded
+// anything before.
+func TestVersionsOfNewSystemOpenAtOnce(t *testing.T) {
+	sys := entrytest.StartWithoutHosts(t, nil)
+	sys.Configure(entrytest.Configuration{Version: 1})
+	sys.StartHosts(entrytest.Config{Hosts: 3})
+	sys.WaitForReady()
+	start := time.Now()
+	vsy := &versionedSystem{System: sys, t: t}
+	vsy.AddEngines(engineOfVersion("e0", "v1"))
+	vsy.WaitForEngines(1)
+	vsy.join()
+	vsy.waitForOpen(2)
+	assert.Assert(t, time.Since(start) < affinity.OpenAfter/2, "open after %s", time.Since(start))
+}
