--- a/entry/outofstep_test.go
+++ b/entry/outofstep_test.go
@@ -124,6 +124,7 @@
 	for _, coordinator := range []bool{false, true} {
 		for name, cut := range outOfStep {
 			t.Run(fmt.Sprintf("%s, coordinator %v", name, coordinator), func(t *testing.T) {
+				t.Parallel()
 				vsy := startWithOneVersion(t, 4)
 				alone, others := vsy.Hosts[3], vsy.Hosts[:3]
 				if coordinator {
@@ -144,6 +145,7 @@
 func TestHostOutOfStepResumesStreamsOfSoleVersion(t *testing.T) {
 	for name, cut := range outOfStep {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			vsy := startWithOneVersion(t, 4)
 			vsy.Hosts[3].SetCutOff(cut)
 			counts := vsy.handOver(vsy.Hosts[:3], vsy.Hosts[3], 3*time.Second)
--- a/entry/rejoined_test.go
+++ b/entry/rejoined_test.go
@@ -147,6 +147,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			vsy := play(t)
 			vsy.waitForStoredOrigins()
 			resumed, mixed := vsy.resume(keptStreams, vsy.kill(func() {}))
@@ -163,6 +164,7 @@
 		"deleted":    {Key: versionsKey, Delete: true, Blind: true},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			vsy := startJoined(t, 3)
 			vsy.WaitUntil("some origins are stored", func() bool {
 				values, _, err := vsy.Store.List(t.Context(), "lynxwell/streams/")
@@ -179,6 +181,7 @@
 			assert.Equal(t, mixed, 0)
 		})
 		t.Run(name+", hosts alive", func(t *testing.T) {
+			t.Parallel()
 			vsy := startJoined(t, 3)
 			vsy.waitForStoredOrigins()
 			assert.NilError(t, vsy.Store.Write(damage))
@@ -201,6 +204,7 @@
 	for name, lost := range map[string]bool{"hosts alive": false, "all hosts lost": true} {
 		for leaver, removed := range map[string]string{"both serve": "", "v1 left": "v1", "v1.1 left": "v1.1"} {
 			t.Run(name+", "+leaver, func(t *testing.T) {
+				t.Parallel()
 				vsy := startWithOneVersion(t, 3)
 				cop := vsy.Store.Copy()
 				vsy.join()
@@ -241,6 +245,7 @@
 func TestAnnouncedVersionOpensAfterLossOfAllHosts(t *testing.T) {
 	for name, leaves := range map[string]bool{"both serve": false, "v1 left": true} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			vsy := startWithOneVersion(t, 3)
 			vsy.begin(keptStreams)
 			vsy.join()
