--- a/affinity/announce_test.go
+++ b/affinity/announce_test.go
@@ -78,7 +78,7 @@
 // missed.
 func TestReadersKnowTheOldestRecord(t *testing.T) {
 	const one, two request.Epoch = 1, 2
-	after := func(dur time.Duration) time.Time { return start.Add(dur) }
+	after := start.Add
 	rds := affinity.NewReaders()
 	rds.SetRegistered(start, []request.Epoch{one, two})
 	rds.Learned(start, one, 7)
@@ -113,7 +113,6 @@
 	now     time.Time
 	record  affinity.Record
 	era     uint64
-	copied  affinity.Record
 	serving []string
 	hosts   []*playedHost
 	// registered are the hosts with an entry in the store.
