--- a/tools/mutate/versions.go
+++ b/tools/mutate/versions.go
@@ -145,4 +145,14 @@
 		"ori.IsKnown() && eng.Version != ori.Version", "ori.IsKnown() && eng.Version == \"\"",
 		late,
 	},
+	{
+		"Absence: the first record of versions names one", "affinity/history.go",
+		"	if next.Number == 0 && !changed {\n", "	if false {\n",
+		[]string{"./affinity", "-run", "FirstRecord"},
+	},
+	{
+		"Absence: an old copy doesn't show that a stop isn't planned", "entry/crash.go",
+		"	return hos.snapshotAge(now) <= maxStopCopyAge ||", "	return true ||",
+		[]string{"./entry", "-run", "PlannedStop"},
+	},
 }
