fix(affinity): no record of versions is written before any version is known

Streams of a new system waited up to 4.5 s for a host that had read the first record, which named no version: the first versions were announced, as if a host might conclude from that record, and such a host waits for those of before. Nothing needs to be recorded before a version is listed; the record that names the first ones opens them at once. TestNextRecord got a record at its first line before.

--- a/affinity/affinity_test.go
+++ b/affinity/affinity_test.go
@@ -113,6 +113,8 @@
 func TestNextRecord(t *testing.T) {
 	his := affinity.NewHistory()
 	his.ObserveLife(42 * time.Second)
+	_, change := his.Next(start, 3, 0)
+	assert.Equal(t, change, affinity.ChangeNone, "no version is known")
 	his.Observe(start, "menus", []string{"v2", "v1"})
 	rec, change := his.Next(start, 3, 0)
 	assert.Equal(t, change, affinity.ChangeExtends)
--- a/affinity/history.go
+++ b/affinity/history.go
@@ -239,6 +239,10 @@
 		his.observeAnnounced(now)
 	}
 	next, changed := his.withMissing(now)
+	if next.Number == 0 && !changed {
+		// A record without versions would only make hosts that read it announce the first ones.
+		return his.record, ChangeNone
+	}
 	if next.open(his.ready(now, known)) {
 		changed = true
 	}
