--- a/entry/large_test.go
+++ b/entry/large_test.go
@@ -50,12 +50,15 @@
 	return writes
 }
 
+// manyValues are more values than one answer of the store may have.
+const manyValues = 40_000
+
 // foreign are series of values that other programs write at once.
 var foreign = map[string]func() []store.Write{
 	"values of 1 MB":       func() []store.Write { return foreignValues("servers/", 24, platformtest.MaxValueBytes) },
 	"unrecognized of 1 MB": func() []store.Write { return foreignValues("q/", 24, platformtest.MaxValueBytes) },
 	"over 64 MB in all":    func() []store.Write { return foreignValues("servers/", 70, platformtest.MaxValueBytes) },
-	"many values":          func() []store.Write { return foreignValues("servers/", 40_000, 10) },
+	"many values":          func() []store.Write { return foreignValues("servers/", manyValues, 10) },
 	"odd values":           oddValues,
 }
 
@@ -162,5 +165,8 @@
 		ans := sys.Send(t.Context(), hos, streamRequest(fmt.Sprint("after-", idx), "", 0))
 		assert.Equal(t, ans.Status, http.StatusOK, ans.Body)
 	}
+	if len(values) >= manyValues {
+		sys.WaitUntil("it is logged", func() bool { return strings.Contains(sys.Log(), "values in the store left out") })
+	}
 	t.Logf("served with the engine that joined after %s", time.Since(start))
 }
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -66,6 +66,8 @@
 	applying update
 	// intake bounds what is kept of the store.
 	intake *intake.Intake
+	// leftOut is how many values the store had left out of its lists at the last update.
+	leftOut int
 	// reader decides from where the store is read, and source names the present source.
 	reader *mirror.Reader
 	source string
@@ -148,7 +150,7 @@
 	} else {
 		upd.changes.Changes = wat.admitChanges(upd.changes.Changes)
 	}
-	if leftOut := wat.intake.LeftOut() - before; leftOut > 0 {
+	if leftOut := wat.intake.LeftOut() - before + wat.takeLeftOut(); leftOut > 0 {
 		wat.host.metrics.add("StoreValuesLeftOut", leftOut)
 		wat.host.log.Warn().Int("LeftOut", leftOut).Uint64("Revision", upd.changes.Revision.Number()).Msg("values in the store left out, there are too many")
 	}
@@ -156,6 +158,17 @@
 	return upd
 }
 
+// takeLeftOut returns how many values the store has left out of its lists since the last call.
+func (wat *storeWatcher) takeLeftOut() int {
+	src, known := wat.host.cfg.Store.(store.LeftOutSource)
+	if !known {
+		return 0
+	}
+	former := wat.leftOut
+	wat.leftOut = src.LeftOut()
+	return wat.leftOut - former
+}
+
 func (wat *storeWatcher) admitValues(values []store.Value) []store.Value {
 	admitted := make([]store.Value, 0, len(values))
 	for _, val := range values {
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -57,8 +57,8 @@
 	return &Intake{rules: rules, families: make(map[string]*family)}
 }
 
-// Admit returns what is kept of a value, and false if nothing is. A key that is kept already loses its data if the new
-// data has no room, since its former data isn't valid any longer.
+// Admit returns what is kept of a value, and false if nothing is. Data without room is left out; the key is kept if it
+// is one of the first, so that it is reported, or was kept before, since its former data isn't valid any longer.
 func (itk *Intake) Admit(val store.Value) (store.Value, bool) {
 	name := itk.rules.Family(val.Key)
 	if name == "" {
@@ -75,7 +75,7 @@
 	fits := total <= MaxBytes && (known || len(fam.sizes) < MaxKeys)
 	if !usable || !fits {
 		itk.leftOut++
-		if !known {
+		if !known && len(fam.sizes) >= MaxUncheckedKeys {
 			return store.Value{}, false
 		}
 		val.Data = nil
@@ -101,7 +101,7 @@
 	delete(fam.sizes, key)
 }
 
-// LeftOut returns how many values were left out.
+// LeftOut returns how many values were left out, with or without their keys.
 func (itk *Intake) LeftOut() int { return itk.leftOut }
 
 // TakeRoom reports whether there is room again for usable values that may have been left out. It reports each occasion once.
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -35,15 +35,16 @@
 	for name, data := range map[string]string{"many": "x", "large": strings.Repeat("x", 10_000)} {
 		t.Run(name, func(t *testing.T) {
 			itk := newTestIntake()
-			kept, bytes := 0, 0
+			kept, full, bytes := 0, 0, 0
 			for number := range 20_000 {
 				if val, found := itk.Admit(value("e", number, data)); found {
 					kept++
+					full += min(1, len(val.Data))
 					bytes += len(val.Data)
 				}
 			}
-			assert.Assert(t, kept <= intake.MaxUncheckedKeys && bytes <= intake.MaxBytes/4, "%d, %d bytes", kept, bytes)
-			assert.Equal(t, itk.LeftOut(), 20_000-kept)
+			assert.Assert(t, kept == intake.MaxUncheckedKeys && bytes <= intake.MaxBytes/4, "%d, %d bytes", kept, bytes)
+			assert.Equal(t, itk.LeftOut(), 20_000-full)
 			for number := range 3000 {
 				_, found := itk.Admit(value("e", 100_000+number, "valid"))
 				assert.Assert(t, found)
--- a/store/store.go
+++ b/store/store.go
@@ -90,6 +90,12 @@
 	Hosts(ctx context.Context) ([]HostState, error)
 }
 
+// LeftOutSource is implemented by a Store that leaves values out of its lists, since a host needn't hold them.
+type LeftOutSource interface {
+	// LeftOut returns how many values were left out of all lists so far.
+	LeftOut() int
+}
+
 // ConflictError reports a key whose revision isn't the expected one.
 type ConflictError struct {
 	Key    string
--- a/tools/mutate/bounds.go
+++ b/tools/mutate/bounds.go
@@ -4,7 +4,7 @@
 var endless = []string{"./upstream", "./platform", "-run", "Endless|HeadLimit|Together|TooMany"}
 
 // largeReplies selects the tests of large replies of the store.
-var largeReplies = []string{"./platform", "-run", "HostsUse|UnusableChanges"}
+var largeReplies = []string{"./platform", "-run", "HostsUse|HostsDontUse|UnusableChanges"}
 
 // boundMutations remove what bounds the bytes that a host holds of what others send.
 var boundMutations = []mutation{
