test(entry): a refusal repeats the reservation's ballot

TestValidRefusalIsRepeatedWithoutAsking failed since decisions are matched to submissions: its coordinator left the ballot out, which real ones repeat. The test asks as much as before.

--- a/entry/submission_test.go
+++ b/entry/submission_test.go
@@ -67,8 +67,9 @@
 func TestValidRefusalIsRepeatedWithoutAsking(t *testing.T) {
 	bro, first, _ := newGateway(t)
 	decided := reserveAsync(t, bro, submissionOf("r1", 1))
-	assert.Equal(t, sentReservation(t, bro, first).ID.Unique, "r1")
-	refuse(bro, reservation.Refuse{ID: request.ID{Unique: "r1"}, Reason: reservation.ReasonLimit, ValidFor: time.Hour})
+	sent := sentReservation(t, bro, first)
+	assert.Equal(t, sent.ID.Unique, "r1")
+	refuse(bro, reservation.Refuse{ID: sent.ID, Ballot: sent.Ballot, Reason: reservation.ReasonLimit, ValidFor: time.Hour})
 	assert.Equal(t, (<-decided).refusal.Reason, reservation.ReasonLimit)
 	dec, err := bro.reserve(t.Context(), submissionOf("r2", 1))
 	assert.NilError(t, err)
