fix(entry): a damaged record of versions is left to the hosts that know it

Cause: another program damages the record of versions. A coordinator that knows no record, since it has just started or its first write lost against another host's, writes one of its own at once; that one announces the version that serves, and no stream begins until it opens, up to 4.5 s later. The other hosts know the former record, but only the coordinator wrote a known one again.

Change: which host writes, and after what time, is a pure decision (affinity.Turn). A host that knows no record leaves a damaged one for at least 0.75 s to those that know it; hosts other than the coordinator write a known record again, too, after 0.25 s. A damaged record is looked at when it is read, at most once a second, and not only at the next check.

--- a/entry/origins.go
+++ b/entry/origins.go
@@ -38,8 +38,11 @@
 	known uint64
 	// foundOrigins is set once the store has had origins of streams.
 	foundOrigins bool
-	// missingSince is when this host first saw that the record lacks a version; zero while it lacks none.
+	// missingSince is when this host first saw that it has to write what the record lacks unless another one does; zero if
+	// it lacks nothing.
 	missingSince time.Time
+	// damagedAt is when a damaged record was last looked at ahead of the next check.
+	damagedAt time.Time
 	// readers are the hosts that may conclude from their records of versions.
 	readers *affinity.Readers
 	// checkedAt is when the record was last checked.
@@ -54,6 +57,9 @@
 	wakeOrigins  chan struct{}
 }
 
+// isDamaged reports whether the store's record of versions can't be read.
+func (ori *origins) isDamaged() bool { return ori.revision != 0 && ori.number == 0 }
+
 func newOrigins() *origins {
 	return &origins{readers: affinity.NewReaders(), wakeVersions: make(chan struct{}, 1), wakeOrigins: make(chan struct{}, 1)}
 }
--- a/entry/versions.go
+++ b/entry/versions.go
@@ -19,9 +19,6 @@
 const (
 	// versionsInterval is the interval at which a host checks the record of versions.
 	versionsInterval = time.Second
-	// versionsWait is the least time after which a host other than the coordinator adds a missing version to the record,
-	// up to twice that: the coordinator may not reach the store.
-	versionsWait = 250 * time.Millisecond
 	// versionsTimeout bounds the writing of the record.
 	versionsTimeout = time.Second
 	// maxVersionsGap is the age of the copy of the store, and the time between two checks, from which changes of the
@@ -42,6 +39,10 @@
 	}
 	bro.origins.revision, bro.origins.number = val.Revision, 0
 	bro.core.LoseVersions()
+	if now := wat.host.clock.Now(); now.Sub(bro.origins.damagedAt) > versionsInterval {
+		bro.origins.damagedAt = now
+		wake(bro.origins.wakeVersions)
+	}
 }
 
 // applyStoredVersions applies a record of versions that the store has, unless this host knows a newer one; the mutex must
@@ -167,12 +168,10 @@
 	if !ori.storeRead || !coordinates && !bro.keepsStreams() {
 		return affinity.Record{}, 0, versionsInterval
 	}
-	if !coordinates {
-		if wait := bro.versionsDelay(now); wait > 0 {
-			return affinity.Record{}, 0, wait
-		}
+	if wait := bro.versionsDelay(now, coordinates); wait > 0 {
+		return affinity.Record{}, 0, wait
 	}
-	if known := bro.core.Versions(); coordinates && known.Number > ori.number {
+	if known := bro.core.Versions(); known.Number > ori.number && (coordinates || ori.isDamaged()) {
 		return known, ori.revision, versionsInterval
 	}
 	rec, change := bro.core.NextVersions(now, uint64(bro.host.storeEra()), ori.readers.KnownToAll(now))
@@ -194,19 +193,29 @@
 	return versionsInterval
 }
 
-// versionsDelay returns for how long this host, which isn't the coordinator, leaves it to the coordinator to record
-// versions; 0 if it has to do so itself. The mutex must be held.
-func (bro *broker) versionsDelay(now time.Time) time.Duration {
+// versionsDelay returns for how long this host leaves the record of versions to other hosts; 0 if it has to write what is
+// missing. The mutex must be held.
+func (bro *broker) versionsDelay(now time.Time, coordinates bool) time.Duration {
 	ori := bro.origins
-	if !bro.core.LacksVersions(now) {
+	wait, writes := affinity.Turn{
+		Coordinates: coordinates,
+		Knows:       bro.core.Versions().Number > 0,
+		IsDamaged:   ori.isDamaged(),
+		Lacks:       bro.core.LacksVersions(now),
+	}.Wait()
+	if !writes {
 		ori.missingSince = time.Time{}
 		return versionsInterval
 	}
+	if wait == 0 {
+		ori.missingSince = time.Time{}
+		return 0
+	}
 	if ori.missingSince.IsZero() {
 		ori.missingSince = now
 	}
-	if waited := now.Sub(ori.missingSince); waited < versionsWait {
-		return versionsWait - waited + rand.N(versionsWait)
+	if waited := now.Sub(ori.missingSince); waited < wait {
+		return wait - waited + rand.N(affinity.MaxDelay)
 	}
 	return 0
 }
