fix(entry): the wait for those that know a damaged record begins with the damage

Cause: a host that knew no record had waited since its own first write was refused. When the record was damaged a second later, its wait was over, and it wrote one that announces all versions before the coordinator, which knew the former one (by the log: expected 162, at once; the coordinator's write was refused).

Change: the wait begins when the damage is read.

--- a/entry/origins.go
+++ b/entry/origins.go
@@ -60,6 +60,19 @@
 // isDamaged reports whether the store's record of versions can't be read.
 func (ori *origins) isDamaged() bool { return ori.revision != 0 && ori.number == 0 }
 
+// setDamaged records that the store's record of versions of a revision can't be read, and has it looked at.
+func (ori *origins) setDamaged(now time.Time, rev store.Revision) {
+	if !ori.isDamaged() {
+		// What this host has waited for before doesn't count: others may know the record.
+		ori.missingSince = time.Time{}
+	}
+	ori.revision, ori.number = rev, 0
+	if now.Sub(ori.damagedAt) > versionsInterval {
+		ori.damagedAt = now
+		wake(ori.wakeVersions)
+	}
+}
+
 func newOrigins() *origins {
 	return &origins{readers: affinity.NewReaders(), wakeVersions: make(chan struct{}, 1), wakeOrigins: make(chan struct{}, 1)}
 }
--- a/entry/versions.go
+++ b/entry/versions.go
@@ -37,12 +37,8 @@
 		bro.applyStoredVersions(rec, val.Revision)
 		return
 	}
-	bro.origins.revision, bro.origins.number = val.Revision, 0
 	bro.core.LoseVersions()
-	if now := wat.host.clock.Now(); now.Sub(bro.origins.damagedAt) > versionsInterval {
-		bro.origins.damagedAt = now
-		wake(bro.origins.wakeVersions)
-	}
+	bro.origins.setDamaged(wat.host.clock.Now(), val.Revision)
 }
 
 // applyStoredVersions applies a record of versions that the store has, unless this host knows a newer one; the mutex must
