feat(entry): a decision names the engines whose version isn't open

A stream that waited for its version to open was refused with Reason=Overload and "no engine has room in time", like one that waited for room: the damaged record of versions had to be read from which host wrote when. The decision has Unopened now, the number of such engines, if there are any.

--- a/entry/desk.go
+++ b/entry/desk.go
@@ -247,6 +247,9 @@
 			Dur("CopyAge", bro.host.snapshotAge(now)).Uint64("Record", bro.core.Versions().Number).Stringer("By", bro.host.epoch)
 		bro.host.metrics.count("Streams.Origin." + inp.Origin.String())
 	}
+	if inp.Unopened > 0 {
+		evt = evt.Int("Unopened", inp.Unopened)
+	}
 	if inp.RateLimited > 0 {
 		evt = evt.Int("Paced", inp.RateLimited).Bool("WaitedForRate", inp.WaitedForRate)
 	}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -195,6 +195,9 @@
 func (svc *service) inputsFor(now time.Time, wai *waiter) Inputs {
 	inp := svc.inputs(now, wai.since)
 	inp.RateLimited, inp.WaitedForRate, inp.Origin = svc.limitedEngines, wai.rateLimited, wai.origin
+	if wai.needsRecord() {
+		inp.Unopened = svc.unrecorded
+	}
 	return inp
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -178,6 +178,9 @@
 	Engines     int
 	Ejected     int
 	EjectedUsed bool
+	// Unopened is the number of the service's engines at whose version no stream that may be resumed may begin yet, if the
+	// request begins one.
+	Unopened int
 	// RateLimited is the number of the service's engines that have signaled a rate limit or are
 	// cold. WaitedForRate is set if an engine was passed over only because of such a limit.
 	// PerSecond is the rate limit of the granted engine in requests per second, RecentGrants the
--- a/scheduler/version_test.go
+++ b/scheduler/version_test.go
@@ -298,6 +298,21 @@
 	assert.Equal(t, outcomeOf(har.handle(scheduler.VersionsRecorded{Record: rec})), "new")
 }
 
+// Guards against a log that tells a stream that waited for a version to open from one that waited for room by nothing.
+func TestDecisionNamesEnginesThatAreNotOpen(t *testing.T) {
+	har := newHarness()
+	har.handle(scheduler.VersionsRecorded{Record: affinity.Record{Number: 1, Versions: map[string][]string{"model": {"v1"}}}})
+	har.handle(scheduler.EnginesChanged{Engines: []fleet.Engine{versionedModel("new", "v2")}})
+	res := promptReservation("begins", 10)
+	res.Stream, res.StreamLife = affinity.StreamOf("", "begins"), playedLife
+	har.reserve(res)
+	sends := har.advance(res.LatencyTarget)
+	assert.Equal(t, outcomeOf(sends), "Overload")
+	assert.Equal(t, sends[0].Inputs.Unopened, 1)
+	sends = har.reserve(promptReservation("other", 10))
+	assert.Equal(t, sends[0].Inputs.Unopened, 0, "it waits for no version")
+}
+
 // versionPlay plays cores of one host after another, with what their store keeps.
 type versionPlay struct {
 	*harness
