fix(evacuation): a host that was deregistered counts until it sends nothing

Cause: a host without an entry and a session counted as one that sends nothing. One that is cut off is deregistered when its lease ends, and sends on until its copy of the store is 4 s old, while the coordinator publishes the failure domain as closed without it.

Change: the tracker remembers the hosts that were present and counts each for as long as it may send, from when it left or from when the order was seen, whichever was first: four fifths of the revocation bound and 0.5 s, at most the 5 s of the users' bound for evacuations. It doesn't count if it has reported the order, or if a later run of the same host is present. The hosts are given to the tracker whenever a registration or a session begins or ends.

Where no host has left, nothing changes.

--- a/entry/dump.go
+++ b/entry/dump.go
@@ -128,10 +128,8 @@
 		dum.Deposed = epo.String()
 	}
 	dum.Scheduler, dum.Versions = bro.core.Dump(now), bro.core.Versions()
-	if bro.coordinatesLocked() {
-		bro.evacuations.SetHosts(bro.senders())
-	}
-	dum.Evacuations = bro.evacuations.Dump(bro.core.RunningIn)
+	bro.updateSenders(now)
+	dum.Evacuations = bro.evacuations.Dump(now, bro.core.RunningIn)
 }
 
 func (hos *Host) serveDump(wri http.ResponseWriter, _ *http.Request) {
--- a/entry/evacuations.go
+++ b/entry/evacuations.go
@@ -250,7 +250,7 @@
 func (bro *broker) setEvacuations(states []evacuation.StoredState) {
 	bro.mutex.Lock()
 	defer bro.mutex.Unlock()
-	bro.evacuations.SetStates(states)
+	bro.evacuations.SetStates(bro.host.clock.Now(), states)
 }
 
 // evacuationWrites returns the states that this host is to publish if it is the coordinator, and
@@ -264,21 +264,29 @@
 	if !bro.coordinatesLocked() {
 		return nil, idleEvacuationInterval
 	}
-	bro.evacuations.SetHosts(bro.senders())
+	bro.updateSenders(now)
 	return bro.evacuations.Writes(now, bro.core.RunningIn), evacuationInterval
 }
 
-// senders returns the hosts that may send requests to engines: those that are registered, and those
-// that are not but have a session.
-func (bro *broker) senders() []request.Epoch {
-	var senders []request.Epoch
+// updateSenders updates the hosts that may send requests to engines; the mutex must be held. It is called
+// whenever a registration or a session begins or ends, since an order that is given later also counts those that have
+// left shortly before.
+func (bro *broker) updateSenders(now time.Time) {
+	bro.evacuations.SetHosts(now, evacuation.Hosts{
+		Present: bro.senders(), SendsFor: evacuation.SendsFor(bro.host.freshnessLimit()),
+	})
+}
+
+// senders returns the hosts that are registered, and those that are not but have a session.
+func (bro *broker) senders() []evacuation.Host {
+	senders := []evacuation.Host{{Epoch: bro.host.epoch, Name: bro.host.set.Name}}
 	for _, mem := range bro.membership.members {
-		senders = append(senders, mem.Epoch)
+		senders = append(senders, evacuation.Host{Epoch: mem.Epoch, Name: mem.Name})
 	}
 	for _, inb := range bro.inbound {
-		senders = append(senders, inb.gateway)
+		senders = append(senders, evacuation.Host{Epoch: inb.gateway, Name: inb.name})
 	}
-	return append(senders, bro.host.epoch)
+	return senders
 }
 
 // maintainEvacuations publishes the progress of evacuations while this host is the coordinator.
--- a/entry/evacuations_test.go
+++ b/entry/evacuations_test.go
@@ -266,3 +266,68 @@
 		})
 	}
 }
+
+// Guards against evacuations that go on waiting for hosts that have ended, or that are cut off: each order is published,
+// and the log says after how long.
+func TestEvacuationIsPublishedAfterHostsHaveLeft(t *testing.T) {
+	for name, leave := range map[string]func(*entrytest.Host){
+		"none left": func(*entrytest.Host) {},
+		"stopped as planned": func(hos *entrytest.Host) {
+			assert.NilError(t, hos.Drain(t.Context()))
+			hos.Stop()
+		},
+		"killed":                  func(hos *entrytest.Host) { hos.Stop() },
+		"cut, connections reset":  func(hos *entrytest.Host) { hos.SetCutOff(outOfStep["connections reset"]) },
+		"cut, connections silent": func(hos *entrytest.Host) { hos.SetCutOff(outOfStep["connections silent"]) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			sys := start(t, 3, []*upstreamtest.Engine{engineInDomain(evacuatedDomain, "evacuated")})
+			sys.WaitUntil("the hosts have the leases of a small fleet", func() bool { return haveShortLeases(sys) })
+			leave(sys.Hosts[2])
+			orderedAt := time.Now()
+			sys.Evacuate(evacuatedDomain, "{}")
+			sys.WaitUntil("the state is published", func() bool { return isPublished(sys) })
+			t.Logf("published %s after the order", time.Since(orderedAt).Round(10*time.Millisecond))
+		})
+	}
+}
+
+// haveShortLeases reports whether the leases of all hosts last for three seconds: hosts that start have longer ones.
+func haveShortLeases(sys *entrytest.System) bool {
+	registered := linesWith(sys.Log(), `"LeaseTime":3000,`)
+	for _, hos := range sys.Hosts {
+		if !strings.Contains(registered, `"Host":"`+hos.Settings.Name+`"`) {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against an order that waits for a host that has reported it before it was stopped as planned.
+func TestEvacuationDoesNotWaitForStoppedHostThatEnforcedIt(t *testing.T) {
+	sys := start(t, 3, []*upstreamtest.Engine{engineInDomain(evacuatedDomain, "evacuated")})
+	const silent = request.Epoch(4711)
+	sys.RegisterLostHost("silent", silent, nil)
+	sys.WaitUntil("the silent host is known", func() bool { return strings.Contains(sys.Log(), `"EnteredNames":["silent"]`) })
+	sys.Evacuate(evacuatedDomain, "{}")
+	waitForMissing(sys, silent)
+	assert.NilError(t, sys.Hosts[2].Drain(t.Context()))
+	sys.Hosts[2].Stop()
+	sys.Hosts = hostsWithout(sys.Hosts, sys.Hosts[2])
+	waitForMissing(sys, silent)
+	sys.RemoveHost("silent")
+	sys.WaitUntil("the state is published", func() bool { return isPublished(sys) })
+}
+
+// waitForMissing waits until the evacuation waits for one host alone.
+func waitForMissing(sys *entrytest.System, missing request.Epoch) {
+	sys.WaitUntil("the evacuation waits for the host alone", func() bool {
+		first := coordinator(sys)
+		if first == nil {
+			return false
+		}
+		evs := first.Dump().Evacuations
+		return len(evs) == 1 && len(evs[0].Missing) == 1 && evs[0].Missing[0] == missing.String()
+	})
+}
--- a/entry/roster.go
+++ b/entry/roster.go
@@ -77,6 +77,7 @@
 	bro.registeredMembership, bro.membership = mbs, mbs.applyRestarts(bro.restarts)
 	bro.presence.SetMembers(now, bro.membership.members)
 	bro.origins.readers.SetRegistered(now, epochsOf(mbs.members))
+	bro.updateSenders(now)
 	bro.dropDeregistered()
 	bro.elect()
 	bro.publishLeader()
--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -199,6 +199,7 @@
 	bro.presence.SessionOpened(from.Epoch)
 	inb := &inbound{gateway: from.Epoch, name: from.Name, queue: que, cancel: cancel}
 	bro.inbound[bro.lastSession] = inb
+	bro.updateSenders(bro.host.clock.Now())
 	if bro.publishedLeader != 0 || bro.deposed.Latest(bro.host.clock.Now()) != 0 {
 		bro.sendLeader(inb)
 	}
@@ -261,7 +262,9 @@
 	delete(bro.inbound, session)
 	bro.shares.book.GiveBack(inb.gateway)
 	bro.slowReports.Remove(inb.gateway)
-	bro.presence.SessionEnded(bro.host.clock.Now(), inb.gateway)
+	now := bro.host.clock.Now()
+	bro.presence.SessionEnded(now, inb.gateway)
 	bro.evacuations.ClearEnforced(inb.gateway)
+	bro.updateSenders(now)
 	bro.handleLocked(scheduler.GatewayLost{Gateway: inb.gateway})
 }
--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -5,8 +5,8 @@
 // # Usage
 //
 //	trk := evacuation.New()
-//	trk.SetStates(states)           // the orders and published states in the store
-//	trk.SetHosts(epochs)            // the hosts that may send requests
+//	trk.SetStates(now, states)      // the orders and published states in the store
+//	trk.SetHosts(now, hosts)        // the hosts that are present, at each change
 //	trk.SetEnforced(epoch, orders)  // the orders that a host enforces
 //	for _, wri := range trk.Writes(now, running) {
 //		// write to the store if the revision there is wri.Expect
@@ -18,10 +18,40 @@
 
 import (
 	"fmt"
+	"time"
 
+	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/store"
 )
 
+const (
+	// sendMargin is for the way of a request to its engine, and for a slow host.
+	sendMargin = 500 * time.Millisecond
+	// maxSendsFor is the longest time for which an order waits for a host that may be cut off: the users'
+	// bound for an evacuation, after which requests of hosts in touch would violate their rule.
+	maxSendsFor = 5 * time.Second
+)
+
+// Host is one run of a host.
+type Host struct {
+	Epoch request.Epoch
+	Name  string
+}
+
+// Hosts is what is known of the hosts that may send requests to engines.
+type Hosts struct {
+	// Present are those that are registered or have a session.
+	Present []Host
+	// SendsFor is for how long a host may send requests after its last news, see SendsFor.
+	SendsFor time.Duration
+}
+
+// SendsFor returns for how long a host that is cut off counts as one that may send requests, if it sends
+// none once its copy of the store has reached an age.
+func SendsFor(maxCopyAge time.Duration) time.Duration {
+	return min(maxCopyAge+sendMargin, maxSendsFor)
+}
+
 // Order is an operator's order to evacuate a failure domain: hosts send no requests to the
 // domain's engines until the order is withdrawn.
 type Order struct {
--- a/tools/mutate/mutations.go
+++ b/tools/mutate/mutations.go
@@ -167,7 +167,23 @@
 	},
 	{
 		"Place: the state of an order is published only once all hosts enforce the order", "evacuation/board.go",
-		"len(trk.hosts) == 0 || len(trk.missing(ord)) > 0", "len(trk.hosts) == 0", placement,
+		"len(trk.hosts) == 0 || len(trk.missing(now, ord)) > 0", "len(trk.hosts) == 0", placement,
+	},
+	{
+		"Place: a host that has left counts for as long as it may send", "evacuation/board.go",
+		"leaving{name: name, at: now}", "leaving{name: name}", placement,
+	},
+	{
+		"Place: a host that has left without the order stops sending a time after the order", "evacuation/board.go",
+		"trk.maySendSince(now, lea.at) && trk.maySendSince(now, trk.seenAt[ord.Domain])", "trk.maySendSince(now, lea.at)", placement,
+	},
+	{
+		"Place: a host that has reported an order goes on to enforce it", "evacuation/board.go",
+		"trk.reported[epo][ord.Domain] != ord.Revision && ", "", placement,
+	},
+	{
+		"Place: the former run of a host that is present has ended", "evacuation/board.go",
+		" || names[lea.name] ||", " ||", placement,
 	},
 	{
 		"Place: a host reports an order as enforced only once all its requests to the domain are written", "evacuation/gate.go",
