--- a/evacuation/board.go
+++ b/evacuation/board.go
@@ -22,8 +22,8 @@
 	// revisions of the orders that the host has reported as enforced.
 	hosts    map[request.Epoch]string
 	enforced map[request.Epoch]map[string]uint64
-	// leftAt holds the hosts that were present before, for as long as they may send requests. reported is enforced without regard to the end of sessions: who enforces an order
-	// goes on to do so until it reads that the order was withdrawn.
+	// leftAt holds the hosts that were present before, for as long as they may send requests. reported is enforced without
+	// regard to the end of sessions: who enforces an order goes on to do so until it reads that the order was withdrawn.
 	leftAt   map[request.Epoch]leaving
 	reported map[request.Epoch]map[string]uint64
 	// sendsFor is that of Hosts.
