fix(affinity): a record of versions is complete only with all that its writer has seen

Seen by the property only; no caller reported it. After a restoration of the store a host takes one version for the only one while streams of another live.

Cause: a host that has followed the store for the life of a stream declares the record complete in the store's era, whatever the record names. It may be one that another host began, which had seen less, and lack a version that left within that life; a host that starts then concludes from it. And "has followed" counted from the host's start, also if its copy wasn't confirmed meanwhile.

Change: the record that is declared complete names all versions that the host has seen within the life of a stream and the margin; only a host whose copy is current declares it.

The play gets steps that let a host write until all have reported, and that begin and resume at all hosts, so that it reaches more in as many steps.

TestRecordIsCompleteWithAllThatWasSeen fails without either half.

--- a/affinity/announce_test.go
+++ b/affinity/announce_test.go
@@ -237,6 +237,18 @@
 	}
 }
 
+// settle lets the host write, and the hosts read and report what was written, until streams may begin at each version that
+// serves, or a host is waited for.
+func (fpl *fleetPlay) settle(writer *playedHost) {
+	for range 3 {
+		fpl.write(writer, false)
+		for _, hos := range fpl.hosts {
+			fpl.sync(hos)
+			fpl.report(hos, writer)
+		}
+	}
+}
+
 // restoreStore puts a copy of the store in its place, in the next era.
 func (fpl *fleetPlay) restoreStore() {
 	fpl.era++
@@ -311,6 +323,19 @@
 				fpl.begin(host(rt, "host"), fmt.Sprint("v", rapid.IntRange(1, 3).Draw(rt, "version")))
 			},
 			"resume": func(rt *rapid.T) { fpl.resume(host(rt, "host")) },
+			"settle": func(rt *rapid.T) { fpl.settle(host(rt, "writer")) },
+			"begin all": func(*rapid.T) {
+				for _, hos := range fpl.hosts {
+					fpl.begin(hos, "v1")
+					fpl.begin(hos, "v2")
+					fpl.begin(hos, "v3")
+				}
+			},
+			"resume all": func(*rapid.T) {
+				for _, hos := range fpl.hosts {
+					fpl.resume(hos)
+				}
+			},
 			"wait": func(rt *rapid.T) {
 				fpl.now = fpl.now.Add(time.Duration(rapid.SampledFrom([]int{10, 200, 1000, 1000, 3000, 4500, 20_000}).Draw(rt, "wait")) * time.Millisecond)
 			},
@@ -333,3 +358,26 @@
 	his.Apply(start, rec, 0)
 	assert.Assert(t, his.IsOpen("menus", "v1"))
 }
+
+// Guards against a record that counts as complete without a version whose streams live: a host took over one that another
+// host had begun anew, and had seen more than it names; or it had followed the store for too short a time.
+func TestRecordIsCompleteWithAllThatWasSeen(t *testing.T) {
+	his := affinity.NewHistory()
+	his.Observe(start, "menus", []string{"v1", "v2"})
+	his.Confirm(start)
+	now := start
+	for range 35 {
+		now = now.Add(time.Second)
+		his.Observe(now, "menus", []string{"v2"})
+		his.Confirm(now)
+	}
+	begun := recordOf(1, []string{"v2"})
+	begun.Era = affinity.NoEra
+	his.Apply(now, begun, 0)
+	rec, change := his.Next(now, 0, 0)
+	assert.Equal(t, change, affinity.ChangeExtends)
+	assert.Equal(t, rec.Era, uint64(0))
+	assert.DeepEqual(t, rec.Versions["menus"], []string{"v1", "v2"})
+	_, change = his.Next(now.Add(affinity.MaxSoleAge+1), 0, 0)
+	assert.Equal(t, change, affinity.ChangeNone, "the host may have missed a version since")
+}
--- a/affinity/history.go
+++ b/affinity/history.go
@@ -283,8 +283,9 @@
 	case next.Number == 0:
 		// The first host that reads a store without a record is the first of all hosts, unless the store was restored.
 		next.Era = era
-	case next.Era != era && now.Sub(his.began) > next.Life:
+	case next.Era != era && his.IsCurrent(now) && now.Sub(his.began) > next.Life:
 		next.Era, changed = era, true
+		his.addSeen(now, &next)
 	}
 	next.Number++
 	if changed {
@@ -300,6 +301,17 @@
 	return his.record, ChangeNone
 }
 
+// addSeen adds the versions that have served within the life of a stream.
+func (his *History) addSeen(now time.Time, rec *Record) {
+	for service, served := range his.lastServed {
+		for version, at := range served {
+			if now.Sub(at) <= rec.Life+removalMargin {
+				rec.add(service, version, true)
+			}
+		}
+	}
+}
+
 // withMissing returns the record with the versions that serve at the time, and whether it lacked any. One that is added to
 // an earlier record is announced: a host may still conclude from that one.
 func (his *History) withMissing(now time.Time) (Record, bool) {
--- a/tools/mutate/versions.go
+++ b/tools/mutate/versions.go
@@ -15,6 +15,9 @@
 	opens   = []string{"./entry", "-run", "VersionOpensOnce"}
 )
 
+// complete selects the tests of when a record of versions is complete.
+var complete = []string{"./affinity", "-run", "RecordIsComplete"}
+
 // late selects the tests of decisions that come after a reservation was withdrawn.
 var late = []string{"./entry", "-run", "DecisionOnEarlier|NotResumedAtGrant"}
 
@@ -145,6 +148,16 @@
 		"ori.IsKnown() && eng.Version != ori.Version", "ori.IsKnown() && eng.Version == \"\"",
 		late,
 	},
+	{
+		"Absence: a record is complete with all that was seen", "affinity/history.go",
+		"		his.addSeen(now, &next)\n", "",
+		complete,
+	},
+	{
+		"Absence: a record is complete only as one has followed the store", "affinity/history.go",
+		"next.Era != era && his.IsCurrent(now) &&", "next.Era != era &&",
+		complete,
+	},
 	{
 		"Absence: the first record of versions names one", "affinity/history.go",
 		"	if next.Number == 0 && !changed {\n", "	if false {\n",
