fix(entry): a record of versions that the store has lost isn't confirmed, and is restored in full

Not seen by callers; found in review. Another writer damages or deletes the record, or a host that knew none begins another one at a lower number.

Cause: a host confirmed its own record by any copy of the store, also by one whose record was unreadable, missing or older. A host that was cut off while a version joined and left thus took the former one for the only one as soon as it read the damaged value; and since it might write its old record over it, as one that is complete. Hosts that know a newer record ignored one begun anew, only the coordinator wrote theirs again, without what the other had named; and reports of the lost record's numbers opened versions of the new one at once.

Change, all in affinity.History: while the store's number is below the highest that a host has read, the host doesn't confirm its copy. Whoever knows the lost record writes it again (the coordinator at once, the other keepers after Turn's wait), with the versions of the one begun anew and all that it has seen within a stream's life, at a number that leaves a gap; as complete in no era if its copy is over 4 s old. A writer below a reported number opens by time alone and goes beyond that number. No new message or field.

Within 4 s of a loss streams of a sole version go on, and the record is back by then while a host that knows it keeps streams.

--- a/affinity/announce_test.go
+++ b/affinity/announce_test.go
@@ -154,9 +154,11 @@
 
 // fleetPlay plays hosts that read one store, are cut off and go on, while versions join and leave.
 type fleetPlay struct {
-	rt      *rapid.T
-	now     time.Time
-	record  affinity.Record
+	rt     *rapid.T
+	now    time.Time
+	record affinity.Record
+	// damaged is set while another program's value is in the place of the record.
+	damaged bool
 	era     uint64
 	serving []string
 	hosts   []*playedHost
@@ -189,8 +191,13 @@
 	if hos.cut {
 		return
 	}
+	if fpl.damaged {
+		hos.history.LoseRecord()
+	}
 	if fpl.record.Number >= hos.history.Record().Number {
 		hos.history.Apply(fpl.now, fpl.record, fpl.era)
+	} else {
+		hos.history.FindOlder(fpl.now, fpl.record)
 	}
 	hos.readAt = fpl.now
 	hos.served = slices.Clone(fpl.serving)
@@ -207,6 +214,7 @@
 func (fpl *fleetPlay) report(from, to *playedHost) {
 	if !from.cut && !to.cut {
 		to.readers.Learned(fpl.now, from.epoch, from.known)
+		to.history.ObserveReport(from.known)
 	}
 }
 
@@ -220,8 +228,7 @@
 	hos.readers.Learned(fpl.now, hos.epoch, hos.known)
 	known := hos.history.Record()
 	if known.Number > fpl.record.Number {
-		fpl.record = known
-		fpl.sync(hos)
+		fpl.store(hos, hos.history.Restore(fpl.now))
 		return
 	}
 	rec, change := hos.history.Next(fpl.now, fpl.era, hos.readers.KnownToAll(fpl.now))
@@ -232,11 +239,21 @@
 		hos.history.Reduce(fpl.now, rec, fpl.era)
 	}
 	if change != affinity.ChangeNone && !lost {
-		fpl.record = rec
-		fpl.sync(hos)
+		fpl.store(hos, rec)
 	}
 }
 
+// store lets the host's write take effect.
+func (fpl *fleetPlay) store(hos *playedHost, rec affinity.Record) {
+	fpl.record, fpl.damaged = rec, false
+	fpl.sync(hos)
+}
+
+// damage puts another program's value in the place of the record.
+func (fpl *fleetPlay) damage() {
+	fpl.record, fpl.damaged = affinity.Record{}, fpl.record.Number > 0 || fpl.damaged
+}
+
 // settle lets the host write, and the hosts read and report what was written, until streams may begin at each version that
 // serves, or a host is waited for.
 func (fpl *fleetPlay) settle(writer *playedHost) {
@@ -252,7 +269,7 @@
 // restoreStore puts a copy of the store in its place, in the next era.
 func (fpl *fleetPlay) restoreStore() {
 	fpl.era++
-	fpl.record, fpl.registered = fpl.copied, maps.Clone(fpl.copiedRegistered)
+	fpl.record, fpl.damaged, fpl.registered = fpl.copied, false, maps.Clone(fpl.copiedRegistered)
 	if fpl.registered == nil {
 		fpl.registered = make(map[request.Epoch]bool)
 	}
@@ -279,8 +296,8 @@
 	}
 }
 
-// Guards against streams at another version for any order of cuts, pauses, restarts, restorations of the store, versions
-// that come and go, and reports that come late or never.
+// Guards against streams at another version for any order of cuts, pauses, restarts, restorations of the store, damaged
+// records, versions that come and go, and reports that come late or never.
 func TestNoHostOfAFleetConcludesWrongly(t *testing.T) {
 	concluded := 0
 	rapid.Check(t, func(rt *rapid.T) {
@@ -307,6 +324,7 @@
 			},
 			"copy":              func(*rapid.T) { fpl.copied, fpl.copiedRegistered = fpl.record, maps.Clone(fpl.registered) },
 			"restore the store": func(*rapid.T) { fpl.restoreStore() },
+			"damage the record": func(*rapid.T) { fpl.damage() },
 			"read":              func(rt *rapid.T) { fpl.sync(host(rt, "host")) },
 			"write":             func(rt *rapid.T) { fpl.write(host(rt, "writer"), rapid.IntRange(0, 4).Draw(rt, "lost") == 4) },
 			"report":            func(rt *rapid.T) { fpl.report(host(rt, "from"), host(rt, "to")) },
@@ -359,6 +377,69 @@
 	assert.Assert(t, his.IsOpen("menus", "v1"))
 }
 
+// Guards against a conclusion from a record that the store has lost: a host that was cut off confirmed its own old one by a
+// copy with an unreadable one, or none, while streams of a version lived that only the lost one named.
+func TestLostRecordIsNotConfirmed(t *testing.T) {
+	for name, older := range map[string]affinity.Record{"none that can be read": {}, "begun anew": recordOf(2, []string{"v1"})} {
+		t.Run(name, func(t *testing.T) {
+			his := affinity.NewHistory()
+			his.Observe(start, "menus", []string{"v1"})
+			his.Apply(start, recordOf(5, []string{"v1"}), 0)
+			his.Confirm(start)
+			his.FindOlder(start.Add(time.Second), older)
+			his.Confirm(start.Add(time.Second))
+			_, sole := his.Sole(start.Add(affinity.MaxSoleAge), "menus", time.Second)
+			assert.Assert(t, sole, "while no stream can have begun at another one, streams go on")
+			later := start.Add(affinity.MaxSoleAge + 1)
+			his.Confirm(later)
+			_, sole = his.Sole(later, "menus", time.Second)
+			assert.Assert(t, !sole, "the lost record may have named another version")
+			restored := his.Restore(later)
+			assert.Equal(t, restored.Era, affinity.NoEra, "a newer record may have been lost")
+			his.Apply(later, restored, 0)
+			his.Confirm(later)
+			_, sole = his.Sole(later, "menus", time.Second)
+			assert.Assert(t, !sole, "the host's own record may lack a version")
+		})
+	}
+}
+
+// Guards against streams of a sole version that are refused because the record was lost, and against a record that is written
+// again without the versions of the one that was begun anew.
+func TestLostRecordIsRestoredWithWhatWasBegunAnew(t *testing.T) {
+	his := affinity.NewHistory()
+	his.Observe(start, "menus", []string{"v1"})
+	his.Apply(start, recordOf(5, []string{"v1"}), 0)
+	his.Confirm(start)
+	his.FindOlder(start.Add(time.Second), affinity.Record{})
+	his.Apply(start.Add(time.Second), his.Restore(start.Add(time.Second)), 0)
+	his.Confirm(start.Add(time.Second))
+	version, sole := his.Sole(start.Add(time.Second), "menus", 30*time.Second)
+	assert.Assert(t, sole && version == "v1", "the host has missed nothing")
+	his.FindOlder(start.Add(time.Second), recordOf(2, []string{"v2"}))
+	restored := his.Restore(start.Add(time.Second))
+	assert.DeepEqual(t, restored.Versions["menus"], []string{"v1", "v2"})
+	assert.Assert(t, restored.Number > his.Record().Number)
+}
+
+// Guards against a version that opens by reports of a record that the store has lost: their numbers are of other records.
+func TestReportOfLostRecordOpensNothing(t *testing.T) {
+	his := affinity.NewHistory()
+	his.LoseRecord()
+	his.Observe(start, "menus", []string{"v1"})
+	his.Confirm(start)
+	rec, _ := his.Next(start, 0, 0)
+	his.Apply(start, rec, 0)
+	his.ObserveReport(9)
+	rec, change := his.Next(start, 0, 9)
+	assert.Equal(t, change, affinity.ChangeExtends)
+	assert.Assert(t, rec.IsAnnounced("menus", "v1"))
+	assert.Assert(t, rec.Number > 9+1, "hosts that know the lost record see that they have missed changes")
+	assert.Equal(t, rec.Era, affinity.NoEra, "it may lack what the lost record names")
+	opened, _ := his.Next(start.Add(affinity.OpenAfter), 0, 9)
+	assert.Assert(t, !opened.IsAnnounced("menus", "v1"))
+}
+
 // Guards against a record that counts as complete without a version whose streams live: a host took over one that another
 // host had begun anew, and had seen more than it names; or it had followed the store for too short a time.
 func TestRecordIsCompleteWithAllThatWasSeen(t *testing.T) {
--- a/affinity/history.go
+++ b/affinity/history.go
@@ -19,6 +19,9 @@
 	// seldom changes.
 	minLife  = 30 * time.Second
 	lifeStep = 10 * time.Second
+	// lostGap is the distance between the numbers of a record that the store has lost and of the one that takes its place:
+	// hosts that know the lost one take it for one of which they have missed changes.
+	lostGap = 2
 )
 
 // History holds which versions of each service have served lately. It has seen only what was since its process
@@ -37,6 +40,13 @@
 	unstored map[string][]string
 	// recordLost is set if hosts had a record that the store hasn't any more.
 	recordLost bool
+	// known is the highest number of a record that the store had here, and older what it has instead once it has lost
+	// that one: an older one, or one that was begun anew; of number 0 for none that can be read.
+	known  uint64
+	isLost bool
+	older  Record
+	// reported is the highest number of a record that another host has reported.
+	reported uint64
 	// era is the store's era when the record was applied last.
 	era uint64
 	// confirmed is a time at which the store certainly had the record, and this host was registered there; zero if there
@@ -86,7 +96,12 @@
 
 // Confirm records that the store had the record at a time, and that this host was registered there. After a time for which
 // that wasn't known, recorded versions may have served until now, and others that this history hasn't seen.
+//
+// While the store hasn't the record, hosts that know none may begin another one, and streams by that.
 func (his *History) Confirm(at time.Time) {
+	if his.isLost {
+		return
+	}
 	if !his.began.IsZero() && (his.confirmed.IsZero() || at.Sub(his.confirmed) > MaxSoleAge) {
 		his.Interrupt(at)
 		his.began = at
@@ -111,13 +126,18 @@
 	if unstored == nil {
 		unstored = cloneVersions(his.record.Versions)
 	}
-	his.Apply(now, rec, era)
+	his.apply(now, rec, era)
 	his.unstored = unstored
 }
 
 // Apply records the newest record of the store, in the store's era. Versions that it names anew may have served until now,
 // and so may all of them if changes of the record were missed.
 func (his *History) Apply(now time.Time, rec Record, era uint64) {
+	his.apply(now, rec, era)
+	his.known, his.isLost, his.older = rec.Number, false, Record{}
+}
+
+func (his *History) apply(now time.Time, rec Record, era uint64) {
 	former := his.record
 	his.unstored = nil
 	his.record, his.isComplete = rec, rec.Number > 0 && rec.Era == era
@@ -141,6 +161,25 @@
 // versions whose streams live, and hosts may conclude from the lost one.
 func (his *History) LoseRecord() { his.recordLost = true }
 
+// FindOlder records that the store has a record of a lower number than the one that it had before, or of number 0 for none
+// that can be read. Streams may begin at the versions that it names.
+func (his *History) FindOlder(now time.Time, rec Record) {
+	if rec.Number >= his.known {
+		return
+	}
+	his.isLost, his.older = true, rec
+	for service, versions := range rec.Versions {
+		his.Observe(now, service, versions)
+	}
+}
+
+// IsLost reports whether the store has lost a record that this host knows, or of which another one has told this host,
+// which knows none.
+func (his *History) IsLost() bool { return his.isLost || his.record.Number == 0 && his.reported > 0 }
+
+// ObserveReport records that another host has reported a record of a number.
+func (his *History) ObserveReport(number uint64) { his.reported = max(his.reported, number) }
+
 // enterEra records the store's era. In another one the store may have lost what was announced: hosts that don't know of it
 // may confirm an earlier record.
 func (his *History) enterEra(era uint64) {
@@ -172,6 +211,9 @@
 	for service, versions := range his.record.Versions {
 		his.Observe(now, service, versions)
 	}
+	for service, versions := range his.unstored {
+		his.Observe(now, service, versions)
+	}
 }
 
 // Record returns the newest record of the store.
@@ -266,6 +308,11 @@
 		his.enterEra(era)
 		his.observeAnnounced(now)
 	}
+	// Hosts may have a record that the store has lost. The numbers that they report are of other records then.
+	isBehind := his.reported > his.record.Number
+	if isBehind {
+		known = 0
+	}
 	next, changed := his.withMissing(now)
 	if next.Number == 0 && !changed {
 		// No version serves yet. The first record is the only one that opens its versions at once.
@@ -278,16 +325,19 @@
 		next.Life, changed = life, true
 	}
 	switch {
-	case next.Number == 0 && (his.recordLost || era > 0):
+	case next.Number == 0 && (his.recordLost || his.reported > 0 || era > 0):
 		next.Era = NoEra
 	case next.Number == 0:
 		// The first host that reads a store without a record is the first of all hosts, unless the store was restored.
 		next.Era = era
+	case isBehind:
+		// They follow a record of a higher number, which may lack what the lost one names.
+		next.Era, changed = NoEra, true
 	case next.Era != era && his.IsCurrent(now) && now.Sub(his.began) > next.Life:
 		next.Era, changed = era, true
 		his.addSeen(now, &next)
 	}
-	next.Number++
+	next.Number = his.nextNumber()
 	if changed {
 		return next, ChangeExtends
 	}
@@ -296,20 +346,57 @@
 		return known && now.Sub(at) <= next.Life+removalMargin
 	})
 	if removed {
+		// It is in force at once, so that it has to give way to one that another host has written meanwhile.
+		next.Number = his.record.Number + 1
 		return next, ChangeReduces
 	}
 	return his.record, ChangeNone
 }
 
-// addSeen adds the versions that have served within the life of a stream.
-func (his *History) addSeen(now time.Time, rec *Record) {
+// nextNumber returns the number of the record that follows the newest one. If hosts have reported a higher one, which the
+// store has lost, it is beyond that, with a gap by which they see that they have missed changes.
+func (his *History) nextNumber() uint64 {
+	if his.reported > his.record.Number {
+		return his.reported + lostGap
+	}
+	return his.record.Number + 1
+}
+
+// Restore returns the record that the store has to have if it has a lower one than the newest: that one with all versions
+// that may have begun streams meanwhile.
+func (his *History) Restore(now time.Time) Record {
+	next := his.record.clone()
+	added := his.addSeen(now, &next)
+	switch {
+	case his.isLost:
+		for service, versions := range his.older.Versions {
+			for _, version := range versions {
+				next.add(service, version, true)
+			}
+		}
+		next.Life = max(next.Life, his.older.Life)
+		next.Number = max(next.Number, his.reported) + lostGap
+		if !his.IsCurrent(now) {
+			// Other hosts may have known a newer one.
+			next.Era = NoEra
+		}
+	case added:
+		next.Number++
+	}
+	return next
+}
+
+// addSeen adds the versions that have served within the life of a stream, and reports whether the record lacked any.
+func (his *History) addSeen(now time.Time, rec *Record) bool {
+	added := false
 	for service, served := range his.lastServed {
 		for version, at := range served {
-			if now.Sub(at) <= rec.Life+removalMargin {
-				rec.add(service, version, true)
+			if now.Sub(at) <= rec.Life+removalMargin && rec.add(service, version, true) {
+				added = true
 			}
 		}
 	}
+	return added
 }
 
 // withMissing returns the record with the versions that serve at the time, and whether it lacked any. One that is added to
@@ -317,7 +404,7 @@
 func (his *History) withMissing(now time.Time) (Record, bool) {
 	next, missing := his.record.clone(), false
 	// A restored store may have lost an earlier record.
-	announce := his.record.Number > 0 || his.recordLost || his.era > 0
+	announce := his.record.Number > 0 || his.recordLost || his.reported > 0 || his.era > 0
 	for service, served := range his.lastServed {
 		for version, at := range served {
 			if !at.Before(now) && next.add(service, version, announce) {
--- a/affinity/turn.go
+++ b/affinity/turn.go
@@ -17,8 +17,8 @@
 	Coordinates bool
 	// Knows is set if the host knows a record, of which the store may have lost a part.
 	Knows bool
-	// IsDamaged is set if the store's record can't be read.
-	IsDamaged bool
+	// IsLost is set if the store's record can't be read, or is older than one that hosts know.
+	IsLost bool
 	// Lacks is set if the record that the host knows lacks a version.
 	Lacks bool
 }
@@ -26,12 +26,12 @@
 // Wait returns the time for which the host leaves the record to other hosts, and whether it writes it at all if none does.
 func (trn Turn) Wait() (time.Duration, bool) {
 	switch {
-	case trn.IsDamaged && !trn.Knows:
+	case trn.IsLost && !trn.Knows:
 		return unknowingWait, true
 	case trn.Coordinates:
 		return 0, true
 	default:
-		return othersWait, trn.IsDamaged || trn.Lacks
+		return othersWait, trn.IsLost || trn.Lacks
 	}
 }
 
--- a/affinity/turn_test.go
+++ b/affinity/turn_test.go
@@ -11,11 +11,11 @@
 // Guards against a host that has just started and writes a record of its own over a damaged one that others know: no stream
 // begins until its versions open.
 func TestDamagedRecordIsLeftToHostsThatKnowIt(t *testing.T) {
-	starting, writes := affinity.Turn{Coordinates: true, IsDamaged: true, Lacks: true}.Wait()
+	starting, writes := affinity.Turn{Coordinates: true, IsLost: true, Lacks: true}.Wait()
 	assert.Assert(t, writes, "the record is written although no host may know it")
 	for name, knowing := range map[string]affinity.Turn{
-		"coordinator": {Coordinates: true, IsDamaged: true, Knows: true},
-		"other host":  {IsDamaged: true, Knows: true},
+		"coordinator": {Coordinates: true, IsLost: true, Knows: true},
+		"other host":  {IsLost: true, Knows: true},
 	} {
 		wait, restores := knowing.Wait()
 		assert.Assert(t, restores, name)
--- a/entry/rejoined_test.go
+++ b/entry/rejoined_test.go
@@ -209,6 +209,24 @@
 	}
 }
 
+// Guards against a mixed stream after the record of versions was deleted and begun anew at a lower number: it lacks a version
+// whose streams live, which the hosts that know the former record have to name again.
+func TestVersionRecordBegunAnewIsRestored(t *testing.T) {
+	t.Parallel()
+	vsy := startJoined(t, 3)
+	vsy.waitForStoredOrigins()
+	former := vsy.record()
+	data, err := platform.EncodeVersions(affinity.Record{Number: 1, Life: former.Life, Versions: map[string][]string{entrytest.Model: {"v1.1"}}})
+	assert.NilError(t, err)
+	vsy.removeVersion("v1")
+	assert.NilError(t, vsy.Store.Write(store.Write{Key: versionsKey, Data: data, Blind: true}))
+	vsy.WaitUntil("record written again", func() bool { return len(vsy.record().Versions[entrytest.Model]) == 2 })
+	assert.Assert(t, vsy.record().Number > former.Number, "hosts that know the former record follow the new one")
+	resumed, mixed := vsy.resume(resumedStreams, vsy.kill(func() {}))
+	assert.Equal(t, mixed, 0)
+	assert.Equal(t, resumed, vsy.begunAt("v1.1"), "the streams of the version that serves go on")
+}
+
 // Guards against mixed streams in a store that is restored from a copy made before the second version joined.
 func TestStoreRestoredFromBeforeAVersionJoinedMixesNothing(t *testing.T) {
 	for name, lost := range map[string]bool{"hosts alive": false, "all hosts lost": true} {
--- a/entry/versions.go
+++ b/entry/versions.go
@@ -37,8 +37,10 @@
 		bro.applyStoredVersions(rec, val.Revision)
 		return
 	}
+	now := wat.host.clock.Now()
 	bro.core.LoseVersions()
-	bro.origins.setDamaged(wat.host.clock.Now(), val.Revision)
+	bro.core.FindOlderVersions(now, affinity.Record{})
+	bro.origins.setDamaged(now, val.Revision)
 }
 
 // applyStoredVersions applies a record of versions that the store has, unless this host knows a newer one; the mutex must
@@ -47,7 +49,9 @@
 	bro.origins.revision, bro.origins.number = rev, rec.Number
 	if rec.Number >= bro.core.Versions().Number {
 		bro.applyVersions(rec, false)
+		return
 	}
+	bro.core.FindOlderVersions(bro.host.clock.Now(), rec)
 }
 
 // applyVersions applies a record of versions, and reports it to the coordinator and its next candidates; the mutex must be
@@ -77,6 +81,7 @@
 func (bro *broker) recordVersionsKnown(from request.Epoch, number uint64) {
 	now := bro.host.clock.Now()
 	bro.origins.readers.Learned(now, from, number)
+	bro.core.ObserveVersionsReport(number)
 	if _, announced := bro.core.VersionOpensIn(now); announced {
 		wake(bro.origins.wakeVersions)
 	}
@@ -103,12 +108,14 @@
 	wat.host.broker.core.ForgetStoredStreams()
 }
 
-// clearVersions records that the store has no record of versions. The known one stays in force: another writer may have
-// deleted the key.
+// clearVersions records that the store has no record of versions. The known one stays in force, but isn't confirmed: another
+// writer may have deleted the key.
 func (wat *storeWatcher) clearVersions() {
-	wat.host.broker.mutex.Lock()
-	defer wat.host.broker.mutex.Unlock()
-	wat.host.broker.origins.revision, wat.host.broker.origins.number = 0, 0
+	bro := wat.host.broker
+	bro.mutex.Lock()
+	defer bro.mutex.Unlock()
+	bro.origins.revision, bro.origins.number = 0, 0
+	bro.core.FindOlderVersions(wat.host.clock.Now(), affinity.Record{})
 }
 
 // endVersionsRead records that all keys of the store have been read.
@@ -167,8 +174,8 @@
 	if wait := bro.versionsDelay(now, coordinates); wait > 0 {
 		return affinity.Record{}, 0, wait
 	}
-	if known := bro.core.Versions(); known.Number > ori.number && (coordinates || ori.isDamaged()) {
-		return known, ori.revision, versionsInterval
+	if bro.core.Versions().Number > ori.number && (coordinates || bro.core.AreVersionsLost()) {
+		return bro.core.RestoredVersions(now), ori.revision, versionsInterval
 	}
 	rec, change := bro.core.NextVersions(now, uint64(bro.host.storeEra()), ori.readers.KnownToAll(now))
 	switch {
@@ -196,7 +203,7 @@
 	wait, writes := affinity.Turn{
 		Coordinates: coordinates,
 		Knows:       bro.core.Versions().Number > 0,
-		IsDamaged:   ori.isDamaged(),
+		IsLost:      ori.isDamaged() || bro.core.AreVersionsLost(),
 		Lacks:       bro.core.LacksVersions(now),
 	}.Wait()
 	if !writes {
--- a/scheduler/version.go
+++ b/scheduler/version.go
@@ -70,6 +70,24 @@
 // LoseVersions records that hosts have written a record of versions before that the store hasn't any more.
 func (cor *Core) LoseVersions() { cor.versions.LoseRecord() }
 
+// FindOlderVersions records that the store has a record of a lower number than the one that it had before, or of number 0 for
+// none that can be read.
+func (cor *Core) FindOlderVersions(now time.Time, rec affinity.Record) {
+	cor.versions.FindOlder(now, rec)
+}
+
+// ObserveVersionsReport records that another host has reported a record of versions of a number.
+func (cor *Core) ObserveVersionsReport(number uint64) { cor.versions.ObserveReport(number) }
+
+// AreVersionsLost reports whether the store has lost a record of versions that hosts know.
+func (cor *Core) AreVersionsLost() bool { return cor.versions.IsLost() }
+
+// RestoredVersions returns the record of versions that the store has to have if it has a lower one than Versions.
+func (cor *Core) RestoredVersions(now time.Time) affinity.Record {
+	cor.observeAllVersions(now)
+	return cor.versions.Restore(now)
+}
+
 // InterruptVersions records that changes of the engines may have been missed until now.
 func (cor *Core) InterruptVersions(now time.Time) { cor.versions.Interrupt(now) }
 
--- a/tools/mutate/versions.go
+++ b/tools/mutate/versions.go
@@ -15,8 +15,8 @@
 	opens   = []string{"./entry", "-run", "VersionOpensOnce"}
 )
 
-// complete selects the tests of when a record of versions is complete.
-var complete = []string{"./affinity", "-run", "RecordIsComplete"}
+// lost selects the tests of records that the store has lost.
+var lost = []string{"./affinity", "-run", "LostRecord|RecordIsComplete"}
 
 // late selects the tests of decisions that come after a reservation was withdrawn.
 var late = []string{"./entry", "-run", "DecisionOnEarlier|NotResumedAtGrant"}
@@ -148,15 +148,30 @@
 		"ori.IsKnown() && eng.Version != ori.Version", "ori.IsKnown() && eng.Version == \"\"",
 		late,
 	},
+	{
+		"Absence: a record that the store has lost isn't confirmed", "affinity/history.go",
+		"	if his.isLost {\n		return\n	}\n", "",
+		lost,
+	},
+	{
+		"Absence: a lost record is restored as one that may lack versions", "affinity/history.go",
+		"		if !his.IsCurrent(now) {\n", "		if false {\n",
+		lost,
+	},
+	{
+		"Absence: reports of a lost record open nothing", "affinity/history.go",
+		"		known = 0\n", "",
+		lost,
+	},
 	{
 		"Absence: a record is complete with all that was seen", "affinity/history.go",
 		"		his.addSeen(now, &next)\n", "",
-		complete,
+		lost,
 	},
 	{
 		"Absence: a record is complete only as one has followed the store", "affinity/history.go",
 		"next.Era != era && his.IsCurrent(now) &&", "next.Era != era &&",
-		complete,
+		lost,
 	},
 	{
 		"Absence: the first record of versions names one", "affinity/history.go",
