fix(scheduler): an unknown stream is awaited while other hosts schedule

Cause: a host that schedules for itself although others live, as shortly after the start or when it is back in touch, wasn't asked for the streams that others granted. It refused their resumption at once, and for good (Origin=Unknown, Waited=0, RetryAfter=0, By and Gateway the host itself).

Change: HostsChanged says whether other cores schedule for some of the hosts. Meanwhile a resumption of an unknown stream waits, as one does whose stream this core was asked for: for as long as it may wait for an engine, until the report comes or the host uses the coordinator that knows the stream. The refusal after it has a Retry-After. Nothing is concluded from the wait. A host with an old copy of the store refuses at once as before.

What holds before that is checked by TestResumptionWaitsWhileOthersSchedule.

--- a/entry/elect.go
+++ b/entry/elect.go
@@ -128,8 +128,10 @@
 // engines' slots.
 func (bro *broker) updateHosts(chosen request.Epoch) {
 	standby := chosen != bro.host.epoch && bro.servedHosts() == 1
-	leads := chosen == bro.host.epoch && (bro.isLeader() || len(bro.membership.members) == 1)
-	bro.handleLocked(scheduler.HostsChanged{Hosts: len(bro.membership.members), Position: bro.position(), Standby: standby, Leads: leads})
+	hosts := len(bro.membership.members)
+	leads := chosen == bro.host.epoch && (bro.isLeader() || hosts == 1)
+	othersSchedule := chosen != bro.host.epoch || bro.servedHosts() < hosts
+	bro.handleLocked(scheduler.HostsChanged{Hosts: hosts, Position: bro.position(), Standby: standby, Leads: leads, OthersSchedule: othersSchedule})
 }
 
 // position returns this host's place among all hosts, in the order of their names.
--- a/scheduler/await.go
+++ b/scheduler/await.go
@@ -13,6 +13,11 @@
 // hosts. If this core was asked for an engine for the stream, the report of that event may be on its way, and the resumption
 // waits for it. Which engine this core granted says nothing: the gateway may have asked its own core meanwhile.
 
+// While other cores schedule for some of the hosts, as shortly after the hosts' start, a stream may have begun of which this
+// core wasn't asked. So any resumption of an unknown stream waits there, for the report or until its host uses the
+// coordinator that knows the stream. Nothing is concluded from the wait. Where the copy of the store is old, the host has
+// been out of touch for long, and another one can tell the client sooner.
+
 // A host that has just started knows nothing of either until its copy of the store was confirmed once, some round trips
 // later: what begins or resumes a stream there waits for that.
 
@@ -36,8 +41,12 @@
 	}
 }
 
-// expectsOrigin reports whether the origin of the stream may be reported.
-func (cor *Core) expectsOrigin(now time.Time, stream affinity.Stream) bool {
+// expectsOrigin reports whether the origin of the stream, of which this core knows what the basis says, may be reported:
+// this core was asked for an engine for it, or another one may have been.
+func (cor *Core) expectsOrigin(now time.Time, stream affinity.Stream, basis OriginBasis) bool {
+	if basis == OriginUnknown && cor.othersSchedule {
+		return true
+	}
 	_, expected := cor.expected.Origin(now, stream)
 	return expected
 }
@@ -47,7 +56,7 @@
 func (cor *Core) await(now time.Time, unr unresolved, basis OriginBasis) bool {
 	res := unr.reserve
 	unr.unconfirmed = !cor.versions.WasConfirmed() && (basis == OriginStale || !cor.mayBegin(now, res))
-	expected := res.Resumed && !basis.IsKnown() && cor.expectsOrigin(now, res.Stream)
+	expected := res.Resumed && !basis.IsKnown() && cor.expectsOrigin(now, res.Stream, basis)
 	if !unr.unconfirmed && !expected || !now.Before(unr.until()) {
 		return false
 	}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -178,7 +178,7 @@
 // or this core expects to.
 func (cor *Core) refuseVersion(now time.Time, to request.Epoch, res reservation.Reserve, inp Inputs) {
 	ref := reservation.Refuse{ID: res.ID, Ballot: res.Ballot, Reason: reservation.ReasonVersion, Waited: inp.Waited}
-	if inp.Origin == OriginStale || inp.Origin == OriginUnknown && cor.expectsOrigin(now, res.Stream) {
+	if inp.Origin == OriginStale || inp.Origin == OriginUnknown && cor.expectsOrigin(now, res.Stream, inp.Origin) {
 		ref.RetryAfter = RetryAfter(res)
 	}
 	cor.send(to, ref, inp)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -99,11 +99,13 @@
 type HostsChanged struct {
 	// Hosts is the number of hosts, Position this host's place among them, from 0, in the order of
 	// their names. Standby is set while this core schedules for none of them.
-	// Leads is set while this core schedules for more than half of all hosts.
-	Hosts    int
-	Position int
-	Standby  bool
-	Leads    bool
+	// Leads is set while this core schedules for more than half of all hosts, OthersSchedule while other cores
+	// schedule for some of them.
+	Hosts          int
+	Position       int
+	Standby        bool
+	Leads          bool
+	OthersSchedule bool
 }
 
 // ShareSuspended says whether this core may spend its share of the limits at the moment. AddShare and
--- a/scheduler/version_test.go
+++ b/scheduler/version_test.go
@@ -265,6 +265,63 @@
 	}
 }
 
+// Guards against a resumption that is refused at once, and for good, at a host that schedules for itself: another core
+// granted the stream, and its origin is reported a moment later. A host with an old copy of the store refuses at once, so
+// that the client turns to another one.
+func TestResumptionWaitsWhileOthersSchedule(t *testing.T) {
+	for name, tst := range map[string]struct {
+		others, reported bool
+		cutOff           time.Duration
+		at, after        string
+		comesBack        bool
+	}{
+		"reported":             {others: true, reported: true, at: "none", after: "e2"},
+		"no report":            {others: true, at: "none", after: "Version", comesBack: true},
+		"old copy":             {others: true, cutOff: affinity.MaxSoleAge + 1, at: "Version", comesBack: true},
+		"no others schedule":   {at: "Version"},
+		"no others, reported":  {reported: true, at: "Version"},
+		"current for a moment": {others: true, reported: true, cutOff: affinity.MaxSoleAge, at: "none", after: "e2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			har := newHarness(versionedModel("e1", "v1"), versionedModel("e2", "v2"))
+			har.handle(scheduler.VersionsRecorded{Record: affinity.Record{Number: 1, Versions: map[string][]string{"model": {"v1", "v2"}}}})
+			har.handle(scheduler.HostsChanged{Hosts: 3, OthersSchedule: tst.others})
+			har.cutOff = tst.cutOff > 0
+			har.now = har.now.Add(tst.cutOff)
+			res := resumption("again", "begun")
+			sends := har.reserve(res)
+			assert.Equal(t, outcomeOf(sends), tst.at)
+			if tst.at == "none" {
+				assert.Equal(t, outcomeOf(har.advance(res.MaxWait()-1)), "none")
+				if tst.reported {
+					sends = har.handle(scheduler.Received{From: peerEpoch, Message: reservation.StreamsBegan{Batch: affinity.Batch{Origin: affinity.Origin{Service: "model", Version: "v2"}, KeepFor: time.Minute, Streams: []affinity.Stream{res.Stream}}}})
+				} else {
+					sends = har.advance(1)
+				}
+				assert.Equal(t, outcomeOf(sends), tst.after)
+			}
+			if ref, refused := sends[0].Message.(reservation.Refuse); refused {
+				assert.Equal(t, ref.RetryAfter > 0, tst.comesBack)
+			}
+			assert.Assert(t, !har.core.HasWaiting())
+		})
+	}
+}
+
+// Guards against a resumption that is refused although an engine of its version is free, because the origin of its stream
+// was reported at the end of its wait.
+func TestResumptionReportedAtItsLastMomentIsGranted(t *testing.T) {
+	har := newHarness(versionedModel("e1", "v1"), versionedModel("e2", "v2"))
+	har.handle(scheduler.VersionsRecorded{Record: affinity.Record{Number: 1, Versions: map[string][]string{"model": {"v1", "v2"}}}})
+	har.handle(scheduler.HostsChanged{Hosts: 3, OthersSchedule: true})
+	res := resumption("again", "begun")
+	assert.Equal(t, outcomeOf(har.reserve(res)), "none")
+	har.now, har.cutOff = har.now.Add(res.MaxWait()), true
+	sends := har.handle(scheduler.Received{From: peerEpoch, Message: reservation.StreamsBegan{Batch: affinity.Batch{Origin: affinity.Origin{Service: "model", Version: "v2"}, KeepFor: time.Minute, Streams: []affinity.Stream{res.Stream}}}})
+	assert.Equal(t, outcomeOf(sends), "e2")
+	assert.Assert(t, !har.core.HasWaiting())
+}
+
 // A stream that may crash its engine is isolated at an engine of its own version.
 func TestSuspectedResumptionStaysAtItsVersion(t *testing.T) {
 	har := newHarness(versionedModel("a", "v1"), versionedModel("b", "v1"), versionedModel("c", "v1"), versionedModel("d", "v2"), versionedModel("e", "v2"), versionedModel("f", "v2"))
