test(affinity): a second reduction before the first is stored

No test failed when a second record that names less, which the store hasn't taken either, forgot what the first one had taken out: a host could then take the version that is left of the first service for the only one.

Change: TestSecondReducedRecordConcludesNothingOfTheFirst, with two services. Before: the mutation of History.Reduce went undetected by the tests of reductions. After: detected ("sole is true"). The product code is unchanged and passes.

--- a/affinity/announce_test.go
+++ b/affinity/announce_test.go
@@ -108,6 +108,30 @@
 	assert.Assert(t, sole && version == "v1")
 }
 
+// Guards against a conclusion about one service while the store has neither its reduction nor a later one of another service.
+func TestSecondReducedRecordConcludesNothingOfTheFirst(t *testing.T) {
+	his, now, both := affinity.NewHistory(), start, []string{"v1", "v2"}
+	rec := recordOf(3, both)
+	rec.Versions["maps"] = both
+	his.Apply(now, rec, 0)
+	for _, maps := range [][]string{both, {"v1"}} {
+		for range 60 {
+			now = now.Add(time.Second)
+			his.Observe(now, "menus", []string{"v1"})
+			his.Observe(now, "maps", maps)
+			his.Confirm(now)
+		}
+		next, change := his.Next(now, 0, 3)
+		assert.Equal(t, change, affinity.ChangeReduces)
+		his.Reduce(now, next, 0)
+	}
+	_, sole := his.Sole(now, "menus", 20*time.Second)
+	assert.Assert(t, !sole)
+	his.Apply(now, his.Record(), 0)
+	version, sole := his.Sole(now, "menus", 20*time.Second)
+	assert.Assert(t, sole && version == "v1")
+}
+
 // Guards against a first record that opens its versions in a restored store: other hosts may conclude from an earlier one.
 func TestFirstRecordOfRestoredStoreAnnounces(t *testing.T) {
 	his := affinity.NewHistory()
