test(scheduler): a stream that begins awaits the first confirmation

Only resumptions were tested to wait for the first confirmation of the copy of the store; without the wait, a host that has just started refuses to begin streams.

Change: TestBeginningStreamAwaitsFirstConfirmation. Before: the mutation of await went undetected by TestResumptionAwaitsFirstConfirmation. After: detected ("CopyStale" instead of none). The product code is unchanged and passes.

--- a/scheduler/version_test.go
+++ b/scheduler/version_test.go
@@ -181,6 +181,19 @@
 	assert.Assert(t, !har.core.HasWaiting())
 }
 
+// Guards against streams that a host refuses to begin right after its start, when its copy of the store will be confirmed in
+// a moment.
+func TestBeginningStreamAwaitsFirstConfirmation(t *testing.T) {
+	har := &harness{core: scheduler.New(scheduler.Config{Share: limitshare.Whole, Self: ownEpoch}), now: time.Unix(5000, 0), cutOff: true}
+	har.handle(scheduler.VersionsRecorded{Record: affinity.Record{Number: 1, Versions: map[string][]string{"model": {"v1"}}}})
+	har.handle(scheduler.EnginesChanged{Engines: []fleet.Engine{versionedModel("e1", "v1")}})
+	res := promptReservation("begins", 10)
+	res.Stream, res.StreamLife = affinity.StreamOf("", "begins"), playedLife
+	assert.Equal(t, outcomeOf(har.reserve(res)), "none")
+	assert.Equal(t, outcomeOf(har.reserve(promptReservation("other", 10))), "e1", "streams that aren't resumed")
+	assert.Equal(t, outcomeOf(har.handle(scheduler.CopyConfirmed{At: har.now})), "e1")
+}
+
 // Guards against resumed streams that are refused while new ones begin, when few engines of their version are
 // left and all are full: they go first when a slot becomes free.
 func TestResumedStreamsGoFirstAtTheEnginesOfTheirVersion(t *testing.T) {
