--- a/tools/mutate/main.go
+++ b/tools/mutate/main.go
@@ -55,7 +55,7 @@
 	}
 	undetected := 0
 	fmt.Println("| guard removed | detected by | test output |\n|---|---|---|")
-	for _, mut := range slices.Concat(mutations, limitMutations, copyMutations, versionMutations, boundMutations, resignMutations, endedMutations) {
+	for _, mut := range slices.Concat(mutations, limitMutations, copyMutations, versionMutations, boundMutations, resignMutations, endedMutations, incidentMutations) {
 		if !strings.Contains(mut.name, only) {
 			continue
 		}
--- a/tools/mutate/versions.go
+++ b/tools/mutate/versions.go
@@ -21,6 +21,19 @@
 // late selects the tests of decisions that come after a reservation was withdrawn.
 var late = []string{"./entry", "-run", "DecisionOnEarlier|NotResumedAtGrant"}
 
+// writes selects the tests of which host writes the record of versions, begins those of what a host does before its copy of
+// the store is confirmed, lone those of streams that a host with an old copy begins, and reduced those of a record that names
+// less than the store's.
+var (
+	writes  = []string{"./affinity", "-run", "DamagedRecordIsLeft|TurnToWrite"}
+	begins  = []string{"./scheduler", "-run", "FirstConfirmation"}
+	lone    = []string{"./scheduler", "./entry", "-run", "LoneHost"}
+	reduced = []string{"./affinity", "-run", "Reduced"}
+)
+
+// repeated selects the tests of origins that the store didn't take.
+var repeated = []string{"./entry", "-run", "OriginsOfAllStreamsAreStored/store_away|OriginsBeyond"}
+
 // versionMutations remove what keeps streams at the software version that began them.
 var versionMutations = []mutation{
 	{
@@ -183,4 +196,69 @@
 		"	return hos.snapshotAge(now) <= maxStopCopyAge ||", "	return true ||",
 		[]string{"./entry", "-run", "PlannedStop"},
 	},
+	{
+		"Await: a resumption waits for the first confirmation", "scheduler/await.go",
+		"(basis == OriginStale || !cor.mayBegin(now, res))", "!cor.mayBegin(now, res)",
+		begins,
+	},
+	{
+		"Await: a stream that begins waits for the first confirmation", "scheduler/await.go",
+		"(basis == OriginStale || !cor.mayBegin(now, res))", "basis == OriginStale",
+		begins,
+	},
+	{
+		"Await: the first confirmation ends the wait", "scheduler/await.go",
+		"	case unr.unconfirmed && cor.versions.WasConfirmed():\n", "	case false:\n",
+		begins,
+	},
+	{
+		"Lone: a host with an old copy begins no streams", "scheduler/version.go",
+		" || cor.leads || cor.versions.IsCurrent(now)", " || true",
+		lone,
+	},
+	{
+		"Lone: hosts that lead most go on beginning streams", "scheduler/version.go",
+		" || cor.leads || cor.versions.IsCurrent(now)", " || cor.versions.IsCurrent(now)",
+		lone,
+	},
+	{
+		"Lone: a host that schedules for itself doesn't lead", "entry/elect.go",
+		"chosen == bro.host.epoch && (bro.isLeader() || len(bro.membership.members) == 1)", "chosen == bro.host.epoch",
+		lone,
+	},
+	{
+		"Reduced: what isn't stored yet concludes nothing", "affinity/history.go",
+		"	for _, version := range his.unstored[service] {\n		candidates[version] = true\n	}\n", "",
+		reduced,
+	},
+	{
+		"Reduced: a second reduction keeps what the first took out", "affinity/history.go",
+		"	if unstored == nil {\n", "	if true {\n",
+		reduced,
+	},
+	{
+		"Repeated: origins are written again after a failed write", "entry/origins.go",
+		"			hos.broker.repeatOrigins()\n", "",
+		repeated,
+	},
+	{
+		"Repeated: too many waiting origins are collected again", "entry/origins.go",
+		"affinity.Outbox{}, 0, true\n", "affinity.Outbox{}, 0, false\n",
+		repeated,
+	},
+	{
+		"Record: a host that starts leaves a damaged record to others", "affinity/turn.go",
+		"	case trn.IsDamaged && !trn.Knows:\n", "	case trn.IsDamaged && !trn.Knows && !trn.Coordinates:\n",
+		writes,
+	},
+	{
+		"Record: a damaged record is written by other hosts, too", "affinity/turn.go",
+		"trn.IsDamaged || trn.Lacks\n", "trn.Lacks\n",
+		writes,
+	},
+	{
+		"Record: hosts that know the record write before those that don't", "affinity/turn.go",
+		"unknowingWait = 3 * othersWait", "unknowingWait = othersWait",
+		writes,
+	},
 }
