fix(mutate): mutations that no longer apply, and known failures that count

Cause: five mutations no longer matched the code, which had changed since, and mutate ends at the first of those without running the ones after it. And a test of KNOWN-RED.txt that is among a mutation's tests fails without the mutation, too: "Place: the published state of an earlier order" was reported as detected by TestDomainIsClosedOnlyOnceDeregisteredHostSendsNothing, which fails each time.

Change: the patterns match the code again; the restored store's has become two. The tests named in KNOWN-RED.txt are skipped while a mutation is tried. The mutation of the key that a forwarding host checks runs the test of that check instead of all of ./entry, which takes longer than the tool's limit of 5 minutes.

--- a/tools/mutate/main.go
+++ b/tools/mutate/main.go
@@ -17,6 +17,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -32,6 +33,9 @@
 	test []string
 }
 
+// knownRedFile names a test that may fail without any mutation at the start of each line.
+const knownRedFile = "KNOWN-RED.txt"
+
 // testLimit bounds the tests of one mutation.
 const testLimit = 5 * time.Minute
 
@@ -53,13 +57,18 @@
 	if err := copyTree(ctx, dir); err != nil {
 		return err
 	}
+	red, err := os.ReadFile(knownRedFile)
+	if err != nil {
+		return err
+	}
+	knownRed := knownRedTests(string(red))
 	undetected := 0
 	fmt.Println("| guard removed | detected by | test output |\n|---|---|---|")
-	for _, mut := range slices.Concat(mutations, limitMutations, copyMutations, versionMutations, boundMutations, resignMutations, endedMutations, incidentMutations) {
+	for _, mut := range allMutations() {
 		if !strings.Contains(mut.name, only) {
 			continue
 		}
-		detected, line, err := try(ctx, dir, mut)
+		detected, line, err := try(ctx, dir, knownRed, mut)
 		if err != nil {
 			return err
 		}
@@ -75,6 +84,11 @@
 	return nil
 }
 
+// allMutations returns the mutations in the order in which they run.
+func allMutations() []mutation {
+	return slices.Concat(mutations, limitMutations, copyMutations, versionMutations, boundMutations, resignMutations, endedMutations, incidentMutations)
+}
+
 // copyTree copies all files of the repository, except those that git ignores.
 func copyTree(ctx context.Context, dir string) error {
 	out, err := exec.CommandContext(ctx, "git", "ls-files", "-z", "--cached", "--others", "--exclude-standard").Output()
@@ -97,9 +111,27 @@
 	return nil
 }
 
-// try applies the mutation, runs its tests and reverts the mutation. It returns
+// knownRedTests returns the pattern of the tests that a list of known failures names. They may fail without any mutation, so
+// their failure shows nothing.
+func knownRedTests(list string) string {
+	patterns := []string{"^$"}
+	for line := range strings.Lines(list) {
+		name, _, _ := strings.Cut(strings.TrimSpace(line), " ")
+		if !strings.HasPrefix(name, "Test") {
+			continue
+		}
+		var parts []string
+		for part := range strings.SplitSeq(name, "/") {
+			parts = append(parts, "^"+regexp.QuoteMeta(part)+"$")
+		}
+		patterns = append(patterns, strings.Join(parts, "/"))
+	}
+	return strings.Join(patterns, "|")
+}
+
+// try applies the mutation, runs its tests, except those that knownRed selects, and reverts the mutation. It returns
 // whether the tests failed, and the line of their output that names the reason.
-func try(ctx context.Context, dir string, mut mutation) (bool, string, error) {
+func try(ctx context.Context, dir, knownRed string, mut mutation) (bool, string, error) {
 	path := filepath.Join(dir, mut.file)
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -114,7 +146,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, testLimit)
 	defer cancel()
-	com := exec.CommandContext(ctx, "go", append([]string{"test"}, mut.test...)...)
+	com := exec.CommandContext(ctx, "go", slices.Concat([]string{"test"}, mut.test, []string{"-skip", knownRed})...)
 	com.Dir = dir
 	out, testErr := com.CombinedOutput()
 	if strings.Contains(string(out), "[build failed]") {
--- a/tools/mutate/mutations.go
+++ b/tools/mutate/mutations.go
@@ -191,7 +191,7 @@
 	},
 	{
 		"Place: the published state of an earlier order isn't taken for that of the current one", "evacuation/board.go",
-		"sta.Published.Revision > 0 && sta.Published.Order == sta.Order.Revision {\n		return", "sta.Published.Revision > 0 {\n		return", placement,
+		"sta.Published.Revision > 0 && sta.Published.Order == sta.Order.Number() {\n		return", "sta.Published.Revision > 0 {\n		return", placement,
 	},
 	{
 		"Place: a host publishes a state only if no other host has published one since its read", "evacuation/board.go",
@@ -270,8 +270,8 @@
 		"		ene.limiter.refund(rnn.gateway)\n", "", rates,
 	},
 	{
-		"Rate: a request that can't be granted within the limit is refused at once", "scheduler/line.go",
-		"han == handleNormal && cor.refuseRateLimited(", "false && cor.refuseRateLimited(", rates,
+		"Rate: a request that can't be granted within the limit is refused at once", "scheduler/serve.go",
+		"	case han == handleNormal && cor.refuseRateLimited(", "	case false && cor.refuseRateLimited(", rates,
 	},
 	{
 		"Rate: a host returns a grant that ignores the limit", "entry/barred.go",
@@ -426,8 +426,8 @@
 	},
 	{
 		"Paths: a forwarding host checks the key itself", "entry/forwarder.go",
-		"	case !req.Public && !snp.hasKey(req.Key):", "	case false:",
-		[]string{"./entry"},
+		"	case !req.Public && !snp.holdsKey(platform.AccountOf(req.Header), req.Key):", "	case false && !snp.holdsKey(platform.AccountOf(req.Header), req.Key):",
+		[]string{"./entry", "-run", "ForwarderChecksRequests"},
 	},
 	{
 		"Paths: a stopping host waits for what it forwards", "entry/forwarder.go",
--- a/tools/mutate/versions.go
+++ b/tools/mutate/versions.go
@@ -88,7 +88,7 @@
 	},
 	{
 		"Versions: a version is kept for the life of its streams", "affinity/history.go",
-		"		return known && now.Sub(at) <= next.Life\n", "		return known && !at.Before(now)\n",
+		"		return known && now.Sub(at) <= next.Life+removalMargin\n", "		return known && !at.Before(now)\n",
 		versions,
 	},
 	{
@@ -133,9 +133,14 @@
 	},
 	{
 		"Versions: a restored store has what was announced anew", "affinity/history.go",
-		"	clear(his.announced)\n", "",
+		"	his.era = era\n	clear(his.announced)\n", "	his.era = era\n",
 		versions,
 	},
+	{
+		"Versions: what was announced may have been opened and announced again unseen", "affinity/history.go",
+		"		clear(his.announced)\n	}\n	his.observeAnnounced", "	}\n	his.observeAnnounced",
+		[]string{"./affinity", "-run", "SecondAnnouncement"},
+	},
 	{
 		"Versions: a deregistered host concludes on for a while", "affinity/readers.go",
 		"			rdr.until = now.Add(OpenAfter)\n		}\n	}\n	maps", "			rdr.until = now\n		}\n	}\n	maps",
