test(mutate): patterns of the lost record and of the host that leads

Cause: Turn.IsDamaged is IsLost since, and updateHosts counts the hosts once since. TestMutationsApplyToTheSources failed for three mutations, now for none; all three are detected again.

--- a/tools/mutate/versions.go
+++ b/tools/mutate/versions.go
@@ -228,7 +228,7 @@
 	},
 	{
 		"Lone: a host that schedules for itself doesn't lead", "entry/elect.go",
-		"chosen == bro.host.epoch && (bro.isLeader() || len(bro.membership.members) == 1)", "chosen == bro.host.epoch",
+		" && (bro.isLeader() || hosts == 1)", "",
 		lone,
 	},
 	{
@@ -253,12 +253,12 @@
 	},
 	{
 		"Record: a host that starts leaves a damaged record to others", "affinity/turn.go",
-		"	case trn.IsDamaged && !trn.Knows:\n", "	case trn.IsDamaged && !trn.Knows && !trn.Coordinates:\n",
+		"	case trn.IsLost && !trn.Knows:\n", "	case trn.IsLost && !trn.Knows && !trn.Coordinates:\n",
 		writes,
 	},
 	{
 		"Record: a damaged record is written by other hosts, too", "affinity/turn.go",
-		"trn.IsDamaged || trn.Lacks\n", "trn.Lacks\n",
+		"trn.IsLost || trn.Lacks\n", "trn.Lacks\n",
 		writes,
 	},
 	{
