--- a/entry/outofstep_test.go
+++ b/entry/outofstep_test.go
@@ -1,7 +1,6 @@
 package entry_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync"
@@ -11,7 +10,6 @@
 	"gotest.tools/v3/assert"
 
 	"lynxwell.dev/lynxwell/affinity"
-	"lynxwell.dev/lynxwell/entry"
 	"lynxwell.dev/lynxwell/entrytest"
 	"lynxwell.dev/lynxwell/upstreamtest"
 )
@@ -54,17 +52,24 @@
 	sys.WaitForReady()
 	sys.WaitForEngines(len(engines))
 	vsy := &versionedSystem{System: sys, t: t, engines: engines}
+	vsy.waitForRecord("v1")
+	return vsy
+}
+
+// waitForRecord waits until all hosts have a record that names the versions.
+func (vsy *versionedSystem) waitForRecord(versions ...string) {
+	vsy.t.Helper()
 	vsy.WaitUntil("record known", func() bool {
 		for _, hos := range vsy.Hosts {
-			var dum entry.Dump
-			assert.NilError(t, json.Unmarshal([]byte(vsy.Dump(hos)), &dum))
-			if !dum.Versions.Has(entrytest.Model, "v1") {
-				return false
+			rec := hos.Dump().Versions
+			for _, version := range versions {
+				if !rec.Has(entrytest.Model, version) {
+					return false
+				}
 			}
 		}
 		return true
 	})
-	return vsy
 }
 
 // join starts four engines of the next version.
