test(entry): values before the first record of versions have a test of their own

The play writes its values without knowing that all hosts have the record; if they haven't, nobody can write it again after the values have replaced it, and streams that may be resumed wait for affinity.OpenAfter, as docs/design/versions.md says.

Change: the plays of serveBeside begin once all hosts have the record, with the same checks; the case that they played by chance is TestHostsServeWithValuesBeforeFirstRecord: all other requests are served at once, and streams begin. The product is unchanged.

--- a/entry/large_test.go
+++ b/entry/large_test.go
@@ -148,6 +148,7 @@
 	sys.Configure(entrytest.Configuration{Version: 1})
 	sys.WaitForReady()
 	sys.WaitForEngines(1)
+	waitForRecord(sys, "v1")
 	meet(sys, func() {
 		for _, wri := range values {
 			assert.NilError(t, sys.Store.Write(wri))
@@ -170,3 +171,34 @@
 	}
 	t.Logf("served with the engine that joined after %s", time.Since(start))
 }
+
+// Guards against hosts that begin no stream, or serve nothing, with values that another program writes before hosts have
+// recorded a version. Streams that may be resumed wait until no host can conclude anything from a record of before, other
+// requests don't.
+func TestHostsServeWithValuesBeforeFirstRecord(t *testing.T) {
+	values := map[string]func() []store.Write{
+		"odd values":   oddValues,
+		"over message": func() []store.Write { return valuesOverMessage(t) },
+	}
+	for name, write := range values {
+		t.Run(name, func(t *testing.T) {
+			sys := entrytest.Start(t, entrytest.Config{Hosts: 4, OneDomain: true})
+			sys.Configure(entrytest.Configuration{Version: 1})
+			sys.WaitForReady()
+			for _, wri := range write() {
+				assert.NilError(t, sys.Store.Write(wri))
+			}
+			sys.AddEngines(engineOfVersion("e0", "v1"))
+			sys.WaitForEngines(1)
+			for _, hos := range sys.Hosts {
+				ans := sys.Send(t.Context(), hos, entrytest.Request{ID: "stream-" + hos.Settings.Name, Path: "/stream/x", Header: map[string]string{"Token-Counts": "10,20"}})
+				assert.Equal(t, ans.Status, http.StatusOK, ans.Body)
+			}
+			for idx, hos := range sys.Hosts {
+				sys.WaitUntil("streams begin", func() bool {
+					return sys.Send(t.Context(), hos, streamRequest(fmt.Sprint("after-", idx), "", 0)).Status == http.StatusOK
+				})
+			}
+		})
+	}
+}
--- a/entry/outofstep_test.go
+++ b/entry/outofstep_test.go
@@ -52,15 +52,14 @@
 	sys.WaitForReady()
 	sys.WaitForEngines(len(engines))
 	vsy := &versionedSystem{System: sys, t: t, engines: engines}
-	vsy.waitForRecord("v1")
+	waitForRecord(sys, "v1")
 	return vsy
 }
 
 // waitForRecord waits until all hosts have a record that names the versions.
-func (vsy *versionedSystem) waitForRecord(versions ...string) {
-	vsy.t.Helper()
-	vsy.WaitUntil("record known", func() bool {
-		for _, hos := range vsy.Hosts {
+func waitForRecord(sys *entrytest.System, versions ...string) {
+	sys.WaitUntil("record known", func() bool {
+		for _, hos := range sys.Hosts {
 			rec := hos.Dump().Versions
 			for _, version := range versions {
 				if !rec.Has(entrytest.Model, version) {
--- a/entry/rejoined_test.go
+++ b/entry/rejoined_test.go
@@ -143,7 +143,7 @@
 		"store away": func(t *testing.T) *versionedSystem {
 			vsy := startWithVersions(t, 3)
 			// No stream begins at a version that a host doesn't know to be recorded.
-			vsy.waitForRecord("v1", "v1.1")
+			waitForRecord(vsy.System, "v1", "v1.1")
 			vsy.Store.SetFaults(platformtest.Faults{Down: true})
 			vsy.begin(keptStreams)
 			vsy.WaitUntil("a write fails", func() bool { return vsy.logged("writing the origins of streams failed") })
