--- a/entry/versions_test.go
+++ b/entry/versions_test.go
@@ -264,7 +264,12 @@
 		if ans.Status != http.StatusServiceUnavailable || err != nil || time.Since(started) > clientPatience {
 			return ans, ids
 		}
-		time.Sleep(time.Duration(after * float64(time.Second)))
+		comeBack := time.After(time.Duration(after * float64(time.Second)))
+		select {
+		case <-comeBack:
+		case <-vsy.t.Context().Done():
+			return ans, ids
+		}
 	}
 }
 
