refactor: the settings variable's name stands in package platform alone

Cause: cmd/entrycmd.go repeated the name of the platform's environment variable in the text of an error.

Change: the text takes it from platform.SettingsVariable. The script test entry.txtar compares the whole text, literally. Keys and values in package entrytest stay as they are, with a comment that says why: platform exports neither the key of an engine's entry nor the operators' orders, and the tests play engines and operators from the documentation, as platformtest does, so that a wrong name in the adapter fails a test.

--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -57,7 +57,7 @@
 		file = os.Getenv(platform.SettingsVariable)
 	}
 	if file == "" {
-		return &usageError{name: "--settings", reason: "want a file, here or in the environment variable LYNXWELL_SETTINGS"}
+		return &usageError{name: "--settings", reason: "want a file, here or in the environment variable " + platform.SettingsVariable}
 	}
 	set, err := settings.LoadEntry(file)
 	if err != nil {
--- a/entrytest/store.go
+++ b/entrytest/store.go
@@ -15,6 +15,10 @@
 	"lynxwell.dev/lynxwell/upstreamtest"
 )
 
+// Keys and values that engines and operators write, or that operators read, are defined here from the platform's
+// documentation, as in platformtest: they aren't shared with package platform, so that tests detect mistakes in the
+// adapter. Keys of the hosts' own, such as platform.MemberKey, are shared.
+
 // EngineState is the content of an engine's entry in the store.
 type EngineState struct {
 	Service  string
