test(entry): an outage before the first record of versions has a test of its own

Cause: TestFleetRarelyCallsLostStore began its outage as soon as the hosts were ready, 0.8 s after their start, which is as often before as after the first record of versions is written. In the former case each of the eight hosts writes the record once a second to the lost store, without backoff (entry/versions.go, maintainVersions), and the fleet makes 28 to 30 calls a second where under 25 are allowed.

Change: the test waits until all hosts have the record. The stand-in of the store can refuse the writes of one key.

--- a/entry/mirror_test.go
+++ b/entry/mirror_test.go
@@ -149,19 +149,47 @@
 }
 
 // Retries of a whole fleet would keep the store down, and each call has a cost. While the store is
-// unreachable, one host of a failure domain calls the store often, the others rarely.
+// unreachable, one host of a failure domain calls the store often, the others rarely. The outage begins when all hosts have
+// the record of versions, which each of them writes if there is none.
 func TestFleetRarelyCallsLostStore(t *testing.T) {
-	const hosts, callsPerSecond = 8, 25
-	sys := entrytest.Start(t, entrytest.Config{Hosts: hosts, Engines: twoOfEach(), OneDomain: true})
+	sys := entrytest.Start(t, entrytest.Config{Hosts: outageHosts, Engines: twoOfEach(), OneDomain: true})
 	sys.Configure(entrytest.Configuration{Version: 1})
 	sys.WaitForReady()
+	waitForRecord(sys, "v1")
+	checkStoreOutage(t, sys)
+}
+
+// The same for an outage that begins before any host has written the record of versions.
+func TestFleetRarelyWritesRecordToLostStore(t *testing.T) {
+	sys := entrytest.StartWithoutHosts(t, twoOfEach())
+	sys.Configure(entrytest.Configuration{Version: 1})
+	sys.Store.SetFaults(platformtest.Faults{UnwritableKey: versionsKey})
+	sys.StartHosts(entrytest.Config{Hosts: outageHosts, OneDomain: true})
+	sys.WaitForReady()
+	assert.Equal(t, sys.Store.Peek(versionsKey).Revision, store.Revision(0))
+	checkStoreOutage(t, sys)
+	waitForRecord(sys, "v1")
+}
+
+const (
+	// outageHosts is the number of hosts, all in one failure domain, that lose the store.
+	outageHosts = 8
+	// maxOutageCalls is how many calls to a lost store they may make in a second.
+	maxOutageCalls = 25
+)
+
+// checkStoreOutage makes the store unreachable until no host is ready, and checks how often the hosts call it meanwhile, and
+// that all are ready soon after.
+func checkStoreOutage(t *testing.T, sys *entrytest.System) {
+	t.Helper()
 	sys.Store.SetFaults(platformtest.Faults{Down: true})
-	started, before := time.Now(), totalCalls(sys.Store)
+	started, before := time.Now(), sys.Store.Counts()
 	for _, hos := range sys.Hosts {
 		sys.WaitUntil("the host is not ready", func() bool { return !sys.IsReady(hos) })
 	}
-	rate := float64(totalCalls(sys.Store)-before) / time.Since(started).Seconds()
-	assert.Assert(t, rate < callsPerSecond, "%.0f calls a second", rate)
+	lasted, after := time.Since(started), sys.Store.Counts()
+	rate := float64(totalCalls(after)-totalCalls(before)) / lasted.Seconds()
+	assert.Check(t, rate < maxOutageCalls, "%.1f calls a second in %s, from %v to %v", rate, lasted, before, after)
 	sys.Store.SetFaults(platformtest.Faults{})
 	back := time.Now()
 	sys.WaitForReady()
@@ -172,9 +200,9 @@
 // the relay, and a call to the relay.
 const maxFleetRecoveryTime = 3 * time.Second
 
-func totalCalls(mem *platformtest.Memory) uint64 {
+func totalCalls(counts map[string]uint64) uint64 {
 	var sum uint64
-	for _, count := range mem.Counts() {
+	for _, count := range counts {
 		sum += count
 	}
 	return sum
--- a/platformtest/memory.go
+++ b/platformtest/memory.go
@@ -43,6 +43,8 @@
 	LoseReplies int
 	// CallsPerSecond is the rate limit; 0 is no limit. A limit under 1 rejects every call.
 	CallsPerSecond float64
+	// UnwritableKey is a key whose writes fail with a *store.UnavailableError; empty for none.
+	UnwritableKey string
 }
 
 // MemoryConfig configures a Memory.
@@ -285,6 +287,9 @@
 	mem.mutex.Lock()
 	defer mem.mutex.Unlock()
 	mem.expireLeases()
+	if wri.Key == mem.faults.UnwritableKey {
+		return 0, &store.UnavailableError{Call: "Put", Cause: errDown}
+	}
 	if err := mem.checkWrite(wri); err != nil {
 		return 0, err
 	}
