--- a/entry/begins_test.go
+++ b/entry/begins_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"lynxwell.dev/lynxwell/affinity"
 	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/peer"
 	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/reservation"
 	"lynxwell.dev/lynxwell/scheduler"
@@ -50,3 +52,66 @@
 		})
 	}
 }
+
+// Guards against a resumption that is refused at once, and for good, at a host that schedules for itself while others do so,
+// too, and against one that waits although one host schedules for all.
+func TestHostAwaitsUnknownStreamsWhileOthersSchedule(t *testing.T) {
+	for name, tst := range map[string]struct {
+		// Hosts is the number of hosts, delegated how many of the others use this one, and chosen the coordinator that this
+		// host uses; 0 for itself.
+		hosts, delegated int
+		chosen           request.Epoch
+		waits            bool
+	}{
+		"only host":                       {hosts: 1},
+		"schedules for all":               {hosts: 3, delegated: 2},
+		"schedules for two of three":      {hosts: 3, delegated: 1, waits: true},
+		"schedules for itself":            {hosts: 3, waits: true},
+		"uses another one":                {hosts: 3, chosen: 1, waits: true},
+		"uses another one, others use it": {hosts: 3, delegated: 2, chosen: 1, waits: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			hos, sessions := newHostInFleet(t, tst.hosts)
+			bro := hos.broker
+			bro.handle(scheduler.EnginesChanged{Engines: []fleet.Engine{{ID: fleet.EngineID{Name: "e1"}, Service: "model", Slots: 1, Version: "v1"}}})
+			bro.handle(scheduler.VersionsRecorded{Record: affinity.Record{Number: 1, Versions: map[string][]string{"model": {"v1", "v2"}}}})
+			bro.handle(scheduler.CopyConfirmed{At: hos.clock.Now()})
+			for _, ses := range sessions[:tst.delegated] {
+				bro.SessionMessage(ses, peer.Received{Message: reservation.Delegation{Delegated: true}})
+			}
+			bro.mutex.Lock()
+			defer bro.mutex.Unlock()
+			chosen := hos.epoch
+			if tst.chosen != 0 {
+				chosen = tst.chosen
+			}
+			bro.updateHosts(chosen)
+			pen := &pendingReservation{
+				reserve: reservation.Reserve{
+					ID: request.ID{Unique: "r1"}, Service: "model", Resumed: true, Repeatable: true, Stream: 5, StreamLife: time.Minute,
+					Remaining: time.Minute, LatencyTarget: time.Minute,
+				},
+				arrivedAt: hos.clock.Now(), decision: make(chan decision, 1),
+			}
+			bro.pending[pen.reserve.ID] = pen
+			bro.submitTo(pen, hos.epoch)
+			assert.Equal(t, len(pen.decision) == 0, tst.waits)
+			if !tst.waits {
+				dec := <-pen.decision
+				assert.Equal(t, dec.refusal.Reason, reservation.ReasonVersion)
+			}
+		})
+	}
+}
+
+// Guards against a log in which a stream that waited for a version to open looks like one that waited for room.
+func TestLogNamesEnginesThatAreNotOpen(t *testing.T) {
+	for unopened, logged := range map[int]bool{0: false, 2: true} {
+		var log strings.Builder
+		bro := newTestHost(t, &log).broker
+		bro.logDecision(scheduler.Send{Message: reservation.Refuse{Reason: reservation.ReasonOverload}, Inputs: scheduler.Inputs{Unopened: unopened}})
+		assert.Assert(t, strings.Contains(log.String(), `"Reason":"Overload"`), log.String())
+		assert.Equal(t, strings.Contains(log.String(), `"Unopened":2`), logged, log.String())
+		assert.Equal(t, strings.Contains(log.String(), "Unopened"), logged, log.String())
+	}
+}
--- a/evacuation/board_test.go
+++ b/evacuation/board_test.go
@@ -155,6 +155,22 @@
 	}
 }
 
+// Guards against an order that is published while a host sends that left before it and knew an earlier order of the domain: the
+// time since that one was given says nothing.
+func TestOrderGivenAgainCountsFromItsOwnTime(t *testing.T) {
+	now := time.Unix(100, 0)
+	trk := evacuation.New()
+	trk.SetHosts(now, followed(present(1, 2)))
+	trk.SetStates(now, []evacuation.StoredState{ordered(7)})
+	now = now.Add(time.Minute)
+	trk.SetHosts(now, followed(present(1)))
+	trk.SetStates(now, []evacuation.StoredState{ordered(9)})
+	trk.SetEnforced(1, []evacuation.Order{{Domain: domain, Revision: 9}})
+	sendsFor := evacuation.SendsFor(maxCopyAge)
+	assert.Equal(t, len(trk.Writes(now.Add(sendsFor-1), noneRunning)), 0)
+	assert.Equal(t, len(trk.Writes(now.Add(sendsFor), noneRunning)), 1)
+}
+
 // Guards against evacuations that wait for as long as a key's revocation may take where that is long.
 func TestNoOrderWaitsForAHostBeyondTheUsersBound(t *testing.T) {
 	for age, want := range map[time.Duration]time.Duration{
