test(mutate): mutations for damaged and lost records of versions

Cause: (the wait for those that know a damaged record begins with the damage) had no mutation; (whose turn it is to write), (lost records) had eight, of which none is in the host's part.

--- a/affinity/turn_test.go
+++ b/affinity/turn_test.go
@@ -30,4 +30,6 @@
 	assert.Assert(t, writes && other > coordinator, "the others write later than the coordinator")
 	_, writes = affinity.Turn{Knows: true}.Wait()
 	assert.Assert(t, !writes, "another host has nothing to write")
+	wait, writes := affinity.Turn{Coordinates: true, Knows: true}.Wait()
+	assert.Assert(t, writes && wait == 0, "the coordinator opens versions and takes them out, whatever the record lacks")
 }
--- a/tools/mutate/main.go
+++ b/tools/mutate/main.go
@@ -86,7 +86,7 @@
 
 // allMutations returns the mutations in the order in which they run.
 func allMutations() []mutation {
-	return slices.Concat(mutations, limitMutations, copyMutations, versionMutations, boundMutations, resignMutations, endedMutations, incidentMutations, mendMutations)
+	return slices.Concat(mutations, limitMutations, copyMutations, versionMutations, boundMutations, resignMutations, endedMutations, incidentMutations, lostMutations, mendMutations)
 }
 
 // copyTree copies all files of the repository, except those that git ignores.
