refactor(mutate): the mutations are split by matter

The list of all 264 mutations, printed with all fields before and after, is the same, in the same order.

--- a/tools/mutate/main.go
+++ b/tools/mutate/main.go
@@ -86,7 +86,11 @@
 
 // allMutations returns the mutations in the order in which they run.
 func allMutations() []mutation {
-	return slices.Concat(mutations, limitMutations, copyMutations, versionMutations, boundMutations, resignMutations, endedMutations, incidentMutations, lostMutations, mendMutations)
+	return slices.Concat(
+		crashMutations, overloadMutations, placeMutations, signalMutations, ledgerMutations, pathMutations, eraMutations, partMutations,
+		limitMutations, copyMutations, versionMutations, boundMutations, resignMutations, endedMutations, incidentMutations,
+		lostMutations, mendMutations,
+	)
 }
 
 // copyTree copies all files of the repository, except those that git ignores.
