--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -19,6 +19,9 @@
 
 var keys = []string{"i9n73hh2b9wu3fexd9dn", "n2ctnfzs989anu6wsjnb"}
 
+// tenantRate and tenantBurst are the limit of the tenant, in tokens.
+var tenantRate, tenantBurst = 281217, 281217
+
 // route is a route of the configuration.
 type route struct {
 	name, prefix, kind, service string
@@ -43,7 +46,7 @@
 		"version": version, "routes": list, "services": known,
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []any{map[string]any{
-			"name": "hule930", "api_keys": keys, "priority": 1, "unit": "tokens", "plain_tokens": 200, "rate_per_s": 281217, "burst": 281217,
+			"name": "hule930", "api_keys": keys, "priority": 1, "unit": "tokens", "plain_tokens": 200, "rate_per_s": tenantRate, "burst": tenantBurst,
 		}},
 	})
 	rev := sto.put("op/config", data, 0)
--- a/review/rig2/engine.go
+++ b/review/rig2/engine.go
@@ -15,6 +15,7 @@
 // run is a request that an engine ran.
 type run struct {
 	engine, id, method, target, lastEvent string
+	tokens                                int
 	at                                    time.Time
 }
 
@@ -104,8 +105,13 @@
 		wri.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	tokens := 0
+	for _, text := range strings.Split(req.Header.Get("Token-Counts"), ",") {
+		count, _ := strconv.Atoi(text)
+		tokens += count
+	}
 	eng.mutex.Lock()
-	eng.runs = append(eng.runs, run{engine: eng.id, id: id, method: req.Method, target: req.RequestURI, lastEvent: req.Header.Get("Last-Event-Id"), at: time.Now()})
+	eng.runs = append(eng.runs, run{engine: eng.id, id: id, tokens: tokens, method: req.Method, target: req.RequestURI, lastEvent: req.Header.Get("Last-Event-Id"), at: time.Now()})
 	eng.mutex.Unlock()
 	wri.Header().Set("Request-Id", id)
 	wri.Header().Set("Response-Signature", "signed-"+id)
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -24,6 +24,7 @@
 type change struct {
 	item
 	deleted bool
+	at      time.Time
 }
 
 // MarshalJSON writes a written item in full, and of a deleted one its key and revision.
@@ -61,6 +62,10 @@
 	cutWatch func() time.Duration
 	// cuts counts the watches that were cut.
 	cuts int
+	// staleBy is how old the answers of reads with stale_ok are. downUntil is the time until which the store turns all
+	// calls away.
+	staleBy   time.Duration
+	downUntil time.Time
 	// calls counts the writing calls while lose is set, and lostCalls those that got no answer.
 	calls, lostCalls int
 }
@@ -82,7 +87,13 @@
 	mux.HandleFunc("POST /kv-lease", sto.serveLease)
 	mux.HandleFunc("POST /kv-keep/{id}", sto.serveKeep)
 	mux.HandleFunc("DELETE /kv-lease-end/{id}", sto.serveLeaseEnd)
-	go http.Serve(lis, mux)
+	go http.Serve(lis, http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+		if sto.isDown() {
+			answer(wri, http.StatusServiceUnavailable, map[string]any{})
+			return
+		}
+		mux.ServeHTTP(wri, req)
+	}))
 	go func() {
 		for range time.Tick(20 * time.Millisecond) {
 			sto.mutex.Lock()
@@ -119,6 +130,29 @@
 	}
 }
 
+func (sto *platformStore) isDown() bool {
+	sto.mutex.Lock()
+	defer sto.mutex.Unlock()
+	return time.Now().Before(sto.downUntil)
+}
+
+// stateAt returns the items and the revision that the store had at a time; the mutex must be held.
+func (sto *platformStore) stateAt(at time.Time) (map[string]item, uint64) {
+	items, rev := map[string]item{}, uint64(0)
+	for _, cha := range sto.history {
+		if cha.at.After(at) {
+			break
+		}
+		rev = cha.Rev
+		if cha.deleted {
+			delete(items, cha.Key)
+		} else {
+			items[cha.Key] = cha.item
+		}
+	}
+	return items, rev
+}
+
 // record applies a change of the present revision; the mutex must be held.
 func (sto *platformStore) record(cha change) {
 	if cha.deleted {
@@ -126,6 +160,7 @@
 	} else {
 		sto.items[cha.Key] = cha.item
 	}
+	cha.at = time.Now()
 	sto.history = append(sto.history, cha)
 	close(sto.changed)
 	sto.changed = make(chan struct{})
@@ -194,13 +229,16 @@
 	prefix, after := req.URL.Query().Get("path_prefix"), req.URL.Query().Get("after_rev")
 	sto.mutex.Lock()
 	sto.expire()
+	state, rev := sto.items, sto.rev
+	if req.URL.Query().Get("stale_ok") == "1" && sto.staleBy > 0 {
+		state, rev = sto.stateAt(time.Now().Add(-sto.staleBy))
+	}
 	items := []item{}
-	for key, itm := range sto.items {
+	for key, itm := range state {
 		if strings.HasPrefix(key, prefix) && key > after {
 			items = append(items, itm)
 		}
 	}
-	rev := sto.rev
 	sto.mutex.Unlock()
 	sort.Slice(items, func(one, two int) bool { return items[one].Key < items[two].Key })
 	more := len(items) > pageItems
