--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -28,12 +28,18 @@
 	return engines
 }
 
-// startHosts starts the six machines of the small deployment.
-func startHosts(sto *platformStore) []*host {
+// newHosts returns the six machines of the small deployment.
+func newHosts(sto *platformStore) []*host {
 	var hosts []*host
 	for idx, name := range []string{"front-leon-a-1", "front-leon-a-2", "front-leon-b-1", "front-leon-b-2", "front-qro-a-1", "front-qro-b-1"} {
 		hosts = append(hosts, newHost(name, name[len("front-"):len(name)-2], fmt.Sprintf("127.0.1.%d", idx+1), sto.address))
 	}
+	return hosts
+}
+
+// startHosts starts the six machines.
+func startHosts(sto *platformStore) []*host {
+	hosts := newHosts(sto)
 	for _, hst := range hosts {
 		hst.start()
 	}
@@ -51,7 +57,7 @@
 // replaced: all machines go away for good, and others join in their places.
 func replaced() (bool, string) {
 	sto := mustStore()
-	configure(sto, 1, []route{{name: "r-1", prefix: "/cufi504/", kind: "safe", service: service, timeout: 1000, maxAttempts: 2}}, service)
+	configure(sto, 1, []route{{name: "r-1", prefix: "/cufi504/", kind: "safe", service: service, timeout: 1000, maxAttempts: 2}})
 	startEngines(sto, 4, nil)
 	hosts := startHosts(sto)
 	awaitReady(hosts, 10*time.Second)
--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -22,6 +22,12 @@
 // tenantRate and tenantBurst are the limit of the tenant, in tokens.
 var tenantRate, tenantBurst = 281217, 281217
 
+// tenant is a further tenant of the configuration, which has one key.
+type tenant struct {
+	name, key   string
+	rate, burst int
+}
+
 // route is a route of the configuration.
 type route struct {
 	name, prefix, kind, service string
@@ -31,26 +37,30 @@
 }
 
 // configure writes a configuration, whose acknowledgement is the store's.
-func configure(sto *platformStore, version int, routes []route, services ...string) {
-	var list, known []map[string]any
+func configure(sto *platformStore, version int, routes []route, further ...tenant) {
+	var list []map[string]any
+	tenants := []any{map[string]any{
+		"name": "hule930", "api_keys": keys, "priority": 1, "unit": "tokens", "plain_tokens": 200, "rate_per_s": tenantRate, "burst": tenantBurst,
+	}}
+	for _, ten := range further {
+		tenants = append(tenants, map[string]any{
+			"name": ten.name, "api_keys": []string{ten.key}, "priority": 1, "unit": "tokens", "plain_tokens": 200, "rate_per_s": ten.rate, "burst": ten.burst,
+		})
+	}
 	for _, rou := range routes {
 		list = append(list, map[string]any{
 			"name": rou.name, "hostname": hostName, "path_prefix": rou.prefix, "kind": rou.kind, "timeout_ms": rou.timeout, "target_latency_ms": 100,
 			"priority": 0, "service": rou.service, "max_attempts": rou.maxAttempts, "public": false, "sticky": false, "resumable": rou.resumable,
 		})
 	}
-	for _, name := range services {
-		known = append(known, map[string]any{"name": name, "health_path": "/health", "max_conns": 290, "protocol": "h1", "tls": false})
-	}
+	known := []any{map[string]any{"name": service, "health_path": "/health", "max_conns": 290, "protocol": "h1", "tls": false}}
 	data, _ := json.Marshal(map[string]any{
 		"version": version, "routes": list, "services": known,
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{
-			"name": "hule930", "api_keys": keys, "priority": 1, "unit": "tokens", "plain_tokens": 200, "rate_per_s": tenantRate, "burst": tenantBurst,
-		}},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": tenants,
 	})
 	rev := sto.put("op/config", data, 0)
-	record("operator: configuration %d acknowledged at revision %d, %d routes", version, rev, len(routes))
+	record("operator: configuration %d acknowledged at revision %d, %d routes, %d tenants", version, rev, len(routes), len(tenants))
 }
 
 // result is a client attempt as the client saw it.
@@ -73,6 +83,10 @@
 
 // attempt sends one request on a new connection, with the request target as given.
 func attempt(address, method, target string, left time.Duration, header ...string) result {
+	return attemptWithKey(address, method, target, keys[0], left, header...)
+}
+
+func attemptWithKey(address, method, target, key string, left time.Duration, header ...string) result {
 	res := result{id: nextID(), path: target, sent: time.Now()}
 	con, err := net.DialTimeout("tcp", address, min(left, time.Second))
 	if err != nil {
@@ -82,7 +96,7 @@
 	defer con.Close()
 	con.SetDeadline(res.sent.Add(left))
 	text := method + " " + target + " HTTP/1.1\r\nHost: " + hostName + "\r\nRequest-Id: " + res.id + "\r\nDeadline-Ms: " + strconv.FormatInt(left.Milliseconds(), 10) +
-		"\r\nAuthorization: Bearer " + keys[0] + "\r\n"
+		"\r\nAuthorization: Bearer " + key + "\r\n"
 	for _, line := range header {
 		text += line + "\r\n"
 	}
--- a/review/rig2/leaving.go
+++ b/review/rig2/leaving.go
@@ -24,7 +24,7 @@
 		every, _ = time.ParseDuration(text)
 	}
 	sto := mustStore()
-	configure(sto, 1, []route{{name: "r-1", prefix: "/cufi504/", kind: "safe", service: service, timeout: 1000, maxAttempts: 2}}, service)
+	configure(sto, 1, []route{{name: "r-1", prefix: "/cufi504/", kind: "safe", service: service, timeout: 1000, maxAttempts: 2}})
 	engines := startEngines(sto, 4, nil)
 	hosts := startHosts(sto)
 	awaitReady(hosts, 10*time.Second)
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -56,9 +56,9 @@
 var cases = map[string]func() (broken bool, verdict string){
 	"replaced": replaced,
 	"zero":     eventZero,
-	"longline": longLine,
 	"leaving":  leaving,
 	"quota":    quota,
+	"tenant":   newTenant,
 }
 
 func main() {
--- a/review/rig2/quota.go
+++ b/review/rig2/quota.go
@@ -30,7 +30,7 @@
 		staleBy, _ = time.ParseDuration(text)
 	}
 	sto := mustStore()
-	configure(sto, 1, []route{{name: "r-1", prefix: "/cufi504/", kind: "safe", service: service, timeout: 1000, maxAttempts: 2}}, service)
+	configure(sto, 1, []route{{name: "r-1", prefix: "/cufi504/", kind: "safe", service: service, timeout: 1000, maxAttempts: 2}})
 	engines := startEngines(sto, 4, nil)
 	time.Sleep(staleBy + 500*time.Millisecond)
 	started := time.Now()
@@ -46,10 +46,34 @@
 	record("keys: %v", sto.keys("lynxwell"))
 	dir := &directory{}
 	dir.set(hosts)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		spend(dir, 30, quotaWindow+time.Second, func(address string) result {
+			return attempt(address, http.MethodGet, "/cufi504/fi50/2f", time.Second, fmt.Sprintf("Token-Counts: %d,0", requestTokens))
+		})
+	}()
+	time.Sleep(600 * time.Millisecond)
+	if hasTrouble() {
+		for _, hst := range hosts {
+			hst.kill()
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, hst := range hosts {
+			hst.start()
+		}
+	}
+	<-done
+	return checkQuota(allRuns(engines), tenantRate, tenantBurst)
+}
+
+// spend sends requests from a number of clients, each as soon as its last one is answered, for a time.
+func spend(dir *directory, clients int, duration time.Duration, send func(address string) result) {
 	var pending sync.WaitGroup
-	ends, mutex := map[string]int{}, sync.Mutex{}
-	until := time.Now().Add(9 * time.Second)
-	for range 30 {
+	var mutex sync.Mutex
+	ends := map[string]int{}
+	until := time.Now().Add(duration)
+	for range clients {
 		pending.Add(1)
 		go func() {
 			defer pending.Done()
@@ -59,7 +83,7 @@
 					time.Sleep(50 * time.Millisecond)
 					continue
 				}
-				res := attempt(address, http.MethodGet, "/cufi504/fi50/2f", time.Second, fmt.Sprintf("Token-Counts: %d,0", requestTokens))
+				res := send(address)
 				mutex.Lock()
 				ends[fmt.Sprint(res.status)]++
 				mutex.Unlock()
@@ -69,21 +93,20 @@
 			}
 		}()
 	}
-	time.Sleep(600 * time.Millisecond)
-	if hasTrouble() {
-		for _, hst := range hosts {
-			hst.kill()
-		}
-		time.Sleep(500 * time.Millisecond)
-		for _, hst := range hosts {
-			hst.start()
-		}
-	}
 	pending.Wait()
-	runs := allRuns(engines)
+	record("answers by status: %v", ends)
+}
+
+// checkQuota checks the rule for a tenant that alone has sent requests.
+func checkQuota(runs []run, rate, burst int) (bool, string) {
+	if len(runs) == 0 {
+		cannotRun("nothing ran")
+	}
 	slices.SortFunc(runs, func(one, two run) int { return one.at.Compare(two.at) })
 	most, first := 0, time.Time{}
+	perHalf := map[int]int{}
 	for idx, sum, begin := 0, 0, 0; idx < len(runs); idx++ {
+		perHalf[int(runs[idx].at.Sub(runs[0].at)/(500*time.Millisecond))] += runs[idx].tokens
 		sum += runs[idx].tokens
 		for runs[idx].at.Sub(runs[begin].at) >= quotaWindow {
 			sum -= runs[begin].tokens
@@ -93,17 +116,9 @@
 			most, first = sum, runs[begin].at
 		}
 	}
-	if len(runs) == 0 {
-		cannotRun("nothing ran")
-	}
-	perHalf := map[int]int{}
-	for _, rnn := range runs {
-		perHalf[int(rnn.at.Sub(runs[0].at)/(500*time.Millisecond))] += rnn.tokens
-	}
 	for half := range 20 {
 		record("%.1f s after the first request: %d tokens in half a second", float64(half)/2, perHalf[half])
 	}
-	record("answers: %v", ends)
-	allowed := (float64(tenantRate)*quotaWindow.Seconds()+float64(tenantBurst))*(1+quotaOver) + quotaSlack
+	allowed := (float64(rate)*quotaWindow.Seconds()+float64(burst))*(1+quotaOver) + quotaSlack
 	return float64(most) > allowed, fmt.Sprintf("%d tokens ran in the %v from %.1f s on, %.0f are allowed", most, quotaWindow, first.Sub(began).Seconds(), allowed)
 }
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -49,6 +49,7 @@
 // platformStore is a stand-in of the platform's metadata store.
 type platformStore struct {
 	address string
+	handler http.Handler
 	mutex   sync.Mutex
 	items   map[string]item
 	leases  map[uint64]lease
@@ -66,6 +67,8 @@
 	// calls away.
 	staleBy   time.Duration
 	downUntil time.Time
+	// lastConditional is the door through which a host last wrote under a condition.
+	lastConditional *door
 	// calls counts the writing calls while lose is set, and lostCalls those that got no answer.
 	calls, lostCalls int
 }
@@ -80,6 +83,7 @@
 	}
 	sto.address = lis.Addr().String()
 	mux := http.NewServeMux()
+	sto.handler = mux
 	mux.HandleFunc("GET /kv-key", sto.serveKey)
 	mux.HandleFunc("GET /kv-range", sto.serveRange)
 	mux.HandleFunc("GET /kv-watch", sto.serveWatch)
@@ -338,6 +342,11 @@
 		answer(wri, http.StatusBadRequest, map[string]any{})
 		return
 	}
+	if dor, found := req.Context().Value(doorKey{}).(*door); found && len(body.Expected) > 0 {
+		sto.mutex.Lock()
+		sto.lastConditional = dor
+		sto.mutex.Unlock()
+	}
 	var keys []string
 	for _, wrt := range body.Writes {
 		keys = append(keys, wrt.Key)
--- a/review/rig2/streams.go
+++ b/review/rig2/streams.go
@@ -14,7 +14,7 @@
 // streamCase runs one resumable stream, under which an engine crashes at an event. sent returns what is sent of that event.
 func streamCase(firstEvent, crashAt int, eventText func(id string, number int) string, sent func(text string) string) (bool, string) {
 	sto := mustStore()
-	configure(sto, 1, []route{{name: "r-1", prefix: "/lohu930/", kind: "streaming", service: service, timeout: 15000, maxAttempts: 2, resumable: true}}, service)
+	configure(sto, 1, []route{{name: "r-1", prefix: "/lohu930/", kind: "streaming", service: service, timeout: 15000, maxAttempts: 2, resumable: true}})
 	var once sync.Once
 	engines := startEngines(sto, 6, func(eng *engine) {
 		eng.events, eng.firstEvent, eng.step, eng.eventText = streamEvents, firstEvent, 100*time.Millisecond, eventText
@@ -91,24 +91,3 @@
 	}
 	return streamCase(first, first, shortEvent, func(text string) string { return text })
 }
-
-// longLineBytes is the length of an event's line of data.
-const longLineBytes = 4096
-
-func longEvent(id string, number int) string {
-	data := fmt.Sprintf("data: piece %d of %s ", number, id)
-	return fmt.Sprintf("id: %d\n%s%s\n\n", number, data, strings.Repeat("x", lineBytes()-len(data)))
-}
-
-// lineBytes returns longLineBytes, or one more if SHIFT=1.
-func lineBytes() int {
-	if os.Getenv("SHIFT") == "1" {
-		return longLineBytes + 1
-	}
-	return longLineBytes
-}
-
-// longLine: an engine crashes inside an event, between a line of 4096 bytes and the empty line behind it.
-func longLine() (bool, string) {
-	return streamCase(1, 3, longEvent, func(text string) string { return strings.TrimSuffix(text, "\n") })
-}
