fix(entry): a coordinator borrows no more of a share than its ledger says (QUOTA)

What happens: a gateway that is cut off from the store lends its share by an old ledger. If the ledger has given that share to others since, and the gateway's coordinator reads the store, the coordinator spends it beside them, for any time.

Change: a loan counts for no more than the coordinator's own ledger gives the lender. A lender that has got more meanwhile lends the rest as soon as the coordinator has read that.

Before: TestBorrowedShareIsNoMoreThanTheLedgerSays fails with 0.5 where 0.25 is allowed. After: it passes.

--- a/entry/shares.go
+++ b/entry/shares.go
@@ -174,8 +174,13 @@
 	if !inb.delegated || askedAt.After(now) {
 		return
 	}
-	if !bro.shares.book.Borrow(now, inb.gateway, inb.name, msg.Loan, askedAt.Add(msg.Term)) {
-		inb.send(reservation.ShareReturned{Generation: msg.Generation})
+	loan := msg.Loan
+	if led := bro.shares.ledger; led.Version > 0 {
+		// The lender's copy of the ledger may be older than this host's.
+		loan.Share = min(loan.Share, led.Of(inb.name))
+	}
+	if !bro.shares.book.Borrow(now, inb.gateway, inb.name, loan, askedAt.Add(msg.Term)) {
+		inb.send(reservation.ShareReturned{Generation: loan.Generation})
 	}
 	bro.logShare()
 }
--- a/entry/shares_test.go
+++ b/entry/shares_test.go
@@ -93,7 +93,7 @@
 	set := func(sha limitshare.Share, version uint64) {
 		hos.broker.mutex.Lock()
 		defer hos.broker.mutex.Unlock()
-		hos.broker.applyLedger(limitshare.Ledger{Version: version, Shares: map[string]limitshare.Share{hos.set.Name: sha, "others": limitshare.Whole - sha}}, 1)
+		hos.broker.applyLedger(limitshare.Ledger{Version: version, Shares: map[string]limitshare.Share{hos.set.Name: sha, "gateway-1": limitshare.Whole - sha}}, 1)
 		hos.broker.settleShares()
 	}
 	hos.confirmed.Store(int64(hos.clock.Now().Sub(hos.started) - limitshare.UnconfirmedUse - time.Second))
@@ -110,3 +110,22 @@
 	hos.broker.mutex.Unlock()
 	assert.Equal(t, hos.Dump().Scheduler.LimitShare, own.Fraction())
 }
+
+// Guards against a share that is spent twice (QUOTA): a gateway that is cut off from the store lends by its old ledger what
+// the ledger has given to others since, and its coordinator, whose copy is confirmed, spent it for any time.
+func TestBorrowedShareIsNoMoreThanTheLedgerSays(t *testing.T) {
+	hos, sessions := newHostInFleet(t, 2)
+	hos.confirmed.Store(int64(hos.clock.Now().Sub(hos.started)))
+	hos.broker.SessionMessage(sessions[0], peer.Received{Message: reservation.Delegation{Delegated: true}})
+	apply := func(version uint64, sha limitshare.Share) {
+		hos.broker.mutex.Lock()
+		defer hos.broker.mutex.Unlock()
+		hos.broker.applyLedger(limitshare.Ledger{Version: version, Shares: map[string]limitshare.Share{"gateway-1": sha}}, 1)
+	}
+	apply(1, limitshare.Whole/2)
+	lend(hos, sessions[0], limitshare.Whole/2)
+	assert.Equal(t, hos.Dump().Scheduler.LimitShare, 0.5)
+	apply(2, limitshare.Whole/4)
+	lend(hos, sessions[0], limitshare.Whole/2)
+	assert.Equal(t, hos.Dump().Scheduler.LimitShare, 0.25)
+}
