--- a/entry/entry.go
+++ b/entry/entry.go
@@ -350,7 +350,8 @@
 
 // Drain makes a planned stop: the host deregisters immediately and accepts requests while clients
 // may still use its address. Drain returns when the last request is answered, or an error if
-// requests are still in flight drainMargin before the end of the grace period; Stop then cuts them.
+// requests are still in flight drainMargin before the end of the grace period; Stop then cuts them. Meanwhile the host hands
+// its share of the limits over.
 func (hos *Host) Drain(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, hos.bounds.Load().Grace()-drainMargin)
 	defer cancel()
@@ -363,10 +364,12 @@
 	case <-accept.C:
 	case <-ctx.Done():
 	}
+	finishHandover := hos.startHandover(ctx)
 	err := hos.servers[0].Shutdown(ctx)
 	if err == nil {
 		err = hos.forwards.wait(ctx)
 	}
+	finishHandover()
 	if err != nil {
 		hos.log.Warn().Err(err).Msg("planned stop did not finish, cutting requests in flight")
 	}
--- a/entry/shares.go
+++ b/entry/shares.go
@@ -52,6 +52,8 @@
 	asked shareRequest
 	// debts are the newest debts of client accounts at the coordinator, by account, as its grants to this host named them.
 	debts map[string]scheduler.Debt
+	// handsOver is set once this host gives its own share to others, since it stops.
+	handsOver bool
 	// suspended is set while this host spends no share, since its ledger may be outdated.
 	suspended bool
 	// logged is the state that was logged last.
@@ -96,7 +98,7 @@
 	if borrower != lsh.book.Borrower() {
 		bro.shareIsBack()
 	}
-	suspended := bro.host.snapshotAge(now) > limitshare.UnconfirmedUse && !lsh.book.Usable().IsMajority()
+	suspended := !bro.host.shareUse().MaySpend(bro.host.snapshotAge(now), lsh.book.Usable())
 	if suspended != lsh.suspended {
 		lsh.suspended = suspended
 		bro.core.Handle(now, scheduler.ShareSuspended{Suspended: suspended})
@@ -104,6 +106,15 @@
 	bro.logShare()
 }
 
+// shareUse returns how long hosts spend shares without confirmation. Where revocation is strict, no host serves requests
+// of client accounts for longer than freshnessLimit without it, so that no host needs a share for longer.
+func (hos *Host) shareUse() limitshare.Use {
+	if hos.bounds.Load().RevocationIsStrict.Or(true) {
+		return limitshare.Use{Limit: hos.freshnessLimit(), MajorityIsBound: true}
+	}
+	return limitshare.Use{Limit: limitshare.UnconfirmedUse}
+}
+
 // logShare logs this host's share of the limits if it has changed.
 func (bro *broker) logShare() {
 	lsh := bro.shares
@@ -150,7 +161,7 @@
 
 // applyShareRequest lends this host's share to its coordinator; the mutex must be held.
 func (bro *broker) applyShareRequest(from request.Epoch, req reservation.ShareRequest) {
-	if from != bro.coordinator {
+	if from != bro.coordinator || bro.shares.handsOver {
 		return
 	}
 	now := bro.host.clock.Now()
@@ -263,7 +274,9 @@
 		con = limitshare.Unspent()
 	}
 	lsh.ledger = led
-	lsh.book.SetOwn(led.Of(bro.host.set.Name), con)
+	if !lsh.handsOver {
+		lsh.book.SetOwn(led.Of(bro.host.set.Name), con)
+	}
 	bro.answerAsked()
 	bro.logShare()
 }
@@ -352,24 +365,34 @@
 	if lsh.ledger.Version > lsh.storedVersion {
 		return lsh.ledger, lsh.storedRevision, interval
 	}
-	next, changed := lsh.planner.Plan(bro.host.clock.Now(), limitshare.Observation{Ledger: lsh.ledger, Present: bro.presentHosts(), Usable: lsh.book.Usable()})
+	present, leaving := bro.presentHosts()
+	next, changed := lsh.planner.Plan(bro.host.clock.Now(), limitshare.Observation{
+		Ledger: lsh.ledger, Present: present, Leaving: leaving, Usable: lsh.book.Usable(), Use: bro.host.shareUse(),
+	})
 	if !changed {
 		next = limitshare.Ledger{}
 	}
 	return next, lsh.storedRevision, interval
 }
 
-// presentHosts returns the names of the hosts that are registered or have a session with this one.
-func (bro *broker) presentHosts() []string {
-	names := []string{bro.host.set.Name}
+// presentHosts returns the names of the hosts that are registered or have a session with this one, and those of them
+// that aren't registered.
+func (bro *broker) presentHosts() (present, leaving []string) {
+	registered := []string{bro.host.set.Name}
 	for _, mem := range bro.membership.members {
-		names = append(names, mem.Name)
+		registered = append(registered, mem.Name)
 	}
 	for _, inb := range bro.inbound {
-		names = append(names, inb.name)
+		if !slices.Contains(registered, inb.name) {
+			leaving = append(leaving, inb.name)
+		}
+	}
+	if bro.host.draining.Load() {
+		leaving = append(leaving, bro.host.set.Name)
 	}
-	slices.Sort(names)
-	return slices.Compact(names)
+	present = slices.Concat(registered, leaving)
+	slices.Sort(present)
+	return slices.Compact(present), leaving
 }
 
 // writeLimitShares writes a ledger on condition that the known one is still in the store.
--- a/limitshare/book.go
+++ b/limitshare/book.go
@@ -95,6 +95,14 @@
 // Borrower returns the host to which the own share is lent; 0 for none.
 func (bok *Book) Borrower() request.Epoch { return bok.borrower }
 
+// LentFor returns how long the own share is lent for at most; 0 if it isn't.
+func (bok *Book) LentFor(now time.Time) time.Duration {
+	if bok.borrower == 0 {
+		return 0
+	}
+	return max(0, bok.lentUntil.Sub(now))
+}
+
 // Returned records that a borrower has given the loan of a generation back, with what accounts have left of it. That
 // of an earlier loan changes nothing.
 func (bok *Book) Returned(borrower request.Epoch, generation uint64, con Content) {
--- a/limitshare/ledger.go
+++ b/limitshare/ledger.go
@@ -46,15 +46,13 @@
 }
 
 const (
-	// UnconfirmedUse is how long a host spends shares without having confirmed that its copy of the
-	// ledger is current, unless it holds most shares: only a host that does changes the ledger.
-	UnconfirmedUse = 10 * time.Second
-	// settleTime is how long a share that the ledger has taken away belongs to nobody. By then its former
-	// owner has read that, or spends no share.
-	settleTime = UnconfirmedUse + 2*time.Second
 	// absenceTime is how long a host has to be absent before the ledger takes its share away: a restart
 	// takes less.
 	absenceTime = 5 * time.Second
+	// briefAbsenceTime is the same if the hosts that are present don't hold most shares, so that they serve
+	// little, and no others spend most shares without confirmation. No host may have joined for as long:
+	// others may be starting.
+	briefAbsenceTime = 2 * time.Second
 	// longAbsenceTime is the same if the hosts that are present don't hold most shares, and can't know
 	// whether those that do run elsewhere.
 	longAbsenceTime = 20 * time.Second
@@ -72,9 +70,14 @@
 
 // Planner decides on changes of the ledger, at the coordinator. It isn't safe for concurrent use.
 type Planner struct {
-	// version is the ledger's version when it was last observed, observedAt when that version was first observed.
-	version    uint64
-	observedAt time.Time
+	// version is that of the ledger when it was last observed, total the sum of its shares. takenAt is when a ledger was
+	// first observed that may have taken a share away.
+	version uint64
+	total   Share
+	takenAt time.Time
+	// known are the hosts that were present when the planner last planned. joinedAt is when another one joined them.
+	known    map[string]bool
+	joinedAt time.Time
 	// absentSince is when hosts with a share were first found absent.
 	absentSince map[string]time.Time
 	// founders are the hosts that were present when there was no ledger, unchanged since foundersSince. The first of
@@ -94,8 +97,12 @@
 	Ledger Ledger
 	// Present are the hosts that are listed in the store, or have a session with the coordinator.
 	Present []string
+	// Leaving are those of them that aren't listed, since they stop: they keep their shares and get no more.
+	Leaving []string
 	// Usable is the share that the coordinator may spend.
 	Usable Share
+	// Use is how long all hosts spend shares without confirmation.
+	Use Use
 }
 
 // Plan returns the ledger to be written, and whether it differs from the known one. Without a ledger, the
@@ -109,17 +116,17 @@
 	if obs.Ledger.Version == 0 {
 		return pla.found(now, slices.Sorted(maps.Keys(present)))
 	}
-	if obs.Ledger.Version != pla.version {
-		pla.version, pla.observedAt = obs.Ledger.Version, now
-	}
+	pla.observe(now, obs.Ledger, present)
 	owners := pla.owners(now, obs, present)
 	if next, changed := dropAbsent(obs.Ledger, owners); changed {
 		return next, true
 	}
 	for name := range present {
-		owners[name] = true
+		if !slices.Contains(obs.Leaving, name) {
+			owners[name] = true
+		}
 	}
-	if now.Sub(pla.observedAt) < settleTime || len(owners) == 0 {
+	if now.Sub(pla.takenAt) < obs.Use.settleTime() || len(owners) == 0 {
 		return Ledger{}, false
 	}
 	if next, changed := grant(obs.Ledger, slices.Sorted(maps.Keys(owners))); changed {
@@ -128,6 +135,24 @@
 	return shrink(obs.Ledger, owners)
 }
 
+// observe records the ledger and the hosts that are present.
+func (pla *Planner) observe(now time.Time, led Ledger, present map[string]bool) {
+	total := led.Total()
+	// A change that leaves the sum as it is, or adds to it, takes nothing for which somebody has to wait. Of changes
+	// that this host hasn't seen one by one that isn't known.
+	takesNothing := led.Version == pla.version+1 && pla.version > 0 && total >= pla.total
+	if led.Version != pla.version && !takesNothing {
+		pla.takenAt = now
+	}
+	pla.version, pla.total = led.Version, total
+	for name := range present {
+		if !pla.known[name] {
+			pla.joinedAt = now
+		}
+	}
+	pla.known = present
+}
+
 // found returns the first ledger once the hosts are known.
 func (pla *Planner) found(now time.Time, hosts []string) (Ledger, bool) {
 	if pla.foundingSince.IsZero() {
@@ -142,12 +167,21 @@
 	return grant(Ledger{}, hosts)
 }
 
+// absenceLimit returns how long hosts have to be absent before they lose their shares.
+func (pla *Planner) absenceLimit(now time.Time, obs Observation) time.Duration {
+	switch {
+	case obs.Usable.IsMajority():
+		return absenceTime
+	case obs.Use.MajorityIsBound && now.Sub(pla.joinedAt) >= briefAbsenceTime:
+		return briefAbsenceTime
+	default:
+		return longAbsenceTime
+	}
+}
+
 // owners returns the hosts with a share that keep it: all but those that have been absent for long.
 func (pla *Planner) owners(now time.Time, obs Observation, present map[string]bool) map[string]bool {
-	limit := longAbsenceTime
-	if obs.Usable.IsMajority() {
-		limit = absenceTime
-	}
+	limit := pla.absenceLimit(now, obs)
 	owners := make(map[string]bool)
 	for name, sha := range obs.Ledger.Shares {
 		if present[name] {
--- a/platformtest/memory.go
+++ b/platformtest/memory.go
@@ -343,6 +343,9 @@
 	if actual := mem.values[wri.Key].Revision; !wri.Blind && actual != wri.Expect {
 		return &store.ConflictError{Key: wri.Key, Expect: wri.Expect, Actual: actual}
 	}
+	if actual := mem.values[wri.Absent].Revision; !wri.Blind && wri.Absent != "" && actual != 0 {
+		return &store.ConflictError{Key: wri.Absent, Actual: actual}
+	}
 	return nil
 }
 
--- a/platformtest/server.go
+++ b/platformtest/server.go
@@ -292,6 +292,9 @@
 	wri.Blind = len(txn.Expected) == 0
 	if !wri.Blind {
 		wri.Expect = store.Revision(txn.Expected[0].Revision)
+		if len(txn.Expected) > 1 {
+			wri.Absent = txn.Expected[1].Key
+		}
 	}
 	return wri
 }
--- a/store/store.go
+++ b/store/store.go
@@ -41,6 +41,8 @@
 	Delete bool
 	// Blind writes unconditionally; Expect is ignored.
 	Blind bool
+	// Absent is a further key that must not exist, unless Blind is set; empty for none.
+	Absent string
 }
 
 // HostKind is the kind of program that runs on a host of the platform's list.
--- a/tools/mutate/limits.go
+++ b/tools/mutate/limits.go
@@ -1,7 +1,7 @@
 package main
 
 // limits selects the tests of the hosts' shares of the limits.
-var limits = []string{"./limitshare", "./scheduler", "./entry", "-run", "Share|Ledger|Minority|Content|CoordinatorContinues|HostsThatStart|AccountLimit|ColdRateIs|GetsNoBurst|RetriesStay|RetriesAre"}
+var limits = []string{"./limitshare", "./scheduler", "./entry", "-run", "Share|Ledger|Minority|Fleet|HandOver|Replace|Content|CoordinatorContinues|HostsThatStart|AccountLimit|ColdRateIs|GetsNoBurst|RetriesStay|RetriesAre"}
 
 // limitMutations remove the guards of the hosts' shares of the limits.
 var limitMutations = []mutation{
@@ -31,11 +31,11 @@
 	},
 	{
 		"Limits: a share that was taken away belongs to nobody at first", "limitshare/ledger.go",
-		"	if now.Sub(pla.observedAt) < settleTime || len(owners) == 0 {", "	if len(owners) == 0 {", limits,
+		"	if now.Sub(pla.takenAt) < obs.Use.settleTime() || len(owners) == 0 {", "	if len(owners) == 0 {", limits,
 	},
 	{
 		"Limits: a minority takes no shares", "limitshare/ledger.go",
-		"	if obs.Usable.IsMajority() {", "	if true {", limits,
+		"	case obs.Usable.IsMajority():", "	case true:", limits,
 	},
 	{
 		"Limits: the first ledger waits for hosts that are starting", "limitshare/ledger.go",
@@ -55,7 +55,39 @@
 	},
 	{
 		"Limits: a host with an outdated ledger spends nothing", "entry/shares.go",
-		"	suspended := bro.host.snapshotAge(now) > limitshare.UnconfirmedUse &&", "	suspended := false &&", limits,
+		"	suspended := !bro.host.shareUse()", "	suspended := false && !bro.host.shareUse()", limits,
+	},
+	{
+		"Limits: a change of the ledger that this host hasn't seen may have taken shares away", "limitshare/ledger.go",
+		"	takesNothing := led.Version == pla.version+1 &&", "	takesNothing :=", limits,
+	},
+	{
+		"Limits: where revocation is strict, hosts with most shares spend none without confirmation", "limitshare/use.go",
+		"usable.IsMajority() && !use.MajorityIsBound", "usable.IsMajority()", limits,
+	},
+	{
+		"Limits: hosts without most shares wait briefly only if nobody spends without confirmation", "limitshare/ledger.go",
+		"	case obs.Use.MajorityIsBound && now", "	case now", limits,
+	},
+	{
+		"Limits: hosts that stop get no more shares", "limitshare/ledger.go",
+		"		if !slices.Contains(obs.Leaving, name) {", "		if true {", limits,
+	},
+	{
+		"Limits: a host that hands its share over lends it no more", "entry/shares.go",
+		"	if from != bro.coordinator || bro.shares.handsOver {", "	if from != bro.coordinator {", limits,
+	},
+	{
+		"Limits: a loan is handed over only when it is over", "entry/handover.go",
+		"		if !lent {", "		if true {", limits,
+	},
+	{
+		"Limits: a coordinator borrows no more than the ledger says", "entry/shares.go",
+		"		loan.Share = min(loan.Share, led.Of(inb.name))\n", "		_ = led\n", limits,
+	},
+	{
+		"Limits: a late handover doesn't take the share of the host's next process", "entry/handover.go",
+		", Absent: platform.MemberKey(hos.set.Name)", "", limits,
 	},
 	{
 		"Limits: a coordinator gives the share of a host back that leaves it", "entry/elect.go",
