--- a/backend/backend.go
+++ b/backend/backend.go
@@ -15,9 +15,11 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"net/textproto"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -107,7 +109,8 @@
 	start := time.Now()
 	ctx, wat := transport.Watch(ctx, cli.cfg.SilenceTimeout)
 	defer wat.Stop()
-	req, err := newRequest(ctx, cal)
+	var upl upload
+	req, err := newRequest(upl.trace(ctx), cal)
 	if err != nil {
 		return Result{Err: err}
 	}
@@ -119,11 +122,35 @@
 	res := Result{Dispatched: true, Answered: true, FirstByte: time.Since(start)}
 	sink.Head(rep.StatusCode, EndToEnd(rep.Header))
 	res.Err = copyBody(rep.Body, sink, wat.Reset)
+	if endsWithConnection := rep.ContentLength < 0 && len(rep.TransferEncoding) == 0; res.Err == nil && endsWithConnection && !upl.written.Load() {
+		res.Err = &UnreadCallError{}
+	}
 	res.Complete = res.Err == nil
 	res.Total = time.Since(start)
 	return res
 }
 
+// UnreadCallError reports an answer that ended with its connection before the call was written whole, so that it may be a
+// part of one.
+type UnreadCallError struct{}
+
+// Error returns the text.
+func (*UnreadCallError) Error() string {
+	return "the answer ended with its connection, and the call wasn't written whole"
+}
+
+// upload records whether a call was written whole.
+type upload struct {
+	written atomic.Bool
+}
+
+// trace returns a context whose request is recorded.
+func (upl *upload) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteRequest: func(inf httptrace.WroteRequestInfo) { upl.written.Store(inf.Err == nil) },
+	})
+}
+
 // clientFor returns the client for a request. A request without a body gets a new
 // connection, since net/http may send it a second time if a reused connection is stale.
 func (cli *Client) clientFor(req *http.Request) *http.Client {
--- a/entry/ended.go
+++ b/entry/ended.go
@@ -41,7 +41,20 @@
 	if att.release.DecodeTokens == 0 && !exc.isResumption() {
 		return true
 	}
-	return !exc.host.isAlive(ctx, exc.request.ID, att.engine)
+	return !exc.host.isWhole(ctx, exc.request.ID, att.engine, ans)
+}
+
+// isWhole reports whether an answer that has ended with its connection is taken for complete: its engine lives, and hasn't reset
+// the connection since.
+func (hos *Host) isWhole(ctx context.Context, id string, eng fleet.Engine, ans *upstream.Answer) bool {
+	if !hos.isAlive(ctx, id, eng) {
+		return false
+	}
+	reset := ans.WasReset()
+	if reset {
+		hos.log.Info().Str("Request", id).Stringer("Engine", eng.ID).Msg("answer without a length was reset after its end")
+	}
+	return !reset
 }
 
 // isAlive reports whether an engine is known to take connections after an answer to the request has ended with its own.
--- a/entry/forwarder.go
+++ b/entry/forwarder.go
@@ -165,7 +165,7 @@
 	if err == nil {
 		return count, nil
 	}
-	if errors.Is(err, io.EOF) && fbo.answer.EndsWithConnection() && !fbo.conn.host.isAlive(fbo.context, fbo.request, fbo.conn.engine) {
+	if errors.Is(err, io.EOF) && fbo.answer.EndsWithConnection() && !fbo.conn.host.isWhole(fbo.context, fbo.request, fbo.conn.engine, fbo.answer) {
 		err = &EndedEarlyError{}
 	}
 	if errors.Is(err, io.EOF) {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -101,6 +101,10 @@
 		return
 	}
 	flt := upstreamtest.Fault(1 + sys.random.IntN(int(upstreamtest.Early)-1))
+	if sys.answerRandom.IntN(4) == 0 {
+		// They are drawn apart, so that a seed's other faults stay the same.
+		flt = upstreamtest.EarlyPart + upstreamtest.Fault(sys.answerRandom.IntN(3))
+	}
 	req := upstreamtest.FaultRequest{Fault: flt, Times: 1 + sys.random.IntN(4)}
 	sys.t.Log(eng.id, "gets a fault", req)
 	sys.control(eng, upstreamtest.PathFault, req)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -93,6 +93,8 @@
 	processRandom    *rand.Rand
 	// endlessRandom selects the engines that send bytes without an end.
 	endlessRandom *rand.Rand
+	// answerRandom selects the engines' answers that are none of HTTP/1, and those to requests that they haven't read.
+	answerRandom *rand.Rand
 	// badPart is set if one part of prompts crashes engines.
 	badPart bool
 	// copyKept is set once the store has kept a copy of its content.
@@ -273,7 +275,7 @@
 // newSystem returns a system without processes.
 func newSystem(t *testing.T, cfg Config) *system {
 	t.Helper()
-	return &system{t: t, dir: t.TempDir(), badPart: cfg.BadPart, random: rand.New(rand.NewPCG(cfg.Seed, 1)), signalRandom: rand.New(rand.NewPCG(cfg.Seed, 55)), rateRandom: rand.New(rand.NewPCG(cfg.Seed, 89)), evacuationRandom: rand.New(rand.NewPCG(cfg.Seed, 144)), speedRandom: rand.New(rand.NewPCG(cfg.Seed, 233)), pathRandom: rand.New(rand.NewPCG(cfg.Seed, 377)), restoreRandom: rand.New(rand.NewPCG(cfg.Seed, 610)), streamRandom: rand.New(rand.NewPCG(cfg.Seed, 987)), processRandom: rand.New(rand.NewPCG(cfg.Seed, 1597)), endlessRandom: rand.New(rand.NewPCG(cfg.Seed, 2584)), revokedAt: make(map[string]time.Time)}
+	return &system{t: t, dir: t.TempDir(), badPart: cfg.BadPart, random: rand.New(rand.NewPCG(cfg.Seed, 1)), signalRandom: rand.New(rand.NewPCG(cfg.Seed, 55)), rateRandom: rand.New(rand.NewPCG(cfg.Seed, 89)), evacuationRandom: rand.New(rand.NewPCG(cfg.Seed, 144)), speedRandom: rand.New(rand.NewPCG(cfg.Seed, 233)), pathRandom: rand.New(rand.NewPCG(cfg.Seed, 377)), restoreRandom: rand.New(rand.NewPCG(cfg.Seed, 610)), streamRandom: rand.New(rand.NewPCG(cfg.Seed, 987)), processRandom: rand.New(rand.NewPCG(cfg.Seed, 1597)), endlessRandom: rand.New(rand.NewPCG(cfg.Seed, 2584)), answerRandom: rand.New(rand.NewPCG(cfg.Seed, 4181)), revokedAt: make(map[string]time.Time)}
 }
 
 // startStore starts the stand-in of the store.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/singleflight"
 
+	"lynxwell.dev/lynxwell/call"
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/transport"
 )
@@ -198,7 +199,7 @@
 	}
 	cli, con := cnd.client, cnd.connection
 	cli.setBusy(con, true)
-	exc := &exchange{client: cli, connection: con, written: make(chan error, 1)}
+	exc := &exchange{client: cli, connection: con, written: make(chan struct{}), aborted: ctx.Done(), bodyBytes: len(cal.Body)}
 	exc.stopAbort = context.AfterFunc(ctx, exc.abort)
 	ans, err := exc.run(cal)
 	if err != nil {
@@ -307,8 +308,13 @@
 	connection *connection
 	// stopAbort detaches the exchange from the context; it returns false if abort was started.
 	stopAbort func() bool
-	// written receives the result of writing the request.
-	written chan error
+	// written is closed when the request has been written or writing has failed with writeErr.
+	written  chan struct{}
+	writeErr error
+	// aborted is closed when the call is aborted.
+	aborted <-chan struct{}
+	// bodyBytes is the length of the request's body.
+	bodyBytes int
 }
 
 // abort unblocks all reads and writes on the connection.
@@ -331,26 +337,28 @@
 		req.ContentLength = int64(len(cal.Body))
 	}
 	sent := exc.client.cfg.Now()
-	write := func() error {
-		if cal.Written != nil {
-			defer cal.Written()
-		}
-		return req.Write(exc.connection)
-	}
 	if len(cal.Body) > smallBodyBytes {
-		go func() { exc.written <- write() }()
-	} else {
-		err := write()
-		exc.written <- err
-		// After a failed write of a body, the answer is read nevertheless: the engine may have
-		// answered and closed the connection without reading the body.
-		if err != nil && len(cal.Body) == 0 {
-			return nil, err
-		}
+		go exc.write(cal, req)
+		return exc.read(cal, req, sent)
+	}
+	exc.write(cal, req)
+	// After a failed write of a body, the answer is read nevertheless: the engine may have
+	// answered and closed the connection without reading the body.
+	if exc.writeErr != nil && len(cal.Body) == 0 {
+		return nil, exc.writeErr
 	}
 	return exc.read(cal, req, sent)
 }
 
+// write writes the request.
+func (exc *exchange) write(cal Call, req *http.Request) {
+	defer close(exc.written)
+	if cal.Written != nil {
+		defer cal.Written()
+	}
+	exc.writeErr = req.Write(exc.connection)
+}
+
 // read reads answers until one carries the call's id, and skips informational answers and those to
 // other requests. An answer with a status below 400 must carry an id. An answer with an error status
 // and no id is accepted as the first one of a connection, since an engine that couldn't read the request
@@ -375,7 +383,7 @@
 		}
 		if matches {
 			exc.connection.answered = true
-			return &Answer{Status: rep.StatusCode, Header: rep.Header, Head: head, Body: rep.Body, response: rep, exchange: exc, afterStray: afterStray, allowance: exc.client.Allowance()}, nil
+			return exc.newAnswer(rep, head, afterStray), nil
 		}
 		strayID, afterStray = head.ID, true
 		if _, err := io.Copy(io.Discard, io.LimitReader(rep.Body, maxStrayBytes)); err != nil {
@@ -385,6 +393,14 @@
 	return nil, &StrayError{ID: strayID}
 }
 
+func (exc *exchange) newAnswer(rep *http.Response, head call.AnswerHead, afterStray bool) *Answer {
+	ans := &Answer{Status: rep.StatusCode, Header: rep.Header, Head: head, Body: rep.Body, response: rep, exchange: exc, afterStray: afterStray, allowance: exc.client.Allowance()}
+	if ans.EndsWithConnection() {
+		ans.Body = &unframedBody{reader: rep.Body, exchange: exc}
+	}
+	return ans
+}
+
 // Allowance returns the allowance of a call.
 func (cli *Client) Allowance() *Allowance { return &Allowance{held: &cli.held} }
 
@@ -394,8 +410,8 @@
 // sent reports whether the request was written completely.
 func (exc *exchange) sent() bool {
 	select {
-	case err := <-exc.written:
-		return err == nil
+	case <-exc.written:
+		return exc.writeErr == nil
 	default:
 		return false
 	}
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -30,6 +30,8 @@
 	answered bool
 	// lastReceived is when the peer last sent data, in nanoseconds since 1970.
 	lastReceived atomic.Int64
+	// resetErr is the error with which the peer reset the connection, once it is known.
+	resetErr error
 	// runEnded is set once the engine run at the other end is known to have ended.
 	runEnded atomic.Bool
 }
--- a/upstreamtest/engine.go
+++ b/upstreamtest/engine.go
@@ -61,6 +61,13 @@
 	Early
 	// Endless sends bytes without an end, of another kind for each request, until the client closes the connection.
 	Endless
+	// EarlyPart answers before it has read a long body of a request: it sends a part of an answer without a length,
+	// ends its side, and resets the connection a moment later. After a short body it resets at once.
+	EarlyPart
+	// StatusZero sends a head with the status 000 whose body reads as an answer.
+	StatusZero
+	// BlankInName sends an answer with a blank in the name of a field, behind which its length is hidden.
+	BlankInName
 )
 
 // Config configures an Engine.
@@ -239,6 +246,12 @@
 			eng.answerEarly(wri, req)
 			return
 		}
+		if flt == EarlyPart {
+			eng.recordRun(req, "")
+			eng.recordSilent(req.Header.Get("Request-Id"))
+			eng.sendEarlyPart(wri, req)
+			return
+		}
 		body, err := io.ReadAll(req.Body)
 		if err != nil {
 			return
@@ -370,7 +383,7 @@
 	case Endless:
 		eng.recordSilent(id)
 		eng.writeEndless(wri, id)
-	case Extra, StrayFirst, Unframed, UnframedReset:
+	case Extra, StrayFirst, Unframed, UnframedReset, StatusZero, BlankInName:
 		eng.writeRaw(wri, req, flt)
 	default:
 		if eng.cfg.Events > 0 {
--- a/upstreamtest/raw.go
+++ b/upstreamtest/raw.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"time"
 )
 
 // writeRaw writes an answer directly to the connection, bypassing net/http's framing.
@@ -17,10 +18,7 @@
 		return
 	}
 	defer con.Close()
-	body := PlainBody(id)
-	if eng.cfg.Events > 0 {
-		body = strings.TrimPrefix(StreamBody(id, eng.cfg.Events), StreamBody(id, receivedEvents(req)))
-	}
+	body := eng.rawBody(req)
 	signals := eng.signalHeader()
 	switch flt {
 	case Extra:
@@ -29,6 +27,11 @@
 	case StrayFirst:
 		writeFramed(buf, "other", eng.cfg.Version, PlainBody("other"), signals)
 		writeFramed(buf, id, eng.cfg.Version, body, signals)
+	case StatusZero:
+		inner := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s\r\nContent-Length: 3\r\n\r\nbad", id, signature(id, eng.cfg.Version))
+		fmt.Fprintf(buf, "HTTP/1.1 000 Broken\r\nContent-Length: %d\r\n\r\n%s", len(inner), inner)
+	case BlankInName:
+		fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s\r\nContent-Length : %d\r\n\r\n%sbehind it", id, signature(id, eng.cfg.Version), len(body), body)
 	default:
 		fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s\r\n%s\r\n%s", id, signature(id, eng.cfg.Version), signals, body)
 	}
@@ -45,6 +48,44 @@
 	}
 }
 
+// rawBody returns the body of the answer to a request.
+func (eng *Engine) rawBody(req *http.Request) string {
+	id := req.Header.Get("Request-Id")
+	if eng.cfg.Events > 0 {
+		return strings.TrimPrefix(StreamBody(id, eng.cfg.Events), StreamBody(id, receivedEvents(req)))
+	}
+	return PlainBody(id)
+}
+
+const (
+	// longBodyBytes is the length from which on EarlyPart leaves a request's body unread.
+	longBodyBytes = 2 << 10
+	// earlyPartPause is the time between the end of the answer's part and the reset.
+	earlyPartPause = 50 * time.Millisecond
+)
+
+// sendEarlyPart sends a part of an answer as EarlyPart says.
+func (eng *Engine) sendEarlyPart(wri http.ResponseWriter, req *http.Request) {
+	id := req.Header.Get("Request-Id")
+	con, _, err := http.NewResponseController(wri).Hijack()
+	if err != nil {
+		return
+	}
+	defer con.Close()
+	body := eng.rawBody(req)
+	// The client may have disconnected, so the errors don't matter.
+	_, _ = fmt.Fprintf(con, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s\r\nConnection: close\r\n\r\n%s", id, signature(id, eng.cfg.Version), body[:len(body)/2])
+	tcp, isTCP := con.(*net.TCPConn)
+	if !isTCP {
+		return
+	}
+	if req.ContentLength > longBodyBytes {
+		_ = tcp.CloseWrite()
+		wait(req, earlyPartPause)
+	}
+	_ = tcp.SetLinger(0)
+}
+
 // writeFramed writes an answer with Content-Length; header holds further header lines.
 func writeFramed(buf *bufio.ReadWriter, id, version, body, header string) {
 	fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s\r\nContent-Length: %d\r\n%s\r\n%s", id, signature(id, version), len(body), header, body)
