--- a/backend/backend.go
+++ b/backend/backend.go
@@ -62,7 +62,7 @@
 
 func httpClient(maxIdle int) *http.Client {
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &http.Client{Transport: transport.New(maxIdle), CheckRedirect: noRedirect}
+	return &http.Client{Transport: transport.Checked(transport.New(maxIdle)), CheckRedirect: noRedirect}
 }
 
 // Close closes the idle connections.
--- a/caller/server.go
+++ b/caller/server.go
@@ -36,7 +36,7 @@
 		cfg.MaxRequests = defaultMaxRequests
 	}
 	httpTransport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: transport.MaxHeadBytes}
-	return &Server{cfg: cfg, relayClient: &http.Client{Transport: httpTransport}}
+	return &Server{cfg: cfg, relayClient: &http.Client{Transport: transport.Checked(httpTransport)}}
 }
 
 // Close closes idle connections to other hosts.
--- a/engine/client.go
+++ b/engine/client.go
@@ -64,7 +64,7 @@
 	if cfg.SilenceTimeout == 0 {
 		cfg.SilenceTimeout = 30 * time.Second
 	}
-	return &Client{cfg: cfg, http: &http.Client{Transport: transport.New(maxIdleConnections)}}
+	return &Client{cfg: cfg, http: &http.Client{Transport: transport.Checked(transport.New(maxIdleConnections))}}
 }
 
 // Close closes the idle connections.
--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -33,6 +33,9 @@
 		{upstreamtest.StrayFirst, "StrayFirst", complete, complete, complete, complete},
 		{upstreamtest.Unframed, "Unframed", complete, complete, complete, complete},
 		{upstreamtest.Unsigned, "Unsigned", 502, complete, complete, 502},
+		// Guards against answers that are none of HTTP/1 (MIXED): a client got the body of a head with the status 000, which
+		// read as an answer.
+		{upstreamtest.StatusZero, "StatusZero", 502, complete, complete, 502},
 	}
 	for _, tst := range cases {
 		t.Run(tst.name, func(t *testing.T) {
--- a/tools/mutate/ended.go
+++ b/tools/mutate/ended.go
@@ -6,6 +6,9 @@
 // unread selects those of answers to requests that their receivers haven't read.
 var unread = []string{"./upstream", "./backend", "./entry", "-run", "Unread|ThatIsNotRead"}
 
+// malformed selects those of heads that are none of HTTP/1.
+var malformed = []string{"./transport", "./entry", "-run", "Head|TestEngineFaults"}
+
 // endedMutations remove what tells a complete answer without a length from one that ends early.
 var endedMutations = []mutation{
 	{
@@ -36,4 +39,12 @@
 		"Ended: so it is in a backend server's answer", "backend/backend.go",
 		" && !upl.written.Load()", " && false", unread,
 	},
+	{
+		"Heads: an answer has a valid status", "transport/head.go",
+		"	if rep.StatusCode < minStatus || rep.StatusCode > maxStatus ||", "	if", malformed,
+	},
+	{
+		"Heads: they are checked for engines", "upstream/head.go",
+		"transport.CheckHead(rep)", "nil", malformed,
+	},
 }
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -47,9 +47,14 @@
 	}
 }
 
-// readHead reads the head of the next answer, of at most transport.MaxHeadBytes behind what is in the read buffer.
+// readHead reads the head of the next answer, of at most transport.MaxHeadBytes behind what is in the read buffer. It
+// returns a *transport.MalformedHeadError for one that is no answer of HTTP/1.
 func (con *connection) readHead(req *http.Request) (*http.Response, error) {
 	con.head.left.Store(transport.MaxHeadBytes)
 	defer con.head.left.Store(noHeadLimit)
-	return http.ReadResponse(con.reader, req)
+	rep, err := http.ReadResponse(con.reader, req)
+	if err != nil {
+		return nil, err
+	}
+	return rep, transport.CheckHead(rep)
 }
