--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -34,8 +34,9 @@
 		{upstreamtest.Unframed, "Unframed", complete, complete, complete, complete},
 		{upstreamtest.Unsigned, "Unsigned", 502, complete, complete, 502},
 		// Guards against answers that are none of HTTP/1 (MIXED): a client got the body of a head with the status 000, which
-		// read as an answer.
+		// read as an answer, and a body whose length a blank behind the field's name hid.
 		{upstreamtest.StatusZero, "StatusZero", 502, complete, complete, 502},
+		{upstreamtest.BlankInName, "BlankInName", 502, complete, complete, 502},
 	}
 	for _, tst := range cases {
 		t.Run(tst.name, func(t *testing.T) {
--- a/tools/mutate/ended.go
+++ b/tools/mutate/ended.go
@@ -43,6 +43,10 @@
 		"Heads: an answer has a valid status", "transport/head.go",
 		"	if rep.StatusCode < minStatus || rep.StatusCode > maxStatus ||", "	if", malformed,
 	},
+	{
+		"Heads: the names of an answer's fields are tokens", "transport/head.go",
+		"		if !isToken(name) {", "		if false {", malformed,
+	},
 	{
 		"Heads: they are checked for engines", "upstream/head.go",
 		"transport.CheckHead(rep)", "nil", malformed,
--- a/transport/head_test.go
+++ b/transport/head_test.go
@@ -27,6 +27,9 @@
 	"HTTP/1.1 600 High\r\nContent-Length: 2\r\n":                                false,
 	"HTTP/1.1 999 Highest\r\nContent-Length: 2\r\n":                             false,
 	"HTTP/2.0 200 OK\r\nContent-Length: 2\r\n":                                  false,
+	"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n":                                 false,
+	"HTTP/1.1 200 OK\r\nContent Length: 2\r\n":                                  false,
+	"HTTP/1.1 200 OK\r\nA  : 1\r\nContent-Length: 2\r\n":                        false,
 }
 
 func TestCheckHead(t *testing.T) {
