--- a/entry/caller.go
+++ b/entry/caller.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
 	"hash/fnv"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -69,6 +71,7 @@
 	causeHeld               cause = "Held"
 	causeNoRegion           cause = "NoRegion"
 	causeVersionGone        cause = "VersionGone"
+	causeStopping           cause = "Stopping"
 )
 
 // problem is a final answer that the host itself generates.
@@ -158,6 +161,7 @@
 	return &http.Server{
 		Handler: http.HandlerFunc(hos.serveClient), MaxHeaderBytes: maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		BaseContext: func(net.Listener) context.Context { return hos.requests },
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -129,8 +129,14 @@
 	// bounds are those of the newest valid settings.
 	bounds   atomic.Pointer[settings.Bounds]
 	draining atomic.Bool
-	// drainStarted is closed when a planned stop starts.
+	// drainStarted is closed when a planned stop starts, and plannedStop is set then. accepting ends when the host takes no
+	// more requests, requests when it gives up those that still run.
 	drainStarted chan struct{}
+	plannedStop  atomic.Pointer[plannedStop]
+	accepting    context.Context
+	endAccepting context.CancelFunc
+	requests     context.Context
+	endRequests  context.CancelCauseFunc
 	cancel       context.CancelFunc
 	// done is closed when all goroutines have ended.
 	done chan struct{}
@@ -163,6 +169,8 @@
 		resumed:           make(chan time.Duration, 1),
 		done:              make(chan struct{}),
 	}
+	hos.accepting, hos.endAccepting = context.WithCancel(context.Background())
+	hos.requests, hos.endRequests = context.WithCancelCause(context.Background())
 	hos.clock = clock.New(clock.Config{Source: cfg.Clock, OnSuspension: hos.recordSuspension, OnBootError: hos.recordClockFailure})
 	hos.started = hos.clock.Now()
 	hos.mirror = mirror.NewCopy(hos.clock.Now)
@@ -311,15 +319,8 @@
 	hos.log.Info().Interface("StoreCalls", hos.store.Counts()).Msg("host stopped")
 }
 
-const (
-	// maintenanceInterval is how often runMaintenance runs.
-	maintenanceInterval = 500 * time.Millisecond
-	// acceptAfterDrain is how long a draining host still accepts requests: clients cache an answer
-	// with addresses for at most three times addressesTTL.
-	acceptAfterDrain = 3 * addressesTTL
-	// drainMargin is the part of the grace period that is reserved for the shutdown itself.
-	drainMargin = 500 * time.Millisecond
-)
+// maintenanceInterval is how often runMaintenance runs.
+const maintenanceInterval = 500 * time.Millisecond
 
 // runMaintenance regularly closes connections to engines that were deregistered or replaced and
 // those that have been idle for long, and drops expired notices.
@@ -350,28 +351,30 @@
 
 // Drain makes a planned stop: the host deregisters immediately and accepts requests while clients
 // may still use its address. Drain returns when the last request is answered, or an error if
-// requests are still in flight drainMargin before the end of the grace period; Stop then cuts them. Meanwhile the host hands
-// its share of the limits over.
+// requests are still in flight drainMargin before the end of the grace period: these get a final answer, and Stop cuts
+// those whose answer had begun. Meanwhile the host hands its share of the limits over.
 func (hos *Host) Drain(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, hos.bounds.Load().Grace()-drainMargin)
+	grace := hos.bounds.Load().Grace()
+	ctx, cancel := context.WithTimeout(ctx, grace-drainMargin)
 	defer cancel()
-	hos.draining.Store(true)
-	close(hos.drainStarted)
-	hos.log.Info().Dur("Grace", hos.bounds.Load().Grace()).Msg("planned stop")
-	accept := time.NewTimer(acceptAfterDrain)
+	stp := hos.beginStop(grace - drainMargin)
+	hos.log.Info().Dur("Grace", grace).Msg("planned stop")
+	accept := time.NewTimer(hos.clock.Until(stp.acceptsUntil))
 	defer accept.Stop()
 	select {
 	case <-accept.C:
 	case <-ctx.Done():
 	}
+	hos.endAccepting()
 	finishHandover := hos.startHandover(ctx)
 	err := hos.servers[0].Shutdown(ctx)
 	if err == nil {
 		err = hos.forwards.wait(ctx)
 	}
-	finishHandover()
 	if err != nil {
-		hos.log.Warn().Err(err).Msg("planned stop did not finish, cutting requests in flight")
+		hos.log.Warn().Err(err).Msg("planned stop did not finish, giving up requests in flight")
+		hos.giveUpRequests(hos.servers[0])
 	}
+	finishHandover()
 	return err
 }
--- a/entry/reserve.go
+++ b/entry/reserve.go
@@ -229,9 +229,12 @@
 	return exc.adjustIfMayHaveRun(pro)
 }
 
-// contextProblem returns the final answer after the deadline has passed or the client has
-// disconnected.
+// contextProblem returns the final answer after the deadline has passed, the client has
+// disconnected, or the host has given the request up since it stops.
 func (exc *exchange) contextProblem(err error) *problem {
+	if isStopping(err) {
+		return exc.notRunProblem(causeStopping, err.Error())
+	}
 	pro := &problem{status: http.StatusServiceUnavailable, cause: causeDeadline, detail: err.Error()}
 	if !errors.Is(err, context.DeadlineExceeded) {
 		pro.cause = causeClientDisconnected
--- a/soak/check.go
+++ b/soak/check.go
@@ -61,6 +61,13 @@
 	return all
 }
 
+const (
+	// One of slowUploads requests with a body pauses for slowUploadPause within it.
+	slowUploads        = 40
+	slowUploadPause    = 1500 * time.Millisecond
+	slowUploadDeadline = 7 * time.Second
+)
+
 func sendRequests(ctx context.Context, vis *visitor.Client, random *rand.Rand) []sentRequest {
 	var sent []sentRequest
 	for ctx.Err() == nil {
@@ -76,6 +83,10 @@
 		if random.IntN(2) == 0 {
 			req.Body = strings.Repeat("x", random.IntN(40_000))
 		}
+		if len(req.Body)%slowUploads == 1 {
+			// A host that is told to stop meanwhile may not be able to wait for the answer.
+			req.BodyPause, req.Deadline = slowUploadPause, slowUploadDeadline
+		}
 		// The end of the context does not cancel a request, so that its outcome is known.
 		sent = append(sent, sentRequest{request: req, result: vis.Send(context.WithoutCancel(ctx), req)})
 	}
--- a/visitor/visitor.go
+++ b/visitor/visitor.go
@@ -88,6 +88,8 @@
 	Key string
 	// Body is the body of a POST request; a request without one is a GET.
 	Body string
+	// BodyPause is the pause between the two halves of the body.
+	BodyPause time.Duration
 	Kind route.Kind
 	// Resumable allows a streaming request to be retried like a safe one. A retry resumes the stream after the
 	// last event received.
@@ -273,7 +275,7 @@
 	if req.Body != "" {
 		method = http.MethodPost
 	}
-	htr, err := http.NewRequestWithContext(ctx, method, "http://"+att.Address.String()+req.Path, strings.NewReader(req.Body))
+	htr, err := http.NewRequestWithContext(ctx, method, "http://"+att.Address.String()+req.Path, newUpload(ctx, req))
 	if err != nil {
 		att.Err = err
 		return
