test(upstream): the test of many large answers neither ends nor hangs by chance

Causes, both in the test: its engine stopped after 64 MB in all, of which 100 calls of 1 MB may read more; and a call that dialed after the engine's answer was changed got the short one and left its connection idle, on which no answer came any more. The race detector showed that change, too.

Change: the stop holds for endless engines only, the change is atomic and waits until all calls have dialed. What is asserted is as before.

--- a/upstream/bounds_test.go
+++ b/upstream/bounds_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 	"pgregory.net/rapid"
 
 	"lynxwell.dev/lynxwell/call"
@@ -29,12 +30,22 @@
 // counts what its caller reads.
 type scriptedEngine struct {
 	start, repeated string
-	read            atomic.Int64
+	// later is the start of the connections from the time on at which it is set.
+	later atomic.Pointer[string]
+	// isBounded is set if the connections end by themselves, so that what all of them send isn't bounded by mostSent.
+	isBounded bool
+	read      atomic.Int64
+	opened    atomic.Int64
 }
 
 // DialContext implements upstream.Dialer.
 func (sce *scriptedEngine) DialContext(context.Context, string, string) (net.Conn, error) {
-	return &scriptedConn{engine: sce, left: sce.start, closed: make(chan struct{})}, nil
+	defer sce.opened.Add(1)
+	start := sce.start
+	if later := sce.later.Load(); later != nil {
+		start = *later
+	}
+	return &scriptedConn{engine: sce, left: start, closed: make(chan struct{})}, nil
 }
 
 type scriptedConn struct {
@@ -53,7 +64,7 @@
 		<-scc.closed
 		return 0, net.ErrClosed
 	}
-	if scc.engine.read.Load() > mostSent {
+	if !scc.engine.isBounded && scc.engine.read.Load() > mostSent {
 		return 0, io.ErrUnexpectedEOF
 	}
 	count := copy(buf, scc.left)
@@ -183,7 +194,7 @@
 // read meanwhile.
 func TestAnswersTogetherAreBounded(t *testing.T) {
 	const calls, size, mostHeld = 100, 1 << 20, 33 << 20
-	large := &scriptedEngine{start: signed + fmt.Sprintf("Content-Length: %d\r\n\r\n", 2*size) + strings.Repeat("z", size)}
+	large := &scriptedEngine{start: signed + fmt.Sprintf("Content-Length: %d\r\n\r\n", 2*size) + strings.Repeat("z", size), isBounded: true}
 	cli := large.client(t)
 	// The calls end by themselves if nothing is refused.
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
@@ -199,7 +210,14 @@
 		assert.Assert(t, errors.As(<-refused, &held))
 	}
 	assert.Assert(t, cli.Held() <= mostHeld, "%d", cli.Held())
-	large.start = signed + "Content-Length: 5\r\n\r\nsound"
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if large.opened.Load() == calls {
+			return poll.Success()
+		}
+		return poll.Continue("%d connections are open", large.opened.Load())
+	}, poll.WithDelay(time.Millisecond))
+	sound := signed + "Content-Length: 5\r\n\r\nsound"
+	large.later.Store(&sound)
 	assert.NilError(t, readAnswer(t.Context(), cli, false))
 	cancel()
 	wait.Wait()
--- a/visitor/visitor.go
+++ b/visitor/visitor.go
@@ -90,7 +90,7 @@
 	Body string
 	// BodyPause is the pause between the two halves of the body.
 	BodyPause time.Duration
-	Kind route.Kind
+	Kind      route.Kind
 	// Resumable allows a streaming request to be retried like a safe one. A retry resumes the stream after the
 	// last event received.
 	Resumable bool
