fix(limitshare): where revocation isn't strict, shares are used for 10 s again

Where revocation isn't strict nothing was won by it, as the others wait for 20 s there, and hosts that restart in an outage of the store served less.

Where revocation is strict nothing changes: its own bound, 4 s, holds.

--- a/limitshare/fleet_test.go
+++ b/limitshare/fleet_test.go
@@ -273,8 +273,8 @@
 	mod.start(fmt.Sprint("host-", mod.named))
 }
 
-// boundUse is the use where no host spends without confirmation for long.
-var boundUse = limitshare.Use{MajorityIsBound: true}
+// boundUse is the use where revocation is strict, with the users' bound of 5 s.
+var boundUse = limitshare.Use{Limit: 4 * time.Second, MajorityIsBound: true}
 
 // Hosts spend no more than the whole, whatever happens to them; and those that are left spend enough of it within the
 // users' time for recovery after the last disturbance, and nearly all later.
--- a/limitshare/use.go
+++ b/limitshare/use.go
@@ -4,7 +4,7 @@
 
 // UnconfirmedUse is how long a host spends shares without having confirmed that its copy of the ledger is
 // current, if nothing else bounds that.
-const UnconfirmedUse = 4 * time.Second
+const UnconfirmedUse = 10 * time.Second
 
 // settleMargin is what a share that was taken away belongs to nobody beyond the time for which its former owner
 // may spend it: the owner may read the ledger late, and its clock may run slower.
