--- a/entry/handover.go
+++ b/entry/handover.go
@@ -19,8 +19,8 @@
 // process, and goes on lending it.
 
 const (
-	// heirInterval is the interval at which a host that stops looks for hosts that stay.
-	heirInterval = 200 * time.Millisecond
+	// recipientInterval is the interval at which a host that stops looks for hosts that stay.
+	recipientInterval = 200 * time.Millisecond
 	// handoverRetry is the mean wait before the ledger is written again after a failure.
 	handoverRetry = 100 * time.Millisecond
 	// maxHandoverWrites bounds the writes: many hosts may stop at once and write the same ledger.
@@ -51,7 +51,7 @@
 // handOverShare gives this host's share of the limits to the registered hosts, as soon as there are any and the store
 // answers. It returns without result if that isn't so when the host has drained.
 func (hos *Host) handOverShare(ctx context.Context, drained <-chan struct{}) {
-	tick := time.NewTicker(heirInterval)
+	tick := time.NewTicker(recipientInterval)
 	defer tick.Stop()
 	for !hos.broker.mayHandOver() || hos.readLedger(ctx) != nil || !hos.broker.beginHandover() {
 		select {
@@ -84,7 +84,7 @@
 
 func (bro *broker) mayHandOverLocked() bool {
 	isRegistered := slices.ContainsFunc(bro.membership.members, func(mem fleet.Member) bool { return mem.Name == bro.host.set.Name })
-	return !isRegistered && bro.shares.ledger.Of(bro.host.set.Name) > 0 && len(bro.heirs()) > 0
+	return !isRegistered && bro.shares.ledger.Of(bro.host.set.Name) > 0 && len(bro.recipients()) > 0
 }
 
 // beginHandover makes this host spend and lend nothing of its own share any more, if it may hand it over. A loan goes on
@@ -96,16 +96,16 @@
 		return false
 	}
 	lsh := bro.shares
-	own, heirs := lsh.ledger.Of(bro.host.set.Name), bro.heirs()
+	own, recipients := lsh.ledger.Of(bro.host.set.Name), bro.recipients()
 	lsh.handsOver = true
 	lsh.book.SetOwn(0, limitshare.Content{})
-	bro.host.log.Info().Uint64("Ledger", lsh.ledger.Version).Float64("Own", own.Fraction()).Int("Heirs", len(heirs)).
+	bro.host.log.Info().Uint64("Ledger", lsh.ledger.Version).Float64("Own", own.Fraction()).Int("Recipients", len(recipients)).
 		Dur("Age", bro.host.snapshotAge(bro.host.clock.Now())).Msg("handing the share of the limits over")
 	return true
 }
 
-// heirs returns the names of the registered hosts but this one; the mutex must be held.
-func (bro *broker) heirs() []string {
+// recipients returns the names of the registered hosts but this one; the mutex must be held.
+func (bro *broker) recipients() []string {
 	var names []string
 	for _, mem := range bro.membership.members {
 		if mem.Name != bro.host.set.Name {
@@ -124,7 +124,7 @@
 	return bro.shares.book.LentFor(now), bro.shares.book.Borrower() != 0
 }
 
-// writeHandover writes the ledger in which the heirs have this host's share, until that has succeeded or may have
+// writeHandover writes the ledger in which the recipients have this host's share, until that has succeeded or may have
 // succeeded. If the store refuses maxHandoverWrites times, the host takes its share back.
 func (hos *Host) writeHandover(ctx context.Context) {
 	for range maxHandoverWrites {
@@ -188,7 +188,7 @@
 	if lsh.storedVersion != lsh.ledger.Version {
 		return limitshare.Ledger{}, 0, false
 	}
-	next, changed := lsh.ledger.HandOver(bro.host.set.Name, bro.heirs())
+	next, changed := lsh.ledger.HandOver(bro.host.set.Name, bro.recipients())
 	return next, lsh.storedRevision, changed
 }
 
--- a/entry/stopping.go
+++ b/entry/stopping.go
@@ -76,6 +76,7 @@
 	return exc.notRunProblem(causeStopping, err.Error())
 }
 
+// goesOnInStop reports whether a planned stop keeps the request from no further attempt.
 func (exc *exchange) goesOnInStop() bool { return exc.mayHaveRun || exc.headerSent }
 
 // reserveToSend obtains an engine as reserve does, as long as the request is to be sent although the host may be stopping.
--- a/limitshare/fleet_test.go
+++ b/limitshare/fleet_test.go
@@ -362,7 +362,7 @@
 	led := limitshare.Ledger{Version: 3, Shares: map[string]limitshare.Share{"a": 300_000, "b": 200_000, "c": 400_000}}
 	for _, tst := range []struct {
 		name  string
-		heirs []string
+		recipients []string
 		want  map[string]limitshare.Share
 	}{
 		{"a", []string{"a", "b", "c"}, map[string]limitshare.Share{"b": 500_000, "c": 400_000}},
@@ -372,7 +372,7 @@
 		{"a", []string{"a"}, nil},
 		{"d", []string{"a"}, nil},
 	} {
-		next, changed := led.HandOver(tst.name, tst.heirs)
+		next, changed := led.HandOver(tst.name, tst.recipients)
 		assert.Equal(t, changed, tst.want != nil)
 		if changed {
 			for name, sha := range next.Shares {
