test(upstream): the stand-in resets when the client has read the end, not after 50 ms

A fixed sleep is replaced by the event that it stood for: the caller has read the end of the engine's side.

--- a/upstream/connection_test.go
+++ b/upstream/connection_test.go
@@ -46,7 +46,12 @@
 
 func newClient(t *testing.T) *upstream.Client {
 	t.Helper()
-	cli := upstream.NewClient(upstream.ClientConfig{Decode: func(int, http.Header) call.AnswerHead { return call.AnswerHead{ID: "mine"} }})
+	return newClientWith(t, nil)
+}
+
+func newClientWith(t *testing.T, dialer upstream.Dialer) *upstream.Client {
+	t.Helper()
+	cli := upstream.NewClient(upstream.ClientConfig{Dialer: dialer, Decode: func(int, http.Header) call.AnswerHead { return call.AnswerHead{ID: "mine"} }})
 	t.Cleanup(cli.Close)
 	return cli
 }
--- a/upstream/unframed_test.go
+++ b/upstream/unframed_test.go
@@ -2,14 +2,15 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -47,37 +48,63 @@
 	unframedBody = "part of the answer"
 )
 
-// unreadPause is how long after the end of its answer an engine resets the connection.
-const unreadPause = 50 * time.Millisecond
+// endDialer opens connections that tell when their caller has read the end of the other side.
+type endDialer struct{ ended chan struct{} }
+
+// DialContext implements upstream.Dialer.
+func (edi *endDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	opened, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &endConn{TCPConn: opened.(*net.TCPConn), ended: sync.OnceFunc(func() { close(edi.ended) })}, nil
+}
+
+type endConn struct {
+	*net.TCPConn
+	ended func()
+}
+
+func (eco *endConn) Read(buf []byte) (int, error) {
+	count, err := eco.TCPConn.Read(buf)
+	if err != nil {
+		eco.ended()
+	}
+	return count, err
+}
 
 // Guards against a part of an answer that a client gets as the whole (MIXED): an engine answered a long upload at once,
 // without a length, ended its side and reset the connection while the upload was on its way.
 func TestUnframedAnswerToUploadThatIsNotReadIsIncomplete(t *testing.T) {
-	reset := func(con *net.TCPConn, _ *bufio.Reader) {
+	reset := func(con *net.TCPConn, _ *bufio.Reader, ended <-chan struct{}) {
 		_, _ = io.WriteString(con, unframedHead+unframedBody)
 		_ = con.CloseWrite()
-		time.Sleep(unreadPause)
+		<-ended
 		_ = con.SetLinger(0)
 	}
-	closed := func(con *net.TCPConn, _ *bufio.Reader) { _, _ = io.WriteString(con, unframedHead+unframedBody) }
+	closed := func(con *net.TCPConn, _ *bufio.Reader, _ <-chan struct{}) {
+		_, _ = io.WriteString(con, unframedHead+unframedBody)
+	}
 	// RFC 9112, 9.6: a server that closes ends its own side first, and reads on.
-	sound := func(con *net.TCPConn, request *bufio.Reader) {
+	sound := func(con *net.TCPConn, request *bufio.Reader, _ <-chan struct{}) {
 		_, _ = io.WriteString(con, unframedHead+unframedBody)
 		_ = con.CloseWrite()
 		_, _ = io.Copy(io.Discard, request)
 	}
 	for _, tst := range []struct {
 		name   string
-		handle func(*net.TCPConn, *bufio.Reader)
+		handle func(*net.TCPConn, *bufio.Reader, <-chan struct{})
 		whole  bool
 	}{{"reset", reset, false}, {"closed unread", closed, false}, {"sound", sound, true}} {
 		for _, size := range []int{3 << 10, 64 << 10, 1 << 20, 8 << 20} {
 			t.Run(fmt.Sprintf("%s/%d bytes", tst.name, size), func(t *testing.T) {
 				t.Parallel()
 				for range 5 {
-					cal := newCall(upstream.Endpoint{Address: serveOnce(t, tst.handle)})
+					dialer := &endDialer{ended: make(chan struct{})}
+					cal := newCall(upstream.Endpoint{Address: serveOnce(t, func(con *net.TCPConn, request *bufio.Reader) { tst.handle(con, request, dialer.ended) })})
 					cal.Method, cal.Body = http.MethodPost, []byte(strings.Repeat("x", size))
-					ans, err := newClient(t).Do(t.Context(), cal)
+					ans, err := newClientWith(t, dialer).Do(t.Context(), cal)
 					var body []byte
 					if err == nil {
 						body, err = ans.ReadAll(1 << 20)
