test(entry): connections opened before a planned stop, and a handover without a store

A host whose store is down since it was deregistered keeps its share: the removal of that guard wasn't detected by tools/mutate, and is now.

--- a/entry/handover_internal_test.go
+++ b/entry/handover_internal_test.go
@@ -1,15 +1,18 @@
 package entry
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/limitshare"
 	"lynxwell.dev/lynxwell/request"
 	"lynxwell.dev/lynxwell/reservation"
+	"lynxwell.dev/lynxwell/store"
 )
 
 // A host that stops waits for the end of the loan before it hands its share over, and lends it no more.
@@ -49,3 +52,30 @@
 	assert.Assert(t, changed)
 	assert.Equal(t, next.Of("gateway-1"), limitshare.Whole/2)
 }
+
+// downStore is a store that doesn't answer reads.
+type downStore struct{ store.Store }
+
+func (downStore) Get(context.Context, string) (store.Value, error) {
+	return store.Value{}, &store.UnavailableError{Call: "Get", Cause: errors.New("down")}
+}
+
+// Guards against a share that nobody spends: a host that is no longer registered, and whose store is down since, gave its
+// share up without being able to hand it over.
+func TestHandOverNeedsStore(t *testing.T) {
+	hos, _ := newHostInFleet(t, 1)
+	hos.store = store.NewRecorder(downStore{})
+	hos.confirmed.Store(int64(hos.clock.Now().Sub(hos.started)))
+	hos.set.Name = "gateway-0"
+	bro := hos.broker
+	bro.mutex.Lock()
+	bro.applyLedger(limitshare.Ledger{Version: 1, Shares: map[string]limitshare.Share{"gateway-0": limitshare.Whole / 2}}, 1)
+	bro.mutex.Unlock()
+	bro.updateMembership(membership{members: []fleet.Member{{Epoch: 1, Name: "gateway-1"}}})
+	assert.Assert(t, bro.mayHandOver())
+	drained := make(chan struct{})
+	close(drained)
+	hos.handOverShare(t.Context(), drained)
+	assert.Assert(t, !bro.shares.handsOver)
+	assert.Equal(t, bro.shares.book.Usable(), limitshare.Whole/2)
+}
--- a/entry/stopping_test.go
+++ b/entry/stopping_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -104,6 +105,60 @@
 	}
 }
 
+// Guards against the same on connections that clients opened before the stop: one that is first used late in it, and one
+// that was used before. A request that comes after the host has closed such a connection isn't read, and nothing is sent.
+func TestRequestOnEarlierConnectionLateInStopIsNotCut(t *testing.T) {
+	for _, used := range []bool{false, true} {
+		t.Run(fmt.Sprintf("used %t", used), func(t *testing.T) {
+			t.Parallel()
+			eng := plainEngine("p1")
+			sys := entrytest.Start(t, entrytest.Config{Hosts: 1, Engines: []*upstreamtest.Engine{eng}})
+			sys.Configure(entrytest.Configuration{Version: 1, Timeout: 20 * time.Second, Aim: 10 * time.Second})
+			sys.WaitForReady()
+			hos := sys.Hosts[0]
+			var dialer net.Dialer
+			con, err := dialer.DialContext(t.Context(), "tcp", hos.Settings.CallerAddress.String())
+			assert.NilError(t, err)
+			defer con.Close()
+			reader := bufio.NewReader(con)
+			send := func(id string) (*http.Response, error) {
+				_, err := fmt.Fprintf(con, "GET /unsafe/x HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nRequest-Id: %s\r\nDeadline-Ms: 15000\r\n\r\n", entrytest.HostName, entrytest.Key, id)
+				if err != nil {
+					return nil, err
+				}
+				rep, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					return nil, err
+				}
+				_, err = io.Copy(io.Discard, rep.Body)
+				return rep, err
+			}
+			if used {
+				rep, err := send("first")
+				assert.NilError(t, err)
+				assert.Equal(t, rep.StatusCode, http.StatusOK)
+			}
+			before := len(eng.Runs())
+			eng.InjectFault(upstreamtest.Hang, 1)
+			stopped := make(chan struct{})
+			go func() {
+				defer close(stopped)
+				// An error says that requests were cut; the answer shows that.
+				_ = hos.Drain(t.Context())
+				hos.Stop()
+			}()
+			sys.WaitUntil("the host takes no more connections", func() bool { return !takesConnections(t, hos) })
+			rep, err := send("late")
+			if err == nil {
+				assert.Equal(t, rep.StatusCode, http.StatusServiceUnavailable)
+				assert.Assert(t, rep.Header.Get("Retry-After") != "")
+			}
+			assert.Equal(t, len(eng.Runs()), before)
+			<-stopped
+		})
+	}
+}
+
 // Guards against connections that end without an answer at the end of a planned stop (LOST): the client is told that its
 // request may have run.
 func TestRequestThatOutlastsStopGetsFinalAnswer(t *testing.T) {
--- a/tools/mutate/limits.go
+++ b/tools/mutate/limits.go
@@ -1,7 +1,7 @@
 package main
 
 // limits selects the tests of the hosts' shares of the limits.
-var limits = []string{"./limitshare", "./scheduler", "./entry", "-run", "Share|Ledger|Minority|Fleet|HandOver|Replace|Unseen|HostsThatStop|HandedOver|Content|CoordinatorContinues|HostsThatStart|AccountLimit|ColdRateIs|GetsNoBurst|RetriesStay|RetriesAre"}
+var limits = []string{"./limitshare", "./scheduler", "./entry", "-run", "Share|Ledger|Minority|Fleet|HandOver|Replace|Unseen|HostsThatStop|HandedOver|HandOverNeeds|Content|CoordinatorContinues|HostsThatStart|AccountLimit|ColdRateIs|GetsNoBurst|RetriesStay|RetriesAre"}
 
 // limitMutations remove the guards of the hosts' shares of the limits.
 var limitMutations = []mutation{
