--- a/upstream/events.go
+++ b/upstream/events.go
@@ -31,10 +31,19 @@
 	return "stream event is larger than the limit of " + strconv.Itoa(ete.Limit) + " bytes"
 }
 
-// EventReader reads a stream event by event.
+// EventReader reads a stream event by event, as the HTML standard defines them (9.2.5): a line ends with a line feed, a
+// carriage return, or both.
 type EventReader struct {
-	lines     *bufio.Reader
+	source    *bufio.Reader
 	allowance *Allowance
+	// begun is set behind the first line.
+	begun bool
+	// afterReturn is set behind a carriage return, to which a line feed that follows belongs.
+	afterReturn bool
+	// returnsAndFeeds is set if the last line that is known whole ended with both.
+	returnsAndFeeds bool
+	// failed is the error with which the source ended: a connection that was reset may read as closed after that.
+	failed error
 }
 
 // NewEventReader returns a reader of the stream in rea. It is for streams of which any number may be held; the others are
@@ -44,10 +53,11 @@
 }
 
 func newEventReader(rea io.Reader, alw *Allowance) *EventReader {
-	return &EventReader{lines: bufio.NewReaderSize(rea, bufferBytes), allowance: alw}
+	return &EventReader{source: bufio.NewReaderSize(rea, bufferBytes), allowance: alw}
 }
 
-var idField = []byte("id:")
+// byteOrderMark may stand before the first line of a stream, and isn't part of it.
+var byteOrderMark = []byte("\ufeff")
 
 // Next returns the next complete event. It returns io.EOF if the stream ends between two
 // events, io.ErrUnexpectedEOF if it ends within one, an *EventTooLargeError for an event
@@ -55,35 +65,140 @@
 func (evr *EventReader) Next() (Event, error) {
 	var evt Event
 	for {
-		line, err := evr.lines.ReadSlice('\n')
-		// While an event is copied, both copies are held.
-		if herr := evr.allowance.Hold(3 * int64(len(evt.Raw)+len(line))); herr != nil {
-			return Event{}, herr
+		// The rest of the line end before belongs to no line.
+		if err := evr.readFeed(&evt); err != nil {
+			return Event{}, err
+		}
+		begin := len(evt.Raw)
+		err := evr.readLine(&evt)
+		if errors.Is(err, io.EOF) {
+			return evr.end(evt, begin)
+		}
+		if err != nil {
+			return Event{}, err
+		}
+		line := bytes.TrimRight(evt.Raw[begin:], "\r\n")
+		if !evr.begun {
+			line = bytes.TrimPrefix(line, byteOrderMark)
+			evr.begun = true
 		}
-		evt.Raw = append(evt.Raw, line...)
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			if len(evt.Raw) > maxEventBytes {
-				return Event{}, &EventTooLargeError{Limit: maxEventBytes}
-			}
-			continue
-		case errors.Is(err, io.EOF) && len(evt.Raw) > 0:
-			return Event{}, io.ErrUnexpectedEOF
-		case err != nil:
+		if len(line) == 0 {
+			err := evr.finish(&evt)
+			return evt, err
+		}
+		if err := evt.parse(line); err != nil {
 			return Event{}, err
-		case len(evt.Raw) > maxEventBytes:
-			return Event{}, &EventTooLargeError{Limit: maxEventBytes}
 		}
-		trimmed := bytes.TrimRight(line, "\r\n")
-		if len(trimmed) == 0 {
-			return evt, nil
+	}
+}
+
+// readLine appends the bytes up to the next line end to the event: a line feed, or a carriage return.
+func (evr *EventReader) readLine(evt *Event) error {
+	for {
+		part, err := evr.buffered()
+		if err != nil {
+			return err
 		}
-		if text, isID := bytes.CutPrefix(trimmed, idField); isID {
-			num, err := strconv.ParseInt(string(bytes.TrimSpace(text)), 10, 64)
-			if err != nil {
-				return Event{}, errors.Wrap(err, "event id: want an integer")
-			}
-			evt.ID = num
+		if end := bytes.IndexByte(part, '\n'); end >= 0 {
+			part = part[:end+1]
 		}
+		if end := bytes.IndexByte(part, '\r'); end >= 0 {
+			part = part[:end+1]
+		}
+		if err := evr.take(evt, part); err != nil {
+			return err
+		}
+		switch evt.Raw[len(evt.Raw)-1] {
+		case '\n':
+			evr.returnsAndFeeds = false
+			return nil
+		case '\r':
+			evr.afterReturn = true
+			return nil
+		}
+	}
+}
+
+// readFeed appends the line feed that belongs to a carriage return before it, if one has arrived or arrives next.
+func (evr *EventReader) readFeed(evt *Event) error {
+	if !evr.afterReturn {
+		return nil
+	}
+	part, err := evr.buffered()
+	if err != nil {
+		// The next line shows the error.
+		return nil //nolint:nilerr // The error is kept, see buffered.
+	}
+	evr.afterReturn = false
+	evr.returnsAndFeeds = part[0] == '\n'
+	if !evr.returnsAndFeeds {
+		return nil
+	}
+	return evr.take(evt, part[:1])
+}
+
+// finish appends the line feed at the end of an event. It waits for one only in a stream whose lines end with both: the
+// next event of another may come much later.
+func (evr *EventReader) finish(evt *Event) error {
+	if evr.source.Buffered() == 0 && !evr.returnsAndFeeds {
+		return nil
+	}
+	return evr.readFeed(evt)
+}
+
+// end returns the event at the end of the stream: what arrived of an incomplete one isn't passed on.
+func (evr *EventReader) end(evt Event, begin int) (Event, error) {
+	switch {
+	case len(evt.Raw) == 0:
+		return Event{}, io.EOF
+	case begin == len(evt.Raw) && bytes.Equal(evt.Raw, []byte("\n")):
+		// The line feed that belongs to the end of the event before.
+		return evt, nil
+	default:
+		return Event{}, io.ErrUnexpectedEOF
+	}
+}
+
+// buffered returns the bytes that have arrived, at least one. Its error is the same from the first one on.
+func (evr *EventReader) buffered() ([]byte, error) {
+	if evr.failed != nil {
+		return nil, evr.failed
+	}
+	if _, err := evr.source.Peek(1); err != nil {
+		evr.failed = err
+		return nil, err
+	}
+	return evr.source.Peek(evr.source.Buffered())
+}
+
+// take appends buffered bytes to the event.
+func (evr *EventReader) take(evt *Event, part []byte) error {
+	size := len(evt.Raw) + len(part)
+	if size > maxEventBytes {
+		return &EventTooLargeError{Limit: maxEventBytes}
+	}
+	// While an event is copied, both copies are held.
+	if err := evr.allowance.Hold(3 * int64(size)); err != nil {
+		return err
+	}
+	evt.Raw = append(evt.Raw, part...)
+	// The bytes have been peeked at, so they are there.
+	_, _ = evr.source.Discard(len(part))
+	return nil
+}
+
+const idField = "id"
+
+// parse reads a line of the event.
+func (evt *Event) parse(line []byte) error {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	if string(name) != idField {
+		return nil
+	}
+	num, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+	if err != nil {
+		return errors.Wrap(err, "event id: want an integer")
 	}
+	evt.ID = num
+	return nil
 }
--- a/upstream/events_test.go
+++ b/upstream/events_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"io"
+	"strconv"
 	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -73,20 +75,166 @@
 	})
 }
 
-func FuzzEvents(f *testing.F) {
-	f.Add("id: 1\ndata: a\n\n")
-	f.Fuzz(func(t *testing.T, text string) {
-		reader := upstream.NewEventReader(strings.NewReader(text))
-		total := 0
-		for {
-			evt, err := reader.Next()
-			if err != nil {
-				return
-			}
-			total += len(evt.Raw)
-			if total > len(text) {
-				t.Fatal("events contain more bytes than the input")
+// Guards against events that end too soon (ORDER): a line as long as the read buffer left its end to the next read, which took
+// it for an empty line, and what stood behind a buffer's length within a line was read as a line of its own.
+func TestEventEndsWithItsEmptyLine(t *testing.T) {
+	for length := 4090; length <= 4100; length++ {
+		text := "data: " + strings.Repeat("x", length-6) + "\nid: 3\n\n"
+		evt, err := upstream.NewEventReader(strings.NewReader(text)).Next()
+		assert.NilError(t, err)
+		assert.Equal(t, string(evt.Raw), text, "a line of %d bytes", length)
+	}
+	evt, err := upstream.NewEventReader(strings.NewReader("id: 3\ndata: " + strings.Repeat("x", 4096-12) + "id: 7\n\n")).Next()
+	assert.NilError(t, err)
+	assert.Equal(t, evt.ID, int64(3))
+}
+
+// Guards against streams that are cut although they are sound: lines may end with a carriage return alone.
+func TestLinesEndInAnyWay(t *testing.T) {
+	for name, end := range map[string]string{"line feeds": "\n", "carriage returns": "\r", "both": "\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			text := strings.ReplaceAll("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "\n", end)
+			for size := 1; size <= len(text); size++ {
+				events, err := readAll(text, size)
+				assert.Assert(t, errors.Is(err, io.EOF), "%v", err)
+				assert.Equal(t, len(events), 2, "read by %d bytes", size)
+				assert.Equal(t, events[0].ID, int64(1))
+				assert.Equal(t, events[1].ID, int64(2))
+				assert.Equal(t, joined(events), text)
 			}
+		})
+	}
+}
+
+// An event whose lines end with carriage returns is passed on before the next one begins.
+func TestEventIsPassedOnAsItComes(t *testing.T) {
+	for _, end := range []string{"\n", "\r", "\r\n"} {
+		source, sink := io.Pipe()
+		done := make(chan upstream.Event, 1)
+		go func() {
+			evt, _ := upstream.NewEventReader(source).Next()
+			done <- evt
+		}()
+		text := "data: a" + end + end
+		_, err := io.WriteString(sink, text)
+		assert.NilError(t, err)
+		assert.Equal(t, string((<-done).Raw), text)
+		assert.NilError(t, sink.Close())
+	}
+}
+
+// sizedReader returns at most a number of bytes at a time.
+type sizedReader struct {
+	source io.Reader
+	size   int
+}
+
+// Read implements io.Reader.
+func (srd sizedReader) Read(buf []byte) (int, error) {
+	return srd.source.Read(buf[:min(len(buf), max(1, srd.size))])
+}
+
+// readAll returns the events of a text that arrives by a number of bytes, and the error behind them.
+func readAll(text string, size int) ([]upstream.Event, error) {
+	reader := upstream.NewEventReader(sizedReader{source: strings.NewReader(text), size: size})
+	var events []upstream.Event
+	for {
+		evt, err := reader.Next()
+		if err != nil {
+			return events, err
 		}
+		events = append(events, evt)
+	}
+}
+
+func joined(events []upstream.Event) string {
+	var text strings.Builder
+	for _, evt := range events {
+		text.Write(evt.Raw)
+	}
+	return text.String()
+}
+
+// block is an event as the whole text shows it.
+type block struct {
+	text string
+	id   int64
+}
+
+// wholeBlocks splits a whole text at its empty lines. It returns the complete events, what follows them, and whether all ids
+// are numbers.
+func wholeBlocks(text string) (blocks []block, rest string, valid bool) {
+	rest = strings.ReplaceAll(strings.ReplaceAll(text, "\r\n", "\n"), "\r", "\n")
+	valid = true
+	var cur block
+	first := true
+	for {
+		line, after, found := strings.Cut(rest, "\n")
+		if !found {
+			return blocks, cur.text + rest, valid
+		}
+		rest = after
+		cur.text += line + "\n"
+		if first {
+			line, first = strings.TrimPrefix(line, "\ufeff"), false
+		}
+		if name, value, _ := strings.Cut(line, ":"); name == "id" {
+			num, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
+			valid = valid && err == nil
+			cur.id = num
+		}
+		if line == "" {
+			blocks = append(blocks, cur)
+			cur = block{}
+		}
+	}
+}
+
+// FuzzEvents holds the reader against the whole text: each event is complete, has the lines that stand there, whichever way the
+// bytes arrive, and no byte is lost.
+func FuzzEvents(f *testing.F) {
+	for _, text := range []string{
+		"id: 1\ndata: a\n\n", "id: 0\r\ndata: a\r\n\r\n", "id:-3\r\r", "\ufeffid: 1\n\n\n\n", "id\n\n", "\r\n\r\n\n\r",
+		"id: 1\ndata: " + strings.Repeat("x", 4096-12) + "id: 7\n\nid: 2\n\n", "data: " + strings.Repeat("x", 4090) + "\n\n",
+	} {
+		f.Add(text, 1)
+		f.Add(text, 7)
+		f.Add(text, 4096)
+	}
+	f.Fuzz(func(t *testing.T, text string, size int) {
+		blocks, rest, valid := wholeBlocks(text)
+		if !valid || len(text) > 1<<20 {
+			t.Skip()
+		}
+		events, err := readAll(text, size)
+		passed := joined(events)
+		assert.Assert(t, strings.HasPrefix(text, passed), "%q", passed)
+		if rest == "" {
+			assert.Assert(t, errors.Is(err, io.EOF), "%v", err)
+			assert.Equal(t, passed, text)
+		} else {
+			assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), "%v", err)
+		}
+		assert.DeepEqual(t, blocksOf(events), blocks, cmp.AllowUnexported(block{}))
 	})
 }
+
+// blocksOf returns the events in the form of wholeBlocks. A line feed that belongs to the carriage return before it may stand at
+// the beginning of the next event.
+func blocksOf(events []upstream.Event) []block {
+	var blocks []block
+	afterReturn := false
+	for _, evt := range events {
+		text := string(evt.Raw)
+		if afterReturn {
+			text = strings.TrimPrefix(text, "\n")
+		}
+		afterReturn = strings.HasSuffix(string(evt.Raw), "\r")
+		if text == "" {
+			continue
+		}
+		text = strings.ReplaceAll(strings.ReplaceAll(text, "\r\n", "\n"), "\r", "\n")
+		blocks = append(blocks, block{text: text, id: evt.ID})
+	}
+	return blocks
+}
