fix(entry): a client resumes its stream behind any event, at its version (ORDER)

Callers: a client that came back behind the event 0, or one below, got a stream of two software versions. One that named a text, or a number beyond 64 bits, was refused with 400. Zeros before a number were taken away (007 went to the engine as 7).

Cause: the client's Last-Event-Id was read as a number, and 0 stood for none. firstAttempt, isResumption and what the scheduler is asked for all looked at "over 0", so such a client passed for one that begins a stream.

Change: the id is a text, as the client sent it (package eventstream), and is handed on so; by the HTML standard the empty one is none. It resumes if it is given.

--- a/call/call.go
+++ b/call/call.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"lynxwell.dev/lynxwell/eventstream"
 )
 
 // Part is one part of a prompt. An engine that has cached it, and all parts before it, doesn't
@@ -44,8 +46,8 @@
 	// Parts are the parts of the prompt, in order.
 	Parts []Part
 	// LastEvent is the last event that the client has received of the stream that it resumes;
-	// 0 for none.
-	LastEvent int64
+	// empty for none.
+	LastEvent eventstream.ID
 	// Resumes is the id of the client's attempt that brought the first event of the stream that it
 	// resumes; empty for none.
 	Resumes string
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -361,8 +361,8 @@
 	if exc.eventCount > 0 {
 		evt = evt.Int("Events", exc.eventCount).Int64("LastEvent", exc.lastEventID).Dur("Pause", exc.longestPause)
 	}
-	if exc.request.LastEvent > 0 {
-		evt = evt.Int64("ResumedAt", exc.request.LastEvent).Str("Resumes", exc.request.Resumes)
+	if exc.request.LastEvent != "" {
+		evt = evt.Str("ResumedAt", string(exc.request.LastEvent)).Str("Resumes", exc.request.Resumes)
 	}
 	if exc.engineVersion != "" {
 		evt = evt.Str("EngineVersion", exc.engineVersion)
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"strconv"
 	"time"
 
 	"lynxwell.dev/lynxwell/affinity"
+	"lynxwell.dev/lynxwell/eventstream"
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/reservation"
 )
@@ -14,7 +16,7 @@
 // firstAttempt returns the id of the client's attempt that brought the first event of the stream: this one,
 // unless it resumes a stream.
 func (exc *exchange) firstAttempt() string {
-	if exc.request.LastEvent > 0 {
+	if exc.request.LastEvent != "" {
 		return exc.request.Resumes
 	}
 	return exc.request.ID
@@ -23,7 +25,15 @@
 // isResumption reports whether the next attempt resumes a stream whose events the client has received, in this
 // answer or an earlier one.
 func (exc *exchange) isResumption() bool {
-	return exc.route.Resumable && max(exc.request.LastEvent, exc.lastEventID) > 0
+	return exc.route.Resumable && (exc.request.LastEvent != "" || exc.lastEventID > 0)
+}
+
+// lastEvent returns the event behind which the next attempt resumes the stream; empty for none.
+func (exc *exchange) lastEvent() eventstream.ID {
+	if exc.lastEventID > 0 {
+		return eventstream.ID(strconv.FormatInt(exc.lastEventID, 10))
+	}
+	return exc.request.LastEvent
 }
 
 // origin returns what began the stream, if this answer has events of it.
@@ -71,7 +81,7 @@
 		exc.host.metrics.count("Streams.ResumedByHost.OtherVersion")
 	case exc.eventCount > 0:
 		exc.host.metrics.count("Streams.ResumedByHost.SameVersion")
-	case exc.request.LastEvent > 0:
+	case exc.request.LastEvent != "":
 		exc.host.metrics.count("Streams.ResumedByClient")
 	}
 }
--- a/entry/versions_test.go
+++ b/entry/versions_test.go
@@ -36,11 +36,17 @@
 
 // startWithVersions starts hosts and eight engines, every other one of the second version.
 func startWithVersions(t *testing.T, hosts int) *versionedSystem {
+	t.Helper()
+	return startWithNumberedVersions(t, hosts, upstreamtest.FromOne)
+}
+
+// startWithNumberedVersions does so with engines that number their events in a way.
+func startWithNumberedVersions(t *testing.T, hosts int, ids upstreamtest.EventIDs) *versionedSystem {
 	t.Helper()
 	var engines []*upstreamtest.Engine
 	for num := range 8 {
 		engines = append(engines, upstreamtest.NewEngine(upstreamtest.Config{
-			ID: fmt.Sprintf("e%d", num), Service: entrytest.Model, Slots: 4, Events: resumedEvents, Step: 5 * time.Millisecond,
+			ID: fmt.Sprintf("e%d", num), Service: entrytest.Model, Slots: 4, Events: resumedEvents, EventIDs: ids, Step: 5 * time.Millisecond,
 			Version: []string{"v1", "v1.1"}[num%2],
 		}))
 	}
@@ -69,9 +75,17 @@
 // streamRequest returns a request for a stream; an id of the attempt that began the stream resumes it after the
 // event.
 func streamRequest(id, resumes string, after int) entrytest.Request {
+	if after == 0 {
+		return streamRequestBehind(id, resumes, "")
+	}
+	return streamRequestBehind(id, resumes, strconv.Itoa(after))
+}
+
+// streamRequestBehind returns a request for a stream that goes on behind an event with the id; an empty one begins it.
+func streamRequestBehind(id, resumes, lastEvent string) entrytest.Request {
 	req := entrytest.Request{ID: id, Path: "/resume/x", Body: "week", Header: map[string]string{"Token-Counts": "10,60", "Deadline-Ms": "4000"}}
-	if after > 0 {
-		req.Header["Last-Event-Id"], req.Header["Resumes"] = strconv.Itoa(after), resumes
+	if lastEvent != "" {
+		req.Header["Last-Event-Id"], req.Header["Resumes"] = lastEvent, resumes
 	}
 	return req
 }
@@ -188,6 +202,34 @@
 	}
 }
 
+// Guards against streams that hold events of two software versions (ORDER): a client that named the event 0, or one below,
+// passed for one that begins a stream, and went on at any version.
+func TestStreamsResumeAtTheirVersionBehindAnyEvent(t *testing.T) {
+	for _, tst := range []struct {
+		ids   upstreamtest.EventIDs
+		after int
+	}{
+		{upstreamtest.FromZero, 1},
+		{upstreamtest.FromMinusTwenty, 5},
+		{upstreamtest.FromMinusTwo, 2},
+		{upstreamtest.Padded, 5},
+	} {
+		lastEvent := tst.ids.ID(tst.after)
+		t.Run("behind "+lastEvent, func(t *testing.T) {
+			vsy := startWithNumberedVersions(t, 4, tst.ids)
+			concurrently(resumedStreams, func(num int) {
+				begin, again := fmt.Sprintf("begin-%d", num), fmt.Sprintf("again-%d", num)
+				vsy.SendUntilEvent(t.Context(), vsy.Hosts[num%4], streamRequestBehind(begin, "", ""), tst.after)
+				ans := vsy.Send(t.Context(), vsy.Hosts[(num+1)%4], streamRequestBehind(again, begin, lastEvent))
+				assert.Check(t, ans.Status == http.StatusOK && ans.Err == nil, "%s %v", ans.Body, ans.Err)
+				want := strings.TrimPrefix(tst.ids.StreamBody(again, resumedEvents), tst.ids.StreamBody(again, tst.after))
+				assert.Check(t, ans.Body == want, "got %q", ans.Body)
+				assert.Check(t, len(vsy.versionsOf(begin, again)) == 1, "%v", vsy.versionsOf(begin, again))
+			})
+		})
+	}
+}
+
 // Guards against one answer with events of two software versions: an engine broke its stream off, and the
 // host resumed it at any engine of the service.
 func TestHostResumesStreamAtItsVersion(t *testing.T) {
--- a/tools/mutate/versions.go
+++ b/tools/mutate/versions.go
@@ -53,7 +53,7 @@
 	},
 	{
 		"Versions: a host resumes a stream as its own", "entry/resume.go",
-		"	return exc.route.Resumable && max(exc.request.LastEvent, exc.lastEventID) > 0\n", "	return exc.route.Resumable && exc.request.LastEvent > 0\n",
+		"	return exc.route.Resumable && (exc.request.LastEvent != \"\" || exc.lastEventID > 0)\n", "	return exc.route.Resumable && exc.request.LastEvent != \"\"\n",
 		resumedStreams,
 	},
 	{
@@ -68,7 +68,7 @@
 	},
 	{
 		"Versions: the service of a resumed stream is that of its first attempt", "entry/resume.go",
-		"	if exc.request.LastEvent > 0 {\n		return exc.request.Resumes\n	}\n", "",
+		"	if exc.request.LastEvent != \"\" {\n		return exc.request.Resumes\n	}\n", "",
 		resumedStreams,
 	},
 	{
--- a/upstreamtest/engine.go
+++ b/upstreamtest/engine.go
@@ -13,7 +13,6 @@
 package upstreamtest
 
 import (
-	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -84,6 +83,10 @@
 	// Reading is the prefill time per prompt token, Step the time between two events.
 	Reading time.Duration
 	Step    time.Duration
+	// EventIDs is how the events of a stream are numbered; empty means from 1 on.
+	EventIDs EventIDs
+	// IgnoresLastEvent makes the engine begin each stream anew, whatever event it is to go on behind.
+	IgnoresLastEvent bool
 	// Version is the version of the engine's software; empty means "v1".
 	Version string
 	// Domain is the engine's failure domain; empty means "d0".
@@ -144,6 +147,8 @@
 	crashed   bool
 	// brittle is the state of a brittle engine; nil if it isn't brittle.
 	brittle *brittleness
+	// breakOff is where the next stream breaks off; nil if it doesn't.
+	breakOff *BreakOff
 }
 
 // NewEngine returns an engine without faults other than those of the configuration.
@@ -328,24 +333,22 @@
 	return "answer to " + id
 }
 
-// EventText returns the event with the number of a stream, as it is sent.
+// EventText returns the event with the number of a stream that is numbered from 1 on, as it is sent.
 func EventText(id string, number int) string {
-	return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", number, id, number)
+	return FromOne.EventText(id, number)
 }
 
-// StreamBody returns the body of a complete stream.
+// StreamBody returns the body of a complete stream that is numbered from 1 on.
 func StreamBody(id string, events int) string {
-	var text strings.Builder
-	for num := 1; num <= events; num++ {
-		text.WriteString(EventText(id, num))
-	}
-	return text.String()
+	return FromOne.StreamBody(id, events)
 }
 
 // receivedEvents returns the number of events after which a request resumes its stream; 0 for a new one.
-func receivedEvents(req *http.Request) int {
-	received, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
-	return received
+func (cfg Config) receivedEvents(req *http.Request) int {
+	if cfg.IgnoresLastEvent {
+		return 0
+	}
+	return cfg.EventIDs.NumberOf(req.Header.Get("Last-Event-Id"), cfg.Events)
 }
 
 // signature returns the signature of an answer. It ends with the version of the engine's software, if that is
@@ -430,7 +433,8 @@
 	id := req.Header.Get("Request-Id")
 	prompt, _, _ := strings.Cut(req.Header.Get("Token-Counts"), ",")
 	tokens, _ := strconv.Atoi(prompt)
-	received := receivedEvents(req)
+	received := eng.cfg.receivedEvents(req)
+	brk := eng.plannedBreak()
 	wri.Header().Set("Content-Type", "text/event-stream")
 	if !wait(req, time.Duration(tokens)*eng.cfg.Reading) {
 		eng.recordSilent(id)
@@ -438,15 +442,16 @@
 		return
 	}
 	for num := received + 1; num <= eng.cfg.Events; num++ {
-		event := EventText(id, num)
+		event := eng.cfg.EventIDs.EventText(id, num)
+		if brk != nil && num-received > brk.After {
+			breakOff(wri, event, brk.Within)
+		}
 		middle := num == received+1+(eng.cfg.Events-received)/2
 		if middle && flt == Truncate {
 			panic(http.ErrAbortHandler)
 		}
 		if middle && flt == TruncateInEvent {
-			_, _ = io.WriteString(wri, event[:len(event)/2])
-			_ = http.NewResponseController(wri).Flush()
-			panic(http.ErrAbortHandler)
+			breakOff(wri, event, true)
 		}
 		_, err := io.WriteString(wri, event)
 		if err == nil {
@@ -458,3 +463,12 @@
 		}
 	}
 }
+
+// breakOff ends the connection, behind the first half of an event if it is to end within it.
+func breakOff(wri http.ResponseWriter, event string, within bool) {
+	if within {
+		_, _ = io.WriteString(wri, event[:len(event)/2])
+		_ = http.NewResponseController(wri).Flush()
+	}
+	panic(http.ErrAbortHandler)
+}
--- a/upstreamtest/raw.go
+++ b/upstreamtest/raw.go
@@ -52,7 +52,8 @@
 func (eng *Engine) rawBody(req *http.Request) string {
 	id := req.Header.Get("Request-Id")
 	if eng.cfg.Events > 0 {
-		return strings.TrimPrefix(StreamBody(id, eng.cfg.Events), StreamBody(id, receivedEvents(req)))
+		ids := eng.cfg.EventIDs
+		return strings.TrimPrefix(ids.StreamBody(id, eng.cfg.Events), ids.StreamBody(id, eng.cfg.receivedEvents(req)))
 	}
 	return PlainBody(id)
 }
--- a/visitor/visitor.go
+++ b/visitor/visitor.go
@@ -25,6 +25,7 @@
 	"github.com/cockroachdb/errors"
 
 	"lynxwell.dev/lynxwell/call"
+	"lynxwell.dev/lynxwell/eventstream"
 	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/route"
 	"lynxwell.dev/lynxwell/task"
@@ -112,8 +113,8 @@
 	Address netip.AddrPort
 	Sent    time.Time
 	// LastEvent is the event after which the attempt resumes a stream, Resumes the attempt that brought the
-	// first event; 0 and empty for none.
-	LastEvent int64
+	// first event; empty for none.
+	LastEvent eventstream.ID
 	Resumes   string
 	// Status is 0 if no answer's head arrived.
 	Status int
@@ -233,12 +234,8 @@
 		return next
 	}
 	last := att.Body[strings.LastIndex(att.Body[:end], eventID)+len(eventID) : end]
-	number, _, _ := strings.Cut(last, "\n")
-	event, err := strconv.ParseInt(number, 10, 64)
-	if err != nil {
-		return next
-	}
-	return Attempt{LastEvent: event, Resumes: cmp.Or(att.Resumes, att.ID)}
+	id, _, _ := strings.Cut(last, "\n")
+	return Attempt{LastEvent: eventstream.ID(id), Resumes: cmp.Or(att.Resumes, att.ID)}
 }
 
 // eventID begins the line with an event's id, eventEnd ends an event.
