fix(upstream): a sound stream is passed on whatever the ids of its events are

Their clients got 502 after all attempts.

Cause: the reader of events took an id that is no number of 64 bits with a sign for an error of the stream.

Change: an id is a text, as the HTML standard has it: the last field of an event counts, blanks around it aside, and one with a null byte is ignored. Whether it is a number is asked where a stream is to go on.

Streams behind such ids resume at their version now, too (TestStreamsResumeAtTheirVersionBehindAnyEvent, two cases more).

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -15,6 +15,7 @@
 
 	"lynxwell.dev/lynxwell/affinity"
 	"lynxwell.dev/lynxwell/call"
+	"lynxwell.dev/lynxwell/eventstream"
 	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/route"
 )
@@ -123,7 +124,7 @@
 	// mayHaveRun is set if an engine may have run the request in an earlier attempt.
 	mayHaveRun  bool
 	headerSent  bool
-	lastEventID int64
+	lastEventID eventstream.ID
 	eventCount  int
 	// lastEventAt is when the most recent event was sent to the client.
 	lastEventAt time.Time
@@ -359,7 +360,7 @@
 		evt = evt.Strs("Parts", parts)
 	}
 	if exc.eventCount > 0 {
-		evt = evt.Int("Events", exc.eventCount).Int64("LastEvent", exc.lastEventID).Dur("Pause", exc.longestPause)
+		evt = evt.Int("Events", exc.eventCount).Str("LastEvent", string(exc.lastEventID)).Dur("Pause", exc.longestPause)
 	}
 	if exc.request.LastEvent != "" {
 		evt = evt.Str("ResumedAt", string(exc.request.LastEvent)).Str("Resumes", exc.request.Resumes)
--- /dev/null
+++ b/entry/eventids_test.go
@@ -0,0 +1,79 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lynxwell.dev/lynxwell/entrytest"
+	"lynxwell.dev/lynxwell/upstreamtest"
+)
+
+// numberedEvents is the number of events of the streams below.
+const numberedEvents = 10
+
+// numberedSystem is a host before engines that number their events in one way.
+type numberedSystem struct {
+	*entrytest.System
+	t       *testing.T
+	ids     upstreamtest.EventIDs
+	engines []*upstreamtest.Engine
+}
+
+func startNumbered(t *testing.T, ids upstreamtest.EventIDs) *numberedSystem {
+	t.Helper()
+	var engines []*upstreamtest.Engine
+	for num := range 3 {
+		engines = append(engines, upstreamtest.NewEngine(upstreamtest.Config{
+			ID: fmt.Sprintf("e%d", num), Service: entrytest.Model, Slots: 8, Events: numberedEvents, EventIDs: ids, Step: time.Millisecond,
+		}))
+	}
+	sys := entrytest.Start(t, entrytest.Config{Hosts: 1, Engines: engines})
+	sys.Configure(entrytest.Configuration{Version: 1})
+	sys.WaitForReady()
+	sys.WaitForEngines(len(engines))
+	return &numberedSystem{System: sys, t: t, ids: ids, engines: engines}
+}
+
+// send sends a request for a stream that breaks off, unless brk is nil, at the engine that takes it first.
+func (nsy *numberedSystem) send(req entrytest.Request, brk *upstreamtest.BreakOff) entrytest.Answer {
+	nsy.t.Helper()
+	for _, eng := range nsy.engines {
+		eng.BreakStream(brk)
+	}
+	return nsy.Send(nsy.t.Context(), nsy.Hosts[0], req)
+}
+
+// checkInOrder checks that an answer has the pieces of a stream behind the number, each once and in order, and all of them
+// if it is complete. It returns whether it is.
+func (nsy *numberedSystem) checkInOrder(id string, received int, ans entrytest.Answer) bool {
+	nsy.t.Helper()
+	whole := strings.TrimPrefix(nsy.ids.StreamBody(id, numberedEvents), nsy.ids.StreamBody(id, received))
+	if ans.Err == nil && ans.Status == http.StatusOK {
+		assert.Check(nsy.t, ans.Body == whole, "%s: got %q", id, ans.Body)
+		return true
+	}
+	if ans.Status == http.StatusOK {
+		assert.Check(nsy.t, strings.HasPrefix(whole, ans.Body), "%s: got %q", id, ans.Body)
+	}
+	return false
+}
+
+// Guards against sound streams that are cut: an event whose id was no number of 64 bits ended the answer.
+func TestSoundStreamIsPassedOnWhateverItsIDs(t *testing.T) {
+	for _, ids := range upstreamtest.AllEventIDs() {
+		t.Run("ids "+string(ids), func(t *testing.T) {
+			t.Parallel()
+			nsy := startNumbered(t, ids)
+			for _, path := range []string{"/resume/x", "/stream/x"} {
+				req := streamRequest("calm"+path, "", 0)
+				req.Path = path
+				assert.Check(t, nsy.checkInOrder(req.ID, 0, nsy.send(req, nil)), path)
+			}
+		})
+	}
+}
--- a/entry/reserve.go
+++ b/entry/reserve.go
@@ -120,7 +120,7 @@
 // scheduler predicts when the slot becomes free. It returns 0 for a resumed stream, whose
 // remaining length is unknown.
 func (exc *exchange) estimatedAnswerTokens() int {
-	if exc.request.LastEvent != "" || exc.lastEventID > 0 {
+	if exc.lastEvent() != "" {
 		return 0
 	}
 	return exc.request.HintTokens
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -1,7 +1,7 @@
 package entry
 
 import (
-	"strconv"
+	"cmp"
 	"time"
 
 	"lynxwell.dev/lynxwell/affinity"
@@ -25,15 +25,12 @@
 // isResumption reports whether the next attempt resumes a stream whose events the client has received, in this
 // answer or an earlier one.
 func (exc *exchange) isResumption() bool {
-	return exc.route.Resumable && (exc.request.LastEvent != "" || exc.lastEventID > 0)
+	return exc.route.Resumable && exc.lastEvent() != ""
 }
 
 // lastEvent returns the event behind which the next attempt resumes the stream; empty for none.
 func (exc *exchange) lastEvent() eventstream.ID {
-	if exc.lastEventID > 0 {
-		return eventstream.ID(strconv.FormatInt(exc.lastEventID, 10))
-	}
-	return exc.request.LastEvent
+	return cmp.Or(exc.lastEventID, exc.request.LastEvent)
 }
 
 // origin returns what began the stream, if this answer has events of it.
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -61,7 +61,7 @@
 		exc.longestPause = max(exc.longestPause, now.Sub(exc.lastEventAt))
 	}
 	exc.lastEventAt = now
-	if evt.ID > 0 {
+	if num, isNumber := evt.ID.Number(); isNumber && num.Sign() > 0 {
 		exc.lastEventID = evt.ID
 	}
 	if att.release.FirstToken > 0 {
--- a/entry/versions_test.go
+++ b/entry/versions_test.go
@@ -213,6 +213,8 @@
 		{upstreamtest.FromMinusTwenty, 5},
 		{upstreamtest.FromMinusTwo, 2},
 		{upstreamtest.Padded, 5},
+		{upstreamtest.BeyondLimit, 5},
+		{upstreamtest.Texts, 5},
 	} {
 		lastEvent := tst.ids.ID(tst.after)
 		t.Run("behind "+lastEvent, func(t *testing.T) {
--- a/tools/mutate/versions.go
+++ b/tools/mutate/versions.go
@@ -53,7 +53,7 @@
 	},
 	{
 		"Versions: a host resumes a stream as its own", "entry/resume.go",
-		"	return exc.route.Resumable && (exc.request.LastEvent != \"\" || exc.lastEventID > 0)\n", "	return exc.route.Resumable && exc.request.LastEvent != \"\"\n",
+		"	return exc.route.Resumable && exc.lastEvent() != \"\"\n", "	return exc.route.Resumable && exc.request.LastEvent != \"\"\n",
 		resumedStreams,
 	},
 	{
--- a/upstream/events.go
+++ b/upstream/events.go
@@ -5,8 +5,11 @@
 	"bytes"
 	"io"
 	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"lynxwell.dev/lynxwell/eventstream"
 )
 
 // maxEventBytes bounds the size of one event of a stream.
@@ -16,8 +19,8 @@
 type Event struct {
 	// Raw is the event as received, including the empty line that ends it.
 	Raw []byte
-	// ID is the event's id; 0 if it has none.
-	ID int64
+	// ID is the event's id; empty if it has none.
+	ID eventstream.ID
 }
 
 // EventTooLargeError reports an event over the size limit.
@@ -86,9 +89,7 @@
 			err := evr.finish(&evt)
 			return evt, err
 		}
-		if err := evt.parse(line); err != nil {
-			return Event{}, err
-		}
+		evt.parse(line)
 	}
 }
 
@@ -187,18 +188,19 @@
 	return nil
 }
 
-const idField = "id"
+const (
+	idField = "id"
+	// blanks around an id aren't part of it: a header can't carry them.
+	blanks = " \t"
+	// null makes an id invalid by the HTML standard; the field is ignored.
+	null = "\x00"
+)
 
-// parse reads a line of the event.
-func (evt *Event) parse(line []byte) error {
-	name, value, _ := bytes.Cut(line, []byte(":"))
-	if string(name) != idField {
-		return nil
-	}
-	num, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-	if err != nil {
-		return errors.Wrap(err, "event id: want an integer")
+// parse reads a line of the event. The last id counts.
+func (evt *Event) parse(line []byte) {
+	name, value, _ := strings.Cut(string(line), ":")
+	if name != idField || strings.Contains(value, null) {
+		return
 	}
-	evt.ID = num
-	return nil
+	evt.ID = eventstream.ID(strings.Trim(value, blanks))
 }
