--- a/entry/attempt_test.go
+++ b/entry/attempt_test.go
@@ -61,7 +61,7 @@
 	send := func(id string, hint int, lastEvent eventstream.ID) *problem {
 		now := time.Now()
 		exc := &exchange{
-			host: hos, started: now, deadline: now.Add(time.Second), service: "model", lastEventID: lastEvent,
+			host: hos, started: now, deadline: now.Add(time.Second), service: "model", position: eventstream.PositionBehind(lastEvent),
 			route: route.Route{Kind: route.KindStreaming, LatencyTarget: 200 * time.Millisecond, Public: true},
 		}
 		exc.request.ID, exc.request.PromptTokens, exc.request.HintTokens = id, 10, hint
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -122,10 +122,11 @@
 	// blocked for this host.
 	returnedGrants int
 	// mayHaveRun is set if an engine may have run the request in an earlier attempt.
-	mayHaveRun  bool
-	headerSent  bool
-	lastEventID eventstream.ID
-	eventCount  int
+	mayHaveRun bool
+	headerSent bool
+	// position is where the client is in the stream; nil if it isn't known yet.
+	position   eventstream.Position
+	eventCount int
 	// lastEventAt is when the most recent event was sent to the client.
 	lastEventAt time.Time
 	// longestPause is the longest time between two events sent to the client.
@@ -221,6 +222,7 @@
 	if pro := exc.readBody(htr, snp.table); pro != nil {
 		return pro
 	}
+	exc.position = eventstream.PositionBehind(exc.request.LastEvent)
 	exc.digest = exc.request.Digest(exc.account.Name)
 	if rou.Resumable {
 		exc.stream = affinity.StreamOf(exc.account.Name, exc.firstAttempt())
@@ -360,7 +362,7 @@
 		evt = evt.Strs("Parts", parts)
 	}
 	if exc.eventCount > 0 {
-		evt = evt.Int("Events", exc.eventCount).Str("LastEvent", string(exc.lastEventID)).Dur("Pause", exc.longestPause)
+		evt = evt.Int("Events", exc.eventCount).Str("LastEvent", string(exc.lastEvent())).Bool("CanGoOn", eventstream.CanGoOn(exc.position)).Dur("Pause", exc.longestPause)
 	}
 	if exc.request.LastEvent != "" {
 		evt = evt.Str("ResumedAt", string(exc.request.LastEvent)).Str("Resumes", exc.request.Resumes)
--- a/entry/eventids_test.go
+++ b/entry/eventids_test.go
@@ -77,3 +77,35 @@
 		})
 	}
 }
+
+// breaks returns the places at which the streams below break off.
+func breaks() []*upstreamtest.BreakOff {
+	var list []*upstreamtest.BreakOff
+	for _, after := range []int{0, 1, 2, 4, 9} {
+		list = append(list, &upstreamtest.BreakOff{After: after}, &upstreamtest.BreakOff{After: after, Within: true})
+	}
+	return list
+}
+
+// goesOn reports whether a stream that broke off there can go on: it has an id to go on behind, which is a number, or it
+// hasn't begun.
+func goesOn(ids upstreamtest.EventIDs, brk *upstreamtest.BreakOff) bool {
+	return brk.After == 0 || ids.ID(brk.After) != "" && ids != upstreamtest.Texts
+}
+
+// Guards against pieces that a client gets twice (ORDER): the host took the ids 0 and below, and a missing one, for none yet,
+// and began a stream anew of which the client had events.
+func TestStreamGoesOnBehindAnyEvent(t *testing.T) {
+	for _, ids := range upstreamtest.AllEventIDs() {
+		t.Run("ids "+string(ids), func(t *testing.T) {
+			t.Parallel()
+			nsy := startNumbered(t, ids)
+			for _, brk := range breaks() {
+				id := fmt.Sprintf("s-%d-%v", brk.After, brk.Within)
+				ans := nsy.send(streamRequest(id, "", 0), brk)
+				complete := nsy.checkInOrder(id, 0, ans)
+				assert.Check(t, complete == goesOn(ids, brk), "%s: complete %v, error %v, got %q", id, complete, ans.Err, ans.Body)
+			}
+		})
+	}
+}
--- a/entry/late_test.go
+++ b/entry/late_test.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"lynxwell.dev/lynxwell/eventstream"
 	"lynxwell.dev/lynxwell/fleet"
 	"lynxwell.dev/lynxwell/peer"
 	"lynxwell.dev/lynxwell/request"
@@ -63,7 +64,7 @@
 		"old": {ID: fleet.EngineID{Name: "old"}, Version: "v1"}, "new": {ID: fleet.EngineID{Name: "new"}, Version: "v1.1"},
 	}})
 	for engine, want := range map[string]cause{"old": causeEngineUnavailable, "new": ""} {
-		exc := &exchange{host: hos, route: route.Route{Public: true, Resumable: true}, service: "model", streamVersion: "v1.1", eventCount: 3, lastEventID: "3"}
+		exc := &exchange{host: hos, route: route.Route{Public: true, Resumable: true}, service: "model", streamVersion: "v1.1", eventCount: 3, position: eventstream.Behind{ID: "3"}}
 		_, pro := exc.checkGrant(reservation.Grant{Engine: engine, Version: hos.snapshot.Load().engines[engine].Version}, request.ID{Unique: "r1"})
 		if want == "" {
 			assert.Assert(t, pro == nil)
--- a/entry/resume.go
+++ b/entry/resume.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"cmp"
 	"time"
 
 	"lynxwell.dev/lynxwell/affinity"
@@ -30,7 +29,7 @@
 
 // lastEvent returns the event behind which the next attempt resumes the stream; empty for none.
 func (exc *exchange) lastEvent() eventstream.ID {
-	return cmp.Or(exc.lastEventID, exc.request.LastEvent)
+	return eventstream.LastEvent(exc.position)
 }
 
 // origin returns what began the stream, if this answer has events of it.
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"lynxwell.dev/lynxwell/eventstream"
 	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/reservation"
 	"lynxwell.dev/lynxwell/upstream"
@@ -21,6 +22,7 @@
 		return att
 	}
 	reader := ans.Events()
+	run := eventstream.NewRun(exc.position)
 	controller := http.NewResponseController(exc.writer)
 	for {
 		evt, err := reader.Next()
@@ -40,7 +42,9 @@
 			att.release.Failed = ctx.Err() == nil
 			return att
 		}
-		exc.recordEvent(&att, evt)
+		run.Next(evt.Event)
+		exc.position = run.Position()
+		exc.recordEvent(&att)
 		exc.sendHeader(ans)
 		if _, err := exc.writer.Write(evt.Raw); err != nil {
 			return exc.clientDisconnected(att, err)
@@ -53,7 +57,7 @@
 
 // recordEvent counts an event, and reports the first one of an attempt to the coordinator and
 // the host's own scheduler.
-func (exc *exchange) recordEvent(att *attempt, evt upstream.Event) {
+func (exc *exchange) recordEvent(att *attempt) {
 	att.release.DecodeTokens++
 	exc.eventCount++
 	now := exc.host.clock.Now()
@@ -61,9 +65,6 @@
 		exc.longestPause = max(exc.longestPause, now.Sub(exc.lastEventAt))
 	}
 	exc.lastEventAt = now
-	if num, isNumber := evt.ID.Number(); isNumber && num.Sign() > 0 {
-		exc.lastEventID = evt.ID
-	}
 	if att.release.FirstToken > 0 {
 		return
 	}
--- /dev/null
+++ b/eventstream/run_test.go
@@ -0,0 +1,85 @@
+package eventstream_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lynxwell.dev/lynxwell/eventstream"
+)
+
+// events returns events with the ids; "none" stands for an event without one, "comment" for a comment.
+func events(ids string) []eventstream.Event {
+	var list []eventstream.Event
+	for id := range strings.FieldsSeq(ids) {
+		switch id {
+		case "none":
+			list = append(list, eventstream.Event{})
+		case "comment":
+			list = append(list, eventstream.Event{IsComment: true})
+		default:
+			list = append(list, eventstream.Event{ID: eventstream.ID(id)})
+		}
+	}
+	return list
+}
+
+func behind(id eventstream.ID) eventstream.Position { return eventstream.Behind{ID: id} }
+
+// Guards against streams that begin anew, or go on behind an older event, of which the client has events (ORDER): 0 and a missing
+// id stood for none yet.
+func TestPositionIsBehindTheLastEvent(t *testing.T) {
+	for _, tst := range []struct {
+		begins eventstream.ID
+		ids    string
+		want   eventstream.Position
+	}{
+		{"", "", eventstream.Beginning{}},
+		{"", "comment comment", eventstream.Beginning{}},
+		{"", "0", behind("0")},
+		{"", "-20 -19", behind("-19")},
+		{"", "-1 0 1", behind("1")},
+		{"", "007", behind("007")},
+		{"", "007 8 comment", behind("8")},
+		{"", "9223372036854775807 9223372036854775808", behind("9223372036854775808")},
+		{"", "none", eventstream.Unknown{}},
+		{"", "1 none", eventstream.Unknown{}},
+		{"", "1 none comment", eventstream.Unknown{}},
+		{"", "none none 3", behind("3")},
+		{"", "2 none 4", behind("4")},
+		{"", "ev-1", eventstream.Unknown{}},
+		{"", "1 ev-1 2", behind("2")},
+		{"", strings.Repeat("9", 257), eventstream.Unknown{}},
+		{"", "1 1", eventstream.Unknown{}},
+		{"", "1 01 2 3", eventstream.Unknown{}},
+		{"", "5 none 4 none 6", eventstream.Unknown{}},
+		{"0", "", behind("0")},
+		{"ev-1", "comment", behind("ev-1")},
+		{"0", "1", behind("1")},
+		{"5", "none", eventstream.Unknown{}},
+		{"5", "none 7", behind("7")},
+	} {
+		t.Run(string(tst.begins)+" "+tst.ids, func(t *testing.T) {
+			run := eventstream.NewRun(eventstream.PositionBehind(tst.begins))
+			for _, evt := range events(tst.ids) {
+				run.Next(evt)
+			}
+			assert.Equal(t, run.Position(), tst.want)
+			_, isUnknown := tst.want.(eventstream.Unknown)
+			assert.Equal(t, eventstream.CanGoOn(run.Position()), !isUnknown)
+		})
+	}
+}
+
+func TestNumbersOfAnySizeAreIDs(t *testing.T) {
+	for id, want := range map[eventstream.ID]string{
+		"0": "0", "-0": "0", "-3": "-3", "007": "7", "9223372036854775808": "9223372036854775808", "": "", "x": "", "1.5": "", "1_000": "", "0x1": "", "5 6": "", "-": "",
+	} {
+		num, isNumber := id.Number()
+		assert.Equal(t, isNumber, want != "", string(id))
+		if isNumber {
+			assert.Equal(t, num.String(), want)
+		}
+	}
+}
--- a/upstream/events.go
+++ b/upstream/events.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"io"
 	"strconv"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -19,8 +18,8 @@
 type Event struct {
 	// Raw is the event as received, including the empty line that ends it.
 	Raw []byte
-	// ID is the event's id; empty if it has none.
-	ID eventstream.ID
+
+	eventstream.Event
 }
 
 // EventTooLargeError reports an event over the size limit.
@@ -66,7 +65,7 @@
 // events, io.ErrUnexpectedEOF if it ends within one, an *EventTooLargeError for an event
 // over the size limit, and a *HeldBytesError if the host may hold no more of it.
 func (evr *EventReader) Next() (Event, error) {
-	var evt Event
+	evt := Event{Event: eventstream.Event{IsComment: true}}
 	for {
 		// The rest of the line end before belongs to no line.
 		if err := evr.readFeed(&evt); err != nil {
@@ -189,7 +188,8 @@
 }
 
 const (
-	idField = "id"
+	idField   = "id"
+	dataField = "data"
 	// blanks around an id aren't part of it: a header can't carry them.
 	blanks = " \t"
 	// null makes an id invalid by the HTML standard; the field is ignored.
@@ -198,9 +198,14 @@
 
 // parse reads a line of the event. The last id counts.
 func (evt *Event) parse(line []byte) {
-	name, value, _ := strings.Cut(string(line), ":")
-	if name != idField || strings.Contains(value, null) {
-		return
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case dataField:
+		evt.IsComment = false
+	case idField:
+		if !bytes.Contains(value, []byte(null)) {
+			evt.IsComment = false
+			evt.ID = eventstream.ID(bytes.Trim(value, blanks))
+		}
 	}
-	evt.ID = eventstream.ID(strings.Trim(value, blanks))
 }
--- a/upstream/events_test.go
+++ b/upstream/events_test.go
@@ -169,14 +169,15 @@
 
 // block is an event as the whole text shows it.
 type block struct {
-	text string
-	id   eventstream.ID
+	text  string
+	event eventstream.Event
 }
 
 // wholeBlocks splits a whole text at its empty lines. It returns the complete events, and what follows them.
 func wholeBlocks(text string) (blocks []block, rest string) {
 	rest = strings.ReplaceAll(strings.ReplaceAll(text, "\r\n", "\n"), "\r", "\n")
-	var cur block
+	none := block{event: eventstream.Event{IsComment: true}}
+	cur := none
 	first := true
 	for {
 		line, after, found := strings.Cut(rest, "\n")
@@ -189,11 +190,14 @@
 			line, first = strings.TrimPrefix(line, "\ufeff"), false
 		}
 		if value, isID := strings.CutPrefix(line+":", "id:"); isID && !strings.ContainsRune(value, 0) {
-			cur.id = eventstream.ID(strings.Trim(strings.TrimSuffix(value, ":"), " \t"))
+			cur.event = eventstream.Event{ID: eventstream.ID(strings.Trim(strings.TrimSuffix(value, ":"), " \t"))}
+		}
+		if strings.HasPrefix(line+":", "data:") {
+			cur.event.IsComment = false
 		}
 		if line == "" {
 			blocks = append(blocks, cur)
-			cur = block{}
+			cur = none
 		}
 	}
 }
@@ -242,7 +246,7 @@
 			continue
 		}
 		text = strings.ReplaceAll(strings.ReplaceAll(text, "\r\n", "\n"), "\r", "\n")
-		blocks = append(blocks, block{text: text, id: evt.ID})
+		blocks = append(blocks, block{text: text, event: evt.Event})
 	}
 	return blocks
 }
