fix(entry): a run that doesn't go on where the stream broke off is no continuation (ORDER)

Callers: an engine that was sent Last-Event-Id, and began the stream anew all the same, or at an older event, brought pieces twice, both in an answer that the host resumed and in one that the client resumed itself. Where the client's id and the ids of such a run differed, the next resumption went on at the higher of the two, so that two runs were joined.

Cause: the events of a resumed run were passed on unseen.

Change: eventstream.Run holds each id of a resumed run against the last one before its event is passed on. Events without an id wait until a later one shows the run's place; what waits counts within the limit of one event. A run that isn't a continuation ends its attempt (StreamNotContinued) and isn't counted as a failure of the engine; another engine may go on. Comments before the first event wait too: the head that goes with them is that of the engine whose event the client gets first. Of a run that begins a stream nothing is asked, so that a sound one isn't cut.

TestForwardedStreamGoesOnBehindAnyEvent plays the same through another host. TestNumberedStreamGoesOnBehindEachEvent holds that nothing is resumed less than it can be.

Left: a client's own resumption behind a text, at an engine that begins anew with other texts, can't be told from one that goes on.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -67,6 +67,7 @@
 	causeEngineUnreachable  cause = "EngineNotReached"
 	causeBadAnswer          cause = "BadAnswer"
 	causeStreamAborted      cause = "StreamBrokenOff"
+	causeNotContinued       cause = "StreamNotContinued"
 	causeDeadline           cause = "Deadline"
 	causeClientDisconnected cause = "CallerLeft"
 	causeHeld               cause = "Held"
--- a/upstream/events.go
+++ b/upstream/events.go
@@ -64,8 +64,12 @@
 // Next returns the next complete event. It returns io.EOF if the stream ends between two
 // events, io.ErrUnexpectedEOF if it ends within one, an *EventTooLargeError for an event
 // over the size limit, and a *HeldBytesError if the host may hold no more of it.
-func (evr *EventReader) Next() (Event, error) {
-	evt := Event{Event: eventstream.Event{IsComment: true}}
+func (evr *EventReader) Next() (Event, error) { return evr.NextBehind(nil) }
+
+// NextBehind returns the next event as Next does, with its bytes behind those of events that wait. The limits hold for all of
+// them together.
+func (evr *EventReader) NextBehind(waiting []byte) (Event, error) {
+	evt := Event{Raw: waiting, Event: eventstream.Event{IsComment: true}}
 	for {
 		// The rest of the line end before belongs to no line.
 		if err := evr.readFeed(&evt); err != nil {
@@ -74,7 +78,7 @@
 		begin := len(evt.Raw)
 		err := evr.readLine(&evt)
 		if errors.Is(err, io.EOF) {
-			return evr.end(evt, begin)
+			return evr.end(evt, len(waiting), begin)
 		}
 		if err != nil {
 			return Event{}, err
@@ -146,12 +150,13 @@
 	return evr.readFeed(evt)
 }
 
-// end returns the event at the end of the stream: what arrived of an incomplete one isn't passed on.
-func (evr *EventReader) end(evt Event, begin int) (Event, error) {
+// end returns the event at the end of the stream, with the number of bytes that waited, and that of those before the last line:
+// what arrived of an incomplete event isn't passed on.
+func (evr *EventReader) end(evt Event, waiting, begin int) (Event, error) {
 	switch {
-	case len(evt.Raw) == 0:
+	case len(evt.Raw) == waiting:
 		return Event{}, io.EOF
-	case begin == len(evt.Raw) && bytes.Equal(evt.Raw, []byte("\n")):
+	case begin == len(evt.Raw) && begin == waiting+1 && evt.Raw[waiting] == '\n':
 		// The line feed that belongs to the end of the event before.
 		return evt, nil
 	default:
