fix(entry): a request whose client waits no more isn't run (BUDGET)

Callers: Deadline-Ms: 0 ran as if no deadline were named, with the route's whole timeout at the engine; 1 and 0.5 were refused with 503.

Evidence: TestRequestWhoseDeadlineIsOverDoesNotRun, on: 15 of 25 requests ran (0, 0.0 and -0 of each kind); after: none.

--- a/call/call.go
+++ b/call/call.go
@@ -35,8 +35,9 @@
 	Target string
 	// Key is the client's key; empty for none.
 	Key string
-	// Deadline is how long the client waits from now on; 0 if it sent no deadline.
-	Deadline time.Duration
+	// Deadline is how long the client waits from now on if HasDeadline is set.
+	HasDeadline bool
+	Deadline    time.Duration
 	// PromptTokens is the length of the prompt, MaxTokens the maximum length of the answer;
 	// both are 0 for requests without a prompt.
 	PromptTokens int
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -295,7 +295,7 @@
 // answerMargin.
 func (exc *exchange) setDeadline() {
 	limit := exc.route.Timeout
-	if exc.request.Deadline > 0 {
+	if exc.request.HasDeadline {
 		limit = min(limit, exc.request.Deadline)
 	}
 	exc.deadline = exc.started.Add(limit - answerMargin)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -121,6 +121,20 @@
 	sys.WaitUntil("the engine's request is canceled", func() bool { return eng.AbandonedRequests() == 1 })
 }
 
+// Guards against a request that runs although its client waits no more (BUDGET): a deadline of 0 passed for none.
+func TestRequestWhoseDeadlineIsOverDoesNotRun(t *testing.T) {
+	engines := twoOfEach()
+	sys := start(t, 1, engines)
+	for _, deadline := range []string{"0", "0.0", "-0", "0.5", "1"} {
+		for _, kind := range []string{"stream", "resume", "safe", "unsafe", "public"} {
+			id := kind + "-" + deadline
+			ans := sys.Send(t.Context(), sys.Hosts[0], entrytest.Request{ID: id, Path: "/" + kind + "/", Header: map[string]string{"Deadline-Ms": deadline}})
+			assert.Check(t, ans.Status == http.StatusServiceUnavailable, "%s: %d %s", id, ans.Status, ans.Body)
+			assert.Check(t, len(runsOf(engines, id)) == 0, id)
+		}
+	}
+}
+
 func TestDeadlineEndsRequest(t *testing.T) {
 	eng := plainEngine("p1")
 	sys := start(t, 1, []*upstreamtest.Engine{eng})
