fix(upstream): a connection with an idle limit of 0 isn't used again

Callers: a request could be sent on a connection that its engine had closed, or was closing, and be lost (502 for one that may run once only).

Evidence: TestConnectionIsReusedWithinItsIdleLimit, on: 0 and timeout=0 reuse the connection; after: they don't, as 1.

--- a/call/call.go
+++ b/call/call.go
@@ -92,8 +92,9 @@
 	Running int
 	Waiting int
 	Slots   int
-	// IdleLimit is how long the connection may be idle; 0 if the answer doesn't state it.
-	IdleLimit time.Duration
+	// IdleLimit is how long the connection may be idle if HasIdleLimit is set.
+	HasIdleLimit bool
+	IdleLimit    time.Duration
 	// Misdirected is set if the request was intended for an engine other than the one that
 	// answered. Instance identifies the engine that answered; empty if the answer doesn't state it.
 	Misdirected bool
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -131,7 +131,7 @@
 		return
 	}
 	limit := defaultIdleLimit
-	if ans.Head.IdleLimit > 0 {
+	if ans.Head.HasIdleLimit {
 		limit = ans.Head.IdleLimit - idleMargin
 	}
 	exc.connection.retireAt = exc.client.cfg.Now().Add(limit)
--- a/upstream/connection_test.go
+++ b/upstream/connection_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 
 	"lynxwell.dev/lynxwell/call"
 	"lynxwell.dev/lynxwell/fleet"
+	"lynxwell.dev/lynxwell/platform"
 	"lynxwell.dev/lynxwell/upstream"
 )
 
@@ -146,3 +148,42 @@
 		assert.Equal(t, dialed, tst.dialed, "call %d", idx)
 	}
 }
+
+// Guards against a request that is sent on a connection which its engine has closed, and is lost: an idle limit of 0 passed for none.
+func TestConnectionIsReusedWithinItsIdleLimit(t *testing.T) {
+	for _, tst := range []struct {
+		keepAlive string
+		dials     int
+	}{
+		{"", 1},
+		{"max=5", 1},
+		{"timeout=9223372036854775807", 1},
+		{"timeout=5", 1},
+		{"timeout=1", 2},
+		{"timeout=0", 2},
+		{"0", 2},
+	} {
+		t.Run(tst.keepAlive, func(t *testing.T) {
+			srv := httptest.NewServer(http.HandlerFunc(func(wri http.ResponseWriter, req *http.Request) {
+				wri.Header().Set("Request-Id", req.Header.Get("Request-Id"))
+				if tst.keepAlive != "" {
+					wri.Header().Set("Keep-Alive", tst.keepAlive)
+				}
+			}))
+			t.Cleanup(srv.Close)
+			dials := 0
+			cli := upstream.NewClient(upstream.ClientConfig{Decode: platform.DecodeAnswer, Dialed: func() { dials++ }})
+			t.Cleanup(cli.Close)
+			for range 2 {
+				cal := newCall(upstream.Endpoint{Address: netip.MustParseAddrPort(srv.Listener.Addr().String())})
+				cal.Header.Set("Request-Id", cal.ID)
+				ans, err := cli.Do(t.Context(), cal)
+				assert.NilError(t, err)
+				_, err = ans.ReadAll(100)
+				assert.NilError(t, err)
+				ans.Close()
+			}
+			assert.Equal(t, dials, tst.dials)
+		})
+	}
+}
