fix(quarantine): a part of prompts with the id 0 is a part

Callers: a part that crashed engines, and whose id was 0, was held for an hour in place of a minute, with all sound requests that share it; the sources that its requests had restricted stayed so at other hosts, and dumps and logs didn't name it.

Change: IsPart compares the digest with that of the part, which is made of its id.

--- a/entry/crash.go
+++ b/entry/crash.go
@@ -231,7 +231,7 @@
 	}
 	evt := bro.host.log.Warn().Stringer("Digest", cha.Case.Digest).Stringer("Now", cha.Kind).Str("Service", cha.Case.Service).
 		Str("Account", cha.Case.Account).Str("Route", cha.Case.Route).Strs("Engines", engines).Bool("Alone", exclusive).Int("Trials", cha.Case.Trials)
-	if cha.Case.Part != 0 {
+	if cha.Case.IsPart() {
 		evt = evt.Str("Part", strconv.FormatUint(cha.Case.Part, 16))
 	}
 	if cha.Case.Held {
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -18,6 +18,12 @@
 	return Subject{Digest: PartDigest(service, part), Service: service, Part: part}
 }
 
+// IsPart reports whether the subject is a part of prompts rather than a request. Clients choose the ids of parts, 0 too, so that
+// the digest tells: that of a request isn't made of an id.
+func (sub Subject) IsPart() bool {
+	return sub.Digest == PartDigest(sub.Service, sub.Part)
+}
+
 // PartDigest returns the digest of a part of prompts to a service.
 func PartDigest(service string, part uint64) call.Digest {
 	hash := fnv.New64a()
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -122,7 +122,7 @@
 	Service string
 	Account string
 	Route   string
-	// Part is the id of a part of prompts to the service; 0 for a request. A part has no account and no route.
+	// Part is the id of a part of prompts to the service if IsPart reports one. A part has no account and no route.
 	Part uint64
 }
 
@@ -232,7 +232,7 @@
 
 // firstHoldTime returns how long the case is held at first.
 func (cas *Case) firstHoldTime() time.Duration {
-	if cas.Part != 0 {
+	if cas.IsPart() {
 		return firstPartHoldTime
 	}
 	return firstHoldTime
--- a/quarantine/registry_test.go
+++ b/quarantine/registry_test.go
@@ -250,3 +250,19 @@
 		})
 	}
 }
+
+// Guards against sound requests that are refused for an hour: a part of prompts with the id 0 passed for a request, and was held
+// for as long.
+func TestPartIsHeldForAShorterTimeWhateverItsID(t *testing.T) {
+	for _, part := range []uint64{0, 1, 7} {
+		reg := quarantine.New(quarantine.Config{})
+		sub := quarantine.PartSubject("model", part)
+		for _, name := range []string{"a", "b", "c"} {
+			reg.RecordCrash(startTime, quarantine.Observation{Subject: sub, Engine: name})
+		}
+		assert.Assert(t, sub.IsPart())
+		assert.Equal(t, reg.HeldFor(startTime, sub.Digest), time.Minute, "part %d", part)
+	}
+	assert.Assert(t, !subject(1).IsPart())
+	assert.Equal(t, heldRegistry(t).HeldFor(startTime, digest(1)), time.Hour)
+}
--- a/scheduler/parts.go
+++ b/scheduler/parts.go
@@ -40,12 +40,12 @@
 	return digests
 }
 
-// partName returns the id of a part in hexadecimal digits; empty for none.
-func partName(part uint64) string {
-	if part == 0 {
+// partName returns the id of a part in hexadecimal digits; empty if the subject is a request.
+func partName(sub quarantine.Subject) string {
+	if !sub.IsPart() {
 		return ""
 	}
-	return strconv.FormatUint(part, 16)
+	return strconv.FormatUint(sub.Part, 16)
 }
 
 // partState is the state of the worst part of a prompt.
@@ -230,7 +230,7 @@
 // mergeReport applies another host's report of a case. A held part explains crashes that count against sources here.
 func (cor *Core) mergeReport(now time.Time, rep quarantine.Report) {
 	cor.quarantine.Merge(now, rep)
-	if rep.Part != 0 && rep.Held && !rep.Cleared {
+	if rep.IsPart() && rep.Held && !rep.Cleared {
 		cor.forgetSources(rep.Service)
 	}
 }
--- a/scheduler/parts_test.go
+++ b/scheduler/parts_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -181,8 +183,16 @@
 	assert.Equal(t, len(har.core.Dump(har.now).Restricted), 0)
 }
 
-// A part that another host has found to crash engines lifts the restriction of sources here.
+// A part that another host has found to crash engines lifts the restriction of sources here. Guards against a part with the id 0,
+// which passed for a request: the sources of sound requests stayed restricted.
 func TestReportedPartsLiftTheRestrictionOfSources(t *testing.T) {
+	for _, part := range []uint64{7, 0} {
+		t.Run(fmt.Sprint("part ", part), func(t *testing.T) { checkReportedPart(t, part) })
+	}
+}
+
+func checkReportedPart(t *testing.T, part uint64) {
+	t.Helper()
 	har := newHarness(newModelEngines(40)...)
 	for num := range 8 {
 		res := prompt(fmt.Sprint("varied-", num))
@@ -193,9 +203,11 @@
 	}
 	assert.Equal(t, len(har.core.Dump(har.now).Restricted), 1)
 	har.handle(scheduler.Received{From: peerEpoch, Message: reservation.CaseReport{Report: quarantine.Report{
-		Subject: quarantine.PartSubject("model", 7), Crashes: []quarantine.Crash{{Engine: "x"}, {Engine: "y"}, {Engine: "z"}}, Held: true, Remaining: time.Minute,
+		Subject: quarantine.PartSubject("model", part), Crashes: []quarantine.Crash{{Engine: "x"}, {Engine: "y"}, {Engine: "z"}}, Held: true, Remaining: time.Minute,
 	}}})
 	assert.Equal(t, len(har.core.Dump(har.now).Restricted), 0)
+	name := strconv.FormatUint(part, 16)
+	assert.Assert(t, slices.ContainsFunc(har.core.Dump(har.now).Cases, func(cas scheduler.CaseDump) bool { return cas.Part == name }))
 }
 
 // Three bad parts at a time before four engines: open, see docs/design/crashing-requests.md.
--- a/scheduler/quarantine.go
+++ b/scheduler/quarantine.go
@@ -405,7 +405,7 @@
 		}
 		dum := CaseDump{
 			Digest: cas.Digest, Level: cor.quarantine.LevelOf(now, cas).String(), Service: cas.Service, Account: cas.Account, Route: cas.Route,
-			Part: partName(cas.Part), Until: cas.Until, ForGood: cas.Held && cas.Until.IsZero(), Trials: cas.Trials,
+			Part: partName(cas.Subject), Until: cas.Until, ForGood: cas.Held && cas.Until.IsZero(), Trials: cas.Trials,
 		}
 		for _, crs := range cas.Crashes {
 			dum.Engines, dum.Alone = append(dum.Engines, crs.Engine), crs.Alone
