--- a/call/call.go
+++ b/call/call.go
@@ -38,8 +38,9 @@
 	// Deadline is how long the client waits from now on if HasDeadline is set.
 	HasDeadline bool
 	Deadline    time.Duration
-	// PromptTokens is the length of the prompt, MaxTokens the maximum length of the answer;
-	// both are 0 for requests without a prompt.
+	// PromptTokens is the length of the prompt, MaxTokens the maximum length of the answer, if HasTokens
+	// is set; both are 0 for requests without a prompt.
+	HasTokens    bool
 	PromptTokens int
 	MaxTokens    int
 	// HintTokens is the client's estimate of the answer's length; 0 for none.
@@ -72,10 +73,9 @@
 	return ids
 }
 
-// Tokens returns the number of tokens that the request counts against a limit on tokens; 0 for
-// requests without a prompt.
-func (req Request) Tokens() int {
-	return req.PromptTokens + req.MaxTokens
+// Tokens returns the number of tokens that the request counts against a limit on tokens; false if it doesn't state them.
+func (req Request) Tokens() (int, bool) {
+	return req.PromptTokens + req.MaxTokens, req.HasTokens
 }
 
 // AnswerHead is the decoded status and headers of an engine's answer.
--- a/route/route.go
+++ b/route/route.go
@@ -154,13 +154,13 @@
 	Regions []string
 }
 
-// Cost returns the number of units by which a request counts towards the account's limit. tokens
-// is 0 if the request doesn't state its tokens.
-func (acc Account) Cost(tokens int) float64 {
+// Cost returns the number of units by which a request counts towards the account's limit, by the tokens
+// that it states.
+func (acc Account) Cost(tokens int, stated bool) float64 {
 	switch {
 	case !acc.ByTokens:
 		return 1
-	case tokens > 0:
+	case stated:
 		return float64(tokens)
 	default:
 		return float64(acc.DefaultTokens)
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -69,9 +69,10 @@
 
 func TestCostIsInTokensOrRequests(t *testing.T) {
 	acc := route.Account{ByTokens: true, DefaultTokens: 200}
-	assert.Equal(t, acc.Cost(1500), 1500.0)
-	assert.Equal(t, acc.Cost(0), 200.0)
-	assert.Equal(t, route.Account{}.Cost(1500), 1.0)
+	assert.Equal(t, acc.Cost(1500, true), 1500.0)
+	assert.Equal(t, acc.Cost(0, false), 200.0)
+	assert.Equal(t, route.Account{}.Cost(1500, true), 1.0)
+	assert.Equal(t, acc.Cost(0, true), 0.0, "a request that states no tokens at all isn't one that doesn't state them")
 }
 
 // Over one full range of points, each service must be picked as often as its weight states.
