--- a/eventstream/run_test.go
+++ b/eventstream/run_test.go
@@ -147,3 +147,15 @@
 	}
 	return append(all, waiting...), nil
 }
+
+// Guards against a head of one engine before the events of another: a comment is passed on behind the first event only.
+func TestCommentWaitsForFirstEvent(t *testing.T) {
+	for _, begins := range []eventstream.ID{"", "5"} {
+		run := eventstream.NewRun(eventstream.PositionBehind(begins))
+		for idx, want := range []bool{false, true, true} {
+			passed, err := run.Next(events("comment 6 comment")[idx])
+			assert.NilError(t, err)
+			assert.Equal(t, passed, want)
+		}
+	}
+}
--- a/tools/mutate/main.go
+++ b/tools/mutate/main.go
@@ -89,7 +89,7 @@
 	return slices.Concat(
 		crashMutations, overloadMutations, placeMutations, signalMutations, ledgerMutations, pathMutations, eraMutations, partMutations,
 		limitMutations, copyMutations, versionMutations, boundMutations, resignMutations, endedMutations, incidentMutations,
-		lostMutations, mendMutations, stoppingMutations,
+		lostMutations, mendMutations, stoppingMutations, streamMutations,
 	)
 }
 
--- a/upstream/events_test.go
+++ b/upstream/events_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -250,3 +251,34 @@
 	}
 	return blocks
 }
+
+// brokenOnce returns an error behind its text, and ends from then on, as a connection does that was reset.
+type brokenOnce struct {
+	text   io.Reader
+	broken bool
+}
+
+// Read implements io.Reader.
+func (bro *brokenOnce) Read(buf []byte) (int, error) {
+	count, err := bro.text.Read(buf)
+	if err != nil && !bro.broken {
+		bro.broken = true
+		return count, syscall.ECONNRESET
+	}
+	return count, err
+}
+
+// Guards against a stream that looks complete (ORDER): its connection was reset behind a carriage return, and reads as closed after
+// that.
+func TestStreamThatWasResetStaysBroken(t *testing.T) {
+	for _, text := range []string{"data: a\n\n", "data: a\r\r", "data: a\r\n\r", "data: a\r\n\r\n"} {
+		reader := upstream.NewEventReader(&brokenOnce{text: strings.NewReader(text)})
+		evt, err := reader.Next()
+		assert.NilError(t, err)
+		assert.Equal(t, string(evt.Raw), text)
+		for range 2 {
+			_, err = reader.Next()
+			assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%q: %v", text, err)
+		}
+	}
+}
