fix(upstream): an event that lacks the last byte of its end is incomplete

In a stream whose lines end with a carriage return and a line feed, an engine that broke off between the two at the end of an event left a client with the first; the next engine's event followed without the second. It is incomplete now where the lines before ended with both, so the next engine sends it again and whole.

--- a/upstream/events.go
+++ b/upstream/events.go
@@ -89,8 +89,10 @@
 			evr.begun = true
 		}
 		if len(line) == 0 {
-			err := evr.finish(&evt)
-			return evt, err
+			if err := evr.finish(&evt); err != nil {
+				return Event{}, err
+			}
+			return evt, nil
 		}
 		evt.parse(line)
 	}
@@ -141,13 +143,20 @@
 	return evr.take(evt, part[:1])
 }
 
-// finish appends the line feed at the end of an event. It waits for one only in a stream whose lines end with both: the
-// next event of another may come much later.
+// finish appends the line feed at the end of an event. It waits for one only in a stream whose lines end with both, where an
+// event without it is incomplete: the next event of another stream may come much later.
 func (evr *EventReader) finish(evt *Event) error {
 	if evr.source.Buffered() == 0 && !evr.returnsAndFeeds {
 		return nil
 	}
-	return evr.readFeed(evt)
+	err := evr.readFeed(evt)
+	if err != nil || !evr.afterReturn {
+		return err
+	}
+	if errors.Is(evr.failed, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return evr.failed
 }
 
 // end returns the event at the end of the stream, with the number of bytes that waited, and that of those before the last line:
