--- a/entry/eventids_test.go
+++ b/entry/eventids_test.go
@@ -151,6 +151,26 @@
 	}
 }
 
+// Guards against two runs that are joined (ORDER): a client resumed its stream, the engine broke off, and the host went on at the
+// higher of the client's id and its own.
+func TestHostGoesOnWhereTheClientsResumptionBrokeOff(t *testing.T) {
+	for _, ids := range []upstreamtest.EventIDs{upstreamtest.FromOne, upstreamtest.FromMinusTwo, upstreamtest.Padded, upstreamtest.EveryOther} {
+		t.Run("ids "+string(ids), func(t *testing.T) {
+			t.Parallel()
+			nsy := startNumbered(t, ids)
+			for _, brk := range breaks()[:8] {
+				id := fmt.Sprintf("s-%d-%v", brk.After, brk.Within)
+				nsy.SendUntilEvent(t.Context(), nsy.Hosts[0], streamRequest(id, "", 0), 4)
+				ans := nsy.send(streamRequestBehind("again-"+id, id, ids.ID(4)), brk)
+				complete := nsy.checkInOrder("again-"+id, 4, ans)
+				// Where the run broke off behind an event without an id that waited, it goes on behind the client's.
+				goesOn := ids.ID(4+brk.After) != "" || brk.After < 2
+				assert.Check(t, complete == goesOn, "%s: complete %v, error %v, got %q", id, complete, ans.Err, ans.Body)
+			}
+		})
+	}
+}
+
 // Guards against sound answers that are cut or refused: on a route that can't be resumed, Last-Event-Id is handed on as it is, and
 // the answer is the engine's.
 func TestLastEventIDIsAnyHeaderWhereNothingIsResumed(t *testing.T) {
